Add the thin path: entry VM, stand-ins and demo as separate processes

Cause: nothing existed. A caller needs a short chat request and a booking to go through real processes under a configuration from the table service. Change: workspace of packages; decisions as state machines behind one seam (docs/design/seam.md); the entry binary with Node's http, js-csp batching towards the platform, tslog events; stand-ins for engine, plain service, platform and balancer; demo; lint rule that keeps decisions free of I/O. Ruled out: tslog's own JSON layout, which hides the fields under a positional key, so that the demo's launcher waited for a port for ever; lines now carry the fields at the top, and the launcher gives up after 20 s. Measured: npm run demo prints four checks, all ok, exit 0; 3 tests of the node pass. Conclusion: the path stands; routing over several entry VMs, claims' answers and links follow.

--- /dev/null
+++ b/packages/decisions/src/node/entry-node.ts
@@ -0,0 +1,153 @@
+import {
+  logEvents,
+  resultCodes,
+  type EntryVm,
+  type MonotonicMs,
+  type RequestContract,
+  type ResultCode,
+} from '@savorywind/model';
+import { ConfigurationKeeper } from '../configuration/configuration-keeper.js';
+import { ClaimLedger } from '../ledger/claim-ledger.js';
+import { LocalRouter } from '../routing/local-router.js';
+import { RequestLifecycle } from '../requests/request-lifecycle.js';
+import { NodeContext } from '../seam/node-context.js';
+import type { NodeEffect, NodeEvent, NodeStatus, Readiness } from '../seam/types.js';
+
+export interface EntryNodeOptions {
+  readonly vm: EntryVm;
+  /** Seed of the node's random numbers. */
+  readonly seed: number;
+}
+
+type EventHandlers = {
+  readonly [Kind in NodeEvent['kind']]: (
+    event: Extract<NodeEvent, { readonly kind: Kind }>,
+  ) => void;
+};
+
+const REFUSAL_WHILE_NOT_READY: Readonly<Record<Readiness, ResultCode>> = {
+  starting: resultCodes.notReady,
+  ready: resultCodes.notReady,
+  leaving: resultCodes.draining,
+  drained: resultCodes.draining,
+};
+
+const NOT_READY_RETRY_MS = 1_000;
+
+/**
+ * All decisions of one entry VM: an event in, effects out. Holds no socket and reads no clock, so
+ * that the same code runs under the program, under tests and under other drivers.
+ *
+ * @example
+ * const node = new EntryNode({ vm, seed: 1 });
+ * const effects = node.handle({ kind: 'started' }, performance.now());
+ * // carry the effects out, and hand in { kind: 'woken' } at node.nextWakeMs()
+ */
+export class EntryNode {
+  private readonly context: NodeContext;
+
+  private readonly configuration: ConfigurationKeeper;
+
+  private readonly requests: RequestLifecycle;
+
+  private readiness: Readiness = 'starting';
+
+  private readonly handlers: EventHandlers;
+
+  constructor(options: EntryNodeOptions) {
+    this.context = new NodeContext(options.vm, options.seed);
+    this.configuration = new ConfigurationKeeper(this.context, () => this.becomeReady());
+    const readConfiguration = () => this.configuration.configuration;
+    this.requests = new RequestLifecycle({
+      context: this.context,
+      router: new LocalRouter(readConfiguration),
+      ledger: new ClaimLedger(this.context),
+      readConfiguration,
+      onIdle: () => this.finishDrain(),
+    });
+    this.handlers = this.createHandlers();
+  }
+
+  /**
+   * @param nowMs monotonic time; never lower than in the call before
+   * @returns effects in the order in which they are to be carried out
+   */
+  handle(event: NodeEvent, nowMs: MonotonicMs): NodeEffect[] {
+    this.context.nowMs = nowMs;
+    const handler = this.handlers[event.kind] as (event: NodeEvent) => void;
+    handler(event);
+    this.context.runDueTimers();
+    return this.context.takeEffects();
+  }
+
+  /** When to hand in `woken` at the latest. */
+  nextWakeMs(): MonotonicMs | undefined {
+    return this.context.nextWakeMs();
+  }
+
+  readStatus(): NodeStatus {
+    return {
+      vm: this.context.self,
+      readiness: this.readiness,
+      configurationVersion: this.configuration.version,
+      configurationAgeMs: this.configuration.ageMs,
+      requests: this.requests.listViews(),
+    };
+  }
+
+  private createHandlers(): EventHandlers {
+    const { context, requests } = this;
+    return {
+      started: () => this.configuration.start(),
+      woken: () => {},
+      drainRequested: () => this.startDrain(),
+      'request.arrived': ({ contract }) => this.acceptRequest(contract),
+      'request.abandoned': ({ requestId }) => requests.abandon(requestId),
+      'attempt.headReceived': (event) => requests.acceptHead(event),
+      'attempt.chunkReceived': (event) => requests.acceptChunk(event),
+      'attempt.ended': (event) => requests.acceptEnd(event),
+      'attempt.failed': (event) => requests.acceptFailure(event),
+      'link.opened': () => {},
+      'link.closed': () => {},
+      'link.received': () => {},
+      'platform.replied': ({ callId, reply }) => context.acceptPlatformReply(callId, reply),
+      'engine.replied': ({ callId, reply }) => context.acceptEngineReply(callId, reply),
+    };
+  }
+
+  private acceptRequest(contract: RequestContract): void {
+    if (this.readiness === 'ready') {
+      this.requests.admit(contract);
+      return;
+    }
+    const refusal = {
+      code: REFUSAL_WHILE_NOT_READY[this.readiness],
+      ran: 'no',
+      retryAfterMs: NOT_READY_RETRY_MS,
+    } as const;
+    this.context.emit({ kind: 'caller.refuse', requestId: contract.requestId, refusal });
+  }
+
+  private becomeReady(): void {
+    if (this.readiness !== 'starting') return;
+    this.changeReadiness('ready');
+    this.context.log(logEvents.processReady, { version: this.configuration.version });
+  }
+
+  private startDrain(): void {
+    if (this.readiness === 'leaving' || this.readiness === 'drained') return;
+    this.changeReadiness('leaving');
+    this.context.log(logEvents.drainStarted, { inFlight: this.requests.inFlight });
+    this.finishDrain();
+  }
+
+  private finishDrain(): void {
+    if (this.readiness !== 'leaving' || this.requests.inFlight > 0) return;
+    this.changeReadiness('drained');
+  }
+
+  private changeReadiness(state: Readiness): void {
+    this.readiness = state;
+    this.context.emit({ kind: 'readiness', state });
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/routing/types.ts
@@ -0,0 +1,24 @@
+import type { Engine, ModelContract, MonotonicMs, Refusal, RequestId } from '@savorywind/model';
+
+/** What a request needs of an engine. */
+export interface SlotAsk {
+  readonly contract: ModelContract;
+  readonly deadlineMs: MonotonicMs;
+}
+
+export type SlotDecision =
+  | { readonly kind: 'granted'; readonly engine: Engine; readonly priority: number }
+  | { readonly kind: 'refused'; readonly refusal: Refusal };
+
+export type SlotListener = (decision: SlotDecision) => void;
+
+/** How a slot ended; tells the account whether the engine's estimate held and whether it is sound. */
+export type SlotOutcome = 'finished' | 'cancelled' | 'rejected' | 'broken' | 'notSent';
+
+/** Who may put work on an engine, and in which order. */
+export interface Router {
+  /** Asks for a slot; the listener is called once, now or later, unless the ask is withdrawn. */
+  askSlot(ask: SlotAsk, listener: SlotListener): void;
+  withdrawAsk(requestId: RequestId): void;
+  releaseSlot(requestId: RequestId, outcome: SlotOutcome): void;
+}
--- /dev/null
+++ b/packages/decisions/src/seam/types.ts
@@ -0,0 +1,203 @@
+import type {
+  AttemptId,
+  Configuration,
+  Endpoint,
+  EndpointId,
+  Engine,
+  EntryVm,
+  EntryVmId,
+  LinkMessage,
+  LogEvent,
+  LogFields,
+  PlatformCall,
+  PlatformFailure,
+  PlatformReply,
+  Refusal,
+  RequestContract,
+  RequestId,
+  Result,
+} from '@savorywind/model';
+
+/** How an attempt at an endpoint broke off. Decides whether the call may have run. */
+export type AttemptFailure =
+  /** No byte of the request left this process. */
+  | 'notSent'
+  /** The endpoint answered that it did not run the call. */
+  | 'rejected'
+  /** The connection was lost, or the answer ended early, after bytes had left. */
+  | 'broken'
+  /** The endpoint's answer breaks its protocol, or belongs to another stream. */
+  | 'invalid';
+
+/** Status and headers of a plain service's answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[]>>;
+}
+
+/** Part of an answer: text of generated tokens, or bytes of a plain service's body. */
+export type ChunkData = string | Uint8Array;
+
+export interface AnswerUsage {
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+}
+
+export type FinishReason = 'stop' | 'length' | 'complete';
+
+/** What an engine can be asked outside of a request. Extended per topic. */
+export type EngineCall =
+  | { readonly kind: 'streams.list' }
+  | { readonly kind: 'stream.cancel'; readonly streamId: string }
+  | { readonly kind: 'load.read' };
+
+/** One stream that an engine holds memory for. */
+export interface EngineStream {
+  readonly streamId: string;
+  readonly memoryTokens: number;
+  /** Whether a reader is connected to the stream. */
+  readonly attached: boolean;
+  readonly ageMs: number;
+}
+
+export interface EngineLoad {
+  readonly usedMemoryTokens: number;
+  readonly runningStreams: number;
+  readonly queuedPromptTokens: number;
+}
+
+export type EngineReply =
+  | { readonly kind: 'streams'; readonly streams: readonly EngineStream[] }
+  | { readonly kind: 'done' }
+  | { readonly kind: 'load'; readonly load: EngineLoad };
+
+/** `unsent` had certainly no effect, `unanswered` may have had one, `refused` is the engine's no. */
+export type EngineCallFailure = 'unsent' | 'unanswered' | 'refused';
+
+/** All that can happen to an entry VM's decisions. */
+export type NodeEvent =
+  | { readonly kind: 'started' }
+  | { readonly kind: 'woken' }
+  | { readonly kind: 'drainRequested' }
+  | { readonly kind: 'request.arrived'; readonly contract: RequestContract }
+  | { readonly kind: 'request.abandoned'; readonly requestId: RequestId }
+  | {
+      readonly kind: 'attempt.headReceived';
+      readonly attemptId: AttemptId;
+      readonly head: AnswerHead | undefined;
+    }
+  | {
+      readonly kind: 'attempt.chunkReceived';
+      readonly attemptId: AttemptId;
+      /** Position of the chunk's first token or byte in the whole answer. */
+      readonly offset: number;
+      /** Tokens or bytes in the chunk. */
+      readonly count: number;
+      readonly data: ChunkData;
+    }
+  | {
+      readonly kind: 'attempt.ended';
+      readonly attemptId: AttemptId;
+      /** Tokens or bytes of the whole answer. */
+      readonly total: number;
+      readonly reason: FinishReason;
+      readonly usage: AnswerUsage | undefined;
+    }
+  | {
+      readonly kind: 'attempt.failed';
+      readonly attemptId: AttemptId;
+      readonly failure: AttemptFailure;
+    }
+  | { readonly kind: 'link.opened'; readonly peer: EntryVmId }
+  | { readonly kind: 'link.closed'; readonly peer: EntryVmId }
+  | { readonly kind: 'link.received'; readonly peer: EntryVmId; readonly message: LinkMessage }
+  | {
+      readonly kind: 'platform.replied';
+      readonly callId: number;
+      readonly reply: Result<PlatformReply, PlatformFailure>;
+    }
+  | {
+      readonly kind: 'engine.replied';
+      readonly callId: number;
+      readonly reply: Result<EngineReply, EngineCallFailure>;
+    };
+
+/** All that decisions can ask of the program around them. */
+export type NodeEffect =
+  | {
+      readonly kind: 'attempt.start';
+      readonly attemptId: AttemptId;
+      readonly requestId: RequestId;
+      readonly endpoint: Endpoint;
+      /** Names the answer at the engine; stays the same when a broken stream is resumed. */
+      readonly streamId: string;
+      readonly mode: 'new' | 'resume';
+      /** First token or byte wanted. */
+      readonly offset: number;
+      /** Higher goes first at the engine. */
+      readonly priority: number;
+      readonly timeoutMs: number;
+      /** A fresh connection makes a failure to connect a proof that nothing was sent. */
+      readonly connection: 'pooled' | 'fresh';
+    }
+  | { readonly kind: 'attempt.cancel'; readonly attemptId: AttemptId }
+  | {
+      readonly kind: 'caller.sendHead';
+      readonly requestId: RequestId;
+      readonly head: AnswerHead | undefined;
+    }
+  | {
+      readonly kind: 'caller.sendChunk';
+      readonly requestId: RequestId;
+      readonly count: number;
+      readonly data: ChunkData;
+    }
+  | {
+      readonly kind: 'caller.finish';
+      readonly requestId: RequestId;
+      readonly reason: FinishReason;
+      readonly usage: AnswerUsage | undefined;
+    }
+  /** The final answer of a request that failed; an error event where the head has gone out. */
+  | { readonly kind: 'caller.refuse'; readonly requestId: RequestId; readonly refusal: Refusal }
+  | { readonly kind: 'link.open'; readonly vm: EntryVm }
+  | { readonly kind: 'link.close'; readonly peer: EntryVmId }
+  | { readonly kind: 'link.send'; readonly peer: EntryVmId; readonly message: LinkMessage }
+  | { readonly kind: 'platform.call'; readonly callId: number; readonly call: PlatformCall }
+  | {
+      readonly kind: 'engine.call';
+      readonly callId: number;
+      readonly engine: Engine;
+      readonly call: EngineCall;
+    }
+  | {
+      readonly kind: 'configuration.adopted';
+      readonly version: number;
+      readonly configuration: Configuration;
+    }
+  | { readonly kind: 'readiness'; readonly state: Readiness }
+  | { readonly kind: 'log'; readonly event: LogEvent; readonly fields: LogFields };
+
+/** What the balancer is told. `drained`: nothing is in flight and the process may stop. */
+export type Readiness = 'starting' | 'ready' | 'leaving' | 'drained';
+
+/** What operators see of a request in flight. */
+export interface RequestView {
+  readonly requestId: RequestId;
+  readonly team: string;
+  readonly target: string;
+  readonly state: string;
+  readonly endpoint: EndpointId | undefined;
+  readonly ageMs: number;
+  readonly timeoutMs: number;
+}
+
+/** What operators see of an entry VM. */
+export interface NodeStatus {
+  readonly vm: EntryVm;
+  readonly readiness: Readiness;
+  readonly configurationVersion: number;
+  /** Time since the platform last confirmed the version in force. */
+  readonly configurationAgeMs: number | undefined;
+  readonly requests: readonly RequestView[];
+}
--- /dev/null
+++ b/packages/entry/src/callers/hop-by-hop.ts
@@ -0,0 +1,31 @@
+import type { IncomingHttpHeaders } from 'node:http';
+
+/** Headers that concern one connection only (RFC 9110, section 7.6.1), and those set anew. */
+const HOP_BY_HOP = new Set([
+  'connection',
+  'content-length',
+  'host',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+const listNamedByConnection = (headers: IncomingHttpHeaders): string[] =>
+  (headers.connection ?? '').split(',').map((name) => name.trim().toLowerCase());
+
+/** Copies the headers that travel from end to end. */
+export const copyEndToEndHeaders = (
+  headers: IncomingHttpHeaders,
+): Record<string, string | string[]> => {
+  const dropped = new Set([...HOP_BY_HOP, ...listNamedByConnection(headers)]);
+  const kept = Object.entries(headers).filter(
+    (entry): entry is [string, string | string[]] =>
+      !dropped.has(entry[0]) && entry[1] !== undefined,
+  );
+  return Object.fromEntries(kept);
+};
--- /dev/null
+++ b/packages/entry/src/endpoints/engine-client.ts
@@ -0,0 +1,56 @@
+import { Agent, request as sendRequest } from 'node:http';
+import type { EngineCall, EngineCallFailure, EngineReply } from '@savorywind/decisions';
+import { Err, Ok, type Engine, type Result } from '@savorywind/model';
+
+const agent = new Agent({ keepAlive: true });
+
+const CALL_TIMEOUT_MS = 2_000;
+
+interface HttpCall {
+  readonly method: string;
+  readonly path: string;
+}
+
+type CallKind = EngineCall['kind'];
+
+const httpCalls: {
+  readonly [Kind in CallKind]: (call: Extract<EngineCall, { readonly kind: Kind }>) => HttpCall;
+} = {
+  'streams.list': () => ({ method: 'GET', path: '/v1/streams' }),
+  'stream.cancel': ({ streamId }) => ({
+    method: 'DELETE',
+    path: `/v1/streams/${encodeURIComponent(streamId)}`,
+  }),
+  'load.read': () => ({ method: 'GET', path: '/v1/load' }),
+};
+
+const readReply: Readonly<Record<CallKind, (body: never) => EngineReply>> = {
+  'streams.list': (body: { streams: [] }) => ({ kind: 'streams', streams: body.streams }),
+  'stream.cancel': () => ({ kind: 'done' }),
+  'load.read': (load: never) => ({ kind: 'load', load }),
+};
+
+/** Asks an engine something outside of a request. */
+export const callEngine = (
+  engine: Engine,
+  call: EngineCall,
+): Promise<Result<EngineReply, EngineCallFailure>> =>
+  new Promise((resolve) => {
+    const describe = httpCalls[call.kind] as (given: EngineCall) => HttpCall;
+    const options = { ...engine.address, agent, timeout: CALL_TIMEOUT_MS, ...describe(call) };
+    const request = sendRequest(options, (response) => {
+      const parts: Buffer[] = [];
+      response.on('data', (part: Buffer) => parts.push(part));
+      response.on('end', () => {
+        if (response.statusCode !== 200) {
+          resolve(Err('refused'));
+          return;
+        }
+        const body = JSON.parse(Buffer.concat(parts).toString('utf8')) as never;
+        resolve(Ok(readReply[call.kind](body)));
+      });
+    });
+    request.on('timeout', () => request.destroy());
+    request.on('error', () => resolve(Err('unanswered')));
+    request.end();
+  });
--- /dev/null
+++ b/packages/entry/src/endpoints/service-attempt.ts
@@ -0,0 +1,59 @@
+import { Agent, request as sendRequest, type IncomingMessage } from 'node:http';
+import type { AttemptFailure } from '@savorywind/decisions';
+import type { CallerRequest } from '../callers/types.js';
+import { copyEndToEndHeaders } from '../callers/hop-by-hop.js';
+import { watchConnection } from './connection-watch.js';
+import type { AttemptStart, EventSink, RunningAttempt } from './types.js';
+
+const pooledAgent = new Agent({ keepAlive: true });
+
+/** Passes a call through to a plain service and reports its answer as it comes. */
+export const startServiceAttempt = (
+  start: AttemptStart,
+  request: CallerRequest,
+  report: EventSink,
+): RunningAttempt => {
+  const { attemptId, endpoint, connection } = start;
+  let ended = false;
+  let received = 0;
+  const fail = (failure: AttemptFailure): void => {
+    if (ended) return;
+    ended = true;
+    report({ kind: 'attempt.failed', attemptId, failure });
+  };
+  const finish = (): void => {
+    if (ended) return;
+    ended = true;
+    const reason = 'complete';
+    report({ kind: 'attempt.ended', attemptId, total: received, reason, usage: undefined });
+  };
+  const acceptResponse = (response: IncomingMessage): void => {
+    const headers = copyEndToEndHeaders(response.headers);
+    const head = { status: response.statusCode ?? 0, headers };
+    report({ kind: 'attempt.headReceived', attemptId, head });
+    response.on('data', (data: Buffer) => {
+      const offset = received;
+      received += data.length;
+      report({ kind: 'attempt.chunkReceived', attemptId, offset, count: data.length, data });
+    });
+    response.on('error', () => fail('broken'));
+    response.on('end', () => (response.complete ? finish() : fail('broken')));
+  };
+  const options = {
+    ...endpoint.address,
+    agent: connection === 'pooled' ? pooledAgent : false,
+    method: request.method,
+    path: request.path,
+    headers: request.headers,
+  } as const;
+  const call = sendRequest(options, acceptResponse);
+  const watch = watchConnection(call);
+  call.on('error', () => fail(watch.mayHaveSent() ? 'broken' : 'notSent'));
+  call.end(request.body);
+  return {
+    cancel: () => {
+      ended = true;
+      call.destroy();
+    },
+  };
+};
--- /dev/null
+++ b/packages/entry/src/observe/logger.ts
@@ -0,0 +1,33 @@
+import { Logger } from 'tslog';
+import type { LogEvent, LogFields, LogLevel } from '@savorywind/model';
+
+const TSLOG_LEVEL: Readonly<Record<LogLevel, number>> = { debug: 2, info: 3, warn: 4, error: 5 };
+
+export interface EventLogger {
+  write(event: LogEvent, fields: LogFields): void;
+}
+
+/** Writes numbered events as JSON lines. */
+export const createEventLogger = (vm: string, level: LogLevel): EventLogger => {
+  const logger = new Logger<object>({
+    type: 'json',
+    minLevel: TSLOG_LEVEL[level],
+    hideLogPositionForProduction: true,
+    name: vm,
+    overwrite: {
+      transportJSON: (line) => {
+        const { _meta: meta, ...fields } = line as { _meta: { date: Date; logLevelName: string } };
+        const { date, logLevelName } = meta;
+        process.stdout.write(
+          `${JSON.stringify({ time: date, level: logLevelName, vm, ...fields })}\n`,
+        );
+      },
+    },
+  });
+  return {
+    write: (event, fields) => {
+      const { number, name, message } = event;
+      logger[event.level]({ event: number, name, message, ...fields });
+    },
+  };
+};
--- /dev/null
+++ b/packages/model/src/codes/ledger-codes.ts
@@ -0,0 +1,33 @@
+import { defineCodes } from './define-codes.js';
+
+/** 4000 to 4999: calls that run at most once. */
+export const ledgerCodes = defineCodes({
+  keyInUse: [
+    4001,
+    409,
+    'Key in use',
+    'A call with this idempotency key is running.',
+    'Ask again with the same key after Retry-After.',
+  ],
+  keyReused: [
+    4002,
+    422,
+    'Key reused',
+    'The idempotency key was used for a different request.',
+    'Use a new key for a new request.',
+  ],
+  outcomeUnknown: [
+    4003,
+    502,
+    'Outcome unknown',
+    'The call was sent and its outcome is not known. It will not run again under this key.',
+    'Look up the result in the service before you send a new key.',
+  ],
+  claimsUnavailable: [
+    4004,
+    503,
+    'Claims unavailable',
+    'The claim for this key could not be written. The call was not sent.',
+    'Ask again with the same key after Retry-After.',
+  ],
+});
--- /dev/null
+++ b/packages/model/src/configuration/schema.ts
@@ -0,0 +1,97 @@
+import { z } from 'zod';
+
+const identifier = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/);
+const address = z.strictObject({
+  host: z.string().min(1),
+  port: z.number().int().min(1).max(65_535),
+});
+
+const team = z.strictObject({
+  id: identifier,
+  /** SHA-256 of each credential, in hex. */
+  credentialSha256: z.array(z.string().regex(/^[0-9a-f]{64}$/)).min(1),
+  /** Share of the fleet relative to other teams under contention. */
+  weight: z.number().positive().default(1),
+  limits: z
+    .strictObject({
+      requestsPerS: z.number().positive().optional(),
+      tokensPerS: z.number().positive().optional(),
+      memoryTokens: z.number().positive().optional(),
+    })
+    .default({}),
+});
+
+const model = z.strictObject({
+  id: identifier,
+  defaultTimeoutMs: z.number().int().positive().default(600_000),
+  maxOutputTokens: z.number().int().positive().default(4_096),
+});
+
+const callRule = z.strictObject({
+  methods: z.array(z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'])).min(1),
+  /** Path below the service; a trailing * matches any rest. */
+  path: z.string().startsWith('/'),
+  idempotency: z.enum(['idempotent', 'nonIdempotent']),
+});
+
+const service = z.strictObject({
+  id: identifier,
+  defaultTimeoutMs: z.number().int().positive().default(30_000),
+  calls: z.array(callRule).default([]),
+  /** Whether a non-idempotent call without a key may go out once while claims can't be written. */
+  unkeyedCalls: z.enum(['sendOnce', 'refuse']).default('refuse'),
+});
+
+const engine = z.strictObject({
+  kind: z.literal('engine'),
+  id: identifier,
+  failureDomain: identifier,
+  address,
+  model: identifier,
+  memoryTokens: z.number().int().positive(),
+  batchLimit: z.number().int().positive(),
+  prefillTokensPerS: z.number().positive(),
+  decodeTokensPerS: z.number().positive(),
+  fencing: z.enum(['checked', 'ignored']),
+});
+
+const serviceReplica = z.strictObject({
+  kind: z.literal('service'),
+  id: identifier,
+  failureDomain: identifier,
+  address,
+  service: identifier,
+});
+
+const preset = z.strictObject({
+  id: identifier,
+  /** 1 weighs only the slowdown of short requests, 0 only the first token across lengths. */
+  slowdownWeight: z.number().min(0).max(1).default(0.5),
+});
+
+/** What operators declare. Checked wherever it enters a process. */
+export const configurationSchema = z.strictObject({
+  teams: z.array(team),
+  models: z.array(model),
+  services: z.array(service),
+  endpoints: z.array(z.discriminatedUnion('kind', [engine, serviceReplica])),
+  presets: z.array(preset).min(1),
+  presetInForce: identifier,
+});
+
+export type Configuration = z.output<typeof configurationSchema>;
+export type TeamDeclaration = Configuration['teams'][number];
+export type ModelDeclaration = Configuration['models'][number];
+export type ServiceDeclaration = Configuration['services'][number];
+export type EndpointDeclaration = Configuration['endpoints'][number];
+export type PresetDeclaration = Configuration['presets'][number];
+
+/** The one row of the table service that says which configuration is in force. */
+export interface ConfigurationHead {
+  readonly version: number;
+  /** Chosen by the operator's command; makes a lost answer to a commit decidable. */
+  readonly changeId: string;
+  readonly author: string;
+  readonly committedAtMs: number;
+  readonly configuration: Configuration;
+}
--- /dev/null
+++ b/packages/model/src/index.ts
@@ -0,0 +1,14 @@
+export * from './codes/index.js';
+export {
+  parseConfiguration,
+  type ConfigurationFault,
+} from './configuration/parse-configuration.js';
+export * from './configuration/schema.js';
+export * from './log-events/index.js';
+export type * from './messages/membership-messages.js';
+export type * from './messages/request-messages.js';
+export type * from './messages/routing-messages.js';
+export type * from './messages/types.js';
+export * from './platform/types.js';
+export { Err, None, Ok, Some, type Option, type Result } from './results/results.js';
+export type * from './world/types.js';
--- /dev/null
+++ b/packages/model/src/log-events/index.ts
@@ -0,0 +1,14 @@
+import { configurationEvents } from './configuration-events.js';
+import { membershipEvents } from './membership-events.js';
+import { processEvents } from './process-events.js';
+import { requestEvents } from './request-events.js';
+
+/** The catalogue of log events. docs/log-events.md is checked against it. */
+export const logEvents = {
+  ...processEvents,
+  ...requestEvents,
+  ...configurationEvents,
+  ...membershipEvents,
+} as const;
+
+export type { LogEvent, LogFields, LogLevel } from './types.js';
--- /dev/null
+++ b/packages/model/src/log-events/process-events.ts
@@ -0,0 +1,10 @@
+import { defineEvents } from './define-events.js';
+
+/** 100 to 199: the process itself. */
+export const processEvents = defineEvents({
+  processStarted: [101, 'info', 'entry VM started'],
+  processReady: [102, 'info', 'entry VM is ready for callers'],
+  drainStarted: [103, 'info', 'entry VM is leaving and takes no new requests'],
+  processStopped: [104, 'info', 'entry VM stopped with no request in flight'],
+  settingsInvalid: [105, 'error', 'settings are not valid'],
+});
--- /dev/null
+++ b/packages/model/src/messages/request-messages.ts
@@ -0,0 +1,7 @@
+import type { RequestId } from '../world/types.js';
+
+/** Messages about single requests between entry VMs. */
+export interface RequestMessage {
+  readonly kind: 'request.probe';
+  readonly requestId: RequestId;
+}
--- /dev/null
+++ b/packages/model/src/messages/types.ts
@@ -0,0 +1,14 @@
+import type { ConfigurationHead } from '../configuration/schema.js';
+import type { RequestMessage } from './request-messages.js';
+import type { RoutingMessage } from './routing-messages.js';
+import type { MembershipMessage } from './membership-messages.js';
+
+/** Messages about configuration between entry VMs. */
+export type ConfigurationMessage =
+  | { readonly kind: 'configuration.offer'; readonly version: number }
+  | { readonly kind: 'configuration.ask'; readonly version: number }
+  | { readonly kind: 'configuration.head'; readonly head: ConfigurationHead };
+
+/** Everything that travels on a link between two entry VMs. */
+export type LinkMessage =
+  ConfigurationMessage | MembershipMessage | RequestMessage | RoutingMessage;
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,7 @@
+export { startBalancer, type BalancerSettings } from './balancer/balancer-stand-in.js';
+export { EngineModel, type EngineModelSettings, type StreamAsk } from './engine/engine-model.js';
+export { startEngine, type EngineSettings } from './engine/engine-stand-in.js';
+export type { RunningServer } from './http/route-server.js';
+export { startPlatform, type PlatformSettings } from './platform/platform-stand-in.js';
+export { TableStore } from './platform/table-store.js';
+export { startService, type ServiceSettings } from './service/service-stand-in.js';
--- /dev/null
+++ b/packages/stand-ins/src/main.ts
@@ -0,0 +1,26 @@
+#!/usr/bin/env node
+import { readFileSync } from 'node:fs';
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { startBalancer, type BalancerSettings } from './balancer/balancer-stand-in.js';
+import { startEngine, type EngineSettings } from './engine/engine-stand-in.js';
+import type { RunningServer } from './http/route-server.js';
+import { startPlatform, type PlatformSettings } from './platform/platform-stand-in.js';
+import { startService, type ServiceSettings } from './service/service-stand-in.js';
+
+const starters: Readonly<Record<string, (settings: never) => Promise<RunningServer>>> = {
+  balancer: (settings: BalancerSettings) => startBalancer(settings),
+  engine: (settings: EngineSettings) => startEngine(settings),
+  service: (settings: ServiceSettings) => startService(settings),
+  platform: (settings: PlatformSettings) => startPlatform(settings),
+};
+
+const args = await yargs(hideBin(process.argv))
+  .option('role', { choices: Object.keys(starters), demandOption: true })
+  .option('settings', { type: 'string', demandOption: true, describe: 'JSON, or a JSON file' })
+  .strict()
+  .parse();
+
+const text = args.settings.startsWith('{') ? args.settings : readFileSync(args.settings, 'utf8');
+const server = await starters[args.role]?.(JSON.parse(text) as never);
+process.stdout.write(`${JSON.stringify({ role: args.role, port: server?.port })}\n`);
--- /dev/null
+++ b/packages/stand-ins/src/platform/platform-stand-in.ts
@@ -0,0 +1,37 @@
+import type { MembershipEntry, TableOperation } from '@savorywind/model';
+import { readBody, sendJson, startRouteServer, type RunningServer } from '../http/route-server.js';
+import { TableStore } from './table-store.js';
+
+export interface PlatformSettings {
+  readonly port: number;
+  readonly membership?: readonly MembershipEntry[];
+}
+
+/**
+ * Starts a small platform: a table service and a membership list.
+ *
+ * @example
+ * const platform = await startPlatform({ port: 0 });
+ */
+export const startPlatform = (settings: PlatformSettings): Promise<RunningServer> => {
+  const store = new TableStore();
+  let membership = [...(settings.membership ?? [])];
+  return startRouteServer(
+    {
+      'POST /v1/tables': async (request, response) => {
+        const { operations } = JSON.parse(await readBody(request)) as {
+          operations: TableOperation[];
+        };
+        sendJson(response, 200, { outcomes: store.apply(operations) });
+      },
+      'GET /v1/membership': (_request, response) =>
+        sendJson(response, 200, { entries: membership }),
+      'PUT /control/membership': async (request, response) => {
+        membership = (JSON.parse(await readBody(request)) as { entries: MembershipEntry[] })
+          .entries;
+        sendJson(response, 200, {});
+      },
+    },
+    settings.port,
+  );
+};
