Route link messages by topic and give membership its seat

Cause: configuration, routing and membership will all talk over links between entry VMs; each needs its own place to take messages, so that they can be built side by side.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -2,6 +2,8 @@
 export { ClaimLedger, formatClaimKey } from './ledger/claim-ledger.js';
 export type { ClaimRow, ClaimState } from './ledger/types.js';
 export { EntryNode, type EntryNodeOptions } from './node/entry-node.js';
+export { EntryMembership } from './membership/entry-membership.js';
+export type * from './membership/types.js';
 export { LocalRouter } from './routing/local-router.js';
 export type * from './routing/types.js';
 export { NodeContext } from './seam/node-context.js';
--- a/packages/decisions/src/node/entry-node.ts
+++ b/packages/decisions/src/node/entry-node.ts
@@ -2,6 +2,9 @@
   logEvents,
   resultCodes,
   type EntryVm,
+  type EntryVmId,
+  type LinkMessage,
+  type LinkMessageTopic,
   type MonotonicMs,
   type RequestContract,
   type ResultCode,
@@ -9,6 +12,7 @@
 import { ConfigurationKeeper } from '../configuration/configuration-keeper.js';
 import { ClaimLedger } from '../ledger/claim-ledger.js';
 import { LocalRouter } from '../routing/local-router.js';
+import { EntryMembership } from '../membership/entry-membership.js';
 import { RequestLifecycle } from '../requests/request-lifecycle.js';
 import { NodeContext } from '../seam/node-context.js';
 import type { NodeEffect, NodeEvent, NodeStatus, Readiness } from '../seam/types.js';
@@ -25,6 +29,13 @@
   ) => void;
 };
 
+type MessageHandlers = {
+  readonly [Topic in LinkMessageTopic]: (
+    peer: EntryVmId,
+    message: Extract<LinkMessage, { readonly kind: `${Topic}.${string}` }>,
+  ) => void;
+};
+
 const REFUSAL_WHILE_NOT_READY: Readonly<Record<Readiness, ResultCode>> = {
   starting: resultCodes.notReady,
   ready: resultCodes.notReady,
@@ -50,12 +61,17 @@
 
   private readonly requests: RequestLifecycle;
 
+  private readonly membership: EntryMembership;
+
+  private readonly messageHandlers: MessageHandlers;
+
   private readiness: Readiness = 'starting';
 
   private readonly handlers: EventHandlers;
 
   constructor(options: EntryNodeOptions) {
     this.context = new NodeContext(options.vm, options.seed);
+    this.membership = new EntryMembership(this.context);
     this.configuration = new ConfigurationKeeper(this.context, () => this.becomeReady());
     const readConfiguration = () => this.configuration.configuration;
     this.requests = new RequestLifecycle({
@@ -66,6 +82,7 @@
       onIdle: () => this.finishDrain(),
     });
     this.handlers = this.createHandlers();
+    this.messageHandlers = this.createMessageHandlers();
   }
 
   /**
@@ -98,7 +115,7 @@
   private createHandlers(): EventHandlers {
     const { context, requests } = this;
     return {
-      started: () => this.configuration.start(),
+      started: () => this.start(),
       woken: () => {},
       drainRequested: () => this.startDrain(),
       'request.arrived': ({ contract }) => this.acceptRequest(contract),
@@ -107,14 +124,34 @@
       'attempt.chunkReceived': (event) => requests.acceptChunk(event),
       'attempt.ended': (event) => requests.acceptEnd(event),
       'attempt.failed': (event) => requests.acceptFailure(event),
-      'link.opened': () => {},
-      'link.closed': () => {},
-      'link.received': () => {},
+      'link.opened': ({ peer }) => this.membership.acceptLinkOpened(peer),
+      'link.closed': ({ peer }) => this.membership.acceptLinkClosed(peer),
+      'link.received': ({ peer, message }) => this.acceptMessage(peer, message),
       'platform.replied': ({ callId, reply }) => context.acceptPlatformReply(callId, reply),
       'engine.replied': ({ callId, reply }) => context.acceptEngineReply(callId, reply),
     };
   }
 
+  private createMessageHandlers(): MessageHandlers {
+    return {
+      configuration: () => {},
+      membership: (peer, message) => this.membership.acceptMessage(peer, message),
+      request: () => {},
+      slot: () => {},
+    };
+  }
+
+  private start(): void {
+    this.membership.start();
+    this.configuration.start();
+  }
+
+  private acceptMessage(peer: EntryVmId, message: LinkMessage): void {
+    const topic = message.kind.slice(0, message.kind.indexOf('.')) as LinkMessageTopic;
+    const handler = this.messageHandlers[topic] as (from: EntryVmId, given: LinkMessage) => void;
+    handler(peer, message);
+  }
+
   private acceptRequest(contract: RequestContract): void {
     if (this.readiness === 'ready') {
       this.requests.admit(contract);
--- a/packages/entry/src/callers/contracts.ts
+++ b/packages/entry/src/callers/contracts.ts
@@ -21,7 +21,7 @@
   return Math.min(stated, maxMs);
 };
 
-export const digestRequest = (method: string, path: string, body: Buffer): string =>
+export const hashRequest = (method: string, path: string, body: Buffer): string =>
   createHash('sha256').update(`${method} ${path}\n`).update(body).digest('hex');
 
 export const createModelContract = (
@@ -37,7 +37,7 @@
   requestId,
   team: team.id,
   timeoutMs: readTimeoutMs(request, model.defaultTimeoutMs, maxTimeoutMs),
-  digest: digestRequest('POST', request.url ?? '/', body),
+  digest: hashRequest('POST', request.url ?? '/', body),
   model: model.id,
   promptTokens: estimatePromptTokens(chat),
   maxOutputTokens: chat.max_completion_tokens ?? chat.max_tokens ?? model.maxOutputTokens,
@@ -75,7 +75,7 @@
     requestId,
     team: team.id,
     timeoutMs: readTimeoutMs(request, service.defaultTimeoutMs, maxTimeoutMs),
-    digest: digestRequest(method, path, body),
+    digest: hashRequest(method, path, body),
     service: service.id,
     idempotency: readIdempotency(service, method, path.split('?')[0] ?? path),
     idempotencyKey: typeof key === 'string' ? key : undefined,
--- a/packages/entry/src/platform/platform-client.ts
+++ b/packages/entry/src/platform/platform-client.ts
@@ -33,10 +33,10 @@
   body: unknown,
 ): Promise<Result<unknown, PlatformFailure>> =>
   new Promise((resolve) => {
-    const fail = (): void => resolve(Err(watch.mayHaveSent() ? 'unanswered' : 'unsent'));
     const options = { ...address, agent, method, path, timeout: CALL_TIMEOUT_MS };
     const call = sendRequest(options, (response) => {
       const parts: Buffer[] = [];
+      const fail = (): void => resolve(Err('unanswered'));
       response.on('data', (part: Buffer) => parts.push(part));
       response.on('error', fail);
       response.on('end', () => {
@@ -46,7 +46,7 @@
     });
     const watch = watchConnection(call);
     call.on('timeout', () => call.destroy());
-    call.on('error', fail);
+    call.on('error', () => resolve(Err(watch.mayHaveSent() ? 'unanswered' : 'unsent')));
     call.end(body === undefined ? undefined : JSON.stringify(body));
   });
 
--- a/packages/model/src/messages/types.ts
+++ b/packages/model/src/messages/types.ts
@@ -12,3 +12,8 @@
 /** Everything that travels on a link between two entry VMs. */
 export type LinkMessage =
   ConfigurationMessage | MembershipMessage | RequestMessage | RoutingMessage;
+
+/** First part of a message's kind; decides which part of the decisions takes it. */
+export type LinkMessageTopic = LinkMessage['kind'] extends `${infer Topic}.${string}`
+  ? Topic
+  : never;
