Add links between entry VMs

Cause: the effects link.open, link.close and link.send did nothing, so entry VMs could not speak to each other.

--- a/packages/entry/src/runtime/entry-process.ts
+++ b/packages/entry/src/runtime/entry-process.ts
@@ -14,6 +14,7 @@
 import { callEngine } from '../endpoints/engine-client.js';
 import { startServiceAttempt } from '../endpoints/service-attempt.js';
 import type { AttemptStarter, RunningAttempt } from '../endpoints/types.js';
+import { EntryLinks } from '../links/entry-links.js';
 import { createEventLogger } from '../observe/logger.js';
 import { PlatformClient } from '../platform/platform-client.js';
 import type { EntrySettings } from '../settings/schema.js';
@@ -44,6 +45,8 @@
 
   private readonly platform: PlatformClient;
 
+  private readonly links: EntryLinks;
+
   private readonly log;
 
   constructor(
@@ -57,6 +60,7 @@
       link: settings.links,
     };
     this.platform = new PlatformClient(settings.platform);
+    this.links = new EntryLinks(this.vm, (event) => this.dispatch(event));
     this.log = createEventLogger(settings.id, settings.log.level);
     const node = new EntryNode({ vm: this.vm, seed: this.vm.incarnation });
     this.runner = new NodeRunner(node, this.createHandlers());
@@ -73,6 +77,7 @@
       abandon: (requestId) => this.abandon(requestId),
     });
     const { port } = this.server.address() as AddressInfo;
+    await this.links.start();
     this.log.write(logEvents.processStarted, { port });
     this.dispatch({ kind: 'started' });
     return port;
@@ -106,6 +111,7 @@
   private stop(): void {
     this.runner.stop();
     this.platform.stop();
+    this.links.stop();
     this.server?.close(() => this.onDrained());
     this.server?.closeIdleConnections();
   }
@@ -137,9 +143,9 @@
         this.closeSession(requestId)?.exchange.finish(reason, usage),
       'caller.refuse': ({ requestId, refusal }) =>
         this.closeSession(requestId)?.exchange.refuse(refusal),
-      'link.open': () => {},
-      'link.close': () => {},
-      'link.send': () => {},
+      'link.open': ({ vm }) => this.links.open(vm),
+      'link.close': ({ peer }) => this.links.close(peer),
+      'link.send': ({ peer, message }) => this.links.send(peer, message),
       'platform.call': ({ callId, call }) =>
         this.platform.call(call, (reply) =>
           this.dispatch({ kind: 'platform.replied', callId, reply }),
