Add a small fake world for randomised runs, and npm run soak

Cause: the promises have to be shown under kills, freezes, cuts, outages and lost answers, over the real decision code, on a paused clock. Change: packages/bench/src/world holds entry VMs (the product's EntryNode and NodeRunner) before fakes of engines, services, platform, links and callers; steps by fast-check; checks in one module named after the promises; npm run soak.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,7 @@
 export { createDemoHead, DEMO_CREDENTIAL, type DemoPorts } from './demo/declarations.js';
 export { startEntry, startStandIn, type StartedProcess } from './process/child-process.js';
+export { createFakeClock, type FakeClock } from './world/clock.js';
+export { createEntryVmPlaces, createSmallConfiguration } from './world/deployments.js';
+export { CALM_NETWORK, type NetworkSettings } from './world/network.js';
+export { runRandomised, runSteps } from './world/randomised-run.js';
+export { World, type WorldOptions } from './world/world.js';
--- /dev/null
+++ b/packages/bench/src/world/fake-links.ts
@@ -0,0 +1,83 @@
+import type { EntryVm, LinkMessage } from '@savorywind/model';
+import type { FakeEntryVm } from './fake-entry-vm.js';
+import type { FakeNetwork } from './network.js';
+import type { Transcript } from './transcript.js';
+
+const RECONNECT_MS = 500;
+
+const formatLink = (a: string, b: string): string => (a < b ? `${a}|${b}` : `${b}|${a}`);
+
+/** Links between entry VMs, which are tried again until the side that wanted them closes them. */
+export class FakeLinks {
+  private readonly opened = new Set<string>();
+
+  private readonly wanted = new Map<string, EntryVm>();
+
+  constructor(
+    private readonly network: FakeNetwork,
+    private readonly findVm: (id: string) => FakeEntryVm | undefined,
+    private readonly transcript: Transcript,
+  ) {}
+
+  open(from: EntryVm, to: EntryVm): void {
+    this.wanted.set(`${from.id}.${from.incarnation}>${to.id}`, to);
+    this.connect(from, to);
+  }
+
+  close(from: EntryVm, peer: string): void {
+    this.wanted.delete(`${from.id}.${from.incarnation}>${peer}`);
+    this.breakOff(from.id, peer);
+  }
+
+  /** Breaks all links of an entry VM that has ended. */
+  closeAll(vmId: string): void {
+    [...this.opened].forEach((link) => {
+      const [a = '', b = ''] = link.split('|');
+      if (a === vmId || b === vmId) this.breakOff(a, b);
+    });
+  }
+
+  /** Breaks open links between places that can't reach each other. */
+  closeCut(): void {
+    [...this.opened].forEach((link) => {
+      const [a = '', b = ''] = link.split('|');
+      const [near, far] = [this.findVm(a)?.vm, this.findVm(b)?.vm];
+      if (near === undefined || far === undefined) return;
+      if (!this.network.isReachable(near.failureDomain, far.failureDomain)) this.breakOff(a, b);
+    });
+  }
+
+  send(from: EntryVm, peer: string, message: LinkMessage): void {
+    const target = this.findVm(peer);
+    if (target === undefined || !this.opened.has(formatLink(from.id, peer))) return;
+    this.network.sendMessage(from.failureDomain, target.vm.failureDomain, () => {
+      if (!this.opened.has(formatLink(from.id, peer))) return;
+      this.findVm(peer)?.dispatch({ kind: 'link.received', peer: from.id, message });
+    });
+  }
+
+  private connect(from: EntryVm, to: EntryVm): void {
+    setTimeout(() => {
+      const near = this.findVm(from.id);
+      const wanted = this.wanted.has(`${from.id}.${from.incarnation}>${to.id}`);
+      if (!wanted || near?.vm.incarnation !== from.incarnation || near.state === 'dead') return;
+      const far = this.findVm(to.id);
+      const reachable = this.network.isReachable(from.failureDomain, to.failureDomain);
+      const link = formatLink(from.id, to.id);
+      if (reachable && far !== undefined && far.state !== 'dead' && !this.opened.has(link)) {
+        this.opened.add(link);
+        this.transcript.record(`link ${link} opens`);
+        near.dispatch({ kind: 'link.opened', peer: to.id });
+        far.dispatch({ kind: 'link.opened', peer: from.id });
+      }
+      setTimeout(() => this.connect(from, to), RECONNECT_MS);
+    }, this.network.drawDelayMs());
+  }
+
+  private breakOff(a: string, b: string): void {
+    if (!this.opened.delete(formatLink(a, b))) return;
+    this.transcript.record(`link ${formatLink(a, b)} closes`);
+    this.findVm(a)?.dispatch({ kind: 'link.closed', peer: b });
+    this.findVm(b)?.dispatch({ kind: 'link.closed', peer: a });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/world/world.ts
@@ -0,0 +1,469 @@
+import type { EffectHandlers } from '@savorywind/entry';
+import {
+  CONFIGURATION_HEAD_KEY,
+  Err,
+  tables,
+  type Configuration,
+  type ConfigurationHead,
+  type Endpoint,
+  type EntryVm,
+  type RequestContract,
+  type Row,
+} from '@savorywind/model';
+import { FakeConnection } from './connection.js';
+import { FakeCaller } from './fake-caller.js';
+import { FakeEngine } from './fake-engine.js';
+import { FakeEntryVm, type EffectOf } from './fake-entry-vm.js';
+import { FakePlatform } from './fake-platform.js';
+import { FakeService, type RunLog } from './fake-service.js';
+import { FakeLinks } from './fake-links.js';
+import { FakeNetwork, PLATFORM_PLACE, type NetworkSettings } from './network.js';
+import {
+  assertDrainCutsNothing,
+  assertEndsInTime,
+  assertMemoryFree,
+  assertOneFinalAnswer,
+  assertOwnAnswer,
+  assertRefusalTrue,
+  assertRunsAtMostOnce,
+  assertVersionInForce,
+  assertVersionRises,
+  type CheckCounts,
+} from './promises.js';
+import { createRandomSource } from './random.js';
+import { Transcript } from './transcript.js';
+
+export interface WorldOptions {
+  readonly seed: number;
+  readonly configuration: Configuration;
+  /** Failure domain of each entry VM, by id. */
+  readonly entryVms: Readonly<Record<string, string>>;
+  readonly network: NetworkSettings;
+  readonly transcriptLines?: number;
+}
+
+interface RunningAttempt {
+  readonly start: EffectOf<'attempt.start'>;
+  readonly connection: FakeConnection;
+}
+
+/** What a running entry VM may be late by when its own timers are due. */
+const DEADLINE_TOLERANCE_MS = 100;
+
+/** How long a network that refuses a connection outright takes; a cut one stays silent longer. */
+const CONNECT_TIMEOUT_MS = 1_000;
+
+const MEMBERSHIP_LAG_MS = 2_000;
+
+const DEFAULT_TRANSCRIPT_LINES = 0;
+
+/**
+ * Entry VMs with the product's own decisions, before small fakes of everything around them, on the
+ * clock of the runtime. Whoever uses it pauses that clock and advances it.
+ */
+export class World {
+  readonly random;
+
+  readonly network: FakeNetwork;
+
+  readonly platform: FakePlatform;
+
+  readonly links: FakeLinks;
+
+  readonly transcript: Transcript;
+
+  readonly counts: CheckCounts = new Map();
+
+  readonly runs: RunLog = new Map();
+
+  readonly callers: FakeCaller[] = [];
+
+  readonly entryVms = new Map<string, FakeEntryVm>();
+
+  readonly engines = new Map<string, FakeEngine>();
+
+  readonly services = new Map<string, FakeService>();
+
+  /** Digests of calls that must run at most once. */
+  private readonly onceDigests = new Set<string>();
+
+  private readonly attempts = new Map<string, Map<string, RunningAttempt>>();
+
+  private readonly contracts = new Map<string, RequestContract>();
+
+  private readonly openCallers = new Map<string, FakeCaller>();
+
+  private nextIncarnation = 1;
+
+  constructor(private readonly options: WorldOptions) {
+    this.random = createRandomSource(options.seed);
+    this.network = new FakeNetwork(this.random, options.network);
+    this.platform = new FakePlatform(this.random);
+    this.transcript = new Transcript(options.transcriptLines ?? DEFAULT_TRANSCRIPT_LINES);
+    this.links = new FakeLinks(this.network, (vmId) => this.entryVms.get(vmId), this.transcript);
+    this.writeFirstHead();
+    options.configuration.endpoints.forEach((endpoint) => this.addEndpoint(endpoint));
+    Object.keys(options.entryVms).forEach((id) => this.startEntryVm(id));
+    this.updateMembership();
+  }
+
+  /** Starts a new incarnation of an entry VM whose last one has ended. */
+  startEntryVm(id: string): void {
+    if (this.entryVms.has(id) && this.entryVms.get(id)?.state !== 'dead') return;
+    const incarnation = this.nextIncarnation;
+    this.nextIncarnation += 1;
+    const vm: EntryVm = {
+      id,
+      incarnation,
+      failureDomain: this.options.entryVms[id] ?? '',
+      link: { host: id, port: 1 },
+    };
+    const seed = this.options.seed * 1_000 + incarnation;
+    this.attempts.set(id, new Map());
+    const started = new FakeEntryVm(vm, seed, (own) => this.createHandlers(own));
+    this.entryVms.set(id, started);
+    this.transcript.record(`${id} starts, incarnation ${incarnation}`);
+    started.dispatch({ kind: 'started' });
+    this.scheduleMembership();
+  }
+
+  killEntryVm(id: string): void {
+    const vm = this.entryVms.get(id);
+    if (vm === undefined || vm.state === 'dead') return;
+    this.transcript.record(`${id} is killed`);
+    this.endEntryVm(vm);
+  }
+
+  /** Asks an entry VM to stop gracefully; it ends by itself. */
+  drainEntryVm(id: string): void {
+    this.transcript.record(`${id} is asked to stop`);
+    this.entryVms.get(id)?.dispatch({ kind: 'drainRequested' });
+    this.scheduleMembership();
+  }
+
+  killEndpoint(id: string): void {
+    this.transcript.record(`${id} is killed`);
+    this.engines.get(id)?.kill();
+    this.services.get(id)?.kill();
+  }
+
+  restartEndpoint(id: string): void {
+    const machine = (this.engines.get(id) ?? this.services.get(id))?.machine;
+    if (machine?.state !== 'dead') return;
+    this.transcript.record(`${id} starts again`);
+    machine.restart();
+  }
+
+  /** Sends a request to one entry VM, as the balancer would; undefined where it takes none. */
+  request(vmId: string, contract: RequestContract): FakeCaller | undefined {
+    const vm = this.entryVms.get(vmId);
+    if (vm === undefined || vm.state === 'dead') return undefined;
+    const caller = new FakeCaller(contract, vmId, vm.vm.incarnation, performance.now());
+    this.callers.push(caller);
+    this.openCallers.set(contract.requestId, caller);
+    this.contracts.set(contract.requestId, contract);
+    if (contract.kind === 'service' && contract.idempotency === 'nonIdempotent') {
+      this.onceDigests.add(contract.digest);
+    }
+    this.transcript.record(`caller asks ${vmId} for ${World.describeContract(contract)}`);
+    vm.run(() => {
+      vm.dispatch({ kind: 'request.arrived', contract });
+      this.checkDeadlineLater(caller, contract.timeoutMs + DEADLINE_TOLERANCE_MS);
+    });
+    return caller;
+  }
+
+  abandon(caller: FakeCaller): void {
+    if (caller.outcome !== undefined) return;
+    const { requestId } = caller.contract;
+    this.transcript.record(`caller of ${requestId} goes away`);
+    this.endCaller(caller, { kind: 'abandoned' });
+    const vm = this.entryVms.get(caller.vmId);
+    if (vm?.vm.incarnation === caller.incarnation) {
+      vm.dispatch({ kind: 'request.abandoned', requestId });
+    }
+  }
+
+  /** Changes the configuration as an operator elsewhere would, straight in the table service. */
+  commitConfiguration(change: (configuration: Configuration) => Configuration): number {
+    const row = this.readHeadRow();
+    const head = row.value as ConfigurationHead;
+    const version = head.version + 1;
+    const value: ConfigurationHead = {
+      ...head,
+      version,
+      changeId: `world-${version}`,
+      configuration: change(head.configuration),
+    };
+    const { table, key, revision } = row;
+    this.platform.store.apply([{ kind: 'replace', table, key, value, revision }]);
+    this.transcript.record(`operator commits configuration ${version}`);
+    return version;
+  }
+
+  /** Ends all faults; what died starts again. */
+  healAll(): void {
+    this.network.healAll();
+    this.platform.mode = 'up';
+    [...this.engines.values(), ...this.services.values()].forEach((endpoint) => {
+      endpoint.machine.wake();
+      this.restartEndpoint(endpoint.declaration.id);
+    });
+    this.entryVms.forEach((vm, id) => {
+      vm.wake();
+      this.startEntryVm(id);
+    });
+  }
+
+  /** Checks that hold at any time. */
+  assertAlways(): void {
+    this.callers.forEach((caller) => {
+      assertOneFinalAnswer(this.counts, caller);
+      assertRefusalTrue(this.counts, caller, this.runs);
+    });
+    assertRunsAtMostOnce(this.counts, this.runs, this.onceDigests);
+  }
+
+  /** Checks that hold once faults have ended and all deadlines have passed. */
+  assertQuiet(): void {
+    this.assertAlways();
+    this.callers.forEach((caller) => assertEndsInTime(this.counts, caller));
+    this.engines.forEach((engine, id) =>
+      assertMemoryFree(this.counts, id, engine.usedMemoryTokens),
+    );
+    const committed = (this.readHeadRow().value as ConfigurationHead).version;
+    this.entryVms.forEach((vm, id) =>
+      assertVersionInForce(this.counts, id, committed, vm.configurationVersion),
+    );
+  }
+
+  private static describeContract(contract: RequestContract): string {
+    if (contract.kind === 'model') {
+      return `${contract.requestId}: ${contract.model}, ${contract.promptTokens} tokens`;
+    }
+    const key = contract.idempotencyKey ?? 'none';
+    return `${contract.requestId}: ${contract.service}, ${contract.idempotency}, key ${key}`;
+  }
+
+  private writeFirstHead(): void {
+    const value: ConfigurationHead = {
+      version: 1,
+      changeId: 'world-1',
+      author: 'world',
+      committedAtMs: 0,
+      configuration: this.options.configuration,
+    };
+    const table = tables.configuration;
+    this.platform.store.apply([{ kind: 'insert', table, key: CONFIGURATION_HEAD_KEY, value }]);
+  }
+
+  private readHeadRow(): Row {
+    const key = CONFIGURATION_HEAD_KEY;
+    const [outcome] = this.platform.store.apply([
+      { kind: 'get', table: tables.configuration, key },
+    ]);
+    if (outcome?.kind !== 'row' || outcome.row === undefined) throw new Error('no head row');
+    return outcome.row;
+  }
+
+  private addEndpoint(endpoint: Endpoint): void {
+    if (endpoint.kind === 'engine') this.engines.set(endpoint.id, new FakeEngine(endpoint));
+    else this.services.set(endpoint.id, new FakeService(endpoint, this.runs));
+  }
+
+  /** The platform's list follows the truth with a lag. */
+  private scheduleMembership(): void {
+    setTimeout(() => this.updateMembership(), MEMBERSHIP_LAG_MS);
+  }
+
+  private updateMembership(): void {
+    this.platform.membership = [...this.entryVms.values()]
+      .filter(({ state }) => state !== 'dead')
+      .map(({ vm, readiness }) => ({
+        vm,
+        state: readiness === 'leaving' || readiness === 'drained' ? 'leaving' : 'live',
+      }));
+  }
+
+  private endEntryVm(vm: FakeEntryVm): void {
+    vm.kill();
+    const { id, incarnation } = vm.vm;
+    this.attempts.get(id)?.forEach(({ connection }) => connection.close());
+    this.links.closeAll(id);
+    [...this.openCallers.values()]
+      .filter((caller) => caller.vmId === id && caller.incarnation === incarnation)
+      .forEach((caller) => this.endCaller(caller, { kind: 'disconnected' }));
+    this.scheduleMembership();
+  }
+
+  private endCaller(caller: FakeCaller, outcome: NonNullable<FakeCaller['outcome']>): void {
+    caller.end(outcome);
+    this.openCallers.delete(caller.contract.requestId);
+    assertOneFinalAnswer(this.counts, caller);
+    assertOwnAnswer(this.counts, caller);
+    assertRefusalTrue(this.counts, caller, this.runs);
+  }
+
+  /** While its entry VM is frozen a request can't end; it has to soon after that wakes up. */
+  private checkDeadlineLater(caller: FakeCaller, delayMs: number): void {
+    setTimeout(() => {
+      if (caller.outcome !== undefined) return;
+      const vm = this.entryVms.get(caller.vmId);
+      if (vm?.state === 'frozen') this.checkDeadlineLater(caller, DEADLINE_TOLERANCE_MS);
+      else assertEndsInTime(this.counts, caller);
+    }, delayMs);
+  }
+
+  private createHandlers(own: FakeEntryVm): EffectHandlers {
+    const { id, failureDomain } = own.vm;
+    const findCaller = (requestId: string): FakeCaller | undefined =>
+      own.state === 'dead' ? undefined : this.openCallers.get(requestId);
+    return {
+      'attempt.start': (start) => this.startAttempt(own, start),
+      'attempt.cancel': ({ attemptId }) => this.cancelAttempt(own, attemptId),
+      'caller.sendHead': ({ requestId, head }) => {
+        const caller = findCaller(requestId);
+        if (caller !== undefined) caller.status = head?.status;
+      },
+      'caller.sendChunk': ({ requestId, data }) => findCaller(requestId)?.acceptChunk(data),
+      'caller.finish': ({ requestId }) => {
+        const caller = findCaller(requestId);
+        if (caller === undefined) return;
+        this.transcript.record(`${id} finishes ${requestId}`);
+        this.endCaller(caller, { kind: 'finished', text: caller.text, status: caller.status });
+      },
+      'caller.refuse': ({ requestId, refusal }) => {
+        const caller = findCaller(requestId);
+        if (caller === undefined) return;
+        const { code, ran } = refusal;
+        this.transcript.record(`${id} refuses ${requestId}: ${code.code} ${code.name}, ran ${ran}`);
+        this.endCaller(caller, { kind: 'refused', refusal, text: caller.text });
+      },
+      'link.open': ({ vm }) => this.links.open(own.vm, vm),
+      'link.close': ({ peer }) => this.links.close(own.vm, peer),
+      'link.send': ({ peer, message }) => this.links.send(own.vm, peer, message),
+      'platform.call': ({ callId, call }) => {
+        if (!this.network.isReachable(failureDomain, PLATFORM_PLACE)) {
+          setTimeout(() => {
+            own.dispatch({ kind: 'platform.replied', callId, reply: Err('unsent') });
+          }, CONNECT_TIMEOUT_MS);
+          return;
+        }
+        this.platform.call(call, (reply) => {
+          const reachable = this.network.isReachable(failureDomain, PLATFORM_PLACE);
+          const heard = reachable ? reply : Err('unanswered' as const);
+          own.dispatch({ kind: 'platform.replied', callId, reply: heard });
+        });
+      },
+      'engine.call': (effect) => this.callEngine(own, effect),
+      'configuration.adopted': ({ version }) => {
+        assertVersionRises(this.counts, id, own.configurationVersion, version);
+        own.configurationVersion = version;
+        this.transcript.record(`${id} has configuration ${version} in force`);
+      },
+      readiness: ({ state }) => {
+        own.readiness = state;
+        this.transcript.record(`${id} is ${state}`);
+        if (state !== 'drained') return;
+        const open = [...this.openCallers.values()].filter(
+          (caller) => caller.vmId === id && caller.incarnation === own.vm.incarnation,
+        );
+        assertDrainCutsNothing(this.counts, id, open.length);
+        setTimeout(() => this.endEntryVm(own), 0);
+      },
+      log: () => {},
+    };
+  }
+
+  private startAttempt(own: FakeEntryVm, start: EffectOf<'attempt.start'>): void {
+    const { attemptId, endpoint, mode, requestId } = start;
+    const { id, failureDomain } = own.vm;
+    const target = this.engines.get(endpoint.id) ?? this.services.get(endpoint.id);
+    if (target === undefined) throw new Error(`no endpoint ${endpoint.id}`);
+    this.transcript.record(`${id} tries ${requestId} at ${endpoint.id} (${mode})`);
+    const connection = new FakeConnection(
+      attemptId,
+      failureDomain,
+      endpoint.failureDomain,
+      this.network,
+      (event) => own.dispatch(event),
+    );
+    this.attempts.get(id)?.set(attemptId, { start, connection });
+    const reachable = this.network.isReachable(failureDomain, endpoint.failureDomain);
+    setTimeout(
+      () => this.deliverAttempt(own, start, connection),
+      reachable ? this.network.drawDelayMs() : CONNECT_TIMEOUT_MS,
+    );
+  }
+
+  private deliverAttempt(
+    own: FakeEntryVm,
+    start: EffectOf<'attempt.start'>,
+    connection: FakeConnection,
+  ): void {
+    if (!connection.isOpen) return;
+    const { endpoint, attemptId, requestId } = start;
+    const reachable = this.network.isReachable(own.vm.failureDomain, endpoint.failureDomain);
+    const engine = this.engines.get(endpoint.id);
+    const service = this.services.get(endpoint.id);
+    const machine = engine?.machine ?? service?.machine;
+    const contract = this.contracts.get(requestId);
+    const taken =
+      reachable &&
+      contract !== undefined &&
+      machine?.run(() => {
+        if (service !== undefined) service.call(contract.digest, requestId, connection);
+        else if (engine !== undefined) World.startStream(engine, start, contract, connection);
+      });
+    if (taken !== true) own.dispatch({ kind: 'attempt.failed', attemptId, failure: 'notSent' });
+  }
+
+  private static startStream(
+    engine: FakeEngine,
+    start: EffectOf<'attempt.start'>,
+    contract: RequestContract,
+    connection: FakeConnection,
+  ): void {
+    if (contract.kind !== 'model') return;
+    if (start.mode === 'resume') {
+      engine.resume(start.streamId, start.offset, connection);
+      return;
+    }
+    const { digest, promptTokens, maxOutputTokens } = contract;
+    engine.start({ streamId: start.streamId, digest, promptTokens, maxOutputTokens }, connection);
+  }
+
+  /** Closes the connection, and tells an engine to give the stream's memory back. */
+  private cancelAttempt(own: FakeEntryVm, attemptId: string): void {
+    const attempt = this.attempts.get(own.vm.id)?.get(attemptId);
+    if (attempt === undefined) return;
+    this.attempts.get(own.vm.id)?.delete(attemptId);
+    attempt.connection.close();
+    const { endpoint, streamId } = attempt.start;
+    setTimeout(() => {
+      if (!this.network.isReachable(own.vm.failureDomain, endpoint.failureDomain)) return;
+      const engine = this.engines.get(endpoint.id);
+      engine?.machine.run(() => engine.release(streamId));
+    }, this.network.drawDelayMs());
+  }
+
+  private callEngine(own: FakeEntryVm, effect: EffectOf<'engine.call'>): void {
+    const { callId, call } = effect;
+    const engine = this.engines.get(effect.engine.id);
+    const places = [own.vm.failureDomain, effect.engine.failureDomain] as const;
+    setTimeout(() => {
+      const taken =
+        this.network.isReachable(...places) &&
+        engine?.machine.run(() => {
+          const reply = engine.answer(call);
+          setTimeout(() => {
+            const heard = this.network.isReachable(...places) ? reply : Err('unanswered' as const);
+            own.dispatch({ kind: 'engine.replied', callId, reply: heard });
+          }, this.network.drawDelayMs());
+        });
+      if (taken !== true) {
+        own.dispatch({ kind: 'engine.replied', callId, reply: Err('unsent') });
+      }
+    }, this.network.drawDelayMs());
+  }
+}
