Split the entry VM's effect handlers by topic

Cause: one class carried out every effect, so that links, the operators' server and the callers' side would all change the same file. Conclusion: a topic's owner changes one small file.

--- /dev/null
+++ b/packages/entry/src/runtime/effects/platform-effects.ts
@@ -0,0 +1,22 @@
+import { Err } from '@savorywind/model';
+import { callEngine } from '../../endpoints/engine-client.js';
+import type { PlatformClient } from '../../platform/platform-client.js';
+import type { Dispatch, TopicHandlers } from './types.js';
+
+/** Calls the platform and hands its reply back. */
+export const createPlatformEffects = (
+  platform: PlatformClient,
+  dispatch: Dispatch,
+): TopicHandlers<'platform'> => ({
+  'platform.call': ({ callId, call }) =>
+    platform.call(call, (reply) => dispatch({ kind: 'platform.replied', callId, reply })),
+});
+
+/** Calls engines outside of requests and hands their replies back. */
+export const createEngineEffects = (dispatch: Dispatch): TopicHandlers<'engine'> => ({
+  'engine.call': ({ callId, engine, call }) => {
+    callEngine(engine, call)
+      .catch(() => Err('unanswered' as const))
+      .then((reply) => dispatch({ kind: 'engine.replied', callId, reply }));
+  },
+});
--- a/packages/entry/src/runtime/entry-process.ts
+++ b/packages/entry/src/runtime/entry-process.ts
@@ -1,34 +1,23 @@
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { EntryNode, type NodeEvent, type Readiness } from '@savorywind/decisions';
-import {
-  Err,
-  logEvents,
-  type Configuration,
-  type EndpointKind,
-  type EntryVm,
-} from '@savorywind/model';
+import { EntryNode, type Readiness } from '@savorywind/decisions';
+import { logEvents, type Configuration, type EntryVm } from '@savorywind/model';
 import { startCallerServer } from '../callers/caller-server.js';
 import type { CallerSession } from '../callers/types.js';
-import { startEngineAttempt } from '../endpoints/engine-attempt.js';
-import { callEngine } from '../endpoints/engine-client.js';
-import { startServiceAttempt } from '../endpoints/service-attempt.js';
-import type { AttemptStarter, RunningAttempt } from '../endpoints/types.js';
 import { createEventLogger } from '../observe/logger.js';
 import { PlatformClient } from '../platform/platform-client.js';
 import type { EntrySettings } from '../settings/schema.js';
-import { NodeRunner, type EffectHandlers } from './node-runner.js';
-
-const ATTEMPT_STARTERS: Readonly<Record<EndpointKind, AttemptStarter>> = {
-  engine: startEngineAttempt,
-  service: startServiceAttempt,
-};
+import { CallerSessions } from './caller-sessions.js';
+import { createAttemptEffects } from './effects/attempt-effects.js';
+import { createCallerEffects } from './effects/caller-effects.js';
+import { createLinkEffects } from './effects/link-effects.js';
+import { createEngineEffects, createPlatformEffects } from './effects/platform-effects.js';
+import type { Dispatch, EffectHandlers } from './effects/types.js';
+import { NodeRunner } from './node-runner.js';
 
 /** One running entry VM: the decisions with sockets around them. */
 export class EntryProcess {
-  private readonly sessions = new Map<string, CallerSession>();
-
-  private readonly attempts = new Map<string, RunningAttempt>();
+  private readonly sessions = new CallerSessions();
 
   private configuration: Configuration | undefined;
 
@@ -40,6 +29,8 @@
 
   private readonly vm: EntryVm;
 
+  private readonly node: EntryNode;
+
   private readonly runner: NodeRunner;
 
   private readonly platform: PlatformClient;
@@ -58,8 +49,8 @@
     };
     this.platform = new PlatformClient(settings.platform);
     this.log = createEventLogger(settings.id, settings.log.level);
-    const node = new EntryNode({ vm: this.vm, seed: this.vm.incarnation });
-    this.runner = new NodeRunner(node, this.createHandlers());
+    this.node = new EntryNode({ vm: this.vm, seed: this.vm.incarnation });
+    this.runner = new NodeRunner(this.node, this.createHandlers());
   }
 
   /** @returns the port on which callers are served */
@@ -74,16 +65,12 @@
     });
     const { port } = this.server.address() as AddressInfo;
     this.log.write(logEvents.processStarted, { port });
-    this.dispatch({ kind: 'started' });
+    this.runner.dispatch({ kind: 'started' });
     return port;
   }
 
   drain(): void {
-    this.dispatch({ kind: 'drainRequested' });
-  }
-
-  private dispatch(event: NodeEvent): void {
-    this.runner.dispatch(event);
+    this.runner.dispatch({ kind: 'drainRequested' });
   }
 
   private createRequestId(): string {
@@ -94,13 +81,13 @@
 
   private open(session: CallerSession): void {
     const { contract } = session.request;
-    this.sessions.set(contract.requestId, session);
-    this.dispatch({ kind: 'request.arrived', contract });
+    this.sessions.add(session);
+    this.runner.dispatch({ kind: 'request.arrived', contract });
   }
 
   private abandon(requestId: string): void {
-    if (!this.sessions.delete(requestId)) return;
-    this.dispatch({ kind: 'request.abandoned', requestId });
+    if (this.sessions.take(requestId) === undefined) return;
+    this.runner.dispatch({ kind: 'request.abandoned', requestId });
   }
 
   private stop(): void {
@@ -110,52 +97,23 @@
     this.server?.closeIdleConnections();
   }
 
-  private closeSession(requestId: string): CallerSession | undefined {
-    const session = this.sessions.get(requestId);
-    this.sessions.delete(requestId);
-    return session;
+  private changeReadiness(state: Readiness): void {
+    this.readiness = state;
+    if (state === 'drained') setImmediate(() => this.stop());
   }
 
   private createHandlers(): EffectHandlers {
+    const dispatch: Dispatch = (event) => this.runner.dispatch(event);
     return {
-      'attempt.start': (start) => {
-        const session = this.sessions.get(start.requestId);
-        if (session === undefined) return;
-        const startAttempt = ATTEMPT_STARTERS[start.endpoint.kind];
-        const attempt = startAttempt(start, session.request, (event) => this.dispatch(event));
-        this.attempts.set(start.attemptId, attempt);
-      },
-      'attempt.cancel': ({ attemptId }) => {
-        this.attempts.get(attemptId)?.cancel();
-        this.attempts.delete(attemptId);
-      },
-      'caller.sendHead': ({ requestId, head }) =>
-        this.sessions.get(requestId)?.exchange.sendHead(head),
-      'caller.sendChunk': ({ requestId, data }) =>
-        this.sessions.get(requestId)?.exchange.sendChunk(data),
-      'caller.finish': ({ requestId, reason, usage }) =>
-        this.closeSession(requestId)?.exchange.finish(reason, usage),
-      'caller.refuse': ({ requestId, refusal }) =>
-        this.closeSession(requestId)?.exchange.refuse(refusal),
-      'link.open': () => {},
-      'link.close': () => {},
-      'link.send': () => {},
-      'platform.call': ({ callId, call }) =>
-        this.platform.call(call, (reply) =>
-          this.dispatch({ kind: 'platform.replied', callId, reply }),
-        ),
-      'engine.call': ({ callId, engine, call }) => {
-        callEngine(engine, call)
-          .catch(() => Err('unanswered' as const))
-          .then((reply) => this.dispatch({ kind: 'engine.replied', callId, reply }));
-      },
+      ...createAttemptEffects((requestId) => this.sessions.find(requestId)?.request, dispatch),
+      ...createCallerEffects(this.sessions),
+      ...createLinkEffects(),
+      ...createPlatformEffects(this.platform, dispatch),
+      ...createEngineEffects(dispatch),
       'configuration.adopted': ({ configuration }) => {
         this.configuration = configuration;
       },
-      readiness: ({ state }) => {
-        this.readiness = state;
-        if (state === 'drained') setImmediate(() => this.stop());
-      },
+      readiness: ({ state }) => this.changeReadiness(state),
       log: ({ event, fields }) => this.log.write(event, fields),
     };
   }
--- a/packages/entry/src/runtime/node-runner.ts
+++ b/packages/entry/src/runtime/node-runner.ts
@@ -1,11 +1,5 @@
 import type { EntryNode, NodeEffect, NodeEvent } from '@savorywind/decisions';
-
-/** Carries out one kind of effect. */
-export type EffectHandlers = {
-  readonly [Kind in NodeEffect['kind']]: (
-    effect: Extract<NodeEffect, { readonly kind: Kind }>,
-  ) => void;
-};
+import type { EffectHandlers } from './effects/types.js';
 
 /** Longest wait that a runtime timer takes, in milliseconds. */
 const MAX_TIMER_MS = 2_147_483_647;
