Keep membership of entry VMs and endpoint health

Cause: EntryMembership was a stub: nobody knew of other entry VMs, every entry VM took itself for the home of every engine, and failing or leaving endpoints got new work like all others.

Change: facts about entry VMs that only rise (incarnation, then leaving), from the platform's list (polled with jitter, less often when it is long) and from peers, who pass news on; heartbeats to four watchers at 1 s and to others at 10 s, suspicion by own evidence only (a watcher's word causes a probe); full mesh for a small fleet, else inside a failure domain with two links per domain pair; links on demand for other peers; homes by rendezvous hash (murmurhash) over live entry VMs of the engine's failure domain, with onHomesChanged. Endpoints: ejection after five failures in a row with jittered, doubling pauses, a growing share after the return, a quarter of a pool never ejected, leaving by declaration (state in the configuration) or by the platform's list.

Ruled out: heartbeats to all 23 peers of a failure domain at 1 s (bytes grow with the domain); suspicion on a peer's word (a cut link of one would take a sound entry VM out everywhere); digests in each heartbeat (entry VMs forget at different times, so they would ask for full lists all the time).

--- a/packages/decisions/src/membership/types.ts
+++ b/packages/decisions/src/membership/types.ts
@@ -1,4 +1,22 @@
 import type { EndpointId, Engine, EntryVm, EntryVmId, LinkMessage } from '@savorywind/model';
+import type { AttemptFailure } from '../seam/types.js';
+
+/** How one attempt at an endpoint ended, as far as it tells about the endpoint's health. */
+export type EndpointOutcome = 'answered' | AttemptFailure;
+
+/** What operators see of an entry VM's peer. */
+export interface MemberView {
+  readonly vm: EntryVm;
+  readonly state: 'live' | 'leaving' | 'unreachable';
+  /** Version that the peer last reported; 0 where it reported none. */
+  readonly configurationVersion: number;
+}
+
+/** Who is there, as one entry VM sees it. */
+export interface MembershipView {
+  readonly live: readonly EntryVm[];
+  readonly members: readonly MemberView[];
+}
 
 /** What the rest of the decisions asks of membership. */
 export interface Membership {
@@ -6,9 +24,21 @@
   listLive(): readonly EntryVm[];
   /** Entry VMs to which a link is open. */
   listLinked(): readonly EntryVmId[];
+  /** All other entry VMs that are known. */
+  listMembers(): readonly MemberView[];
+  /** Sends over the link, which is opened first where there is none; the message may be lost. */
   send(peer: EntryVmId, message: LinkMessage): void;
   /** Whether new work may go to an endpoint: it is not leaving and not ejected. */
   isUsable(endpoint: EndpointId): boolean;
+  /** Share of its usual new work that an endpoint should get, from 0 to 1: it grows after a return. */
+  readShare(endpoint: EndpointId): number;
+  /** Tells how an attempt ended; `notSent`, `broken` and `invalid` in a row speak for an ejection. */
+  reportOutcome(endpoint: EndpointId, outcome: EndpointOutcome): void;
   /** The entry VM that keeps the account of an engine, by rendezvous hash in its failure domain. */
   findHome(engine: Engine): EntryVmId | undefined;
+  /**
+   * Calls the listener when homes may have moved. A new home reads the engine's stream list before
+   * it grants, since the old one may have granted what it does not know of.
+   */
+  onHomesChanged(listener: () => void): void;
 }
--- a/packages/decisions/src/node/entry-node.ts
+++ b/packages/decisions/src/node/entry-node.ts
@@ -13,6 +13,7 @@
 import { ClaimLedger } from '../ledger/claim-ledger.js';
 import { LocalRouter } from '../routing/local-router.js';
 import { EntryMembership } from '../membership/entry-membership.js';
+import type { MembershipView } from '../membership/types.js';
 import { RequestLifecycle } from '../requests/request-lifecycle.js';
 import { NodeContext } from '../seam/node-context.js';
 import type { NodeEffect, NodeEvent, NodeStatus, Readiness } from '../seam/types.js';
@@ -71,9 +72,13 @@
 
   constructor(options: EntryNodeOptions) {
     this.context = new NodeContext(options.vm, options.seed);
-    this.membership = new EntryMembership(this.context);
     this.configuration = new ConfigurationKeeper(this.context, () => this.becomeReady());
     const readConfiguration = () => this.configuration.configuration;
+    this.membership = new EntryMembership({
+      context: this.context,
+      readConfiguration,
+      readVersion: () => this.configuration.version,
+    });
     this.requests = new RequestLifecycle({
       context: this.context,
       router: new LocalRouter(readConfiguration),
@@ -112,6 +117,11 @@
     };
   }
 
+  /** Who is there, as this entry VM sees it. */
+  readMembership(): MembershipView {
+    return { live: this.membership.listLive(), members: this.membership.listMembers() };
+  }
+
   private createHandlers(): EventHandlers {
     const { context, requests } = this;
     return {
@@ -142,14 +152,16 @@
   }
 
   private start(): void {
-    this.membership.start();
     this.configuration.start();
+    this.membership.start();
   }
 
   private acceptMessage(peer: EntryVmId, message: LinkMessage): void {
+    this.membership.acceptSign(peer);
     const topic = message.kind.slice(0, message.kind.indexOf('.')) as LinkMessageTopic;
-    const handler = this.messageHandlers[topic] as (from: EntryVmId, given: LinkMessage) => void;
-    handler(peer, message);
+    const handler = this.messageHandlers[topic] as
+      ((from: EntryVmId, given: LinkMessage) => void) | undefined;
+    handler?.(peer, message);
   }
 
   private acceptRequest(contract: RequestContract): void {
@@ -174,6 +186,7 @@
   private startDrain(): void {
     if (this.readiness === 'leaving' || this.readiness === 'drained') return;
     this.changeReadiness('leaving');
+    this.membership.becomeLeaving();
     this.context.log(logEvents.drainStarted, { inFlight: this.requests.inFlight });
     this.finishDrain();
   }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -3,3 +3,4 @@
 export type { EffectHandlers } from './runtime/effects/types.js';
 export { loadSettings } from './settings/load-settings.js';
 export { settingsSchema, type EntrySettings } from './settings/schema.js';
+export { FrameCodec } from './links/frame-codec.js';
--- a/packages/model/src/configuration/schema.ts
+++ b/packages/model/src/configuration/schema.ts
@@ -42,6 +42,9 @@
   unkeyedCalls: z.enum(['sendOnce', 'refuse']).default('refuse'),
 });
 
+/** A leaving endpoint gets no new work; absent means serving. */
+const endpointState = z.enum(['serving', 'leaving']).optional();
+
 const engine = z.strictObject({
   kind: z.literal('engine'),
   id: identifier,
@@ -53,6 +56,7 @@
   prefillTokensPerS: z.number().positive(),
   decodeTokensPerS: z.number().positive(),
   fencing: z.enum(['checked', 'ignored']),
+  state: endpointState,
 });
 
 const serviceReplica = z.strictObject({
@@ -61,6 +65,7 @@
   failureDomain: identifier,
   address,
   service: identifier,
+  state: endpointState,
 });
 
 const preset = z.strictObject({
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -5,7 +5,7 @@
 } from './configuration/parse-configuration.js';
 export * from './configuration/schema.js';
 export * from './log-events/index.js';
-export type * from './messages/membership-messages.js';
+export * from './messages/membership-messages.js';
 export type * from './messages/request-messages.js';
 export type * from './messages/routing-messages.js';
 export type * from './messages/types.js';
--- a/packages/model/src/platform/types.ts
+++ b/packages/model/src/platform/types.ts
@@ -1,4 +1,4 @@
-import type { EntryVm } from '../world/types.js';
+import type { EndpointId, EntryVm } from '../world/types.js';
 
 /** Raised by one with each write of a row; 0 stands for "no row". */
 export type Revision = number;
@@ -45,17 +45,29 @@
 
 /** What the platform's membership list says of one VM; it lags behind the truth. */
 export interface MembershipEntry {
+  /** Incarnation 0 where the platform does not know which life of the VM it lists. */
   readonly vm: EntryVm;
   readonly state: 'live' | 'leaving';
 }
 
+/** What the platform's membership list says of the VM of one endpoint. */
+export interface EndpointEntry {
+  readonly endpoint: EndpointId;
+  readonly state: 'live' | 'leaving';
+}
+
 export type PlatformCall =
   | { readonly kind: 'tables'; readonly operations: readonly TableOperation[] }
   | { readonly kind: 'membership' };
 
 export type PlatformReply =
   | { readonly kind: 'tables'; readonly outcomes: readonly TableOutcome[] }
-  | { readonly kind: 'membership'; readonly entries: readonly MembershipEntry[] };
+  | {
+      readonly kind: 'membership';
+      readonly entries: readonly MembershipEntry[];
+      /** Absent where the platform lists no VMs of endpoints. */
+      readonly endpoints?: readonly EndpointEntry[];
+    };
 
 /** `unsent`: certainly had no effect. `unanswered`: a write may have taken effect. */
 export type PlatformFailure = 'unsent' | 'unanswered';
--- a/packages/model/src/world/types.ts
+++ b/packages/model/src/world/types.ts
@@ -32,6 +32,9 @@
   readonly link: NetworkAddress;
 }
 
+/** What operators declare of an endpoint: a leaving one gets no new work. */
+export type EndpointState = 'serving' | 'leaving';
+
 export type EndpointKind = 'engine' | 'service';
 
 /** Whether an engine refuses an order that carries an older fencing number than one it has seen. */
@@ -53,6 +56,8 @@
   /** Tokens generated per second for one sequence in a full batch. */
   readonly decodeTokensPerS: number;
   readonly fencing: FencingSupport;
+  /** Absent means serving. */
+  readonly state?: EndpointState | undefined;
 }
 
 /** One replica of a plain service. */
@@ -62,6 +67,8 @@
   readonly failureDomain: FailureDomainId;
   readonly address: NetworkAddress;
   readonly service: ServiceId;
+  /** Absent means serving. */
+  readonly state?: EndpointState | undefined;
 }
 
 export type Endpoint = Engine | ServiceReplica;
--- a/packages/stand-ins/src/platform/platform-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-stand-in.ts
@@ -1,10 +1,16 @@
-import type { MembershipEntry, TableOperation } from '@savorywind/model';
+import type { EndpointEntry, MembershipEntry, TableOperation } from '@savorywind/model';
 import { readBody, sendJson, startRouteServer, type RunningServer } from '../http/route-server.js';
 import { TableStore } from './table-store.js';
 
 export interface PlatformSettings {
   readonly port: number;
   readonly membership?: readonly MembershipEntry[];
+  readonly endpoints?: readonly EndpointEntry[];
+}
+
+interface MembershipList {
+  readonly entries: readonly MembershipEntry[];
+  readonly endpoints?: readonly EndpointEntry[];
 }
 
 /**
@@ -15,7 +21,10 @@
  */
 export const startPlatform = (settings: PlatformSettings): Promise<RunningServer> => {
   const store = new TableStore();
-  let membership = [...(settings.membership ?? [])];
+  let membership: MembershipList = {
+    entries: settings.membership ?? [],
+    endpoints: settings.endpoints ?? [],
+  };
   return startRouteServer(
     {
       'POST /v1/tables': async (request, response) => {
@@ -24,11 +33,9 @@
         };
         sendJson(response, 200, { outcomes: store.apply(operations) });
       },
-      'GET /v1/membership': (_request, response) =>
-        sendJson(response, 200, { entries: membership }),
+      'GET /v1/membership': (_request, response) => sendJson(response, 200, membership),
       'PUT /control/membership': async (request, response) => {
-        membership = (JSON.parse(await readBody(request)) as { entries: MembershipEntry[] })
-          .entries;
+        membership = JSON.parse(await readBody(request)) as MembershipList;
         sendJson(response, 200, {});
       },
     },
