Write what fakes do into a world's transcript

Cause: golden files of whole sessions have to show endpoints and the platform, not only callers. Change: engines, services and the platform record starts, releases, runs and writes; cuts, heals and platform modes are recorded where they are set.

--- a/packages/bench/src/world/fake-engine.ts
+++ b/packages/bench/src/world/fake-engine.ts
@@ -40,7 +40,10 @@
 
   private streams = new Map<string, FakeStream>();
 
-  constructor(readonly declaration: Engine) {}
+  constructor(
+    readonly declaration: Engine,
+    private readonly record: (text: string) => void,
+  ) {}
 
   get usedMemoryTokens(): number {
     return [...this.streams.values()].reduce((sum, { memoryTokens }) => sum + memoryTokens, 0);
@@ -64,6 +67,7 @@
     };
     this.streams.set(ask.streamId, stream);
     this.startedStreams += 1;
+    this.record(`${this.declaration.id} starts ${ask.streamId}, ${memoryTokens} tokens`);
     this.attach(stream, reader, 0);
     const prefillMs = (ask.promptTokens / this.declaration.prefillTokensPerS) * MS_PER_S;
     this.generateLater(stream, prefillMs);
@@ -76,7 +80,8 @@
   }
 
   release(streamId: string): void {
-    this.streams.delete(streamId);
+    if (!this.streams.delete(streamId)) return;
+    this.record(`${this.declaration.id} releases ${streamId}`);
   }
 
   answer(call: EngineCall): Result<EngineReply, EngineCallFailure> {
@@ -139,7 +144,7 @@
   private finishWhenRead(stream: FakeStream): void {
     if (stream.generated < stream.maxTokens || stream.reader?.isOpen !== true) return;
     stream.reader.report({ kind: 'ended', total: stream.generated });
-    this.streams.delete(stream.streamId);
+    this.release(stream.streamId);
   }
 
   private listStreams() {
--- a/packages/bench/src/world/fake-platform.ts
+++ b/packages/bench/src/world/fake-platform.ts
@@ -38,7 +38,10 @@
 
   writes = 0;
 
-  constructor(private readonly random: RandomSource) {}
+  constructor(
+    private readonly random: RandomSource,
+    private readonly record: (text: string) => void,
+  ) {}
 
   private readonly answerers: Readonly<Record<PlatformMode, (call: PlatformCall) => Answer>> = {
     up: (call) => ({ delayMs: this.random.drawBetween(1, 4), reply: Ok(this.execute(call)) }),
@@ -66,6 +69,11 @@
   private execute(call: PlatformCall): PlatformReply {
     if (call.kind === 'membership') return { kind: 'membership', entries: [...this.membership] };
     const outcomes: TableOutcome[] = this.store.apply(call.operations);
+    call.operations.forEach((operation, index) => {
+      if (operation.kind !== 'insert' && operation.kind !== 'replace') return;
+      const { kind, table, key } = operation;
+      this.record(`platform: ${kind} ${table} ${key}: ${outcomes[index]?.kind}`);
+    });
     this.writes += outcomes.filter(({ kind }) => kind === 'written').length;
     return { kind: 'tables', outcomes };
   }
--- a/packages/bench/src/world/fake-service.ts
+++ b/packages/bench/src/world/fake-service.ts
@@ -19,6 +19,7 @@
   constructor(
     readonly declaration: ServiceReplica,
     private readonly runs: RunLog,
+    private readonly record: (text: string) => void,
   ) {}
 
   call(digest: string, requestId: string, connection: FakeConnection): void {
@@ -34,6 +35,7 @@
   }
 
   private run(digest: string, requestId: string, connection: FakeConnection): void {
+    this.record(`${this.declaration.id} runs ${digest} for ${requestId}`);
     this.runs.set(digest, [...(this.runs.get(digest) ?? []), requestId]);
     setTimeout(() => this.machine.run(() => this.answer(digest, connection)), RUN_MS);
   }
--- a/packages/bench/src/world/step-runner.ts
+++ b/packages/bench/src/world/step-runner.ts
@@ -69,10 +69,8 @@
       this.world.restartEndpoint(this.pickEndpoint(endpoint));
     },
     cut: ({ from, to }) => this.cut(from, to),
-    heal: ({ from, to }) => this.world.network.heal(this.pickPlace(from), this.pickPlace(to)),
-    setPlatform: ({ mode }) => {
-      this.world.platform.mode = mode;
-    },
+    heal: ({ from, to }) => this.world.heal(this.pickPlace(from), this.pickPlace(to)),
+    setPlatform: ({ mode }) => this.world.setPlatform(mode),
     commit: () => {
       this.world.commitConfiguration((configuration) => ({
         ...configuration,
@@ -179,8 +177,7 @@
   private cut(from: number, to: number): void {
     const [a, b] = [this.pickPlace(from), this.pickPlace(to)];
     if (a === b) return;
-    this.world.network.cut(a, b);
-    this.world.links.closeCut();
+    this.world.cut(a, b);
   }
 
   private findMachine(endpoint: number) {
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -14,10 +14,10 @@
 import { FakeCaller } from './fake-caller.js';
 import { FakeEngine } from './fake-engine.js';
 import { FakeEntryVm, type EffectOf } from './fake-entry-vm.js';
-import { FakePlatform } from './fake-platform.js';
+import { FakePlatform, type PlatformMode } from './fake-platform.js';
 import { FakeService, type RunLog } from './fake-service.js';
 import { FakeLinks } from './fake-links.js';
-import { FakeNetwork, PLATFORM_PLACE, type NetworkSettings } from './network.js';
+import { FakeNetwork, PLATFORM_PLACE, type NetworkSettings, type Place } from './network.js';
 import {
   assertDrainCutsNothing,
   assertEndsInTime,
@@ -98,8 +98,8 @@
   constructor(private readonly options: WorldOptions) {
     this.random = createRandomSource(options.seed);
     this.network = new FakeNetwork(this.random, options.network);
-    this.platform = new FakePlatform(this.random);
     this.transcript = new Transcript(options.transcriptLines ?? DEFAULT_TRANSCRIPT_LINES);
+    this.platform = new FakePlatform(this.random, (text) => this.transcript.record(text));
     this.links = new FakeLinks(this.network, (vmId) => this.entryVms.get(vmId), this.transcript);
     this.writeFirstHead();
     options.configuration.endpoints.forEach((endpoint) => this.addEndpoint(endpoint));
@@ -201,6 +201,22 @@
     return version;
   }
 
+  setPlatform(mode: PlatformMode): void {
+    this.transcript.record(`platform is ${mode}`);
+    this.platform.mode = mode;
+  }
+
+  cut(a: Place, b: Place): void {
+    this.transcript.record(`${a} and ${b} are cut off from each other`);
+    this.network.cut(a, b);
+    this.links.closeCut();
+  }
+
+  heal(a: Place, b: Place): void {
+    this.transcript.record(`${a} and ${b} reach each other again`);
+    this.network.heal(a, b);
+  }
+
   /** Ends all faults; what died starts again. */
   healAll(): void {
     this.network.healAll();
@@ -267,8 +283,12 @@
   }
 
   private addEndpoint(endpoint: Endpoint): void {
-    if (endpoint.kind === 'engine') this.engines.set(endpoint.id, new FakeEngine(endpoint));
-    else this.services.set(endpoint.id, new FakeService(endpoint, this.runs));
+    const record = (text: string): void => this.transcript.record(text);
+    if (endpoint.kind === 'engine') {
+      this.engines.set(endpoint.id, new FakeEngine(endpoint, record));
+    } else {
+      this.services.set(endpoint.id, new FakeService(endpoint, this.runs, record));
+    }
   }
 
   /** The platform's list follows the truth with a lag. */
