Let requests report endpoint outcomes and name engines to avoid

Cause: the request life cycle knows first that an endpoint fails, and had no way to say so to membership, nor to ask the router for another engine after a failure. A driver that was paused could not tell that the deadline of an attempt had passed.

--- a/packages/decisions/src/membership/entry-membership.ts
+++ b/packages/decisions/src/membership/entry-membership.ts
@@ -7,7 +7,7 @@
   MembershipMessage,
 } from '@savorywind/model';
 import type { NodeContext } from '../seam/node-context.js';
-import type { Membership } from './types.js';
+import type { EndpointOutcome, Membership } from './types.js';
 
 /** Who is there: entry VMs and endpoints, as far as this entry VM can tell. */
 export class EntryMembership implements Membership {
@@ -35,6 +35,9 @@
     return true;
   }
 
+  // eslint-disable-next-line class-methods-use-this, @typescript-eslint/no-unused-vars
+  reportOutcome(endpoint: EndpointId, outcome: EndpointOutcome): void {}
+
   // eslint-disable-next-line @typescript-eslint/no-unused-vars
   findHome(engine: Engine): EntryVmId | undefined {
     return this.context.self.id;
--- a/packages/decisions/src/requests/request-lifecycle.ts
+++ b/packages/decisions/src/requests/request-lifecycle.ts
@@ -182,6 +182,7 @@
       offset: 0,
       priority,
       timeoutMs: record.deadlineMs - context.nowMs,
+      deadlineMs: record.deadlineMs,
       connection: repeatable ? 'pooled' : 'fresh',
     });
   }
--- a/packages/decisions/src/routing/local-router.ts
+++ b/packages/decisions/src/routing/local-router.ts
@@ -85,7 +85,9 @@
     const fitting = this.listEngines(ask.contract.model).filter(
       (engine) => engine.memoryTokens - this.readUsed(engine) >= tokens,
     );
-    return fitting.sort((a, b) => this.readUsed(a) - this.readUsed(b))[0];
+    const untried = fitting.filter(({ id }) => !ask.avoid?.has(id));
+    const candidates = untried.length > 0 ? untried : fitting;
+    return candidates.sort((a, b) => this.readUsed(a) - this.readUsed(b))[0];
   }
 
   private listEngines(model: string): Engine[] {
--- a/packages/decisions/src/routing/types.ts
+++ b/packages/decisions/src/routing/types.ts
@@ -1,9 +1,18 @@
-import type { Engine, ModelContract, MonotonicMs, Refusal, RequestId } from '@savorywind/model';
+import type {
+  EndpointId,
+  Engine,
+  ModelContract,
+  MonotonicMs,
+  Refusal,
+  RequestId,
+} from '@savorywind/model';
 
 /** What a request needs of an engine. */
 export interface SlotAsk {
   readonly contract: ModelContract;
   readonly deadlineMs: MonotonicMs;
+  /** Engines on which this request failed; taken only where no other is left. */
+  readonly avoid?: ReadonlySet<EndpointId>;
 }
 
 export type SlotDecision =
--- a/packages/decisions/src/seam/types.ts
+++ b/packages/decisions/src/seam/types.ts
@@ -9,6 +9,7 @@
   LinkMessage,
   LogEvent,
   LogFields,
+  MonotonicMs,
   PlatformCall,
   PlatformFailure,
   PlatformReply,
@@ -137,6 +138,8 @@
       /** Higher goes first at the engine. */
       readonly priority: number;
       readonly timeoutMs: number;
+      /** The driver sends no byte from this time on, also after a pause, and reports `notSent`. */
+      readonly deadlineMs: MonotonicMs;
       /** A fresh connection makes a failure to connect a proof that nothing was sent. */
       readonly connection: 'pooled' | 'fresh';
     }
