--- a/packages/entry/src/runtime/effects/link-effects.ts
+++ b/packages/entry/src/runtime/effects/link-effects.ts
@@ -1,8 +1,9 @@
+import type { EntryLinks } from '../../links/entry-links.js';
 import type { TopicHandlers } from './types.js';
 
 /** Opens, closes and uses links to other entry VMs. */
-export const createLinkEffects = (): TopicHandlers<'link'> => ({
-  'link.open': () => {},
-  'link.close': () => {},
-  'link.send': () => {},
+export const createLinkEffects = (links: EntryLinks): TopicHandlers<'link'> => ({
+  'link.open': ({ vm }) => links.open(vm),
+  'link.close': ({ peer }) => links.close(peer),
+  'link.send': ({ peer, message }) => links.send(peer, message),
 });
--- a/packages/entry/src/runtime/entry-process.ts
+++ b/packages/entry/src/runtime/entry-process.ts
@@ -4,6 +4,7 @@
 import { logEvents, type Configuration, type EntryVm } from '@savorywind/model';
 import { startCallerServer } from '../callers/caller-server.js';
 import type { CallerSession } from '../callers/types.js';
+import { EntryLinks } from '../links/entry-links.js';
 import { createEventLogger } from '../observe/logger.js';
 import { PlatformClient } from '../platform/platform-client.js';
 import type { EntrySettings } from '../settings/schema.js';
@@ -35,6 +36,8 @@
 
   private readonly platform: PlatformClient;
 
+  private readonly links: EntryLinks;
+
   private readonly log;
 
   constructor(
@@ -48,6 +51,7 @@
       link: settings.links,
     };
     this.platform = new PlatformClient(settings.platform);
+    this.links = new EntryLinks(this.vm, (event) => this.runner.dispatch(event));
     this.log = createEventLogger(settings.id, settings.log.level);
     this.node = new EntryNode({ vm: this.vm, seed: this.vm.incarnation });
     this.runner = new NodeRunner(this.node, this.createHandlers());
@@ -64,6 +68,7 @@
       abandon: (requestId) => this.abandon(requestId),
     });
     const { port } = this.server.address() as AddressInfo;
+    await this.links.start();
     this.log.write(logEvents.processStarted, { port });
     this.runner.dispatch({ kind: 'started' });
     return port;
@@ -93,6 +98,7 @@
   private stop(): void {
     this.runner.stop();
     this.platform.stop();
+    this.links.stop();
     this.server?.close(() => this.onDrained());
     this.server?.closeIdleConnections();
   }
@@ -107,7 +113,7 @@
     return {
       ...createAttemptEffects((requestId) => this.sessions.find(requestId)?.request, dispatch),
       ...createCallerEffects(this.sessions),
-      ...createLinkEffects(),
+      ...createLinkEffects(this.links),
       ...createPlatformEffects(this.platform, dispatch),
       ...createEngineEffects(dispatch),
       'configuration.adopted': ({ configuration }) => {
