Model engines with chunked prefill, batches, priorities and a prefix cache

Cause: the thin engine timed each stream alone, so that no policy could be told from another. Ruled out: one timer a token, since an hour of 15 engines would be some ten million events; a fixed rate a stream, since it hides what long prompts do to decoding. Change: rates are constant between two changes of the batch; one timer an engine waits for the next change. Pace everyToken keeps the process's behaviour, pace milestones wakes about three times a stream. Load reports lag, cache events come late and with gaps, KV import has a cost. Figures: npx vitest run packages/stand-ins: 11 tests pass; both paces give the same end of each of 20 mixed streams within 2 ms.

--- a/packages/stand-ins/src/engine/engine-stand-in.ts
+++ b/packages/stand-ins/src/engine/engine-stand-in.ts
@@ -6,19 +6,13 @@
   type RouteHandler,
   type RunningServer,
 } from '../http/route-server.js';
-import { EngineModel, type EngineModelSettings, type ModelStream } from './engine-model.js';
+import { EngineModel } from './engine-model.js';
+import type { EngineModelSettings, ModelStream, StreamAsk } from './types.js';
 
 export interface EngineSettings extends EngineModelSettings {
   readonly port: number;
 }
 
-interface StreamBody {
-  readonly streamId: string;
-  readonly promptTokens: number;
-  readonly maxOutputTokens: number;
-  readonly seedText: string;
-}
-
 /** Writes tokens from an offset on as server-sent events, and the end marker after the last. */
 const attachReader = (
   model: EngineModel,
@@ -59,7 +53,7 @@
 export const startEngine = (settings: EngineSettings): Promise<RunningServer> => {
   const model = new EngineModel(settings);
   const startStream: RouteHandler = async (request, response) => {
-    const body = JSON.parse(await readBody(request)) as StreamBody;
+    const body = JSON.parse(await readBody(request)) as StreamAsk;
     const stream = model.startStream(body);
     if (stream === undefined) sendJson(response, 409, { error: 'memory' });
     else attachReader(model, stream, 0, response);
@@ -78,12 +72,12 @@
         sendJson(response, 200, { streams: model.listStreams().map(describeStream) }),
       'DELETE /v1/streams/*': (_request, response, streamId) =>
         sendJson(response, 200, { released: model.releaseStream(streamId) }),
-      'GET /v1/load': (_request, response) =>
-        sendJson(response, 200, {
-          usedMemoryTokens: model.usedMemoryTokens,
-          runningStreams: model.listStreams().length,
-          queuedPromptTokens: 0,
-        }),
+      'GET /v1/load': (_request, response) => sendJson(response, 200, model.readLoad()),
+      'GET /v1/cache-events': (request, response) => {
+        const url = new URL(request.url ?? '/', 'http://engine');
+        const after = Number(url.searchParams.get('after'));
+        sendJson(response, 200, { events: model.listCacheEvents(after) });
+      },
     },
     settings.port,
   );
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,5 +1,6 @@
 export { startBalancer, type BalancerSettings } from './balancer/balancer-stand-in.js';
-export { EngineModel, type EngineModelSettings, type StreamAsk } from './engine/engine-model.js';
+export { EngineModel } from './engine/engine-model.js';
+export type * from './engine/types.js';
 export { startEngine, type EngineSettings } from './engine/engine-stand-in.js';
 export type { RunningServer } from './http/route-server.js';
 export { startPlatform, type PlatformSettings } from './platform/platform-stand-in.js';
--- /dev/null
+++ b/packages/stand-ins/test/engine-model.test.ts
@@ -0,0 +1,169 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { EngineModel, type EngineModelSettings, type StreamAsk } from '../src/index.js';
+
+const createModel = (overrides: Partial<EngineModelSettings> = {}): EngineModel =>
+  new EngineModel({
+    memoryTokens: 400_000,
+    prefillTokensPerS: 20_000,
+    decodeTokensPerS: 100,
+    stepPerSequenceMs: 0,
+    stepPerMillionTokensMs: 0,
+    ...overrides,
+  });
+
+const createAsk = (overrides: Partial<StreamAsk> = {}): StreamAsk => ({
+  streamId: 'stream-1',
+  promptTokens: 2_000,
+  maxOutputTokens: 11,
+  seedText: 'seed',
+  ...overrides,
+});
+
+/** Starts streams and records when the first and the last token of each came. */
+const recordTimes = (model: EngineModel, asks: readonly StreamAsk[]) => {
+  const times = new Map<string, { firstMs: number; lastMs: number }>();
+  asks.forEach((ask) => {
+    const stream = model.startStream(ask);
+    if (stream === undefined) throw new Error('does not fit');
+    stream.listener = () => {
+      const { firstMs = performance.now() } = times.get(ask.streamId) ?? {};
+      times.set(ask.streamId, { firstMs, lastMs: performance.now() });
+      if (stream.finished) model.releaseStream(ask.streamId);
+    };
+  });
+  return times;
+};
+
+const FAR_MS = 600_000;
+
+describe('EngineModel', () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  it.each(['everyToken', 'milestones'] as const)('times a lone stream, pace %s', (pace) => {
+    const model = createModel({ pace, attentionTokens: Infinity });
+    const times = recordTimes(model, [createAsk()]);
+    vi.advanceTimersByTime(FAR_MS);
+    expect(times.get('stream-1')).toEqual({ firstMs: 100, lastMs: 200 });
+    expect(model.usedMemoryTokens).toBe(0);
+  });
+
+  it('gives the same times in both paces', () => {
+    const asks = Array.from({ length: 20 }, (_, index) =>
+      createAsk({
+        streamId: `s${index}`,
+        promptTokens: 1_000 + 977 * index,
+        maxOutputTokens: 5 + 7 * (index % 4),
+        priority: index % 3,
+      }),
+    );
+    const settings = { stepPerSequenceMs: 0.3, stepPerMillionTokensMs: 5 };
+    const fine = recordTimes(createModel({ ...settings, pace: 'everyToken' }), asks);
+    vi.advanceTimersByTime(FAR_MS);
+    const startMs = performance.now();
+    const coarse = recordTimes(createModel({ ...settings, pace: 'milestones' }), asks);
+    vi.advanceTimersByTime(FAR_MS);
+    asks.forEach(({ streamId }) => {
+      const { lastMs = NaN } = fine.get(streamId) ?? {};
+      expect(Math.abs((coarse.get(streamId)?.lastMs ?? NaN) - startMs - lastMs)).toBeLessThan(2);
+    });
+  });
+
+  it('refuses what does not fit and gives memory back', () => {
+    const model = createModel({ memoryTokens: 3_000 });
+    expect(model.startStream(createAsk())).toBeDefined();
+    expect(model.startStream(createAsk({ streamId: 'stream-2' }))).toBeUndefined();
+    expect(model.releaseStream('stream-1')).toBe(true);
+    expect(model.releaseStream('stream-1')).toBe(false);
+    expect(model.startStream(createAsk({ streamId: 'stream-2' }))).toBeDefined();
+  });
+
+  it('reads a prompt of higher priority before the rest of a long one', () => {
+    const long = createAsk({ streamId: 'long', promptTokens: 200_000 });
+    const short = createAsk({ streamId: 'short', priority: 1 });
+    const honoured = recordTimes(createModel(), [long, short]);
+    vi.advanceTimersByTime(FAR_MS);
+    expect(honoured.get('short')?.firstMs).toBeLessThan(110);
+    const startMs = performance.now();
+    const ignored = recordTimes(createModel({ priorities: 'ignored' }), [long, short]);
+    vi.advanceTimersByTime(FAR_MS);
+    expect((ignored.get('short')?.firstMs ?? 0) - startMs).toBeGreaterThan(10_000);
+  });
+
+  it('goes on decoding between the chunks of a prompt that is read', () => {
+    const model = createModel({ prefillChunkTokens: 500, attentionTokens: Infinity });
+    const times = recordTimes(model, [
+      createAsk({ maxOutputTokens: 101 }),
+      createAsk({ streamId: 'long', promptTokens: 100_000 }),
+    ]);
+    vi.advanceTimersByTime(FAR_MS);
+    // A step takes 10 ms, a chunk 25 ms: 100 steps between chunks take 3.5 s.
+    expect(times.get('stream-1')).toEqual({ firstMs: 100, lastMs: 3_600 });
+    expect(times.get('long')?.firstMs).toBe(100 + 3_500 + 2_500);
+  });
+
+  it('slows decode steps as the batch and its context grow', () => {
+    const measureLastMs = (count: number): number => {
+      const model = createModel({ stepPerSequenceMs: 1, stepPerMillionTokensMs: 10 });
+      const startMs = performance.now();
+      const asks = Array.from({ length: count }, (_, index) =>
+        createAsk({ streamId: `s${index}`, maxOutputTokens: 200 }),
+      );
+      const times = recordTimes(model, asks);
+      vi.advanceTimersByTime(FAR_MS);
+      return (times.get('s0')?.lastMs ?? 0) - startMs;
+    };
+    expect(measureLastMs(10)).toBeGreaterThan(1.5 * measureLastMs(1));
+  });
+
+  it('skips blocks of a prefix that it has, and tells of them late and with gaps', () => {
+    const digests = Array.from({ length: 10 }, (_, index) => `block-${index}`);
+    const model = createModel({
+      prefixBlockTokens: 100,
+      cacheEventDelayMs: 1_000,
+      cacheEventLoss: 0.5,
+    });
+    const first = model.startStream(createAsk({ prefixDigests: digests }));
+    vi.advanceTimersByTime(500);
+    expect(model.listCacheEvents(0)).toEqual([]);
+    const second = model.startStream(createAsk({ streamId: 's2', prefixDigests: digests }));
+    expect([first?.cachedTokens, second?.cachedTokens]).toEqual([0, 1_000]);
+    vi.advanceTimersByTime(1_500);
+    const count = model.listCacheEvents(0).length;
+    expect(count).toBeGreaterThan(2);
+    expect(count).toBeLessThan(8);
+  });
+
+  it('drops cached blocks where streams need their memory', () => {
+    const model = createModel({ memoryTokens: 4_000, prefixBlockTokens: 1_000 });
+    recordTimes(model, [createAsk({ prefixDigests: ['a', 'b'] })]);
+    vi.advanceTimersByTime(1_000);
+    recordTimes(model, [createAsk({ streamId: 's2', promptTokens: 3_500 })]);
+    vi.advanceTimersByTime(1_000);
+    const third = model.startStream(createAsk({ streamId: 's3', prefixDigests: ['a', 'b'] }));
+    expect(third?.cachedTokens).toBe(0);
+  });
+
+  it('reports its load with a lag', () => {
+    const model = createModel({ loadLagMs: 300 });
+    vi.advanceTimersByTime(1_000);
+    model.startStream(createAsk({ promptTokens: 100_000 }));
+    vi.advanceTimersByTime(299);
+    expect(model.readLoad().runningStreams).toBe(0);
+    vi.advanceTimersByTime(1);
+    expect(model.readLoad()).toMatchObject({ runningStreams: 1, queuedPromptTokens: 100_000 });
+  });
+
+  it('imports KV cache instead of reading the prompt', () => {
+    const model = createModel({ transferTokensPerS: 1_000_000 });
+    const ask = createAsk({ promptTokens: 100_000, importedTokens: 99_999 });
+    const times = recordTimes(model, [ask]);
+    vi.advanceTimersByTime(FAR_MS);
+    expect(times.get('stream-1')?.firstMs).toBe(101);
+  });
+});
