Run keyed calls at most once, and one life cycle from arrival to final answer

Cause: the thin path had no read-back of claims, stored no answers, never ended an ambiguous claim, sent a call whose claim was answered after the deadline of a frozen process, and never retried.

Ruled out: a lease on the claim (it can lapse while its holder is paused); reading back by a get and then inserting (two round trips; an insert that conflicts with the own attempt id reads back too).

Change: claims carry attempt and writer; a write in doubt is made again and a conflict with the own attempt reads it back; a claim that was given up is settled in the background by an insert of notRun, which also stops the late first insert. Answers are stored in the row up to 16 KiB, larger ones as status, size and digest. The life cycle enforces the deadline on each event, merges what attempts say about ran, resumes broken streams at their offset, else generates again and sends only the tail that follows the same text. Retries need tokens of node, team and endpoint.

--- /dev/null
+++ b/packages/decisions/src/invariants/consts.ts
@@ -0,0 +1,13 @@
+/** Numbers of the invariants; a violation names one of them. docs/design/request-life-cycle.md lists them. */
+export const invariantCodes = {
+  finalAnswerOnce: 9001,
+  runsAtMostOnce: 9002,
+  claimedBeforeSend: 9003,
+  refusalIsTrue: 9004,
+  answerIsWhole: 9005,
+  withinDeadline: 9006,
+  ownAnswer: 9007,
+  retryIsPermitted: 9008,
+} as const;
+
+export type Invariant = keyof typeof invariantCodes;
--- a/packages/decisions/src/node/entry-node.ts
+++ b/packages/decisions/src/node/entry-node.ts
@@ -77,7 +77,8 @@
     this.requests = new RequestLifecycle({
       context: this.context,
       router: new LocalRouter(readConfiguration),
-      ledger: new ClaimLedger(this.context),
+      ledger: new ClaimLedger(this.context, this.membership, () => this.finishDrain()),
+      membership: this.membership,
       readConfiguration,
       onIdle: () => this.finishDrain(),
     });
@@ -175,11 +176,12 @@
     if (this.readiness === 'leaving' || this.readiness === 'drained') return;
     this.changeReadiness('leaving');
     this.context.log(logEvents.drainStarted, { inFlight: this.requests.inFlight });
+    this.requests.startDrain();
     this.finishDrain();
   }
 
   private finishDrain(): void {
-    if (this.readiness !== 'leaving' || this.requests.inFlight > 0) return;
+    if (this.readiness !== 'leaving' || !this.requests.isIdle) return;
     this.changeReadiness('drained');
   }
 
--- /dev/null
+++ b/packages/decisions/src/requests/request-table.ts
@@ -0,0 +1,94 @@
+import type { AttemptId, MonotonicMs, RequestContract, RequestId } from '@savorywind/model';
+import { RunEvidence } from '../invariants/run-evidence.js';
+import type { RequestView } from '../seam/types.js';
+import type { Timer } from '../timers/timer-queue.js';
+import { AnswerProgress } from './answer-progress.js';
+import type { Attempt, RequestRecord } from './types.js';
+
+/** A request that has just arrived. */
+export const createRecord = (
+  contract: RequestContract,
+  nowMs: MonotonicMs,
+  deadlineTimer: Timer,
+): RequestRecord => ({
+  contract,
+  arrivedAtMs: nowMs,
+  deadlineMs: nowMs + contract.timeoutMs,
+  deadlineTimer,
+  answer: new AnswerProgress(),
+  evidence: new RunEvidence(),
+  avoided: new Set(),
+  state: 'queued',
+  ran: 'no',
+  attempt: undefined,
+  broken: undefined,
+  attempts: 0,
+  retries: 0,
+  retryTimer: undefined,
+  claim: undefined,
+  recorder: undefined,
+  headSent: false,
+  callerGone: false,
+  answered: false,
+});
+
+const viewRecord = (record: RequestRecord, nowMs: MonotonicMs): RequestView => {
+  const { contract } = record;
+  return {
+    requestId: contract.requestId,
+    team: contract.team,
+    target: contract.kind === 'model' ? contract.model : contract.service,
+    state: record.callerGone ? 'draining' : record.state,
+    endpoint: record.attempt?.endpoint.id,
+    ageMs: nowMs - record.arrivedAtMs,
+    timeoutMs: contract.timeoutMs,
+  };
+};
+
+/** Requests in flight, by their own id and by that of the attempt in hand. */
+export class RequestTable {
+  private readonly records = new Map<RequestId, RequestRecord>();
+
+  private readonly requestByAttempt = new Map<AttemptId, RequestId>();
+
+  get size(): number {
+    return this.records.size;
+  }
+
+  has(requestId: RequestId): boolean {
+    return this.records.has(requestId);
+  }
+
+  find(requestId: RequestId): RequestRecord | undefined {
+    return this.records.get(requestId);
+  }
+
+  /** Attempts that have ended are not found: what comes late reaches no caller. */
+  findByAttempt(attemptId: AttemptId): RequestRecord | undefined {
+    const requestId = this.requestByAttempt.get(attemptId);
+    return requestId === undefined ? undefined : this.records.get(requestId);
+  }
+
+  add(record: RequestRecord): void {
+    this.records.set(record.contract.requestId, record);
+  }
+
+  remove(record: RequestRecord): void {
+    this.detachAttempt(record);
+    this.records.delete(record.contract.requestId);
+  }
+
+  attachAttempt(record: RequestRecord, attempt: Attempt): void {
+    record.attempt = attempt;
+    this.requestByAttempt.set(attempt.attemptId, record.contract.requestId);
+  }
+
+  detachAttempt(record: RequestRecord): void {
+    if (record.attempt !== undefined) this.requestByAttempt.delete(record.attempt.attemptId);
+    record.attempt = undefined;
+  }
+
+  listViews(nowMs: MonotonicMs): RequestView[] {
+    return [...this.records.values()].map((record) => viewRecord(record, nowMs));
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/requests/text-digest.ts
@@ -0,0 +1,35 @@
+import { sha256 } from '@noble/hashes/sha2.js';
+
+const BYTES_PER_UNIT = 2;
+const BITS_PER_BYTE = 8;
+
+/** UTF-16 units as they are: a chunk may end inside a surrogate pair. */
+const encodeUnits = (text: string): Uint8Array => {
+  const bytes = new Uint8Array(text.length * BYTES_PER_UNIT);
+  for (let index = 0; index < text.length; index += 1) {
+    const unit = text.charCodeAt(index);
+    bytes[index * BYTES_PER_UNIT] = Math.floor(unit / 2 ** BITS_PER_BYTE);
+    bytes[index * BYTES_PER_UNIT + 1] = unit % 2 ** BITS_PER_BYTE;
+  }
+  return bytes;
+};
+
+/** SHA-256 of a text that comes in parts; keeps no text. */
+export class TextDigest {
+  /** UTF-16 units so far. */
+  length = 0;
+
+  private readonly hash = sha256.create();
+
+  addText(text: string): void {
+    this.length += text.length;
+    this.hash.update(encodeUnits(text));
+  }
+
+  matches(other: TextDigest): boolean {
+    if (this.length !== other.length) return false;
+    const own = this.hash.clone().digest();
+    const others = other.hash.clone().digest();
+    return own.every((byte, index) => byte === others[index]);
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/retries/token-bucket.ts
@@ -0,0 +1,31 @@
+/**
+ * Tokens that requests earn and retries spend, so that retries stay a fixed share of requests. Needs
+ * no clock: with no requests there is nothing to earn.
+ */
+export class TokenBucket {
+  private tokens: number;
+
+  /**
+   * @param burst most tokens held, and tokens held at the start
+   * @param earnedPerRequest tokens that one request earns
+   */
+  constructor(
+    private readonly burst: number,
+    private readonly earnedPerRequest: number,
+  ) {
+    this.tokens = burst;
+  }
+
+  recordRequest(): void {
+    this.tokens = Math.min(this.burst, this.tokens + this.earnedPerRequest);
+  }
+
+  has(): boolean {
+    return this.tokens >= 1;
+  }
+
+  /** Spends one token; to be called only where {@link has} is true. */
+  take(): void {
+    this.tokens -= 1;
+  }
+}
--- a/packages/decisions/src/seam/node-context.ts
+++ b/packages/decisions/src/seam/node-context.ts
@@ -83,10 +83,17 @@
     return name;
   }
 
-  callPlatform(call: PlatformCall, listener: PlatformListener): void {
+  /** @returns the call's number, with which its reply can be dropped */
+  callPlatform(call: PlatformCall, listener: PlatformListener): number {
     const callId = this.takeCallId();
     this.platformListeners.set(callId, listener);
     this.emit({ kind: 'platform.call', callId, call });
+    return callId;
+  }
+
+  /** A reply that comes after all is passed over. */
+  dropPlatformCall(callId: number): void {
+    this.platformListeners.delete(callId);
   }
 
   /** Takes the reply to a call; one that comes twice, or to nothing asked, is passed over. */
--- a/packages/model/src/codes/ledger-codes.ts
+++ b/packages/model/src/codes/ledger-codes.ts
@@ -30,4 +30,18 @@
     'The claim for this key could not be written. The call was not sent.',
     'Ask again with the same key after Retry-After.',
   ],
+  keyRequired: [
+    4005,
+    400,
+    'Key required',
+    'The call is not declared idempotent, and its service takes such calls only with a key.',
+    'Send Idempotency-Key, or ask your operator for unkeyedCalls: sendOnce.',
+  ],
+  answerNotStored: [
+    4006,
+    409,
+    'Answer not stored',
+    'The call under this key ran and was answered; the answer was too large to be kept.',
+    'See the detail for its status, and look up the result in the service.',
+  ],
 });
--- a/packages/model/src/codes/lifecycle-codes.ts
+++ b/packages/model/src/codes/lifecycle-codes.ts
@@ -23,4 +23,11 @@
     'The answer broke off and could not be resumed.',
     'What was received is not whole. Ask again.',
   ],
+  answerDiverged: [
+    3004,
+    502,
+    'Answer diverged',
+    'The answer broke off, and another engine generated a different one.',
+    'What was received is not whole. Ask again.',
+  ],
 });
--- a/packages/model/src/log-events/request-events.ts
+++ b/packages/model/src/log-events/request-events.ts
@@ -6,4 +6,9 @@
   requestFinished: [202, 'info', 'request finished'],
   requestRefused: [203, 'info', 'request refused'],
   attemptFailed: [204, 'warn', 'attempt at an endpoint failed'],
+  attemptRetried: [205, 'info', 'request goes to an endpoint again'],
+  answerDiverged: [206, 'warn', 'regenerated answer differs from what the caller has received'],
+  claimInDoubt: [207, 'warn', 'claim could not be read back; its call was not sent'],
+  claimUnsettled: [208, 'warn', 'result of a claim could not be written yet'],
+  callerGone: [209, 'info', 'caller went away; its claimed call runs on to store the answer'],
 });
