--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,6 +1,8 @@
 export { ConfigurationKeeper } from './configuration/configuration-keeper.js';
+export { InvariantViolation } from './invariants/promises.js';
+export { invariantCodes, type Invariant } from './invariants/consts.js';
 export { ClaimLedger, formatClaimKey } from './ledger/claim-ledger.js';
-export type { ClaimRow, ClaimState } from './ledger/types.js';
+export type { Claim, ClaimRow, ClaimState, ClaimWriter, StoredAnswer } from './ledger/types.js';
 export { EntryNode, type EntryNodeOptions } from './node/entry-node.js';
 export { EntryMembership } from './membership/entry-membership.js';
 export type * from './membership/types.js';
--- /dev/null
+++ b/packages/decisions/test/requests/life-cycle.test.ts
@@ -0,0 +1,163 @@
+import { resultCodes, type Ran, type RequestContract } from '@savorywind/model';
+import { describe, expect, it } from 'vitest';
+import { createConfiguration, createEngine, createReplica } from '../fixtures/configurations.js';
+import { createModelContract, createServiceContract } from '../fixtures/contracts.js';
+import { NodeDriver } from '../fixtures/node-driver.js';
+
+const TIMEOUT_MS = 5_000;
+const chat = createModelContract({ timeoutMs: TIMEOUT_MS });
+const booking = createServiceContract({ timeoutMs: TIMEOUT_MS });
+const lookUp = createServiceContract({ timeoutMs: TIMEOUT_MS, idempotency: 'idempotent' });
+
+const createDriver = (): NodeDriver =>
+  new NodeDriver({
+    configuration: createConfiguration({
+      endpoints: [createEngine({ memoryTokens: 2_000 }), createReplica()],
+    }),
+  });
+
+const fillEngine = (driver: NodeDriver): void => {
+  driver.arrive(createModelContract({ requestId: 'other', promptTokens: 1_900, timeoutMs: 9_000 }));
+};
+
+type Prepare = (driver: NodeDriver) => void;
+type Case = [
+  state: string,
+  contract: RequestContract,
+  prepare: Prepare,
+  reach: Prepare,
+  ran: Ran,
+  cancels: number,
+];
+
+const nothing: Prepare = () => {};
+const hold: Prepare = (driver) => {
+  driver.claims = 'held';
+};
+const receive: Prepare = (driver) => {
+  driver.sendHead();
+  driver.sendText(0, 'a');
+};
+const receiveAndBreak: Prepare = (driver) => {
+  receive(driver);
+  driver.fail('broken');
+};
+
+const cases: Case[] = [
+  ['queued', chat, fillEngine, nothing, 'no', 0],
+  ['claiming', booking, hold, nothing, 'no', 0],
+  ['connecting', chat, nothing, nothing, 'unknown', 1],
+  ['connecting', booking, nothing, nothing, 'unknown', 1],
+  ['streaming', chat, nothing, receive, 'yes', 1],
+  ['streaming', lookUp, nothing, (driver) => driver.sendHead(), 'yes', 1],
+  ['resuming', chat, nothing, receiveAndBreak, 'yes', 0],
+  ['backingOff', chat, nothing, (driver) => driver.fail('notSent'), 'no', 0],
+  ['backingOff', chat, nothing, (driver) => driver.fail('invalid'), 'unknown', 0],
+  ['backingOff', lookUp, nothing, (driver) => driver.fail('broken'), 'unknown', 0],
+];
+
+const reachState = ([state, contract, prepare, reach]: Case): NodeDriver => {
+  const driver = createDriver();
+  prepare(driver);
+  driver.arrive(contract);
+  reach(driver);
+  const views = driver.node.readStatus().requests;
+  expect(views.find(({ requestId }) => requestId === contract.requestId)?.state).toBe(state);
+  return driver;
+};
+
+describe('the deadline', () => {
+  it.each(cases)('of %s ends a request of kind %o once, at once, and truthfully', (...given) => {
+    const [, contract, , , ran, cancels] = given;
+    const driver = reachState(given);
+    // The process wakes up after the deadline: a timer that was due before it must start nothing.
+    const starts = driver.starts.length;
+    driver.freeze(TIMEOUT_MS);
+    driver.dispatch({ kind: 'woken' });
+    expect(driver.answers.get(contract.requestId)).toMatchObject({
+      finals: 1,
+      finished: false,
+      refusal: { code: resultCodes.timeout, ran },
+    });
+    expect(driver.starts).toHaveLength(starts);
+    expect(driver.cancelled).toHaveLength(cancels);
+  });
+
+  it('ends a call whose caller has gone, without an answer', () => {
+    const driver = createDriver();
+    const answer = driver.arrive(booking);
+    driver.dispatch({ kind: 'request.abandoned', requestId: booking.requestId });
+    driver.advance(TIMEOUT_MS);
+    expect(driver.node.readStatus().requests).toEqual([]);
+    expect(driver.cancelled).toHaveLength(1);
+    expect(answer.finals).toBe(0);
+  });
+
+  it('beats an answer that is handed in after it', () => {
+    const driver = createDriver();
+    const answer = driver.arrive(chat);
+    receive(driver);
+    driver.freeze(TIMEOUT_MS);
+    driver.end(1);
+    expect(answer).toMatchObject({ finals: 1, finished: false, text: 'a' });
+  });
+});
+
+describe('answers of endpoints', () => {
+  it('are finished only with all that the end marker states', () => {
+    const driver = createDriver();
+    const answer = driver.arrive(chat);
+    receive(driver);
+    driver.end(2);
+    expect(answer.finals).toBe(0);
+    expect(driver.cancelled).toEqual([driver.lastStart.attemptId]);
+  });
+
+  it.each<[name: string, disturb: Prepare]>([
+    ['an end before the head', (driver) => driver.end(0)],
+    ['text before the head', (driver) => driver.sendText(0, 'x')],
+    [
+      'a gap',
+      (driver) => {
+        receive(driver);
+        driver.sendText(2, 'x');
+      },
+    ],
+    ['another stream', (driver) => driver.fail('invalid')],
+  ])('that break the protocol by %s reach no caller', (_name, disturb) => {
+    const driver = createDriver();
+    const answer = driver.arrive(chat);
+    disturb(driver);
+    expect(answer.text).not.toContain('x');
+    expect(answer.finals).toBe(0);
+    driver.advance(200);
+    expect(driver.starts).toHaveLength(2);
+  });
+
+  it('that come late or twice change nothing', () => {
+    const driver = createDriver();
+    const answer = driver.arrive(chat);
+    const { attemptId: first } = driver.lastStart;
+    driver.fail('notSent');
+    driver.advance(200);
+    driver.sendText(0, 'late', first);
+    driver.end(0, first);
+    driver.fail('broken', first);
+    receive(driver);
+    driver.sendHead();
+    driver.sendText(0, 'a');
+    driver.end(1);
+    driver.end(1);
+    expect(answer).toMatchObject({ finals: 1, finished: true, text: 'a' });
+  });
+
+  it('to a request that arrives twice are given once', () => {
+    const driver = createDriver();
+    const answer = driver.arrive(chat);
+    driver.dispatch({ kind: 'request.arrived', contract: chat });
+    receive(driver);
+    driver.end(1);
+    expect(answer.finals).toBe(1);
+    expect(driver.starts).toHaveLength(1);
+  });
+});
