--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -76,6 +76,9 @@
 
   readonly runs: RunLog = new Map();
 
+  /** Requests that entry VMs have sent to endpoints, resumptions included. */
+  attemptsStarted = 0;
+
   readonly callers: FakeCaller[] = [];
 
   readonly entryVms = new Map<string, FakeEntryVm>();
@@ -400,6 +403,7 @@
     const { id, failureDomain } = own.vm;
     const target = this.engines.get(endpoint.id) ?? this.services.get(endpoint.id);
     if (target === undefined) throw new Error(`no endpoint ${endpoint.id}`);
+    this.attemptsStarted += 1;
     this.transcript.record(`${id} tries ${requestId} at ${endpoint.id} (${mode})`);
     const connection = new FakeConnection(
       attemptId,
