Take back memory that nobody holds

Change: a stream's id carries its entry VM, incarnation and time to the deadline; the home of an engine reads its stream list (every 5 s and less often when it is long) and cancels what is past its deadline, what has no reader and an owner that was replaced, and what has had no reader for 10 s with an unreachable owner or for 30 s with any. The engine's own age of the stream is compared, so no clock is shared. A stream with a reader is released only past its deadline.

Ruled out: deadlines as wall time in the id (clocks of entry VMs and engines differ); drawing a random number at start (it moved the jitter of a test of claims, which reads a claim after a fixed time).

--- a/packages/decisions/src/membership/entry-membership.ts
+++ b/packages/decisions/src/membership/entry-membership.ts
@@ -21,7 +21,7 @@
 import { listPlannedPeers } from './link-plan.js';
 import { MemberTable, type Member } from './member-table.js';
 import { MembershipList } from './membership-list.js';
-import type { EndpointOutcome, Membership, MemberView } from './types.js';
+import type { EndpointOutcome, Membership, MemberView, Owner, OwnerLife } from './types.js';
 
 interface Dependencies {
   readonly context: NodeContext;
@@ -128,6 +128,18 @@
     this.endpoints.acceptOutcome(endpoint, outcome);
   }
 
+  judgeOwner({ vmId, incarnation }: Owner): OwnerLife {
+    const { self } = this.context;
+    const own = vmId === self.id ? self.incarnation : undefined;
+    const known = own ?? this.table.find(vmId)?.vm.incarnation;
+    if (known === undefined) return 'unreachable';
+    if (known > incarnation) return 'replaced';
+    const member = this.table.find(vmId);
+    if (member === undefined) return 'live';
+    const isHeard = this.links.isLinked(vmId) && !this.heartbeats.isSuspected(vmId);
+    return isHeard || this.judge(member) === 'live' ? 'live' : 'unreachable';
+  }
+
   findHome(engine: Engine): EntryVmId | undefined {
     return this.homes.findHome(engine);
   }
--- a/packages/decisions/src/membership/home-finder.ts
+++ b/packages/decisions/src/membership/home-finder.ts
@@ -31,7 +31,8 @@
 
   findHome(engine: Engine): EntryVmId | undefined {
     if (this.homes.has(engine.id)) return this.homes.get(engine.id);
-    const home = findOwner(engine.id, this.byDomain.get(engine.failureDomain) ?? []);
+    const near = this.byDomain.get(engine.failureDomain);
+    const home = findOwner(engine.id, near ?? this.live.map(({ id }) => id));
     this.homes.set(engine.id, home);
     return home;
   }
--- a/packages/decisions/src/membership/types.ts
+++ b/packages/decisions/src/membership/types.ts
@@ -12,6 +12,18 @@
   readonly configurationVersion: number;
 }
 
+/**
+ * What became of the incarnation that owns something. `replaced`: it has certainly ended, since a
+ * newer one was seen. `unreachable` may be a wrong suspicion.
+ */
+export type OwnerLife = 'live' | 'unreachable' | 'replaced';
+
+/** One incarnation of an entry VM, as named by what it owns. */
+export interface Owner {
+  readonly vmId: EntryVmId;
+  readonly incarnation: number;
+}
+
 /** Who is there, as one entry VM sees it. */
 export interface MembershipView {
   readonly live: readonly EntryVm[];
@@ -34,7 +46,12 @@
   readShare(endpoint: EndpointId): number;
   /** Tells how an attempt ended; `notSent`, `broken` and `invalid` in a row speak for an ejection. */
   reportOutcome(endpoint: EndpointId, outcome: EndpointOutcome): void;
-  /** The entry VM that keeps the account of an engine, by rendezvous hash in its failure domain. */
+  /** What became of an owner. */
+  judgeOwner(owner: Owner): OwnerLife;
+  /**
+   * The entry VM that keeps the account of an engine, by rendezvous hash in its failure domain;
+   * where that has no live entry VM, among all.
+   */
   findHome(engine: Engine): EntryVmId | undefined;
   /**
    * Calls the listener when homes may have moved. A new home reads the engine's stream list before
--- a/packages/decisions/src/node/entry-node.ts
+++ b/packages/decisions/src/node/entry-node.ts
@@ -15,6 +15,7 @@
 import { EntryMembership } from '../membership/entry-membership.js';
 import type { MembershipView } from '../membership/types.js';
 import { RequestLifecycle } from '../requests/request-lifecycle.js';
+import { EngineSweeper } from '../recovery/engine-sweeper.js';
 import { NodeContext } from '../seam/node-context.js';
 import type { NodeEffect, NodeEvent, NodeStatus, Readiness } from '../seam/types.js';
 
@@ -64,6 +65,8 @@
 
   private readonly membership: EntryMembership;
 
+  private readonly sweeper: EngineSweeper;
+
   private readonly messageHandlers: MessageHandlers;
 
   private readiness: Readiness = 'starting';
@@ -87,6 +90,11 @@
       readConfiguration,
       onIdle: () => this.finishDrain(),
     });
+    this.sweeper = new EngineSweeper({
+      context: this.context,
+      membership: this.membership,
+      readConfiguration,
+    });
     this.handlers = this.createHandlers();
     this.messageHandlers = this.createMessageHandlers();
   }
@@ -155,6 +163,7 @@
   private start(): void {
     this.configuration.start();
     this.membership.start();
+    this.sweeper.start();
   }
 
   private acceptMessage(peer: EntryVmId, message: LinkMessage): void {
--- /dev/null
+++ b/packages/decisions/src/recovery/stream-id.ts
@@ -0,0 +1,39 @@
+import type { EntryVmId } from '@savorywind/model';
+
+/** What a stream's id tells a home that knows nothing else of it. */
+export interface StreamOwner {
+  readonly vmId: EntryVmId;
+  readonly incarnation: number;
+  /** Time from the stream's start to its request's deadline, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+const SEPARATOR = '~';
+const PARTS = 4;
+
+/**
+ * Names a stream after its owner and deadline, so that its memory can be taken back by anybody.
+ *
+ * @example
+ * formatStreamId({ vmId: 'entry-a1', incarnation: 7, timeoutMs: 30_000 }, 'entry-a1.7.12');
+ * // 'entry-a1~7~30000~entry-a1.7.12'
+ */
+export const formatStreamId = (owner: StreamOwner, name: string): string =>
+  [owner.vmId, owner.incarnation, Math.ceil(owner.timeoutMs), name].join(SEPARATOR);
+
+/**
+ * Reads what `formatStreamId` wrote.
+ *
+ * @returns undefined for the id of a stream that no entry VM started
+ */
+export const parseStreamId = (streamId: string): StreamOwner | undefined => {
+  const parts = streamId.split(SEPARATOR);
+  const [vmId = '', incarnation, timeoutMs] = parts;
+  const owner = { vmId, incarnation: Number(incarnation), timeoutMs: Number(timeoutMs) };
+  const isValid =
+    parts.length === PARTS &&
+    vmId !== '' &&
+    Number.isSafeInteger(owner.incarnation) &&
+    Number.isSafeInteger(owner.timeoutMs);
+  return isValid ? owner : undefined;
+};
--- a/packages/decisions/src/requests/attempt-starter.ts
+++ b/packages/decisions/src/requests/attempt-starter.ts
@@ -5,6 +5,7 @@
   assertRunsAtMostOnce,
   assertWithinDeadline,
 } from '../invariants/promises.js';
+import { formatStreamId } from '../recovery/stream-id.js';
 import type { RetryBudgets } from '../retries/retry-budgets.js';
 import type { NodeContext } from '../seam/node-context.js';
 import { describeRepeatability, isRepeatable } from './recovery.js';
@@ -34,12 +35,15 @@
     checkStart(record);
     record.evidence.recordStart();
     record.answer.restart();
-    const attemptId = this.context.createName();
+    const { context } = this;
+    const attemptId = context.createName();
+    const { id: vmId, incarnation } = context.self;
+    const owner = { vmId, incarnation, timeoutMs: record.deadlineMs - context.nowMs };
     this.send(record, {
       attemptId,
       requestId: record.contract.requestId,
       endpoint,
-      streamId: attemptId,
+      streamId: formatStreamId(owner, attemptId),
       priority,
       mode: 'new',
       startCount: record.answer.sentCount,
--- a/packages/model/src/log-events/index.ts
+++ b/packages/model/src/log-events/index.ts
@@ -1,6 +1,7 @@
 import { configurationEvents } from './configuration-events.js';
 import { membershipEvents } from './membership-events.js';
 import { processEvents } from './process-events.js';
+import { recoveryEvents } from './recovery-events.js';
 import { requestEvents } from './request-events.js';
 
 /** The catalogue of log events. docs/log-events.md is checked against it. */
@@ -9,6 +10,7 @@
   ...requestEvents,
   ...configurationEvents,
   ...membershipEvents,
+  ...recoveryEvents,
 } as const;
 
 export type { LogEvent, LogFields, LogLevel } from './types.js';
