--- a/packages/entry/src/callers/credentials.ts
+++ b/packages/entry/src/callers/credentials.ts
@@ -1,20 +1,45 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 import type { Configuration, TeamDeclaration } from '@savorywind/model';
 
-const BEARER = 'Bearer ';
+const BEARER = /^bearer +(\S+) *$/i;
+
+interface KnownCredential {
+  readonly team: TeamDeclaration;
+  readonly digest: Buffer;
+}
+
+/** Credentials of each configuration by digest; a configuration that is out of force is collected. */
+const indexes = new WeakMap<Configuration, ReadonlyMap<string, KnownCredential>>();
 
 /** Takes the credential out of an Authorization header. */
 export const readBearer = (authorization: string | undefined): string | undefined =>
-  authorization?.startsWith(BEARER) ? authorization.slice(BEARER.length).trim() : undefined;
+  BEARER.exec(authorization ?? '')?.[1];
 
-const matchesTeam = (digest: Buffer, team: TeamDeclaration): boolean =>
-  team.credentialSha256.some((expected) => timingSafeEqual(digest, Buffer.from(expected, 'hex')));
+const createIndex = (configuration: Configuration): ReadonlyMap<string, KnownCredential> =>
+  new Map(
+    configuration.teams.flatMap((team) =>
+      team.credentialSha256.map((hex) => [hex, { team, digest: Buffer.from(hex, 'hex') }]),
+    ),
+  );
+
+const readIndex = (configuration: Configuration): ReadonlyMap<string, KnownCredential> => {
+  const known = indexes.get(configuration);
+  if (known !== undefined) return known;
+  const created = createIndex(configuration);
+  indexes.set(configuration, created);
+  return created;
+};
 
-/** Finds the team that a credential belongs to, in constant time for each hash compared. */
+/**
+ * Finds the team that a credential belongs to. Only digests are looked up and compared, the last step
+ * in constant time, so that the time taken tells nothing about a credential.
+ */
 export const findTeam = (
   configuration: Configuration,
   credential: string,
 ): TeamDeclaration | undefined => {
   const digest = createHash('sha256').update(credential).digest();
-  return configuration.teams.find((team) => matchesTeam(digest, team));
+  const known = readIndex(configuration).get(digest.toString('hex'));
+  if (known === undefined || !timingSafeEqual(digest, known.digest)) return undefined;
+  return known.team;
 };
--- a/packages/entry/src/endpoints/service-attempt.ts
+++ b/packages/entry/src/endpoints/service-attempt.ts
@@ -5,8 +5,17 @@
 import { watchConnection } from './connection-watch.js';
 import type { AttemptStart, EventSink, RunningAttempt } from './types.js';
 
+const METHODS_WITH_BODY = new Set(['POST', 'PUT', 'PATCH']);
+
 const pooledAgent = new Agent({ keepAlive: true });
 
+/**
+ * Node sends a body without saying its length where the method usually has none; the service would
+ * then read it as a further request on the same connection.
+ */
+const createFraming = ({ method, body }: CallerRequest): Record<string, string> =>
+  body.length > 0 || METHODS_WITH_BODY.has(method) ? { 'content-length': `${body.length}` } : {};
+
 /** Passes a call through to a plain service and reports its answer as it comes. */
 export const startServiceAttempt = (
   start: AttemptStart,
@@ -31,6 +40,7 @@
     const headers = copyEndToEndHeaders(response.headers);
     const head = { status: response.statusCode ?? 0, headers };
     report({ kind: 'attempt.headReceived', attemptId, head });
+    request.flow.attach(response);
     response.on('data', (data: Buffer) => {
       const offset = received;
       received += data.length;
@@ -44,7 +54,7 @@
     agent: connection === 'pooled' ? pooledAgent : false,
     method: request.method,
     path: request.path,
-    headers: request.headers,
+    headers: { ...request.headers, ...createFraming(request) },
   } as const;
   const call = sendRequest(options, acceptResponse);
   const watch = watchConnection(call);
--- /dev/null
+++ b/packages/entry/src/observe/metric-names.ts
@@ -0,0 +1,57 @@
+/** What is measured of each request. */
+export type MeasureName = 'firstToken' | 'betweenTokens' | 'total' | 'queueing' | 'slowdown';
+
+interface MetricDescription {
+  readonly metric: string;
+  readonly help: string;
+  /** Recorded units in one unit that is shown. */
+  readonly unitsPerShown: number;
+  /** Upper bounds of the buckets, in the unit that is shown. */
+  readonly bounds: readonly number[];
+}
+
+const MICROSECONDS_PER_S = 1_000_000;
+const SLOWDOWN_UNITS = 1_000;
+
+const SECONDS_BOUNDS = [0.01, 0.05, 0.1, 0.25, 0.46, 1, 2.5, 5, 10, 30, 60, 300, 1_800];
+const GAP_BOUNDS = [0.005, 0.01, 0.02, 0.032, 0.05, 0.1, 0.25, 0.5, 1, 5];
+const SLOWDOWN_BOUNDS = [1.1, 1.25, 1.5, 2, 3, 5, 10, 20, 50, 100];
+
+const describeSeconds = (
+  metric: string,
+  help: string,
+  bounds: readonly number[],
+): MetricDescription => ({ metric, help, unitsPerShown: MICROSECONDS_PER_S, bounds });
+
+export const METRICS: Readonly<Record<MeasureName, MetricDescription>> = {
+  firstToken: describeSeconds(
+    'savorywind_first_token_seconds',
+    'Time from arrival to the first token or byte of the answer.',
+    SECONDS_BOUNDS,
+  ),
+  betweenTokens: describeSeconds(
+    'savorywind_between_tokens_seconds',
+    'Time between two tokens or parts of an answer.',
+    GAP_BOUNDS,
+  ),
+  total: describeSeconds(
+    'savorywind_total_seconds',
+    'Time from arrival to the end of the answer.',
+    SECONDS_BOUNDS,
+  ),
+  queueing: describeSeconds(
+    'savorywind_queueing_seconds',
+    'Time from arrival to the first attempt at an endpoint.',
+    SECONDS_BOUNDS,
+  ),
+  slowdown: {
+    metric: 'savorywind_slowdown_ratio',
+    help: 'Total time over the estimated time on an idle engine.',
+    unitsPerShown: SLOWDOWN_UNITS,
+    bounds: SLOWDOWN_BOUNDS,
+  },
+};
+
+export const convertToMicroseconds = (ms: number): number => ms * 1_000;
+
+export const convertToSlowdownUnits = (ratio: number): number => ratio * SLOWDOWN_UNITS;
--- /dev/null
+++ b/packages/entry/src/observe/render-metrics.ts
@@ -0,0 +1,92 @@
+import type { JsHistogram } from 'hdr-histogram-js';
+import { METRICS, type MeasureName } from './metric-names.js';
+import type { RequestMetrics, Series, SeriesLabels } from './request-metrics.js';
+
+/** A value of the process itself. */
+export interface Gauge {
+  readonly metric: string;
+  readonly help: string;
+  readonly value: number;
+}
+
+const formatLabelValue = (value: string): string =>
+  value.replaceAll('\\', '\\\\').replaceAll('"', '\\"').replaceAll('\n', '\\n');
+
+const formatLabels = (labels: SeriesLabels, extra = ''): string => {
+  const pairs = Object.entries(labels).map(
+    ([name, value]) => `${name}="${formatLabelValue(value)}"`,
+  );
+  return `{${[...pairs, ...(extra === '' ? [] : [extra])].join(',')}}`;
+};
+
+/** Counts recorded values up to each bound; a value within 1% of a bound may count on either side. */
+const countBelowBounds = (histogram: JsHistogram, bounds: readonly number[]): number[] => {
+  const counts = bounds.map(() => 0);
+  const iterator = histogram.recordedValuesIterator;
+  iterator.reset();
+  while (iterator.hasNext()) {
+    const { valueIteratedTo, countAddedInThisIterationStep } = iterator.next();
+    bounds.forEach((bound, index) => {
+      if (valueIteratedTo <= bound) {
+        counts[index] = (counts[index] ?? 0) + countAddedInThisIterationStep;
+      }
+    });
+  }
+  return counts;
+};
+
+const formatHistogram = (name: MeasureName, { labels, histograms }: Series): string[] => {
+  const histogram = histograms.get(name);
+  if (histogram === undefined) return [];
+  const { metric, unitsPerShown, bounds } = METRICS[name];
+  const counts = countBelowBounds(
+    histogram,
+    bounds.map((bound) => bound * unitsPerShown),
+  );
+  const total = histogram.totalCount;
+  const sum = (histogram.mean * total) / unitsPerShown;
+  return [
+    ...bounds.map(
+      (bound, index) => `${metric}_bucket${formatLabels(labels, `le="${bound}"`)} ${counts[index]}`,
+    ),
+    `${metric}_bucket${formatLabels(labels, 'le="+Inf"')} ${total}`,
+    `${metric}_sum${formatLabels(labels)} ${sum}`,
+    `${metric}_count${formatLabels(labels)} ${total}`,
+  ];
+};
+
+const formatHead = (metric: string, help: string, type: string): string[] => [
+  `# HELP ${metric} ${help}`,
+  `# TYPE ${metric} ${type}`,
+];
+
+const formatOutcomes = (series: readonly Series[]): string[] => {
+  const metric = 'savorywind_requests_total';
+  const help = 'Requests by outcome: finished, abandoned by the caller, or a result code.';
+  const lines = series.flatMap(({ labels, outcomes }) =>
+    [...outcomes].map(
+      ([outcome, count]) => `${metric}${formatLabels(labels, `outcome="${outcome}"`)} ${count}`,
+    ),
+  );
+  return [...formatHead(metric, help, 'counter'), ...lines];
+};
+
+/**
+ * Renders metrics in the Prometheus text format.
+ *
+ * @example
+ * renderMetricsText(metrics, [{ metric: 'savorywind_requests_in_flight', help: '...', value: 3 }]);
+ */
+export const renderMetricsText = (metrics: RequestMetrics, gauges: readonly Gauge[]): string => {
+  const series = metrics.listSeries();
+  const names = Object.keys(METRICS) as MeasureName[];
+  const histograms = names.flatMap((name) => [
+    ...formatHead(METRICS[name].metric, METRICS[name].help, 'histogram'),
+    ...series.flatMap((one) => formatHistogram(name, one)),
+  ]);
+  const gaugeLines = gauges.flatMap(({ metric, help, value }) => [
+    ...formatHead(metric, help, 'gauge'),
+    `${metric} ${value}`,
+  ]);
+  return `${[...histograms, ...formatOutcomes(series), ...gaugeLines].join('\n')}\n`;
+};
--- a/packages/entry/src/runtime/effects/attempt-effects.ts
+++ b/packages/entry/src/runtime/effects/attempt-effects.ts
@@ -1,5 +1,5 @@
 import type { EndpointKind, RequestId } from '@savorywind/model';
-import type { CallerRequest } from '../../callers/types.js';
+import type { CallerSession } from '../../callers/types.js';
 import { startEngineAttempt } from '../../endpoints/engine-attempt.js';
 import { startServiceAttempt } from '../../endpoints/service-attempt.js';
 import type { AttemptStarter, RunningAttempt } from '../../endpoints/types.js';
@@ -12,16 +12,17 @@
 
 /** Starts and cancels attempts at endpoints; an attempt that has ended is forgotten. */
 export const createAttemptEffects = (
-  findRequest: (requestId: RequestId) => CallerRequest | undefined,
+  findSession: (requestId: RequestId) => CallerSession | undefined,
   dispatch: Dispatch,
 ): TopicHandlers<'attempt'> => {
   const attempts = new Map<string, RunningAttempt>();
   return {
     'attempt.start': (start) => {
-      const request = findRequest(start.requestId);
-      if (request === undefined) return;
+      const session = findSession(start.requestId);
+      if (session === undefined) return;
       const { attemptId, endpoint } = start;
-      const attempt = ATTEMPT_STARTERS[endpoint.kind](start, request, (event) => {
+      session.measure.recordAttempt(endpoint);
+      const attempt = ATTEMPT_STARTERS[endpoint.kind](start, session.request, (event) => {
         if (event.kind === 'attempt.ended' || event.kind === 'attempt.failed') {
           attempts.delete(attemptId);
         }
--- a/packages/entry/src/runtime/entry-process.ts
+++ b/packages/entry/src/runtime/entry-process.ts
@@ -1,10 +1,13 @@
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { EntryNode, type Readiness } from '@savorywind/decisions';
-import { logEvents, type Configuration, type EntryVm } from '@savorywind/model';
+import { logEvents, resultCodes, type Configuration, type EntryVm } from '@savorywind/model';
 import { startCallerServer } from '../callers/caller-server.js';
-import type { CallerSession } from '../callers/types.js';
+import type { CallerGateway, CallerSession } from '../callers/types.js';
 import { createEventLogger } from '../observe/logger.js';
+import { renderMetricsText, type Gauge } from '../observe/render-metrics.js';
+import { RequestMeasure } from '../observe/request-measure.js';
+import { RequestMetrics } from '../observe/request-metrics.js';
 import { PlatformClient } from '../platform/platform-client.js';
 import type { EntrySettings } from '../settings/schema.js';
 import { CallerSessions } from './caller-sessions.js';
@@ -21,8 +24,17 @@
 
   private configuration: Configuration | undefined;
 
+  private configurationVersion = 0;
+
   private readiness: Readiness = 'starting';
 
+  /** Set once this process has been told to leave. */
+  private drainTimer: NodeJS.Timeout | undefined;
+
+  private stopped = false;
+
+  private readonly metrics = new RequestMetrics();
+
   private nextRequest = 1;
 
   private server: Server | undefined;
@@ -55,22 +67,73 @@
 
   /** @returns the port on which callers are served */
   async start(): Promise<number> {
-    this.server = await startCallerServer({
-      settings: this.settings,
-      readConfiguration: () => this.configuration,
-      isReady: () => this.readiness === 'ready',
-      createRequestId: () => this.createRequestId(),
-      open: (session) => this.open(session),
-      abandon: (requestId) => this.abandon(requestId),
-    });
+    this.server = await startCallerServer(this.createGateway());
     const { port } = this.server.address() as AddressInfo;
     this.log.write(logEvents.processStarted, { port });
     this.runner.dispatch({ kind: 'started' });
     return port;
   }
 
+  /**
+   * Says at once that this entry VM is not ready, and drains it when the balancer has had time to
+   * notice; requests that still come in between are served.
+   */
   drain(): void {
-    this.runner.dispatch({ kind: 'drainRequested' });
+    if (this.drainTimer !== undefined) return;
+    this.drainTimer = setTimeout(
+      () => this.runner.dispatch({ kind: 'drainRequested' }),
+      this.settings.limits.drainNoticeMs,
+    );
+  }
+
+  /** Metrics of this process in the Prometheus text format. */
+  renderMetrics(): string {
+    return renderMetricsText(this.metrics, this.listGauges());
+  }
+
+  private listGauges(): Gauge[] {
+    return [
+      {
+        metric: 'savorywind_requests_in_flight',
+        help: 'Requests that wait for an answer.',
+        value: this.sessions.count,
+      },
+      {
+        metric: 'savorywind_ready',
+        help: '1 where this entry VM takes requests.',
+        value: this.readReadiness() === 'ready' ? 1 : 0,
+      },
+      {
+        metric: 'savorywind_configuration_version',
+        help: 'Version of the configuration in force.',
+        value: this.configurationVersion,
+      },
+      {
+        metric: 'savorywind_resident_memory_bytes',
+        help: 'Resident memory of this process.',
+        value: process.memoryUsage.rss(),
+      },
+    ];
+  }
+
+  private readReadiness(): Readiness {
+    return this.drainTimer !== undefined && this.readiness === 'ready' ? 'leaving' : this.readiness;
+  }
+
+  private createGateway(): CallerGateway {
+    return {
+      settings: this.settings,
+      readConfiguration: () => this.configuration,
+      readReadiness: () => this.readReadiness(),
+      createRequestId: () => this.createRequestId(),
+      createMeasure: (contract) => new RequestMeasure(this.metrics, contract),
+      open: (session) => this.open(session),
+      abandon: (requestId) => this.abandon(requestId),
+      renderMetrics: () => this.renderMetrics(),
+      recordRefusal: (request, { code, ran }) =>
+        this.log.write(logEvents.requestRejected, { request, code: code.code, ran }),
+      recordSlowCaller: (request) => this.log.write(logEvents.callerTooSlow, { request }),
+    };
   }
 
   private createRequestId(): string {
@@ -81,19 +144,29 @@
 
   private open(session: CallerSession): void {
     const { contract } = session.request;
+    if (this.stopped) {
+      session.exchange.refuse({ code: resultCodes.draining, ran: 'no' });
+      return;
+    }
     this.sessions.add(session);
     this.runner.dispatch({ kind: 'request.arrived', contract });
   }
 
   private abandon(requestId: string): void {
-    if (this.sessions.take(requestId) === undefined) return;
+    const session = this.sessions.take(requestId);
+    if (session === undefined) return;
+    session.measure.recordAbandoned();
     this.runner.dispatch({ kind: 'request.abandoned', requestId });
   }
 
   private stop(): void {
+    this.stopped = true;
     this.runner.stop();
     this.platform.stop();
-    this.server?.close(() => this.onDrained());
+    this.server?.close(() => {
+      this.log.write(logEvents.processStopped, {});
+      this.onDrained();
+    });
     this.server?.closeIdleConnections();
   }
 
@@ -105,12 +178,13 @@
   private createHandlers(): EffectHandlers {
     const dispatch: Dispatch = (event) => this.runner.dispatch(event);
     return {
-      ...createAttemptEffects((requestId) => this.sessions.find(requestId)?.request, dispatch),
+      ...createAttemptEffects((requestId) => this.sessions.find(requestId), dispatch),
       ...createCallerEffects(this.sessions),
       ...createLinkEffects(),
       ...createPlatformEffects(this.platform, dispatch),
       ...createEngineEffects(dispatch),
-      'configuration.adopted': ({ configuration }) => {
+      'configuration.adopted': ({ version, configuration }) => {
+        this.configurationVersion = version;
         this.configuration = configuration;
       },
       readiness: ({ state }) => this.changeReadiness(state),
--- a/packages/entry/src/settings/schema.ts
+++ b/packages/entry/src/settings/schema.ts
@@ -5,6 +5,8 @@
   port: z.number().int().min(0).max(65_535),
 });
 
+const positive = z.number().int().positive();
+
 /** Settings of one entry VM, from a JSON file. */
 export const settingsSchema = z.strictObject({
   id: z.string().min(1),
@@ -15,8 +17,26 @@
   platform: z.strictObject({ host: z.string().min(1), port: z.number().int().min(1).max(65_535) }),
   limits: z
     .strictObject({
-      maxBodyBytes: z.number().int().positive().default(8_388_608),
-      maxTimeoutMs: z.number().int().positive().default(3_600_000),
+      /** Largest body of one request. */
+      maxBodyBytes: positive.default(8_388_608),
+      /** Bodies of all requests in flight together. */
+      maxBufferedBodyBytes: positive.default(268_435_456),
+      maxHeaderBytes: positive.default(16_384),
+      maxJsonDepth: positive.default(64),
+      /** Longest time that a caller may ask for. */
+      maxTimeoutMs: positive.default(3_600_000),
+      /** Time for a caller to send its headers, and its whole request. */
+      headersTimeoutMs: positive.default(10_000),
+      requestReadTimeoutMs: positive.default(60_000),
+      maxConnections: positive.default(10_000),
+      /** Part of a streamed answer that waits for its caller to read. */
+      maxOutputBytes: positive.default(262_144),
+      /** Largest answer that is gathered to be sent whole. */
+      maxWholeAnswerBytes: positive.default(8_388_608),
+      /** Time after which a caller that reads nothing is given up. */
+      callerStallMs: positive.default(10_000),
+      /** Time between being told to leave and taking no new requests, for the balancer to notice. */
+      drainNoticeMs: z.number().int().nonnegative().default(2_000),
     })
     .prefault({}),
   log: z
