--- a/packages/entry/src/callers/caller-output.ts
+++ b/packages/entry/src/callers/caller-output.ts
@@ -22,7 +22,7 @@
     private readonly onGivenUp: () => void,
   ) {
     response.on('drain', () => this.acceptDrain());
-    response.on('close', () => clearTimeout(this.stallTimer));
+    response.on('close', () => this.acceptClose());
   }
 
   write(data: string | Uint8Array): void {
@@ -44,6 +44,12 @@
     this.flow.release();
   }
 
+  /** The endpoint may have to go on without a caller, to store the answer of a claimed call. */
+  private acceptClose(): void {
+    clearTimeout(this.stallTimer);
+    this.flow.release();
+  }
+
   private armStallTimer(): void {
     if (this.stallTimer !== undefined || this.response.writableFinished) return;
     this.stallTimer = setTimeout(() => this.giveUp(), this.limits.callerStallMs);
--- a/packages/entry/src/endpoints/engine-attempt.ts
+++ b/packages/entry/src/endpoints/engine-attempt.ts
@@ -19,7 +19,7 @@
 
 const formatBody = (start: AttemptStart, { contract, body }: CallerRequest): string => {
   if (contract.kind !== 'model') return '';
-  const { promptTokens, maxOutputTokens, digest } = contract;
+  const { promptTokens, maxOutputTokens, digest, prefixDigests } = contract;
   const { streamId, priority, timeoutMs } = start;
   return JSON.stringify({
     streamId,
@@ -28,6 +28,7 @@
     priority,
     timeoutMs,
     seedText: digest,
+    prefixDigests,
     request: body.toString('utf8'),
   });
 };
--- a/packages/entry/src/runtime/entry-process.ts
+++ b/packages/entry/src/runtime/entry-process.ts
@@ -4,6 +4,7 @@
 import { logEvents, resultCodes, type Configuration, type EntryVm } from '@savorywind/model';
 import { startCallerServer } from '../callers/caller-server.js';
 import type { CallerGateway, CallerSession } from '../callers/types.js';
+import { EntryLinks } from '../links/entry-links.js';
 import { createEventLogger } from '../observe/logger.js';
 import { renderMetricsText, type Gauge } from '../observe/render-metrics.js';
 import { RequestMeasure } from '../observe/request-measure.js';
@@ -47,6 +48,8 @@
 
   private readonly platform: PlatformClient;
 
+  private readonly links: EntryLinks;
+
   private readonly log;
 
   constructor(
@@ -60,6 +63,7 @@
       link: settings.links,
     };
     this.platform = new PlatformClient(settings.platform);
+    this.links = new EntryLinks(this.vm, (event) => this.runner.dispatch(event));
     this.log = createEventLogger(settings.id, settings.log.level);
     this.node = new EntryNode({ vm: this.vm, seed: this.vm.incarnation });
     this.runner = new NodeRunner(this.node, this.createHandlers());
@@ -69,6 +73,7 @@
   async start(): Promise<number> {
     this.server = await startCallerServer(this.createGateway());
     const { port } = this.server.address() as AddressInfo;
+    await this.links.start();
     this.log.write(logEvents.processStarted, { port });
     this.runner.dispatch({ kind: 'started' });
     return port;
@@ -163,6 +168,7 @@
     this.stopped = true;
     this.runner.stop();
     this.platform.stop();
+    this.links.stop();
     this.server?.close(() => {
       this.log.write(logEvents.processStopped, {});
       this.onDrained();
@@ -180,7 +186,7 @@
     return {
       ...createAttemptEffects((requestId) => this.sessions.find(requestId), dispatch),
       ...createCallerEffects(this.sessions),
-      ...createLinkEffects(),
+      ...createLinkEffects(this.links),
       ...createPlatformEffects(this.platform, dispatch),
       ...createEngineEffects(dispatch),
       'configuration.adopted': ({ version, configuration }) => {
--- a/packages/entry/test/openai-client.test.ts
+++ b/packages/entry/test/openai-client.test.ts
@@ -114,7 +114,11 @@
       messages,
       stream: true,
     });
-    const broken = engine.streams.take().then((given) => {
+    // Whatever is tried after the first break breaks off as well.
+    const breakFurther = async (): Promise<void> => {
+      for (;;) (await engine.streams.take()).breakOff();
+    };
+    const first = engine.streams.take().then((given) => {
       given.send('The ');
       given.send('chair ');
       return given;
@@ -123,7 +127,9 @@
     const read = async (): Promise<void> => {
       for await (const chunk of stream) {
         seen.push(chunk.choices[0]?.delta.content ?? '');
-        if (seen.length === 2) (await broken).breakOff();
+        if (seen.length !== 2) continue;
+        (await first).breakOff();
+        breakFurther().catch(() => {});
       }
     };
     await expect(read()).rejects.toBeInstanceOf(OpenAI.APIError);
