--- a/packages/entry/src/callers/caller-server.ts
+++ b/packages/entry/src/callers/caller-server.ts
@@ -2,7 +2,7 @@
 import { resultCodes } from '@savorywind/model';
 import { formatRawRefusal } from './answers.js';
 import { BodyBudget } from './body-budget.js';
-import { AnsweringSockets, refuseConnection } from './protocol-faults.js';
+import { OpenRequests, refuseConnection } from './protocol-faults.js';
 import { handleRequest, refuseExpectation, type Incoming } from './request-handler.js';
 import type { CallerGateway } from './types.js';
 
@@ -29,11 +29,9 @@
 
 const createCallerServer = (gateway: CallerGateway): Server => {
   const budget = new BodyBudget(gateway.settings.limits.maxBufferedBodyBytes);
-  const answering = new AnsweringSockets();
+  const open = new OpenRequests();
   const accept = (request: IncomingMessage, response: ServerResponse): Incoming => {
-    const { socket } = request;
-    answering.add(socket);
-    response.on('close', () => answering.remove(socket));
+    open.add(response);
     const requestId = gateway.createRequestId();
     return { gateway, budget, request, response, requestId };
   };
@@ -47,7 +45,7 @@
     refuseExpectation(accept(request, response)),
   );
   server.on('clientError', (error, socket) =>
-    refuseConnection(gateway, socket, error, !answering.has(socket)),
+    refuseConnection(gateway, socket, error, open.mayAnswer(socket)),
   );
   server.on('connect', (_request, socket) => {
     const refusal = { code: resultCodes.methodNotAllowed, ran: 'no' } as const;
--- a/packages/entry/src/callers/protocol-faults.ts
+++ b/packages/entry/src/callers/protocol-faults.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import { resultCodes, type Refusal } from '@savorywind/model';
 import { formatRawRefusal } from './answers.js';
@@ -16,24 +17,24 @@
   },
 };
 
-/** Connections on which an answer has begun; nothing else may be written there. */
-export class AnsweringSockets {
-  private readonly answering = new WeakMap<Duplex, number>();
+/** The requests of each connection that have not been answered in full. */
+export class OpenRequests {
+  private readonly open = new WeakMap<Duplex, Set<ServerResponse>>();
 
-  add(socket: Duplex): void {
-    this.answering.set(socket, this.count(socket) + 1);
+  add(response: ServerResponse): void {
+    const { socket } = response.req;
+    const responses = this.open.get(socket) ?? new Set();
+    this.open.set(socket, responses.add(response));
+    response.on('close', () => responses.delete(response));
   }
 
-  remove(socket: Duplex): void {
-    this.answering.set(socket, this.count(socket) - 1);
-  }
-
-  has(socket: Duplex): boolean {
-    return this.count(socket) > 0;
-  }
-
-  private count(socket: Duplex): number {
-    return this.answering.get(socket) ?? 0;
+  /**
+   * Tells whether a fault on a connection concerns a request that is still being read. Where a whole
+   * request waits for its answer, nothing else may be taken for that answer.
+   */
+  mayAnswer(socket: Duplex): boolean {
+    const responses = [...(this.open.get(socket) ?? [])];
+    return responses.every(({ req, headersSent }) => !req.complete && !headersSent);
   }
 }
 
