--- a/packages/bench/src/world/fake-caller.ts
+++ b/packages/bench/src/world/fake-caller.ts
@@ -44,7 +44,6 @@
   }
 
   end(outcome: CallerOutcome): void {
-    if (outcome.kind === 'finished' || outcome.kind === 'refused') this.finalAnswers += 1;
     this.outcome ??= outcome;
   }
 
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -92,7 +92,7 @@
 
   private readonly attempts = new Map<string, Map<string, RunningAttempt>>();
 
-  private readonly contracts = new Map<string, RequestContract>();
+  private readonly callersById = new Map<string, FakeCaller>();
 
   private readonly openCallers = new Map<string, FakeCaller>();
 
@@ -164,7 +164,7 @@
     const caller = new FakeCaller(contract, vmId, vm.vm.incarnation, performance.now());
     this.callers.push(caller);
     this.openCallers.set(contract.requestId, caller);
-    this.contracts.set(contract.requestId, contract);
+    this.callersById.set(contract.requestId, caller);
     if (contract.kind === 'service' && contract.idempotency === 'nonIdempotent') {
       this.onceDigests.add(contract.digest);
     }
@@ -332,10 +332,17 @@
     this.scheduleMembership();
   }
 
+  /** Counts a final answer, also one that comes after another. */
+  private acceptFinal(vm: FakeEntryVm, requestId: string): void {
+    const caller = this.callersById.get(requestId);
+    if (caller === undefined || vm.state === 'dead') return;
+    caller.finalAnswers += 1;
+    assertOneFinalAnswer(this.counts, caller);
+  }
+
   private endCaller(caller: FakeCaller, outcome: NonNullable<FakeCaller['outcome']>): void {
     caller.end(outcome);
     this.openCallers.delete(caller.contract.requestId);
-    assertOneFinalAnswer(this.counts, caller);
     assertOwnAnswer(this.counts, caller);
     assertRefusalTrue(this.counts, caller, this.runs);
   }
@@ -364,15 +371,17 @@
       'caller.sendChunk': ({ requestId, data }) => findCaller(requestId)?.acceptChunk(data),
       'caller.finish': ({ requestId }) => {
         const caller = findCaller(requestId);
-        if (caller === undefined) return;
         this.transcript.record(`${id} finishes ${requestId}`);
+        this.acceptFinal(own, requestId);
+        if (caller === undefined) return;
         this.endCaller(caller, { kind: 'finished', text: caller.text, status: caller.status });
       },
       'caller.refuse': ({ requestId, refusal }) => {
         const caller = findCaller(requestId);
-        if (caller === undefined) return;
         const { code, ran } = refusal;
         this.transcript.record(`${id} refuses ${requestId}: ${code.code} ${code.name}, ran ${ran}`);
+        this.acceptFinal(own, requestId);
+        if (caller === undefined) return;
         this.endCaller(caller, { kind: 'refused', refusal, text: caller.text });
       },
       'link.open': ({ vm }) => this.links.open(own.vm, vm),
@@ -440,7 +449,7 @@
     const engine = this.engines.get(endpoint.id);
     const service = this.services.get(endpoint.id);
     const machine = engine?.machine ?? service?.machine;
-    const contract = this.contracts.get(requestId);
+    const contract = this.callersById.get(requestId)?.contract;
     const taken =
       reachable &&
       contract !== undefined &&
