Send to endpoints only before the deadline, and prove what was not sent

Cause: a request was written to its socket as soon as it was created, so that a process frozen between the decision and the connection sent it after its deadline; an engine's event that is no JSON ended the whole process with an uncaught exception, and any status of an engine counted as a proof that it did not run the stream.

Change: the request is written once its socket is connected and the deadline has been checked again; until then a failure is notSent. Events without stream id or offset are invalid and close the connection. Only 404, 409, 429 and 503 of an engine are rejections.

--- a/packages/entry/src/endpoints/engine-attempt.ts
+++ b/packages/entry/src/endpoints/engine-attempt.ts
@@ -1,8 +1,8 @@
 import { Agent, request as sendRequest, type IncomingMessage } from 'node:http';
 import type { AnswerUsage, AttemptFailure } from '@savorywind/decisions';
 import type { CallerRequest } from '../callers/types.js';
-import { watchConnection } from './connection-watch.js';
 import { SseParser } from './sse-parser.js';
+import { sendInTime } from './timed-send.js';
 import type { AttemptStart, EventSink, RunningAttempt } from './types.js';
 
 interface EngineEvent {
@@ -17,6 +17,17 @@
 
 const HTTP_OK = 200;
 
+/** Statuses with which an engine says that it did not take a stream: unknown, no room, not now. */
+const REJECTIONS: ReadonlySet<number | undefined> = new Set([404, 409, 429, 503]);
+
+const parseEvent = (data: string): Partial<EngineEvent> | null | undefined => {
+  try {
+    return JSON.parse(data) as Partial<EngineEvent> | null;
+  } catch {
+    return undefined;
+  }
+};
+
 const formatBody = (start: AttemptStart, { contract, body }: CallerRequest): string => {
   if (contract.kind !== 'model') return '';
   const { promptTokens, maxOutputTokens, digest } = contract;
@@ -47,9 +58,7 @@
   };
   const acceptEvent = (event: EngineEvent): void => {
     if (ended) return;
-    if (event.streamId !== streamId) {
-      fail('invalid');
-    } else if (event.end !== undefined) {
+    if (event.end !== undefined) {
       ended = true;
       const { offset: total, end: reason, usage } = event;
       report({ kind: 'attempt.ended', attemptId, total, reason, usage });
@@ -61,11 +70,19 @@
   const acceptResponse = (response: IncomingMessage): void => {
     if (response.statusCode !== HTTP_OK) {
       response.resume();
-      fail('rejected');
+      fail(REJECTIONS.has(response.statusCode) ? 'rejected' : 'invalid');
       return;
     }
     report({ kind: 'attempt.headReceived', attemptId, head: undefined });
-    const parser = new SseParser((data) => acceptEvent(JSON.parse(data) as EngineEvent));
+    const parser = new SseParser((data) => {
+      const event = parseEvent(data);
+      if (event?.streamId === streamId && Number.isInteger(event.offset)) {
+        acceptEvent(event as EngineEvent);
+        return;
+      }
+      fail('invalid');
+      response.destroy();
+    });
     response.on('data', (bytes: Buffer) => parser.push(bytes));
     response.on('error', () => fail('broken'));
     response.on('end', () => fail('broken'));
@@ -83,9 +100,9 @@
     },
     acceptResponse,
   );
-  const watch = watchConnection(call);
+  const body = resumes ? undefined : formatBody(start, request);
+  const watch = sendInTime(call, start.deadlineMs, body, () => fail('notSent'));
   call.on('error', () => fail(watch.mayHaveSent() ? 'broken' : 'notSent'));
-  call.end(resumes ? undefined : formatBody(start, request));
   return {
     cancel: () => {
       ended = true;
--- a/packages/entry/src/endpoints/service-attempt.ts
+++ b/packages/entry/src/endpoints/service-attempt.ts
@@ -2,7 +2,7 @@
 import type { AttemptFailure } from '@savorywind/decisions';
 import type { CallerRequest } from '../callers/types.js';
 import { copyEndToEndHeaders } from '../callers/hop-by-hop.js';
-import { watchConnection } from './connection-watch.js';
+import { sendInTime } from './timed-send.js';
 import type { AttemptStart, EventSink, RunningAttempt } from './types.js';
 
 const pooledAgent = new Agent({ keepAlive: true });
@@ -47,9 +47,8 @@
     headers: request.headers,
   } as const;
   const call = sendRequest(options, acceptResponse);
-  const watch = watchConnection(call);
+  const watch = sendInTime(call, start.deadlineMs, request.body, () => fail('notSent'));
   call.on('error', () => fail(watch.mayHaveSent() ? 'broken' : 'notSent'));
-  call.end(request.body);
   return {
     cancel: () => {
       ended = true;
--- /dev/null
+++ b/packages/entry/test/endpoints/attempts.test.ts
@@ -0,0 +1,150 @@
+import type { NodeEvent } from '@savorywind/decisions';
+import type { Endpoint } from '@savorywind/model';
+import { describe, expect, it } from 'vitest';
+import type { CallerRequest } from '../../src/callers/types.js';
+import { startEngineAttempt } from '../../src/endpoints/engine-attempt.js';
+import { startServiceAttempt } from '../../src/endpoints/service-attempt.js';
+import {
+  createEngine,
+  createModelContract,
+  createReplica,
+  createServiceContract,
+  RawEndpoint,
+  runAttempt,
+  type SocketScript,
+} from '../fixtures/endpoints.js';
+
+const base = { method: 'POST', path: '/bookings', headers: {}, body: Buffer.from('{}') };
+const requests = {
+  engine: { ...base, contract: createModelContract() },
+  service: { ...base, contract: createServiceContract() },
+} as const;
+const starters = { engine: startEngineAttempt, service: startServiceAttempt } as const;
+const endpoints = {
+  engine: (port: number): Endpoint => createEngine(port),
+  service: (port: number): Endpoint => createReplica(port),
+} as const;
+
+type Kind = keyof typeof requests;
+
+const describeEvent = (event: NodeEvent): string => {
+  if (event.kind === 'attempt.failed') return event.failure;
+  return event.kind.replace('attempt.', '');
+};
+
+const run = async (kind: Kind, port: number, overrides = {}): Promise<string[]> => {
+  const request = { ...requests[kind] } as CallerRequest;
+  const events = await runAttempt(starters[kind], endpoints[kind](port), request, overrides);
+  return events.map(describeEvent);
+};
+
+const reset: SocketScript = (socket) => socket.resetAndDestroy();
+
+const HEAD = 'HTTP/1.1 200 OK\r\n';
+const answerService = 'Content-Length: 6\r\n\r\n';
+const answerEngine = 'Content-Type: text/event-stream\r\n\r\n';
+const token = 'data: {"streamId":"stream-1","offset":0,"text":"a"}\n\n';
+const marker = 'data: {"streamId":"stream-1","offset":1,"end":"stop"}\n\n';
+
+const endAfter =
+  (...parts: string[]): SocketScript =>
+  (socket) => {
+    socket.end(parts.join(''));
+  };
+
+const resetAfter =
+  (...parts: string[]): SocketScript =>
+  (socket) => {
+    socket.write(parts.join(''), () => setImmediate(() => socket.resetAndDestroy()));
+  };
+
+describe('attempts over real sockets', () => {
+  it.each<[name: string, kind: Kind, script: SocketScript, events: string[]]>([
+    ['reset before the answer', 'service', reset, ['broken']],
+    ['reset before the answer', 'engine', reset, ['broken']],
+    [
+      'a whole answer',
+      'service',
+      endAfter(HEAD, answerService, 'booked'),
+      ['headReceived', 'chunkReceived', 'ended'],
+    ],
+    [
+      'a short answer',
+      'service',
+      endAfter(HEAD, answerService, 'boo'),
+      ['headReceived', 'chunkReceived', 'broken'],
+    ],
+    [
+      'a whole answer',
+      'engine',
+      endAfter(HEAD, answerEngine, token, marker),
+      ['headReceived', 'chunkReceived', 'ended'],
+    ],
+    [
+      'no end marker',
+      'engine',
+      endAfter(HEAD, answerEngine, token),
+      ['headReceived', 'chunkReceived', 'broken'],
+    ],
+    [
+      'another stream',
+      'engine',
+      endAfter(HEAD, answerEngine, token.replace('-1', '-2')),
+      ['headReceived', 'invalid'],
+    ],
+    ['no JSON', 'engine', endAfter(HEAD, answerEngine, 'data: {\n\n'), ['headReceived', 'invalid']],
+    [
+      'no offset',
+      'engine',
+      endAfter(HEAD, answerEngine, 'data: {"streamId":"stream-1"}\n\n'),
+      ['headReceived', 'invalid'],
+    ],
+    [
+      'no room',
+      'engine',
+      endAfter('HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n'),
+      ['rejected'],
+    ],
+    [
+      'an error',
+      'engine',
+      endAfter('HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n'),
+      ['invalid'],
+    ],
+  ])('report %s of a %s', async (_name, kind, script, events) => {
+    const endpoint = await RawEndpoint.start(script);
+    expect(await run(kind, endpoint.port)).toEqual(events);
+    await endpoint.stop();
+  });
+
+  it.each<[kind: Kind, parts: string[]]>([
+    ['service', [HEAD, answerService, 'b']],
+    ['engine', [HEAD, answerEngine, token]],
+  ])('never end an answer of a %s that is reset after its first byte', async (kind, parts) => {
+    const endpoint = await RawEndpoint.start(resetAfter(...parts));
+    const events = await run(kind, endpoint.port);
+    expect(events.at(-1)).toBe('broken');
+    expect(events).not.toContain('ended');
+    await endpoint.stop();
+  });
+
+  it.each<[Kind]>([['service'], ['engine']])(
+    'prove that a refused connection to a %s sent nothing',
+    async (kind) => {
+      const endpoint = await RawEndpoint.start(reset);
+      await endpoint.stop();
+      expect(await run(kind, endpoint.port)).toEqual(['notSent']);
+    },
+  );
+
+  it.each<[Kind]>([['service'], ['engine']])(
+    'send nothing to a %s once the deadline has passed',
+    async (kind) => {
+      const endpoint = await RawEndpoint.start(reset);
+      const events = await run(kind, endpoint.port, { deadlineMs: performance.now() });
+      expect(events).toEqual(['notSent']);
+      await endpoint.stop();
+      expect(endpoint.received).toBe(0);
+    },
+  );
+});
