Keep the evidence of runs apart from the tables that it checks

Cause: the evidence that a refusal is checked against came from the life cycle's own table of ran, so that a fault in the table would not have been found; the check of own answers compared a request with itself, and retryIsPermitted said the same as runsAtMostOnce.

Change: RunEvidence has its own proofs; assertOwnAnswer compares the attempt of the event with the one in hand; 9008 is now retryIsBudgeted: each retry has taken a token.

--- a/packages/decisions/src/invariants/consts.ts
+++ b/packages/decisions/src/invariants/consts.ts
@@ -7,7 +7,7 @@
   answerIsWhole: 9005,
   withinDeadline: 9006,
   ownAnswer: 9007,
-  retryIsPermitted: 9008,
+  retryIsBudgeted: 9008,
 } as const;
 
 export type Invariant = keyof typeof invariantCodes;
--- a/packages/decisions/src/invariants/promises.ts
+++ b/packages/decisions/src/invariants/promises.ts
@@ -2,7 +2,7 @@
  * The promises to callers, asserted where the program could break them. Each check compares a few
  * fields, so that all of them stay on in production.
  */
-import type { MonotonicMs, Ran, RequestId } from '@savorywind/model';
+import type { AttemptId, MonotonicMs, Ran, RequestId } from '@savorywind/model';
 import { invariantCodes, type Invariant } from './consts.js';
 import type { RunEvidence } from './run-evidence.js';
 
@@ -76,18 +76,30 @@
     `request ${requestId} is ${nowMs - deadlineMs} ms late`,
   );
 
-/** A caller receives only what an attempt of its own request received. */
-export const assertOwnAnswer = (requestId: RequestId, owner: RequestId): void =>
-  assertThat(requestId === owner, 'ownAnswer', `answer of ${owner} reached ${requestId}`);
+/** A caller receives only what the attempt in hand of its own request receives. */
+export const assertOwnAnswer = (
+  requestId: RequestId,
+  attemptId: AttemptId,
+  current: AttemptId,
+): void =>
+  assertThat(
+    attemptId === current,
+    'ownAnswer',
+    `attempt ${attemptId} reached request ${requestId}, which waits for ${current}`,
+  );
 
-/** A repeated attempt is made only where the call is repeatable or has proved not to have run. */
-export const assertRetryIsPermitted = (
+/**
+ * Each attempt but the first has taken a token of the retry budgets.
+ *
+ * @param attempts attempts before this one
+ */
+export const assertRetryIsBudgeted = (
   requestId: RequestId,
-  repeatable: boolean,
-  evidence: RunEvidence,
+  attempts: number,
+  tokens: number,
 ): void =>
   assertThat(
-    repeatable || !evidence.mayHaveRun,
-    'retryIsPermitted',
-    `call ${requestId} must not be repeated`,
+    tokens >= attempts,
+    'retryIsBudgeted',
+    `request ${requestId} has ${attempts} attempts and ${tokens} tokens`,
   );
--- a/packages/decisions/src/requests/attempt-starter.ts
+++ b/packages/decisions/src/requests/attempt-starter.ts
@@ -1,7 +1,7 @@
 import { logEvents, type Endpoint } from '@savorywind/model';
 import {
   assertClaimedBeforeSend,
-  assertRetryIsPermitted,
+  assertRetryIsBudgeted,
   assertRunsAtMostOnce,
   assertWithinDeadline,
 } from '../invariants/promises.js';
@@ -13,12 +13,10 @@
 
 const checkStart = (record: RequestRecord): void => {
   const { requestId } = record.contract;
-  const repeatable = isRepeatable(record);
-  if (!repeatable) assertRunsAtMostOnce(requestId, record.evidence);
+  if (!isRepeatable(record)) assertRunsAtMostOnce(requestId, record.evidence);
   if (describeRepeatability(record) === 'claimedCall') {
     assertClaimedBeforeSend(requestId, record.claim !== undefined);
   }
-  assertRetryIsPermitted(requestId, repeatable, record.evidence);
 };
 
 /** Sends requests to endpoints; each passes the checks of what may be sent. */
@@ -37,7 +35,6 @@
     const attemptId = this.context.createName();
     this.send(record, {
       attemptId,
-      requestId: record.contract.requestId,
       endpoint,
       streamId: attemptId,
       priority,
@@ -64,6 +61,7 @@
     const { requestId, team } = record.contract;
     const { attemptId, endpoint, streamId, mode, priority } = attempt;
     assertWithinDeadline(requestId, context.nowMs, record.deadlineMs);
+    assertRetryIsBudgeted(requestId, record.attempts, record.retryTokens);
     record.attempts += 1;
     if (record.attempts === 1) this.budgets.recordRequest(team, endpoint.id);
     else context.log(logEvents.attemptRetried, { request: requestId, endpoint: endpoint.id, mode });
--- a/packages/decisions/src/requests/request-lifecycle.ts
+++ b/packages/decisions/src/requests/request-lifecycle.ts
@@ -137,6 +137,7 @@
     const record = this.table.findByAttempt(event.attemptId);
     if (record?.attempt === undefined) return;
     const { attempt, answer } = record;
+    assertOwnAnswer(record.contract.requestId, event.attemptId, attempt.attemptId);
     const isWhole = attempt.headReceived && answer.isWhole(event.total);
     // Stored also where the deadline has passed: the same key gets the answer later.
     if (isWhole) this.settleAnswered(record);
@@ -244,8 +245,11 @@
   }
 
   /** The first attempt needs no token of the budgets. */
-  private mayStart({ attempts, contract }: RequestRecord, endpoint: Endpoint): boolean {
-    return attempts === 0 || this.budgets.takeRetry(contract.team, endpoint.id);
+  private mayStart(record: RequestRecord, endpoint: Endpoint): boolean {
+    if (record.attempts === 0) return true;
+    if (!this.budgets.takeRetry(record.contract.team, endpoint.id)) return false;
+    record.retryTokens += 1;
+    return true;
   }
 
   /** Ends an attempt whose answer can't be used, and tells the endpoint. */
@@ -260,7 +264,7 @@
     const { context, membership } = this.dependencies;
     const ran = attempt.headReceived ? 'yes' : RAN_AFTER_FAILURE[failure];
     record.ran = mergeRan(record.ran, ran);
-    if (ran === 'no' && attempt.mode === 'new') record.evidence.recordNotRun();
+    if (attempt.mode === 'new') record.evidence.recordFailure(failure, attempt.headReceived);
     const { requestId: request } = contract;
     const endpoint = attempt.endpoint.id;
     membership.reportOutcome(endpoint, failure);
@@ -383,7 +387,7 @@
   private findInTime(attemptId: AttemptId): RequestRecord | undefined {
     const record = this.table.findByAttempt(attemptId);
     if (record?.attempt === undefined || this.expireIfLate(record)) return undefined;
-    assertOwnAnswer(record.contract.requestId, record.attempt.requestId);
+    assertOwnAnswer(record.contract.requestId, attemptId, record.attempt.attemptId);
     return record;
   }
 }
--- a/packages/decisions/src/requests/request-table.ts
+++ b/packages/decisions/src/requests/request-table.ts
@@ -24,6 +24,7 @@
   broken: undefined,
   attempts: 0,
   retries: 0,
+  retryTokens: 0,
   retryTimer: undefined,
   claim: undefined,
   recorder: undefined,
--- a/packages/decisions/src/requests/types.ts
+++ b/packages/decisions/src/requests/types.ts
@@ -6,7 +6,6 @@
   MonotonicMs,
   Ran,
   RequestContract,
-  RequestId,
   ServiceContract,
 } from '@savorywind/model';
 import type { RunEvidence } from '../invariants/run-evidence.js';
@@ -28,7 +27,6 @@
 /** One try at one endpoint. */
 export interface Attempt {
   readonly attemptId: AttemptId;
-  readonly requestId: RequestId;
   readonly endpoint: Endpoint;
   readonly streamId: string;
   readonly priority: number;
@@ -57,6 +55,8 @@
   attempts: number;
   /** Pauses before another attempt, those included that the retry budgets then refused. */
   retries: number;
+  /** Tokens taken from the retry budgets. */
+  retryTokens: number;
   retryTimer: Timer | undefined;
   claim: Claim | undefined;
   recorder: AnswerRecorder | undefined;
--- a/packages/decisions/test/invariants/promises.test.ts
+++ b/packages/decisions/test/invariants/promises.test.ts
@@ -5,7 +5,7 @@
 const createEvidence = (starts: number, provenNotRun: number): RunEvidence => {
   const evidence = new RunEvidence();
   for (let count = 0; count < starts; count += 1) evidence.recordStart();
-  for (let count = 0; count < provenNotRun; count += 1) evidence.recordNotRun();
+  for (let count = 0; count < provenNotRun; count += 1) evidence.recordFailure('notSent', false);
   return evidence;
 };
 
@@ -47,14 +47,24 @@
       () => promises.assertWithinDeadline(id, 9, 10),
       () => promises.assertWithinDeadline(id, 10, 10),
     ],
-    [9007, () => promises.assertOwnAnswer(id, id), () => promises.assertOwnAnswer(id, 'request-2')],
+    [
+      9007,
+      () => promises.assertOwnAnswer(id, 'attempt-1', 'attempt-1'),
+      () => promises.assertOwnAnswer(id, 'attempt-1', 'attempt-2'),
+    ],
     [
       9008,
-      () => promises.assertRetryIsPermitted(id, true, ran),
-      () => promises.assertRetryIsPermitted(id, false, ran),
+      () => promises.assertRetryIsBudgeted(id, 1, 1),
+      () => promises.assertRetryIsBudgeted(id, 1, 0),
     ],
   ])('%i throws only where the promise is broken', (code, holds, broken) => {
     expect(holds).not.toThrow();
     expect(broken).toThrow(expect.objectContaining({ code, name: 'InvariantViolation' }));
   });
+
+  it('take an attempt for run that began to answer, whatever its failure', () => {
+    const evidence = createEvidence(1, 0);
+    evidence.recordFailure('rejected', true);
+    expect(evidence.mayHaveRun).toBe(true);
+  });
 });
