--- a/packages/bench/src/cluster/cluster-member.ts
+++ b/packages/bench/src/cluster/cluster-member.ts
@@ -12,6 +12,8 @@
   sentFrames: number;
   sentBytes: number;
   receivedBytes: number;
+  /** Bytes of the platform's list. */
+  listBytes: number;
   processorMs: number;
 }
 
@@ -19,6 +21,7 @@
   sentFrames: 0,
   sentBytes: 0,
   receivedBytes: 0,
+  listBytes: 0,
   processorMs: 0,
 });
 
@@ -98,7 +101,12 @@
     return frame;
   }
 
-  countReceived(frame: Uint8Array): void {
+  /** Decodes a frame as its link would. */
+  decode(peer: EntryVmId, frame: Uint8Array): LinkMessage | undefined {
     this.cost.receivedBytes += frame.byteLength + FRAME_OVERHEAD_BYTES;
+    const startedMs = performance.now();
+    const decoded = this.linked.get(peer)?.decodeMessage(frame);
+    this.cost.processorMs += performance.now() - startedMs;
+    return decoded?.ok === true ? decoded.val : undefined;
   }
 }
--- a/packages/bench/src/cluster/member-cluster.ts
+++ b/packages/bench/src/cluster/member-cluster.ts
@@ -215,13 +215,17 @@
     const link = member.linked.get(peer);
     this.timers.schedule(this.nowMs + DELAY_MS, () => {
       if (member.linked.get(peer) !== link || far.life === 'dead') return;
-      far.countReceived(frame);
-      this.deliver(far, { kind: 'link.received', peer: member.vm.id, message });
+      const received = far.decode(member.vm.id, frame);
+      if (received === undefined) return;
+      this.deliver(far, { kind: 'link.received', peer: member.vm.id, message: received });
     });
   }
 
   private callPlatform(member: ClusterMember, callId: number, call: PlatformCall): void {
     const isReachable = !this.cuts.has(`${member.vm.failureDomain}|${PLATFORM}`);
+    if (call.kind === 'membership' && isReachable) {
+      member.cost.listBytes += JSON.stringify(this.list ?? []).length;
+    }
     const reply = isReachable ? this.answer(call) : Err('unsent' as const);
     this.timers.schedule(this.nowMs + DELAY_MS, () =>
       this.deliver(member, { kind: 'platform.replied', callId, reply }),
