--- a/packages/decisions/test/requests/life-cycle.test.ts
+++ b/packages/decisions/test/requests/life-cycle.test.ts
@@ -93,6 +93,17 @@
     expect(answer.finals).toBe(0);
   });
 
+  it('beats a slot that is freed after it', () => {
+    const driver = createDriver();
+    fillEngine(driver);
+    const answer = driver.arrive(chat);
+    receive(driver);
+    driver.freeze(TIMEOUT_MS);
+    driver.end(1);
+    expect(driver.starts).toHaveLength(1);
+    expect(answer.refusal).toMatchObject({ code: resultCodes.timeout, ran: 'no' });
+  });
+
   it('beats an answer that is handed in after it', () => {
     const driver = createDriver();
     const answer = driver.arrive(chat);
