--- a/packages/entry/src/endpoints/engine-attempt.ts
+++ b/packages/entry/src/endpoints/engine-attempt.ts
@@ -30,7 +30,7 @@
 
 const formatBody = (start: AttemptStart, { contract, body }: CallerRequest): string => {
   if (contract.kind !== 'model') return '';
-  const { promptTokens, maxOutputTokens, digest } = contract;
+  const { promptTokens, maxOutputTokens, digest, prefixDigests } = contract;
   const { streamId, priority, timeoutMs } = start;
   return JSON.stringify({
     streamId,
@@ -39,6 +39,7 @@
     priority,
     timeoutMs,
     seedText: digest,
+    prefixDigests,
     request: body.toString('utf8'),
   });
 };
