--- a/packages/decisions/src/node/entry-node.ts
+++ b/packages/decisions/src/node/entry-node.ts
@@ -13,7 +13,9 @@
 import { ClaimLedger } from '../ledger/claim-ledger.js';
 import { LocalRouter } from '../routing/local-router.js';
 import { EntryMembership } from '../membership/entry-membership.js';
+import type { MembershipView } from '../membership/types.js';
 import { RequestLifecycle } from '../requests/request-lifecycle.js';
+import { EngineSweeper } from '../recovery/engine-sweeper.js';
 import { NodeContext } from '../seam/node-context.js';
 import type { NodeEffect, NodeEvent, NodeStatus, Readiness } from '../seam/types.js';
 
@@ -63,6 +65,8 @@
 
   private readonly membership: EntryMembership;
 
+  private readonly sweeper: EngineSweeper;
+
   private readonly messageHandlers: MessageHandlers;
 
   private readiness: Readiness = 'starting';
@@ -71,9 +75,13 @@
 
   constructor(options: EntryNodeOptions) {
     this.context = new NodeContext(options.vm, options.seed);
-    this.membership = new EntryMembership(this.context);
     this.configuration = new ConfigurationKeeper(this.context, () => this.becomeReady());
     const readConfiguration = () => this.configuration.configuration;
+    this.membership = new EntryMembership({
+      context: this.context,
+      readConfiguration,
+      readVersion: () => this.configuration.version,
+    });
     this.requests = new RequestLifecycle({
       context: this.context,
       router: new LocalRouter(readConfiguration),
@@ -82,6 +90,11 @@
       readConfiguration,
       onIdle: () => this.finishDrain(),
     });
+    this.sweeper = new EngineSweeper({
+      context: this.context,
+      membership: this.membership,
+      readConfiguration,
+    });
     this.handlers = this.createHandlers();
     this.messageHandlers = this.createMessageHandlers();
   }
@@ -113,6 +126,11 @@
     };
   }
 
+  /** Who is there, as this entry VM sees it. */
+  readMembership(): MembershipView {
+    return { live: this.membership.listLive(), members: this.membership.listMembers() };
+  }
+
   private createHandlers(): EventHandlers {
     const { context, requests } = this;
     return {
@@ -143,14 +161,17 @@
   }
 
   private start(): void {
-    this.membership.start();
     this.configuration.start();
+    this.membership.start();
+    this.sweeper.start();
   }
 
   private acceptMessage(peer: EntryVmId, message: LinkMessage): void {
+    this.membership.acceptSign(peer);
     const topic = message.kind.slice(0, message.kind.indexOf('.')) as LinkMessageTopic;
-    const handler = this.messageHandlers[topic] as (from: EntryVmId, given: LinkMessage) => void;
-    handler(peer, message);
+    const handler = this.messageHandlers[topic] as
+      ((from: EntryVmId, given: LinkMessage) => void) | undefined;
+    handler?.(peer, message);
   }
 
   private acceptRequest(contract: RequestContract): void {
@@ -175,6 +196,7 @@
   private startDrain(): void {
     if (this.readiness === 'leaving' || this.readiness === 'drained') return;
     this.changeReadiness('leaving');
+    this.membership.becomeLeaving();
     this.context.log(logEvents.drainStarted, { inFlight: this.requests.inFlight });
     this.requests.startDrain();
     this.finishDrain();
