--- a/packages/decisions/src/requests/request-lifecycle.ts
+++ b/packages/decisions/src/requests/request-lifecycle.ts
@@ -247,7 +247,8 @@
   /** The first attempt needs no token of the budgets. */
   private mayStart(record: RequestRecord, endpoint: Endpoint): boolean {
     if (record.attempts === 0) return true;
-    if (!this.budgets.takeRetry(record.contract.team, endpoint.id)) return false;
+    const stage = record.headSent ? 'begun' : 'unanswered';
+    if (!this.budgets.takeRetry(record.contract.team, endpoint.id, stage)) return false;
     record.retryTokens += 1;
     return true;
   }
--- a/packages/decisions/src/retries/consts.ts
+++ b/packages/decisions/src/retries/consts.ts
@@ -1,12 +1,11 @@
 /** Retries that one request earns for its entry VM, its team and its endpoint. */
-export const RETRIES_EARNED_PER_REQUEST = 0.05;
+export const RETRIES_EARNED_PER_REQUEST = 0.04;
 
-/** Retries that an entry VM may make at once, over all teams and endpoints. */
-export const NODE_RETRY_BURST = 5;
+/** Retries that an entry VM may make at once, for one team, and at one endpoint. */
+export const RETRY_BURST = 10;
 
-/** Retries that may be made at once for a team, or at an endpoint. */
-export const TEAM_RETRY_BURST = 5;
-export const ENDPOINT_RETRY_BURST = 5;
+/** Retries of these that are left to answers whose beginning the caller has. */
+export const RETRIES_KEPT_FOR_STREAMS = 5;
 
 /** Pause before the first retry, in milliseconds; doubles with each further one. */
 export const FIRST_BACKOFF_MS = 50;
--- a/packages/decisions/src/retries/token-bucket.ts
+++ b/packages/decisions/src/retries/token-bucket.ts
@@ -20,8 +20,9 @@
     this.tokens = Math.min(this.burst, this.tokens + this.earnedPerRequest);
   }
 
-  has(): boolean {
-    return this.tokens >= 1;
+  /** Whether a token can be spent with so many left over. */
+  has(kept = 0): boolean {
+    return this.tokens >= kept + 1;
   }
 
   /** Spends one token; to be called only where {@link has} is true. */
