--- a/packages/decisions/src/requests/recovery.ts
+++ b/packages/decisions/src/requests/recovery.ts
@@ -1,6 +1,5 @@
 import { MAX_ATTEMPTS } from '../retries/consts.js';
 import type { AttemptFailure } from '../seam/types.js';
-import { RAN_AFTER_FAILURE } from './outcome-tables.js';
 import type { Attempt, RequestRecord } from './types.js';
 
 /** What follows a failed attempt: the rest of the same stream, another attempt, or the end. */
@@ -35,12 +34,14 @@
   stream: (record, attempt, failure) =>
     failure === 'broken' && isResumable(record, attempt) ? 'resume' : 'restart',
   idempotentCall: ({ headSent }) => (headSent ? 'giveUp' : 'restart'),
-  claimedCall: (_record, _attempt, failure) =>
-    RAN_AFTER_FAILURE[failure] === 'no' ? 'restart' : 'giveUp',
+  claimedCall: ({ ran }) => (ran === 'no' ? 'restart' : 'giveUp'),
   singleCall: () => 'giveUp',
 };
 
-/** Decides what follows a failed attempt; the retry budgets still have to permit it. */
+/**
+ * Decides what follows a failed attempt, once what it says about `ran` is merged into the record. The
+ * retry budgets still have to permit it.
+ */
 export const decideRecovery = (
   record: RequestRecord,
   attempt: Attempt,
--- a/packages/decisions/test/requests/at-most-once.test.ts
+++ b/packages/decisions/test/requests/at-most-once.test.ts
@@ -162,6 +162,8 @@
     ['broken', false, 'outcomeUnknown', 'unknown', 'unknown'],
     ['broken', true, 'answerTruncated', 'yes', 'unknown'],
     ['invalid', false, 'outcomeUnknown', 'unknown', 'unknown'],
+    ['notSent', true, 'answerTruncated', 'yes', 'unknown'],
+    ['rejected', true, 'answerTruncated', 'yes', 'unknown'],
   ])('never goes out again after %s (head received: %s)', (failure, withHead, code, ran, state) => {
     const driver = new NodeDriver();
     const answer = driver.arrive(createCall('request-1'));
