Route through homes of engines, with credits for light requests

Cause: the router scanned all endpoints a request, knew only its own entry VM's work, and had no order between unlike lengths. Ruled out: homes that grant every request singly, as the only way, since it costs four messages a request; it stays as a variant. Change: a lookup table of routers: three baselines on lagged load, and the home router with its variants. A home keeps the account of its engines as soft state that peers tell again each round, so that lost, doubled and late messages and a second home correct themselves. Light requests spend credits; heavy ones queue at a home, which admits by estimate. No measurement of the policies yet.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -4,7 +4,7 @@
 export { EntryNode, type EntryNodeOptions } from './node/entry-node.js';
 export { EntryMembership } from './membership/entry-membership.js';
 export type * from './membership/types.js';
-export { LocalRouter } from './routing/local-router.js';
+export { DEFAULT_ROUTER, routers, type RouterName } from './routing/routers.js';
 export type * from './routing/types.js';
 export { NodeContext } from './seam/node-context.js';
 export type * from './seam/types.js';
--- a/packages/decisions/src/node/entry-node.ts
+++ b/packages/decisions/src/node/entry-node.ts
@@ -11,7 +11,8 @@
 } from '@savorywind/model';
 import { ConfigurationKeeper } from '../configuration/configuration-keeper.js';
 import { ClaimLedger } from '../ledger/claim-ledger.js';
-import { LocalRouter } from '../routing/local-router.js';
+import { DEFAULT_ROUTER, routers, type RouterName } from '../routing/routers.js';
+import type { Router } from '../routing/types.js';
 import { EntryMembership } from '../membership/entry-membership.js';
 import { RequestLifecycle } from '../requests/request-lifecycle.js';
 import { NodeContext } from '../seam/node-context.js';
@@ -21,6 +22,8 @@
   readonly vm: EntryVm;
   /** Seed of the node's random numbers. */
   readonly seed: number;
+  /** Placement policy; the default is the one that measured best. */
+  readonly router?: RouterName;
 }
 
 type EventHandlers = {
@@ -63,6 +66,8 @@
 
   private readonly membership: EntryMembership;
 
+  private readonly router: Router;
+
   private readonly messageHandlers: MessageHandlers;
 
   private readiness: Readiness = 'starting';
@@ -74,9 +79,14 @@
     this.membership = new EntryMembership(this.context);
     this.configuration = new ConfigurationKeeper(this.context, () => this.becomeReady());
     const readConfiguration = () => this.configuration.configuration;
+    this.router = routers[options.router ?? DEFAULT_ROUTER]({
+      context: this.context,
+      membership: this.membership,
+      readConfiguration,
+    });
     this.requests = new RequestLifecycle({
       context: this.context,
-      router: new LocalRouter(readConfiguration),
+      router: this.router,
       ledger: new ClaimLedger(this.context),
       readConfiguration,
       onIdle: () => this.finishDrain(),
@@ -137,13 +147,14 @@
       configuration: () => {},
       membership: (peer, message) => this.membership.acceptMessage(peer, message),
       request: () => {},
-      slot: () => {},
+      slot: (peer, message) => this.router.acceptMessage(peer, message),
     };
   }
 
   private start(): void {
     this.membership.start();
     this.configuration.start();
+    this.router.start();
   }
 
   private acceptMessage(peer: EntryVmId, message: LinkMessage): void {
--- a/packages/decisions/src/requests/request-lifecycle.ts
+++ b/packages/decisions/src/requests/request-lifecycle.ts
@@ -103,6 +103,8 @@
       this.failAttempt(record, 'invalid');
       return;
     }
+    if (record.sentCount === 0)
+      this.dependencies.router.recordFirstToken(record.contract.requestId);
     record.sentCount += event.count;
     this.dependencies.context.emit({
       kind: 'caller.sendChunk',
--- /dev/null
+++ b/packages/decisions/src/routing/home/engine-picker.ts
@@ -0,0 +1,141 @@
+import type { Engine } from '@savorywind/model';
+import type { FleetIndex } from '../fleet-index.js';
+import { hashText } from '../hash-text.js';
+import type { RouterDependencies, SlotAsk } from '../types.js';
+import { countMemoryTokens, estimatePrefillMs } from '../work-estimate.js';
+import type { EngineView } from './engine-view.js';
+import type { HomePolicy } from './types.js';
+
+/** Engines that are compared for one light request, so that the cost does not grow with the fleet. */
+const SAMPLE_SIZE = 5;
+
+/** How much longer a heavy request takes on an engine before the next one is opened to them. */
+const FILL_FACTOR = 1;
+
+/** What a heavy prompt in progress costs a light one beside it, in milliseconds. */
+const HEAVY_PENALTY_MS = 100;
+
+/** Share of a failure domain's engines that are kept for heavy requests where bands are split. */
+const HEAVY_SHARE = 0.6;
+
+/** Tokens of a block of the prompt's prefix digests. */
+const PREFIX_BLOCK_TOKENS = 512;
+
+/** Another engine must promise this share of the wait before an ask moves there. */
+const MOVE_FACTOR = 0.5;
+
+interface EnginePickerDependencies extends RouterDependencies {
+  readonly index: FleetIndex;
+  readonly policy: HomePolicy;
+  readonly findView: (engine: Engine) => EngineView;
+}
+
+/** Chooses the engine for a light request, and the engine whose home a heavy request asks. */
+export class EnginePicker {
+  constructor(private readonly dependencies: EnginePickerDependencies) {}
+
+  /** The least busy of a few that are drawn, or undefined where none of them has credit. */
+  pickForLight(ask: SlotAsk, peerCount: number): Engine | undefined {
+    const { context, findView } = this.dependencies;
+    const { contract } = ask;
+    const engines = this.listBand(this.listUsable(ask), true);
+    const preferred = this.findPrefixEngine(engines, contract.prefixDigests);
+    const tokens = countMemoryTokens(contract);
+    let best: Engine | undefined;
+    let bestMs = Infinity;
+    this.drawSample(engines, preferred).forEach((engine) => {
+      const view = findView(engine);
+      if (!view.hasCredit(tokens, peerCount, context.nowMs)) return;
+      const savedMs =
+        engine === preferred
+          ? estimatePrefillMs(engine, contract.prefixDigests.length * PREFIX_BLOCK_TOKENS)
+          : 0;
+      const heavyMs = view.readHeavyBacklogMs(context.nowMs) > 0 ? HEAVY_PENALTY_MS : 0;
+      const costMs = view.readBacklogMs(context.nowMs) + heavyMs - savedMs;
+      if (costMs >= bestMs) return;
+      best = engine;
+      bestMs = costMs;
+    });
+    return best;
+  }
+
+  pickForHeavy(ask: SlotAsk): Engine | undefined {
+    const { context, findView, policy } = this.dependencies;
+    const tokens = countMemoryTokens(ask.contract);
+    const fitting = this.listUsable(ask).filter(({ memoryTokens }) => memoryTokens >= tokens);
+    const engines = this.listBand(fitting, false);
+    let best: Engine | undefined;
+    let bestMs = Infinity;
+    for (const engine of engines) {
+      const backlogMs = findView(engine).readHeavyBacklogMs(context.nowMs);
+      const workMs = estimatePrefillMs(engine, ask.contract.promptTokens);
+      if (policy.heavyPlacement === 'fillFirst' && backlogMs <= FILL_FACTOR * workMs) return engine;
+      if (backlogMs < bestMs) {
+        best = engine;
+        bestMs = backlogMs;
+      }
+    }
+    return best;
+  }
+
+  /** The engine that an ask waits for, unless another one is far less busy or this one is gone. */
+  pickAgain(ask: SlotAsk, current: Engine): Engine {
+    const { context, findView, membership } = this.dependencies;
+    const other = this.pickForHeavy(ask);
+    if (other === undefined || other === current) return current;
+    if (!membership.isUsable(current.id)) return other;
+    const waitMs = findView(current).readHeavyBacklogMs(context.nowMs);
+    const otherWaitMs = findView(other).readHeavyBacklogMs(context.nowMs);
+    const workMs = estimatePrefillMs(current, ask.contract.promptTokens);
+    return otherWaitMs < MOVE_FACTOR * (waitMs - workMs) ? other : current;
+  }
+
+  /** Engines of this failure domain, or of all where it has none that are usable. */
+  private listUsable({ contract, avoid }: SlotAsk): readonly Engine[] {
+    const { context, index, membership } = this.dependencies;
+    const near = index.listEngines(contract.model, context.self.failureDomain);
+    const isUsable = ({ id }: Engine): boolean => membership.isUsable(id) && !avoid?.has(id);
+    const usable = near.filter(isUsable);
+    if (usable.length > 0) return usable;
+    const all = index.listEngines(contract.model);
+    const anywhere = all.filter(isUsable);
+    if (anywhere.length > 0) return anywhere;
+    return near.length > 0 ? near : all;
+  }
+
+  private listBand(engines: readonly Engine[], light: boolean): readonly Engine[] {
+    if (this.dependencies.policy.heavyPlacement !== 'split' || engines.length < 2) return engines;
+    const heavyCount = Math.min(engines.length - 1, Math.round(engines.length * HEAVY_SHARE));
+    return light ? engines.slice(heavyCount) : engines.slice(0, heavyCount);
+  }
+
+  private drawSample(engines: readonly Engine[], preferred: Engine | undefined): Set<Engine> {
+    const { context } = this.dependencies;
+    if (engines.length <= SAMPLE_SIZE) return new Set(engines);
+    const sample = new Set<Engine>();
+    if (preferred !== undefined) sample.add(preferred);
+    for (let count = 0; count < SAMPLE_SIZE; count += 1) {
+      const engine = engines[Math.floor(context.drawRandom() * engines.length)];
+      if (engine !== undefined) sample.add(engine);
+    }
+    return sample;
+  }
+
+  /** Rendezvous hash: the same prefix goes to the same engine as long as that is there. */
+  private findPrefixEngine(
+    engines: readonly Engine[],
+    digests: readonly string[],
+  ): Engine | undefined {
+    const [first] = digests;
+    if (this.dependencies.policy.affinity === 'none' || first === undefined) return undefined;
+    let best: Engine | undefined;
+    let bestHash = -1;
+    engines.forEach((engine) => {
+      const hash = hashText(`${first}/${engine.id}`);
+      if (hash <= bestHash) return;
+      best = engine;
+      bestHash = hash;
+    });
+    return best;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/routing/home/home-desk.ts
@@ -0,0 +1,175 @@
+import type {
+  Engine,
+  EndpointId,
+  EngineSummary,
+  EngineUsage,
+  EntryVmId,
+  MonotonicMs,
+  RequestId,
+  RoutingMessage,
+} from '@savorywind/model';
+import type { FleetIndex } from '../fleet-index.js';
+import type { RouterDependencies } from '../types.js';
+import { estimateDecodeMs, estimatePrefillMs } from '../work-estimate.js';
+import { EngineAccount } from './engine-account.js';
+import { queueOrders } from './queue-orders.js';
+import type { TeamShares } from './team-shares.js';
+import type { HomePolicy, QueuedAsk } from './types.js';
+
+type AskMessage = Extract<RoutingMessage, { readonly kind: 'slot.ask' }>;
+
+interface HomeDeskDependencies extends RouterDependencies {
+  readonly index: FleetIndex;
+  readonly policy: HomePolicy;
+  readonly shares: TeamShares;
+  readonly isLight: (promptTokens: number) => boolean;
+  readonly readSlowdownWeight: () => number;
+  /** Carries a message to a peer, or back to this entry VM's own asking side. */
+  readonly send: (peer: EntryVmId, message: RoutingMessage) => void;
+}
+
+/** An ask whose time left is under this share of its work is granted before all others. */
+const GUARD_FACTOR = 2;
+
+/** The accounts of the engines that this entry VM is the home of. */
+export class HomeDesk {
+  private readonly accounts = new Map<EndpointId, EngineAccount>();
+
+  constructor(private readonly dependencies: HomeDeskDependencies) {}
+
+  get accountCount(): number {
+    return this.accounts.size;
+  }
+
+  acceptAsk(peer: EntryVmId, message: AskMessage): void {
+    const { requestId, engine } = message;
+    const account = this.findAccount(engine);
+    if (account === undefined) return;
+    const { nowMs } = this.dependencies.context;
+    const hold = account.findHold(requestId);
+    if (hold !== undefined) {
+      hold.confirmedAtMs = nowMs;
+      this.dependencies.send(peer, { kind: 'slot.grant', requestId, engine });
+      return;
+    }
+    const queued = account.queue.get(requestId);
+    if (queued !== undefined) {
+      queued.refreshedAtMs = nowMs;
+      return;
+    }
+    this.queueAsk(account, this.createAsk(account.engine, peer, message));
+  }
+
+  acceptPrefilled(engine: EndpointId, requestId: RequestId): void {
+    const account = this.accounts.get(engine);
+    account?.acceptPrefilled(requestId, this.dependencies.context.nowMs);
+    this.grantWaiting(account);
+  }
+
+  acceptRelease(engine: EndpointId, requestId: RequestId, rejected: boolean): void {
+    const account = this.accounts.get(engine);
+    account?.release(requestId, rejected, this.dependencies.context.nowMs);
+    this.grantWaiting(account);
+  }
+
+  acceptUsages(peer: EntryVmId, usages: readonly EngineUsage[]): void {
+    usages.forEach((usage) => {
+      const account = this.findAccount(usage.engine);
+      account?.acceptUsage(peer, usage, this.dependencies.context.nowMs);
+    });
+  }
+
+  /** Drops what nobody confirms, and grants what has become possible. */
+  sweep(): void {
+    this.accounts.forEach((account, engine) => {
+      account.dropUnconfirmed(this.dependencies.context.nowMs);
+      if (account.isIdle) this.accounts.delete(engine);
+      else this.grantWaiting(account);
+    });
+  }
+
+  listSummaries(peer: EntryVmId, peerCount: number, roundMs: number): EngineSummary[] {
+    const { nowMs } = this.dependencies.context;
+    return [...this.accounts.values()].map((account) =>
+      account.createSummary(peer, peerCount, roundMs, nowMs),
+    );
+  }
+
+  private queueAsk(account: EngineAccount, ask: QueuedAsk): void {
+    const { context, policy, send } = this.dependencies;
+    if (policy.admission === 'byEstimate' && !account.fitsDeadline(ask, context.nowMs)) {
+      const lateMs =
+        account.estimateFinishMs(ask, context.nowMs) - (ask.deadlineMs - context.nowMs);
+      const { requestId, peer } = ask;
+      const retryAfterMs = Math.max(1_000, Math.round(lateMs));
+      send(peer, { kind: 'slot.refuse', requestId, engine: account.engine.id, retryAfterMs });
+      return;
+    }
+    account.queue.set(ask.requestId, ask);
+    this.grantWaiting(account);
+  }
+
+  private grantWaiting(account: EngineAccount | undefined): void {
+    if (account === undefined) return;
+    const { context, send, shares } = this.dependencies;
+    const engine = account.engine.id;
+    account.grantWaiting(
+      (asks) => this.pickAsk(asks, context.nowMs),
+      context.nowMs,
+      ({ peer, requestId, team, workMs }) => {
+        shares.record(team, workMs, context.nowMs);
+        send(peer, { kind: 'slot.grant', requestId, engine });
+      },
+    );
+  }
+
+  /** Those whose time runs short first, then teams within their share, then the policy's order. */
+  private pickAsk(asks: Iterable<QueuedAsk>, nowMs: MonotonicMs): QueuedAsk | undefined {
+    const { policy, shares, readSlowdownWeight } = this.dependencies;
+    const rank = queueOrders[policy.order];
+    const weight = readSlowdownWeight();
+    let best: QueuedAsk | undefined;
+    let bestGroup = Infinity;
+    let bestRank = Infinity;
+    for (const ask of asks) {
+      const slackMs = ask.deadlineMs - nowMs - ask.decodeMs;
+      const urgent = slackMs < GUARD_FACTOR * ask.workMs + ask.decodeMs;
+      const over = policy.fairness === 'byWeight' && shares.isOver(ask.team, nowMs);
+      const group = Number(!urgent) + Number(over);
+      const value = urgent ? ask.deadlineMs : rank(ask, nowMs, weight);
+      if (group < bestGroup || (group === bestGroup && value < bestRank)) {
+        best = ask;
+        bestGroup = group;
+        bestRank = value;
+      }
+    }
+    return best;
+  }
+
+  private createAsk(engine: Engine, peer: EntryVmId, message: AskMessage): QueuedAsk {
+    const { nowMs } = this.dependencies.context;
+    const { requestId, team, promptTokens, outputTokens, waitedMs, leftMs } = message;
+    return {
+      requestId,
+      peer,
+      team,
+      light: this.dependencies.isLight(promptTokens),
+      tokens: promptTokens + outputTokens,
+      workMs: estimatePrefillMs(engine, promptTokens),
+      decodeMs: estimateDecodeMs(engine, outputTokens),
+      arrivedAtMs: nowMs - waitedMs,
+      deadlineMs: nowMs + leftMs,
+      refreshedAtMs: nowMs,
+    };
+  }
+
+  private findAccount(id: EndpointId): EngineAccount | undefined {
+    const found = this.accounts.get(id);
+    if (found !== undefined) return found;
+    const engine = this.dependencies.index.findEngine(id);
+    if (engine === undefined) return undefined;
+    const account = new EngineAccount(engine);
+    this.accounts.set(id, account);
+    return account;
+  }
+}
--- a/packages/decisions/src/routing/types.ts
+++ b/packages/decisions/src/routing/types.ts
@@ -1,9 +1,23 @@
-import type { Engine, ModelContract, MonotonicMs, Refusal, RequestId } from '@savorywind/model';
+import type {
+  Configuration,
+  EndpointId,
+  Engine,
+  EntryVmId,
+  ModelContract,
+  MonotonicMs,
+  Refusal,
+  RequestId,
+  RoutingMessage,
+} from '@savorywind/model';
+import type { Membership } from '../membership/types.js';
+import type { NodeContext } from '../seam/node-context.js';
 
 /** What a request needs of an engine. */
 export interface SlotAsk {
   readonly contract: ModelContract;
   readonly deadlineMs: MonotonicMs;
+  /** Engines on which this request failed; taken only where no other is left. */
+  readonly avoid?: ReadonlySet<EndpointId>;
 }
 
 export type SlotDecision =
@@ -17,8 +31,20 @@
 
 /** Who may put work on an engine, and in which order. */
 export interface Router {
+  start(): void;
   /** Asks for a slot; the listener is called once, now or later, unless the ask is withdrawn. */
   askSlot(ask: SlotAsk, listener: SlotListener): void;
   withdrawAsk(requestId: RequestId): void;
+  /** The prompt is read: the first token has come. */
+  recordFirstToken(requestId: RequestId): void;
+  /** Gives a slot back; does nothing where it is given back already. */
   releaseSlot(requestId: RequestId, outcome: SlotOutcome): void;
+  acceptMessage(peer: EntryVmId, message: RoutingMessage): void;
+}
+
+/** What a placement policy is given. */
+export interface RouterDependencies {
+  readonly context: NodeContext;
+  readonly membership: Membership;
+  readonly readConfiguration: () => Configuration | undefined;
 }
