--- a/packages/stand-ins/src/engine/engine-model.ts
+++ b/packages/stand-ins/src/engine/engine-model.ts
@@ -36,6 +36,7 @@
   readonly ask: StreamAsk;
   readonly order: number;
   readonly textOffset: number;
+  readonly outputTokens: number;
   /** Time that reading the rest of the prompt takes on an otherwise idle engine. */
   prefillLeftMs: number;
   /** Value of the step counter at which the first token was there; undefined during prefill. */
@@ -191,6 +192,7 @@
       textOffset: [...ask.seedText].reduce((sum, letter) => sum + letter.charCodeAt(0), 0),
       prefillLeftMs:
         this.measurePrefillMs(promptTokens, cachedTokens) + this.measureTransferMs(importedTokens),
+      outputTokens: Math.min(maxOutputTokens, ask.stopAfterTokens ?? maxOutputTokens),
       firstStep: undefined,
     };
   }
@@ -228,7 +230,7 @@
     const head = this.findPrefillHead();
     let nextMs = head === undefined ? Infinity : Math.max(0, head.prefillLeftMs) / rates.prefill;
     for (const sequence of this.decoding) {
-      const lastStep = (sequence.firstStep ?? 0) + sequence.maxOutputTokens - 1;
+      const lastStep = (sequence.firstStep ?? 0) + sequence.outputTokens - 1;
       nextMs = Math.min(nextMs, (lastStep - this.stepCount) / rates.steps);
     }
     return Math.max(0, nextMs);
@@ -254,7 +256,7 @@
   private finishDue(head: Sequence | undefined): void {
     if (head !== undefined && head.prefillLeftMs <= TOLERANCE) this.startDecoding(head);
     for (const sequence of this.decoding) {
-      const lastStep = (sequence.firstStep ?? 0) + sequence.maxOutputTokens - 1;
+      const lastStep = (sequence.firstStep ?? 0) + sequence.outputTokens - 1;
       if (this.stepCount >= lastStep - TOLERANCE) {
         this.addTokens(sequence);
         sequence.finished = true;
@@ -284,7 +286,7 @@
   private addTokens(sequence: Sequence): boolean {
     if (sequence.firstStep === undefined) return false;
     const steps = Math.floor(this.stepCount - sequence.firstStep + TOLERANCE);
-    const count = Math.min(sequence.maxOutputTokens, Math.max(0, steps) + 1);
+    const count = Math.min(sequence.outputTokens, Math.max(0, steps) + 1);
     const before = sequence.tokens.length;
     while (sequence.tokens.length < count) {
       const index = sequence.textOffset + sequence.tokens.length;
--- a/packages/stand-ins/src/engine/types.ts
+++ b/packages/stand-ins/src/engine/types.ts
@@ -49,6 +49,8 @@
   readonly streamId: string;
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
+  /** Length at which the answer ends by itself; the longest that is allowed where it is left out. */
+  readonly stopAfterTokens?: number;
   /** Text that the generated tokens are derived from, so that a second run gives the same answer. */
   readonly seedText: string;
   /** Higher goes first. */
