Keep light requests above heavy ones also for teams over their share

Cause: a team over its share fell below heavy prompts, so its short prompts waited for whole reviews. Ruled out: the affinity and the queue's order: without them the 99th percentile stayed at 9.8 s. Change: three classes at an engine: light within share, light over share, heavy. A light request gives way to an engine that reads a heavy prompt by an amount that the preset's weight sets. Free memory is shown to peers by their share.

--- a/packages/decisions/src/routing/home/engine-account.ts
+++ b/packages/decisions/src/routing/home/engine-account.ts
@@ -23,6 +23,12 @@
 
 const MIN_RATE = 0.1;
 
+/** Free memory that is shown to peers, over what there is: they seldom all use it at once. */
+const MEMORY_OVERCOMMIT = 2;
+
+/** Room left for light requests that peers placed since they last told, as a share of memory. */
+const MEMORY_MARGIN = 0.02;
+
 /** Share of the credits that goes to all peers alike; the rest follows their demand. */
 const EQUAL_SHARE = 0.5;
 
@@ -141,17 +147,19 @@
   ): EngineSummary {
     const own = this.peers.get(peer);
     const lightMs = this.sumLightBacklogMs();
-    const otherTokens = this.sumLightTokens() - (own?.lightTokens ?? 0);
+    const share = this.findDemandShare(peer, peerCount);
+    const ownTokens = own?.lightTokens ?? 0;
     const room =
-      this.engine.memoryTokens - this.sumHeldTokens() - otherTokens - this.findReserved();
+      this.engine.memoryTokens - this.sumHeldTokens() - this.sumLightTokens() - this.findReserved();
     return {
       engine: this.engine.id,
       othersBacklogMs: Math.round(lightMs - (own?.lightBacklogMs ?? 0)),
       heavyBacklogMs: Math.round(this.sumHeavyBacklogMs(nowMs)),
-      freeTokens: Math.max(0, Math.round(room)),
-      creditMs: Math.round(
-        Math.max(0, LIGHT_BACKLOG_MS + roundMs - lightMs) * this.findDemandShare(peer, peerCount),
+      freeTokens: Math.max(
+        0,
+        Math.round(ownTokens + room * Math.min(1, MEMORY_OVERCOMMIT * share)),
       ),
+      creditMs: Math.round(Math.max(0, LIGHT_BACKLOG_MS + roundMs - lightMs) * share),
     };
   }
 
@@ -189,7 +197,9 @@
   private fitsMemory({ tokens, light }: QueuedAsk): boolean {
     const { memoryTokens } = this.engine;
     const heldTokens = this.sumHeldTokens();
-    if (heldTokens + this.sumLightTokens() + tokens > memoryTokens) return false;
+    const lightTokens = this.sumLightTokens();
+    const margin = lightTokens > 0 ? MEMORY_MARGIN * memoryTokens : 0;
+    if (heldTokens + lightTokens + tokens + margin > memoryTokens) return false;
     // A prompt that takes nearly the whole engine is let in where no other one is held.
     return (
       light || heldTokens === 0 || heldTokens + tokens <= memoryTokens * (1 - LIGHT_MEMORY_SHARE)
--- a/packages/decisions/src/routing/home/engine-picker.ts
+++ b/packages/decisions/src/routing/home/engine-picker.ts
@@ -10,10 +10,14 @@
 const SAMPLE_SIZE = 5;
 
 /** How much longer a heavy request takes on an engine before the next one is opened to them. */
-const FILL_FACTOR = 1;
+const FILL_FACTOR = 0.3;
 
-/** What a heavy prompt in progress costs a light one beside it, in milliseconds. */
-const HEAVY_PENALTY_MS = 100;
+/**
+ * Backlog that a light request accepts elsewhere to stay off an engine that reads a heavy prompt, in
+ * milliseconds: that engine then reads at full speed. The more the slowdown of short requests
+ * weighs, the less they give way.
+ */
+const GIVE_WAY_MS = { least: 100, most: 1_500 };
 
 /** Share of a failure domain's engines that are kept for heavy requests where bands are split. */
 const HEAVY_SHARE = 0.6;
@@ -28,6 +32,7 @@
   readonly index: FleetIndex;
   readonly policy: HomePolicy;
   readonly findView: (engine: Engine) => EngineView;
+  readonly readSlowdownWeight: () => number;
 }
 
 /** Chooses the engine for a light request, and the engine whose home a heavy request asks. */
@@ -41,6 +46,7 @@
     const engines = this.listBand(this.listUsable(ask), true);
     const preferred = this.findPrefixEngine(engines, contract.prefixDigests);
     const tokens = countMemoryTokens(contract);
+    const giveWayMs = this.findGiveWayMs();
     let best: Engine | undefined;
     let bestMs = Infinity;
     this.drawSample(engines, preferred).forEach((engine) => {
@@ -50,7 +56,7 @@
         engine === preferred
           ? estimatePrefillMs(engine, contract.prefixDigests.length * PREFIX_BLOCK_TOKENS)
           : 0;
-      const heavyMs = view.readHeavyBacklogMs(context.nowMs) > 0 ? HEAVY_PENALTY_MS : 0;
+      const heavyMs = view.readHeavyBacklogMs(context.nowMs) > 0 ? giveWayMs : 0;
       const costMs = view.readBacklogMs(context.nowMs) + heavyMs - savedMs;
       if (costMs >= bestMs) return;
       best = engine;
@@ -90,6 +96,11 @@
     return otherWaitMs < MOVE_FACTOR * (waitMs - workMs) ? other : current;
   }
 
+  private findGiveWayMs(): number {
+    const { least, most } = GIVE_WAY_MS;
+    return most - (most - least) * this.dependencies.readSlowdownWeight();
+  }
+
   /** Engines of this failure domain, or of all where it has none that are usable. */
   private listUsable({ contract, avoid }: SlotAsk): readonly Engine[] {
     const { context, index, membership } = this.dependencies;
--- a/packages/decisions/src/routing/home/home-router.ts
+++ b/packages/decisions/src/routing/home/home-router.ts
@@ -23,7 +23,7 @@
 import { EnginePicker } from './engine-picker.js';
 import { EngineView } from './engine-view.js';
 import { HomeDesk } from './home-desk.js';
-import { OVER_SHARE_PENALTY, rankLength } from './priorities.js';
+import { rankRequest } from './priorities.js';
 import { TeamShares } from './team-shares.js';
 import type { HomePolicy } from './types.js';
 
@@ -107,6 +107,7 @@
       index: this.index,
       policy,
       findView: (engine) => this.findView(engine),
+      readSlowdownWeight: () => this.readSlowdownWeight(),
     });
     this.handlers = this.createHandlers();
   }
@@ -367,13 +368,17 @@
     return view;
   }
 
-  private findPriority({ contract }: SlotAsk, engine: Engine): number {
+  private findPriority(ask: SlotAsk, engine: Engine): number {
     if (this.policy.enginePriority === 'none') return 0;
     const { nowMs } = this.dependencies.context;
-    const rank = rankLength(contract.promptTokens, this.readSlowdownWeight());
-    const over = this.policy.fairness === 'byWeight' && this.shares.isOver(contract.team, nowMs);
-    const busy = this.findView(engine).readBacklogMs(nowMs) > 0;
-    return rank - (over && busy ? OVER_SHARE_PENALTY : 0);
+    const { promptTokens, team } = ask.contract;
+    const over = this.policy.fairness === 'byWeight' && this.shares.isOver(team, nowMs);
+    return rankRequest({
+      promptTokens,
+      light: HomeRouter.isLight(ask),
+      overShare: over && this.findView(engine).readBacklogMs(nowMs) > 0,
+      slowdownWeight: this.readSlowdownWeight(),
+    });
   }
 
   private static isLight({ contract }: SlotAsk): boolean {
--- a/packages/decisions/src/routing/home/priorities.ts
+++ b/packages/decisions/src/routing/home/priorities.ts
@@ -15,5 +15,21 @@
   return HIGHEST_PRIORITY - Math.floor(doublings * slowdownWeight);
 };
 
-/** Below all classes: for teams over their share while an engine has work. */
-export const OVER_SHARE_PENALTY = HIGHEST_PRIORITY;
+/** Priority of light prompts over heavy ones, and within their share over teams beyond it. */
+const BAND_STEP = 2 * HIGHEST_PRIORITY;
+
+/** What decides the priority of a request at an engine. */
+export interface PriorityFacts {
+  readonly promptTokens: number;
+  readonly light: boolean;
+  /** Whether its team uses more than its share while the engine has work. */
+  readonly overShare: boolean;
+  readonly slowdownWeight: number;
+}
+
+/** Light ones of teams within their share first, then light ones of other teams, then heavy ones. */
+export const rankRequest = (facts: PriorityFacts): number => {
+  const rank = rankLength(facts.promptTokens, facts.slowdownWeight);
+  if (!facts.light) return rank;
+  return rank + (facts.overShare ? BAND_STEP : 2 * BAND_STEP);
+};
