--- a/packages/decisions/src/routing/home/engine-account.ts
+++ b/packages/decisions/src/routing/home/engine-account.ts
@@ -110,6 +110,17 @@
     if (this.holds.delete(requestId) && rejected) this.blockedUntilMs = nowMs + REJECTED_PAUSE_MS;
   }
 
+  /** Takes a peer's light work as it stands between two rounds. */
+  refreshUsage(
+    peer: EntryVmId,
+    lightBacklogMs: number,
+    lightTokens: number,
+    nowMs: MonotonicMs,
+  ): void {
+    const demandMs = this.peers.get(peer)?.demandMs ?? 0;
+    this.peers.set(peer, { lightBacklogMs, lightTokens, demandMs, toldAtMs: nowMs });
+  }
+
   /** What a peer tells replaces what it told before, and confirms the grants that it names. */
   acceptUsage(peer: EntryVmId, usage: EngineUsage, nowMs: MonotonicMs): void {
     const { lightBacklogMs, lightTokens, placedMs, held } = usage;
--- a/packages/decisions/src/routing/home/home-desk.ts
+++ b/packages/decisions/src/routing/home/home-desk.ts
@@ -46,6 +46,7 @@
     const account = this.findAccount(engine);
     if (account === undefined) return;
     const { nowMs } = this.dependencies.context;
+    account.refreshUsage(peer, message.lightBacklogMs, message.lightTokens, nowMs);
     const hold = account.findHold(requestId);
     if (hold !== undefined) {
       hold.confirmedAtMs = nowMs;
@@ -60,6 +61,15 @@
     this.queueAsk(account, this.createAsk(account.engine, peer, message));
   }
 
+  /** This entry VM's own light work at an engine has changed. */
+  refreshOwn(engine: EndpointId, lightBacklogMs: number, lightTokens: number): void {
+    const account = this.accounts.get(engine);
+    if (account === undefined || account.queue.size === 0) return;
+    const { self, nowMs } = this.dependencies.context;
+    account.refreshUsage(self.id, lightBacklogMs, lightTokens, nowMs);
+    this.grantWaiting(account);
+  }
+
   acceptPrefilled(engine: EndpointId, requestId: RequestId): void {
     const account = this.accounts.get(engine);
     account?.acceptPrefilled(requestId, this.dependencies.context.nowMs);
--- a/packages/decisions/src/routing/home/home-router.ts
+++ b/packages/decisions/src/routing/home/home-router.ts
@@ -140,6 +140,7 @@
     const view = this.findView(slot.engine);
     if (slot.home === undefined) {
       view.lightBacklogMs -= slot.workMs;
+      this.refreshOwnDesk(view);
       return;
     }
     view.holdSlot({ requestId, tokens: slot.tokens, prefilled: true });
@@ -155,6 +156,7 @@
     if (slot.home === undefined) {
       view.lightTokens -= slot.tokens;
       if (!slot.prefilled) view.lightBacklogMs -= slot.workMs;
+      this.refreshOwnDesk(view);
     } else {
       view.dropSlot(requestId);
       this.sendRelease(slot.home, slot.engine.id, requestId, rejected);
@@ -167,6 +169,10 @@
     handler(peer, message);
   }
 
+  private refreshOwnDesk({ engine, lightBacklogMs, lightTokens }: EngineView): void {
+    this.desk.refreshOwn(engine.id, lightBacklogMs, lightTokens);
+  }
+
   private createHandlers(): MessageHandlers {
     return {
       'slot.ask': (peer, message) => this.desk.acceptAsk(peer, message),
@@ -262,6 +268,7 @@
   private sendAsk({ ask, engine, home, askedAtMs }: PendingAsk): void {
     const { nowMs } = this.dependencies.context;
     const { requestId, team, promptTokens, maxOutputTokens } = ask.contract;
+    const { lightBacklogMs, lightTokens } = this.findView(engine);
     this.send(home, {
       kind: 'slot.ask',
       requestId,
@@ -271,6 +278,8 @@
       outputTokens: maxOutputTokens,
       waitedMs: Math.round(nowMs - askedAtMs),
       leftMs: Math.round(ask.deadlineMs - nowMs),
+      lightBacklogMs: Math.round(lightBacklogMs),
+      lightTokens,
     });
   }
 
--- a/packages/model/src/messages/routing-messages.ts
+++ b/packages/model/src/messages/routing-messages.ts
@@ -50,6 +50,9 @@
       /** Time since arrival and time left, at the sender. */
       readonly waitedMs: number;
       readonly leftMs: number;
+      /** The sender's light work at the engine, as in its usage. */
+      readonly lightBacklogMs: number;
+      readonly lightTokens: number;
     }
   | { readonly kind: 'slot.grant'; readonly requestId: RequestId; readonly engine: EndpointId }
   | {
