Let no admitted request wait behind one that does not fit yet

An urgent ask of a team over its share was ranked among unlike values; light and heavy asks blocked each other; one that waits for nearly a whole engine blocked all behind it, while peers replaced the light work that should have drained. Change: urgent asks first whatever their team; light and heavy asks are granted apart; a large one may be passed by until it has waited as long as it takes; without room peers place nothing new. The give way falls to 100 to 700 ms and lengths have two classes a doubling at weight 1.

--- a/packages/bench/src/experiments/fleet/summary.ts
+++ b/packages/bench/src/experiments/fleet/summary.ts
@@ -1,7 +1,7 @@
 import { EngineModel } from '@savorywind/stand-ins';
 import type { ModelContract } from '@savorywind/model';
 import type { Deployment } from '../workload/types.js';
-import { estimateWorkMs, LONG_PROMPT_TOKENS } from '../workload/workload.js';
+import { estimateWorkMs, LONG_PROMPT_TOKENS, SATURATION_FACTOR } from '../workload/workload.js';
 import type { FleetReport, FleetSettings, RequestResult } from './types.js';
 
 const MS_PER_S = 1_000;
@@ -153,7 +153,7 @@
     refusedAtOnce: atOnce.length / Math.max(1, refused.length),
     late: late.length / calls.length,
     failed: failed.length / calls.length,
-    goodput: finishedWorkMs / durationMs / deployment.engines,
+    goodput: finishedWorkMs / durationMs / deployment.engines / SATURATION_FACTOR,
     decisionP50Us: findMean(report.nodes.map((node) => node.decisionP50Us)),
     decisionP99Us: findMean(report.nodes.map((node) => node.decisionP99Us)),
     coreShare: findMean(report.nodes.map((node) => node.coreShare)),
--- a/packages/bench/src/experiments/workload/types.ts
+++ b/packages/bench/src/experiments/workload/types.ts
@@ -26,7 +26,7 @@
 
 export interface WorkloadSettings {
   readonly deployment: Deployment;
-  /** Offered work over the work that the engines can do, without hits in prefix caches. */
+  /** Offered work over the work that the engines finish at saturation. */
   readonly load: number;
   readonly durationMs: number;
   readonly seed: number;
--- a/packages/bench/src/experiments/workload/workload.ts
+++ b/packages/bench/src/experiments/workload/workload.ts
@@ -32,6 +32,12 @@
 /** Batch over which the cost of a decode step is spread when capacity is estimated. */
 const REFERENCE_BATCH = 16;
 
+/**
+ * Work that engines finish at saturation, over the work counted one request at a time: prefill and
+ * decoding overlap, and prefix caches hit.
+ */
+export const SATURATION_FACTOR = 1.2;
+
 /** Requests that are drawn to estimate the mean work. */
 const SAMPLE_COUNT = 20_000;
 
@@ -91,7 +97,7 @@
   private planArrivals(load: number, meanWorkMs: number, team?: number): PlannedRequest[] {
     const { deployment, durationMs } = this.settings;
     const peak = Math.max(deployment.shortBurst.factor, deployment.longBurst.factor);
-    const meanGapMs = meanWorkMs / (load * deployment.engines);
+    const meanGapMs = meanWorkMs / (load * SATURATION_FACTOR * deployment.engines);
     const planned: PlannedRequest[] = [];
     let atMs = 0;
     for (;;) {
--- a/packages/decisions/src/routing/home/consts.ts
+++ b/packages/decisions/src/routing/home/consts.ts
@@ -29,7 +29,7 @@
 export const REJECTED_PAUSE_MS = 1_000;
 
 /** Share of a request's time that admission counts on; the rest is for errors of the estimate. */
-export const ADMISSION_SHARE = 0.85;
+export const ADMISSION_SHARE = 0.7;
 
 /** Prefill speed beside decoding, relative to an idle engine, until it is measured. */
 export const FIRST_RATE = 0.6;
--- a/packages/decisions/src/routing/home/engine-account.ts
+++ b/packages/decisions/src/routing/home/engine-account.ts
@@ -32,8 +32,11 @@
 /** Share of the credits that goes to all peers alike; the rest follows their demand. */
 const EQUAL_SHARE = 0.5;
 
-/** Order and rights by which a waiting ask is chosen. */
-export type PickAsk = (asks: Iterable<QueuedAsk>) => QueuedAsk | undefined;
+/** Chooses the ask to grant next, or none where one that does not fit yet must not be passed by. */
+export type PickAsk = (
+  asks: readonly QueuedAsk[],
+  fits: (ask: QueuedAsk) => boolean,
+) => QueuedAsk | undefined;
 
 /**
  * What the home of an engine knows of it: single grants, the light work of each peer as told in the
@@ -76,24 +79,19 @@
     return this.estimateFinishMs(ask, nowMs) <= leftMs * ADMISSION_SHARE;
   }
 
-  /** Grants what may start now, in the order of the picker. */
+  /** Grants what may start now, in the order of the picker; light and heavy ones don't block each other. */
   grantWaiting(pick: PickAsk, nowMs: MonotonicMs, notify: (ask: QueuedAsk) => void): void {
-    while (this.queue.size > 0 && nowMs >= this.blockedUntilMs) {
-      const ask = pick(this.queue.values());
-      if (ask === undefined || !this.mayStart(ask, nowMs)) return;
-      this.queue.delete(ask.requestId);
-      const { peer, tokens, light, workMs } = ask;
-      this.holds.set(ask.requestId, {
-        peer,
-        tokens,
-        light,
-        workMs,
-        startedAtMs: nowMs,
-        confirmedAtMs: nowMs,
-        prefilled: false,
-      });
-      notify(ask);
-    }
+    if (this.queue.size === 0 || nowMs < this.blockedUntilMs) return;
+    [true, false].forEach((light) => {
+      for (;;) {
+        if (!this.hasPrefillRoom(light, nowMs)) return;
+        const band = [...this.queue.values()].filter((ask) => ask.light === light);
+        const ask = pick(band, (candidate) => this.fitsMemory(candidate));
+        if (ask === undefined) return;
+        this.startHold(ask, nowMs);
+        notify(ask);
+      }
+    });
   }
 
   acceptPrefilled(requestId: RequestId, nowMs: MonotonicMs): void {
@@ -166,10 +164,9 @@
       engine: this.engine.id,
       othersBacklogMs: Math.round(lightMs - (own?.lightBacklogMs ?? 0)),
       heavyBacklogMs: Math.round(this.sumHeavyBacklogMs(nowMs)),
-      freeTokens: Math.max(
-        0,
-        Math.round(ownTokens + room * Math.min(1, MEMORY_OVERCOMMIT * share)),
-      ),
+      // Without room peers place nothing new, so that what they hold drains.
+      freeTokens:
+        room <= 0 ? 0 : Math.round(ownTokens + room * Math.min(1, MEMORY_OVERCOMMIT * share)),
       creditMs: Math.round(Math.max(0, LIGHT_BACKLOG_MS + roundMs - lightMs) * share),
     };
   }
@@ -199,9 +196,22 @@
     this.rate += SMOOTHING * (rate - this.rate);
   }
 
-  private mayStart(ask: QueuedAsk, nowMs: MonotonicMs): boolean {
-    if (!this.fitsMemory(ask)) return false;
-    if (ask.light) return this.sumLightBacklogMs() < LIGHT_BACKLOG_MS;
+  private startHold(ask: QueuedAsk, nowMs: MonotonicMs): void {
+    const { peer, tokens, light, workMs } = ask;
+    this.queue.delete(ask.requestId);
+    this.holds.set(ask.requestId, {
+      peer,
+      tokens,
+      light,
+      workMs,
+      startedAtMs: nowMs,
+      confirmedAtMs: nowMs,
+      prefilled: false,
+    });
+  }
+
+  private hasPrefillRoom(light: boolean, nowMs: MonotonicMs): boolean {
+    if (light) return this.sumLightBacklogMs() < LIGHT_BACKLOG_MS;
     return this.sumHeldHeavyMs(nowMs) < PIPELINE_MS;
   }
 
--- a/packages/decisions/src/routing/home/engine-picker.ts
+++ b/packages/decisions/src/routing/home/engine-picker.ts
@@ -17,7 +17,7 @@
  * milliseconds: that engine then reads at full speed. The more the slowdown of short requests
  * weighs, the less they give way.
  */
-const GIVE_WAY_MS = { least: 100, most: 1_500 };
+const GIVE_WAY_MS = { least: 100, most: 700 };
 
 /** Share of a failure domain's engines that are kept for heavy requests where bands are split. */
 const HEAVY_SHARE = 0.6;
--- a/packages/decisions/src/routing/home/home-desk.ts
+++ b/packages/decisions/src/routing/home/home-desk.ts
@@ -28,8 +28,15 @@
   readonly send: (peer: EntryVmId, message: RoutingMessage) => void;
 }
 
-/** An ask whose time left is under this share of its work is granted before all others. */
-const GUARD_FACTOR = 2;
+/** An ask that has less than this share of its time left is granted before all others. */
+const GUARD_SHARE = 0.35;
+
+interface RankedAsk {
+  readonly ask: QueuedAsk;
+  /** Lower ones first, whatever their rank. */
+  readonly group: number;
+  readonly rank: number;
+}
 
 /** The accounts of the engines that this entry VM is the home of. */
 export class HomeDesk {
@@ -124,7 +131,7 @@
     const { context, send, shares } = this.dependencies;
     const engine = account.engine.id;
     account.grantWaiting(
-      (asks) => this.pickAsk(asks, context.nowMs),
+      (asks, fits) => this.pickAsk(asks, fits, context.nowMs),
       context.nowMs,
       ({ peer, requestId, team, workMs }) => {
         shares.record(team, workMs, context.nowMs);
@@ -133,27 +140,35 @@
     );
   }
 
-  /** Those whose time runs short first, then teams within their share, then the policy's order. */
-  private pickAsk(asks: Iterable<QueuedAsk>, nowMs: MonotonicMs): QueuedAsk | undefined {
+  /**
+   * Those whose time runs short first, then teams within their share, then the policy's order. One
+   * that does not fit yet may be passed by until it has waited as long as it takes.
+   */
+  private pickAsk(
+    asks: readonly QueuedAsk[],
+    fits: (ask: QueuedAsk) => boolean,
+    nowMs: MonotonicMs,
+  ): QueuedAsk | undefined {
+    const ranked = asks
+      .map((ask) => this.rankAsk(ask, nowMs))
+      .sort((a, b) => a.group - b.group || a.rank - b.rank);
+    for (const { ask, group } of ranked) {
+      if (fits(ask)) return ask;
+      const patient = group > 0 && nowMs - ask.arrivedAtMs < ask.workMs;
+      if (!patient) return undefined;
+    }
+    return undefined;
+  }
+
+  private rankAsk(ask: QueuedAsk, nowMs: MonotonicMs): RankedAsk {
     const { policy, shares, readSlowdownWeight } = this.dependencies;
-    const rank = queueOrders[policy.order];
-    const weight = readSlowdownWeight();
-    let best: QueuedAsk | undefined;
-    let bestGroup = Infinity;
-    let bestRank = Infinity;
-    for (const ask of asks) {
-      const slackMs = ask.deadlineMs - nowMs - ask.decodeMs;
-      const urgent = slackMs < GUARD_FACTOR * ask.workMs + ask.decodeMs;
-      const over = policy.fairness === 'byWeight' && shares.isOver(ask.team, nowMs);
-      const group = Number(!urgent) + Number(over);
-      const value = urgent ? ask.deadlineMs : rank(ask, nowMs, weight);
-      if (group < bestGroup || (group === bestGroup && value < bestRank)) {
-        best = ask;
-        bestGroup = group;
-        bestRank = value;
-      }
+    const slackMs = ask.deadlineMs - nowMs - ask.decodeMs - ask.workMs;
+    if (slackMs < GUARD_SHARE * (ask.deadlineMs - ask.arrivedAtMs)) {
+      return { ask, group: 0, rank: ask.deadlineMs };
     }
-    return best;
+    const over = policy.fairness === 'byWeight' && shares.isOver(ask.team, nowMs);
+    const rank = queueOrders[policy.order](ask, nowMs, readSlowdownWeight());
+    return { ask, group: over ? 2 : 1, rank };
   }
 
   private createAsk(engine: Engine, peer: EntryVmId, message: AskMessage): QueuedAsk {
--- a/packages/decisions/src/routing/home/priorities.ts
+++ b/packages/decisions/src/routing/home/priorities.ts
@@ -2,17 +2,20 @@
 
 const HIGHEST_PRIORITY = 20;
 
+/** Classes of each doubling of the length where only the slowdown counts. */
+const CLASSES_PER_DOUBLING = 2;
+
 /**
- * Priority of a prompt at an engine. Weight 1 orders by length alone, a class for each doubling;
+ * Priority of a prompt at an engine. Weight 1 orders by length alone, two classes for each doubling;
  * weight 0 puts all in one class, so that the engine's own order, first come first served, holds.
  *
  * @example
  * rankLength(1_000, 1); // 20
- * rankLength(8_000, 1); // 17
+ * rankLength(8_000, 1); // 14
  */
 export const rankLength = (promptTokens: number, slowdownWeight: number): number => {
   const doublings = Math.max(0, Math.log2(promptTokens / SHORTEST_PROMPT_TOKENS));
-  return HIGHEST_PRIORITY - Math.floor(doublings * slowdownWeight);
+  return HIGHEST_PRIORITY - Math.floor(doublings * CLASSES_PER_DOUBLING * slowdownWeight);
 };
 
 /** Priority of light prompts over heavy ones, and within their share over teams beyond it. */
