--- /dev/null
+++ b/packages/bench/src/experiments/index.ts
@@ -0,0 +1,13 @@
+import { runFaults } from './faults.js';
+import { runFlood } from './flood.js';
+import { runPolicies } from './policies.js';
+import { runPresets } from './presets.js';
+import type { RunExperiment } from './types.js';
+
+/** Experiments of the policies, by name. */
+export const policyExperiments: Readonly<Record<string, RunExperiment>> = {
+  policies: runPolicies,
+  faults: runFaults,
+  presets: runPresets,
+  flood: runFlood,
+};
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,2 +1,33 @@
-process.stderr.write('no experiment is defined yet\n');
-process.exitCode = 2;
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { policyExperiments } from './experiments/index.js';
+import type { RunExperiment } from './experiments/types.js';
+import { writeReport } from './experiments/write-report.js';
+
+const experiments: Readonly<Record<string, RunExperiment>> = {
+  ...policyExperiments,
+};
+
+const args = await yargs(hideBin(process.argv))
+  .option('experiment', { choices: Object.keys(experiments), demandOption: true })
+  .option('seed', { type: 'number', default: 1, describe: 'first seed' })
+  .option('seeds', { type: 'number', default: 5, describe: 'how many seeds' })
+  .option('minutes', { type: 'number', default: 10, describe: 'length of a run' })
+  .option('deployment', { type: 'string', default: 'stuhlwerk' })
+  .option('out', { type: 'string', default: 'bench-results', describe: 'folder for the report' })
+  .strict()
+  .parse();
+
+const { experiment, seed, seeds, minutes, deployment, out } = args;
+const command = `npm run bench -- --experiment ${experiment} --seed ${seed} --seeds ${seeds} --minutes ${minutes} --deployment ${deployment}`;
+const report = await experiments[experiment]?.({
+  seed,
+  seeds,
+  minutes,
+  deployment,
+  onProgress: (text) => process.stderr.write(`${text}\n`),
+});
+if (report !== undefined) {
+  const table = await writeReport(`${experiment}-${deployment}`, out, command, report);
+  process.stdout.write(`${command}\n\n${table}\n`);
+}
