Admit teams over their share early or not at all

Change: an ask within its team's share is admitted past asks of teams over theirs; those may use a quarter of their time in the estimate and 40% of the credits.

--- a/packages/decisions/src/routing/home/consts.ts
+++ b/packages/decisions/src/routing/home/consts.ts
@@ -31,5 +31,14 @@
 /** Share of a request's time that admission counts on; the rest is for errors of the estimate. */
 export const ADMISSION_SHARE = 0.7;
 
+/**
+ * The same for teams over their share: they are refused early, and so seldom become urgent and go
+ * ahead of others.
+ */
+export const OVER_SHARE_ADMISSION = 0.25;
+
+/** Part of the credits that teams over their share may spend. */
+export const OVER_SHARE_CREDIT = 0.4;
+
 /** Prefill speed beside decoding, relative to an idle engine, until it is measured. */
 export const FIRST_RATE = 0.6;
--- a/packages/decisions/src/routing/home/engine-account.ts
+++ b/packages/decisions/src/routing/home/engine-account.ts
@@ -7,13 +7,11 @@
   RequestId,
 } from '@savorywind/model';
 import {
-  ADMISSION_SHARE,
   CONFIRM_LIMIT_MS,
   FIRST_RATE,
   LIGHT_BACKLOG_MS,
   LIGHT_MEMORY_SHARE,
   PIPELINE_MS,
-  QUEUE_LIMIT,
   REJECTED_PAUSE_MS,
 } from './consts.js';
 import type { Hold, PeerUsage, QueuedAsk } from './types.js';
@@ -66,19 +64,19 @@
     return this.holds.get(requestId);
   }
 
-  /** Time until an ask could finish here, everything that waits counted as ahead of it. */
-  estimateFinishMs(ask: QueuedAsk, nowMs: MonotonicMs): number {
-    const aheadMs =
-      this.sumHeavyBacklogMs(nowMs) - (this.queue.has(ask.requestId) ? ask.workMs : 0);
+  /** Time until an ask could finish here, behind the grants that run and those that go ahead of it. */
+  estimateFinishMs(
+    ask: QueuedAsk,
+    nowMs: MonotonicMs,
+    goesAhead: (other: QueuedAsk) => boolean,
+  ): number {
+    let aheadMs = this.sumHeldHeavyMs(nowMs);
+    this.queue.forEach((other) => {
+      if (other !== ask && !other.light && goesAhead(other)) aheadMs += other.workMs;
+    });
     return (aheadMs + ask.workMs) / this.rate + ask.decodeMs;
   }
 
-  fitsDeadline(ask: QueuedAsk, nowMs: MonotonicMs): boolean {
-    if (this.queue.size >= QUEUE_LIMIT) return false;
-    const leftMs = ask.deadlineMs - nowMs;
-    return this.estimateFinishMs(ask, nowMs) <= leftMs * ADMISSION_SHARE;
-  }
-
   /** Grants what may start now, in the order of the picker; light and heavy ones don't block each other. */
   grantWaiting(pick: PickAsk, nowMs: MonotonicMs, notify: (ask: QueuedAsk) => void): void {
     if (this.queue.size === 0 || nowMs < this.blockedUntilMs) return;
--- a/packages/decisions/src/routing/home/engine-picker.ts
+++ b/packages/decisions/src/routing/home/engine-picker.ts
@@ -40,7 +40,7 @@
   constructor(private readonly dependencies: EnginePickerDependencies) {}
 
   /** The least busy of a few that are drawn, or undefined where none of them has credit. */
-  pickForLight(ask: SlotAsk, peerCount: number): Engine | undefined {
+  pickForLight(ask: SlotAsk, peerCount: number, creditPart: number): Engine | undefined {
     const { context, findView } = this.dependencies;
     const { contract } = ask;
     const engines = this.listBand(this.listUsable(ask), true);
@@ -51,7 +51,7 @@
     let bestMs = Infinity;
     this.drawSample(engines, preferred).forEach((engine) => {
       const view = findView(engine);
-      if (!view.hasCredit(tokens, peerCount, context.nowMs)) return;
+      if (!view.hasCredit(tokens, peerCount, creditPart, context.nowMs)) return;
       const savedMs =
         engine === preferred
           ? estimatePrefillMs(engine, contract.prefixDigests.length * PREFIX_BLOCK_TOKENS)
--- a/packages/decisions/src/routing/home/engine-view.ts
+++ b/packages/decisions/src/routing/home/engine-view.ts
@@ -75,12 +75,13 @@
     return Math.max(0, summary.heavyBacklogMs - (nowMs - this.summaryAtMs) / 2);
   }
 
-  hasCredit(tokens: number, peerCount: number, nowMs: MonotonicMs): boolean {
+  /** @param part of the credits that the request may spend, from 0 to 1 */
+  hasCredit(tokens: number, peerCount: number, part: number, nowMs: MonotonicMs): boolean {
     const summary = this.findSummary(nowMs);
     const creditMs = summary?.creditMs ?? LIGHT_BACKLOG_MS / peerCount;
     const freeTokens = summary?.freeTokens ?? this.engine.memoryTokens / peerCount;
     const memoryLeft = Math.min(freeTokens, this.engine.memoryTokens) - this.lightTokens;
-    return creditMs > this.spentMs && memoryLeft >= tokens;
+    return creditMs * part > this.spentMs && memoryLeft >= tokens;
   }
 
   /** What the home is told in a round, or undefined where there is nothing to tell. */
--- a/packages/decisions/src/routing/home/home-desk.ts
+++ b/packages/decisions/src/routing/home/home-desk.ts
@@ -11,6 +11,7 @@
 import type { FleetIndex } from '../fleet-index.js';
 import type { RouterDependencies } from '../types.js';
 import { estimateDecodeMs, estimatePrefillMs } from '../work-estimate.js';
+import { ADMISSION_SHARE, OVER_SHARE_ADMISSION, QUEUE_LIMIT } from './consts.js';
 import { EngineAccount } from './engine-account.js';
 import { queueOrders } from './queue-orders.js';
 import type { TeamShares } from './team-shares.js';
@@ -31,6 +32,8 @@
 /** An ask that has less than this share of its time left is granted before all others. */
 const GUARD_SHARE = 0.35;
 
+const LEAST_RETRY_MS = 1_000;
+
 interface RankedAsk {
   readonly ask: QueuedAsk;
   /** Lower ones first, whatever their rank. */
@@ -113,19 +116,34 @@
   }
 
   private queueAsk(account: EngineAccount, ask: QueuedAsk): void {
-    const { context, policy, send } = this.dependencies;
-    if (policy.admission === 'byEstimate' && !account.fitsDeadline(ask, context.nowMs)) {
-      const lateMs =
-        account.estimateFinishMs(ask, context.nowMs) - (ask.deadlineMs - context.nowMs);
+    const lateMs = this.measureLateMs(account, ask);
+    if (lateMs > 0 || account.queue.size >= QUEUE_LIMIT) {
       const { requestId, peer } = ask;
-      const retryAfterMs = Math.max(1_000, Math.round(lateMs));
-      send(peer, { kind: 'slot.refuse', requestId, engine: account.engine.id, retryAfterMs });
+      const retryAfterMs = Math.max(LEAST_RETRY_MS, Math.round(lateMs));
+      const engine = account.engine.id;
+      this.dependencies.send(peer, { kind: 'slot.refuse', requestId, engine, retryAfterMs });
       return;
     }
     account.queue.set(ask.requestId, ask);
     this.grantWaiting(account);
   }
 
+  /** By how much an ask would miss the part of its time that admission counts on. */
+  private measureLateMs(account: EngineAccount, ask: QueuedAsk): number {
+    const { context, policy } = this.dependencies;
+    if (policy.admission === 'none') return 0;
+    const { nowMs } = context;
+    const over = this.isOver(ask);
+    const finishMs = account.estimateFinishMs(ask, nowMs, (other) => over || !this.isOver(other));
+    const share = over ? OVER_SHARE_ADMISSION : ADMISSION_SHARE;
+    return finishMs - share * (ask.deadlineMs - nowMs);
+  }
+
+  private isOver({ team }: QueuedAsk): boolean {
+    const { context, policy, shares } = this.dependencies;
+    return policy.fairness === 'byWeight' && shares.isOver(team, context.nowMs);
+  }
+
   private grantWaiting(account: EngineAccount | undefined): void {
     if (account === undefined) return;
     const { context, send, shares } = this.dependencies;
@@ -161,14 +179,13 @@
   }
 
   private rankAsk(ask: QueuedAsk, nowMs: MonotonicMs): RankedAsk {
-    const { policy, shares, readSlowdownWeight } = this.dependencies;
+    const { policy, readSlowdownWeight } = this.dependencies;
     const slackMs = ask.deadlineMs - nowMs - ask.decodeMs - ask.workMs;
     if (slackMs < GUARD_SHARE * (ask.deadlineMs - ask.arrivedAtMs)) {
       return { ask, group: 0, rank: ask.deadlineMs };
     }
-    const over = policy.fairness === 'byWeight' && shares.isOver(ask.team, nowMs);
     const rank = queueOrders[policy.order](ask, nowMs, readSlowdownWeight());
-    return { ask, group: over ? 2 : 1, rank };
+    return { ask, group: this.isOver(ask) ? 2 : 1, rank };
   }
 
   private createAsk(engine: Engine, peer: EntryVmId, message: AskMessage): QueuedAsk {
--- a/packages/decisions/src/routing/home/home-router.ts
+++ b/packages/decisions/src/routing/home/home-router.ts
@@ -17,6 +17,7 @@
   ADMISSION_SHARE,
   ASK_RETRY_MS,
   FIRST_RATE,
+  OVER_SHARE_CREDIT,
   ROUND_MS,
   ROUND_PER_PEER_MS,
 } from './consts.js';
@@ -200,7 +201,8 @@
     const { contract, deadlineMs } = ask;
     const { nowMs } = this.dependencies.context;
     const tokens = countMemoryTokens(contract);
-    const engine = this.picker.pickForLight(ask, this.peers.length + 1);
+    const part = this.isOverShare(ask) ? OVER_SHARE_CREDIT : 1;
+    const engine = this.picker.pickForLight(ask, this.peers.length + 1, part);
     if (engine === undefined) {
       this.askHome(ask, listener);
       return;
@@ -380,16 +382,20 @@
   private findPriority(ask: SlotAsk, engine: Engine): number {
     if (this.policy.enginePriority === 'none') return 0;
     const { nowMs } = this.dependencies.context;
-    const { promptTokens, team } = ask.contract;
-    const over = this.policy.fairness === 'byWeight' && this.shares.isOver(team, nowMs);
+    const { promptTokens } = ask.contract;
     return rankRequest({
       promptTokens,
       light: HomeRouter.isLight(ask),
-      overShare: over && this.findView(engine).readBacklogMs(nowMs) > 0,
+      overShare: this.isOverShare(ask) && this.findView(engine).readBacklogMs(nowMs) > 0,
       slowdownWeight: this.readSlowdownWeight(),
     });
   }
 
+  private isOverShare({ contract }: SlotAsk): boolean {
+    if (this.policy.fairness === 'none') return false;
+    return this.shares.isOver(contract.team, this.dependencies.context.nowMs);
+  }
+
   private static isLight({ contract }: SlotAsk): boolean {
     return contract.promptTokens <= LIGHT_PROMPT_TOKENS;
   }
