--- a/packages/decisions/src/routing/home/engine-picker.ts
+++ b/packages/decisions/src/routing/home/engine-picker.ts
@@ -1,6 +1,6 @@
-import type { Engine } from '@savorywind/model';
+import type { EndpointId, Engine } from '@savorywind/model';
 import type { FleetIndex } from '../fleet-index.js';
-import { hashText } from '../hash-text.js';
+import { findOwner } from '../../membership/rendezvous.js';
 import type { RouterDependencies, SlotAsk } from '../types.js';
 import { countMemoryTokens, estimatePrefillMs } from '../work-estimate.js';
 import type { EngineView } from './engine-view.js';
@@ -25,6 +25,9 @@
 /** Tokens of a block of the prompt's prefix digests. */
 const PREFIX_BLOCK_TOKENS = 512;
 
+/** Prefixes whose engine is remembered. */
+const PREFIX_LIMIT = 1_000;
+
 /** Another engine must promise this share of the wait before an ask moves there. */
 const MOVE_FACTOR = 0.5;
 
@@ -37,6 +40,8 @@
 
 /** Chooses the engine for a light request, and the engine whose home a heavy request asks. */
 export class EnginePicker {
+  private readonly prefixEngines = new Map<string, Engine>();
+
   constructor(private readonly dependencies: EnginePickerDependencies) {}
 
   /** The least busy of a few that are drawn, or undefined where none of them has credit. */
@@ -105,7 +110,8 @@
   private listUsable({ contract, avoid }: SlotAsk): readonly Engine[] {
     const { context, index, membership } = this.dependencies;
     const near = index.listEngines(contract.model, context.self.failureDomain);
-    const isUsable = ({ id }: Engine): boolean => membership.isUsable(id) && !avoid?.has(id);
+    const isUsable = ({ id }: Engine): boolean =>
+      membership.isUsable(id) && !avoid?.has(id) && this.isInShare(id);
     const usable = near.filter(isUsable);
     if (usable.length > 0) return usable;
     const all = index.listEngines(contract.model);
@@ -114,6 +120,12 @@
     return near.length > 0 ? near : all;
   }
 
+  /** An engine that has come back gets a growing share of its usual work. */
+  private isInShare(id: EndpointId): boolean {
+    const share = this.dependencies.membership.readShare(id);
+    return share >= 1 || this.dependencies.context.drawRandom() < share;
+  }
+
   private listBand(engines: readonly Engine[], light: boolean): readonly Engine[] {
     if (this.dependencies.policy.heavyPlacement !== 'split' || engines.length < 2) return engines;
     const heavyCount = Math.min(engines.length - 1, Math.round(engines.length * HEAVY_SHARE));
@@ -139,14 +151,15 @@
   ): Engine | undefined {
     const [first] = digests;
     if (this.dependencies.policy.affinity === 'none' || first === undefined) return undefined;
-    let best: Engine | undefined;
-    let bestHash = -1;
-    engines.forEach((engine) => {
-      const hash = hashText(`${first}/${engine.id}`);
-      if (hash <= bestHash) return;
-      best = engine;
-      bestHash = hash;
-    });
-    return best;
+    const known = this.prefixEngines.get(first);
+    if (known !== undefined && engines.includes(known)) return known;
+    const owner = findOwner(
+      first,
+      engines.map(({ id }) => id),
+    );
+    const engine = engines.find(({ id }) => id === owner);
+    if (this.prefixEngines.size >= PREFIX_LIMIT) this.prefixEngines.clear();
+    if (engine !== undefined) this.prefixEngines.set(first, engine);
+    return engine;
   }
 }
