--- a/packages/decisions/src/node/entry-node.ts
+++ b/packages/decisions/src/node/entry-node.ts
@@ -16,6 +16,7 @@
 import { EntryMembership } from '../membership/entry-membership.js';
 import type { MembershipView } from '../membership/types.js';
 import { RequestLifecycle } from '../requests/request-lifecycle.js';
+import { EngineSweeper } from '../recovery/engine-sweeper.js';
 import { NodeContext } from '../seam/node-context.js';
 import type { NodeEffect, NodeEvent, NodeStatus, Readiness } from '../seam/types.js';
 
@@ -69,6 +70,8 @@
 
   private readonly router: Router;
 
+  private readonly sweeper: EngineSweeper;
+
   private readonly messageHandlers: MessageHandlers;
 
   private readiness: Readiness = 'starting';
@@ -97,6 +100,11 @@
       readConfiguration,
       onIdle: () => this.finishDrain(),
     });
+    this.sweeper = new EngineSweeper({
+      context: this.context,
+      membership: this.membership,
+      readConfiguration,
+    });
     this.handlers = this.createHandlers();
     this.messageHandlers = this.createMessageHandlers();
   }
@@ -166,6 +174,7 @@
     this.configuration.start();
     this.membership.start();
     this.router.start();
+    this.sweeper.start();
   }
 
   private acceptMessage(peer: EntryVmId, message: LinkMessage): void {
