Split limits of teams over entry VMs by demand

Cause: limits of requests, tokens and memory were declared and not enforced. Ruled out: shares by the live entry VMs, which grow on both sides of a cut; a counter at one home a team, which costs a message a request. Change: a failure domain's share is fixed by the entry VMs that are known; within a domain it follows the demand told once a round. Buckets may run into debt, so one large request is let in. Memory is exact on one entry VM only: a request larger than the share is let in where the team holds nothing else there.

--- a/packages/decisions/src/routing/fleet-index.ts
+++ b/packages/decisions/src/routing/fleet-index.ts
@@ -4,6 +4,7 @@
   Engine,
   FailureDomainId,
   ModelId,
+  TeamDeclaration,
   TeamId,
 } from '@savorywind/model';
 
@@ -21,7 +22,7 @@
 
   private readonly memoryByModel = new Map<ModelId, number>();
 
-  private readonly weights = new Map<TeamId, number>();
+  private readonly teams = new Map<TeamId, TeamDeclaration>();
 
   constructor(private readonly readConfiguration: () => Configuration | undefined) {}
 
@@ -45,20 +46,25 @@
 
   findWeight(team: TeamId): number {
     this.refresh();
-    return this.weights.get(team) ?? 1;
+    return this.findTeam(team)?.weight ?? 1;
+  }
+
+  findTeam(team: TeamId): TeamDeclaration | undefined {
+    this.refresh();
+    return this.teams.get(team);
   }
 
   private refresh(): void {
     const configuration = this.readConfiguration();
     if (configuration === this.source) return;
     this.source = configuration;
-    [this.byId, this.byModel, this.byPlace, this.memoryByModel, this.weights].forEach((map) =>
+    [this.byId, this.byModel, this.byPlace, this.memoryByModel, this.teams].forEach((map) =>
       map.clear(),
     );
     configuration?.endpoints.forEach((endpoint) => {
       if (endpoint.kind === 'engine') this.addEngine(endpoint);
     });
-    configuration?.teams.forEach(({ id, weight }) => this.weights.set(id, weight));
+    configuration?.teams.forEach((team) => this.teams.set(team.id, team));
   }
 
   private addEngine(engine: Engine): void {
--- a/packages/decisions/src/routing/home/home-router.ts
+++ b/packages/decisions/src/routing/home/home-router.ts
@@ -10,6 +10,7 @@
   type RoutingMessage,
 } from '@savorywind/model';
 import type { Timer } from '../../timers/timer-queue.js';
+import { TeamLimits } from '../../limits/team-limits.js';
 import { FleetIndex } from '../fleet-index.js';
 import type { Router, RouterDependencies, SlotAsk, SlotListener, SlotOutcome } from '../types.js';
 import { countMemoryTokens, estimateDecodeMs, estimatePrefillMs } from '../work-estimate.js';
@@ -73,6 +74,8 @@
 
   private readonly shares: TeamShares;
 
+  private readonly limits: TeamLimits;
+
   private readonly picker: EnginePicker;
 
   private readonly views = new Map<EndpointId, EngineView>();
@@ -94,6 +97,7 @@
     const { readConfiguration } = dependencies;
     this.index = new FleetIndex(readConfiguration);
     this.shares = new TeamShares((team) => this.index.findWeight(team));
+    this.limits = new TeamLimits((team) => this.index.findTeam(team));
     this.desk = new HomeDesk({
       ...dependencies,
       index: this.index,
@@ -128,6 +132,7 @@
   }
 
   withdrawAsk(requestId: RequestId): void {
+    this.limits.release(requestId);
     const pending = this.pending.get(requestId);
     if (pending === undefined) return;
     this.dropPending(requestId, pending);
@@ -149,6 +154,7 @@
   }
 
   releaseSlot(requestId: RequestId, outcome: SlotOutcome): void {
+    this.limits.release(requestId);
     const slot = this.slots.get(requestId);
     if (slot === undefined) return;
     this.slots.delete(requestId);
@@ -187,13 +193,17 @@
     };
   }
 
-  private findRefusal({ contract }: SlotAsk): Refusal | undefined {
+  private findRefusal({ contract, avoid }: SlotAsk): Refusal | undefined {
     if (this.index.listEngines(contract.model).length === 0) {
       return { code: resultCodes.noEndpoint, ran: 'no', retryAfterMs: RETRY_AFTER_MS };
     }
     if (this.index.findLargestMemory(contract.model) < countMemoryTokens(contract)) {
       return { code: resultCodes.promptTooLong, ran: 'no' };
     }
+    // A further attempt of a request was counted with its first.
+    if (avoid !== undefined && avoid.size > 0) return undefined;
+    const retryAfterMs = this.limits.admit(contract, this.dependencies.context.nowMs);
+    if (retryAfterMs > 0) return { code: resultCodes.teamLimit, ran: 'no', retryAfterMs };
     return undefined;
   }
 
@@ -313,8 +323,12 @@
     pending.listener({ kind: 'refused', refusal: { code, ran: 'no', retryAfterMs } });
   }
 
-  private acceptRound(peer: EntryVmId, { summaries, usages }: MessageOf<'slot.round'>): void {
-    const { nowMs } = this.dependencies.context;
+  private acceptRound(
+    peer: EntryVmId,
+    { summaries, usages, demands }: MessageOf<'slot.round'>,
+  ): void {
+    const { self, nowMs } = this.dependencies.context;
+    if (peer !== self.id) this.limits.acceptDemands(peer, demands, nowMs);
     summaries.forEach((summary) => {
       const engine = this.index.findEngine(summary.engine);
       if (engine !== undefined) this.findView(engine).acceptSummary(summary, nowMs);
@@ -327,12 +341,13 @@
     const roundMs = ROUND_MS + ROUND_PER_PEER_MS * this.peers.length;
     this.desk.sweep();
     const usages = this.takeUsagesByHome();
-    const { self } = this.dependencies.context;
+    const { self, nowMs } = this.dependencies.context;
+    const demands = this.limits.takeDemands(nowMs);
     [self.id, ...this.peers].forEach((peer) => {
       const summaries = this.desk.listSummaries(peer, this.peers.length + 1, roundMs);
       const told = usages.get(peer) ?? [];
-      if (summaries.length + told.length === 0) return;
-      this.send(peer, { kind: 'slot.round', summaries, usages: told, demands: [] });
+      if (summaries.length + told.length + demands.length === 0) return;
+      this.send(peer, { kind: 'slot.round', summaries, usages: told, demands });
     });
     this.dependencies.context.schedule(roundMs, () => this.runRound());
   }
@@ -350,6 +365,9 @@
       )
       .map(({ id }) => id);
     this.reachable = new Set([self.id, ...this.peers]);
+    const members = membership.listMembers();
+    const near = members.filter(({ vm }) => vm.failureDomain === self.failureDomain).length;
+    this.limits.setPlaces({ known: members.length + 1, near: near + 1 });
   }
 
   private takeUsagesByHome(): Map<EntryVmId, EngineUsage[]> {
