--- a/packages/decisions/src/requests/request-lifecycle.ts
+++ b/packages/decisions/src/requests/request-lifecycle.ts
@@ -122,6 +122,7 @@
       this.recovery.cancelAttempt(record, 'invalid');
       return;
     }
+    this.dependencies.router.recordFirstToken(record.contract.requestId);
     const verdict = record.answer.acceptChunk(event.offset, event.count, event.data);
     if (verdict.kind === 'pass') {
       record.recorder?.addChunk(verdict.data);
