--- /dev/null
+++ b/packages/decisions/src/configuration/change-committer.ts
@@ -0,0 +1,311 @@
+import {
+  diffConfigurations,
+  formatChange,
+  formatHistoryKey,
+  logEvents,
+  parseConfiguration,
+  resultCodes,
+  tables,
+  type Configuration,
+  type ConfigurationHead,
+  type HeadRow,
+  type HistoryRow,
+  type PlatformFailure,
+  type ResultCode,
+  type TableOutcome,
+  type VersionName,
+} from '@savorywind/model';
+import type { NodeContext } from '../seam/node-context.js';
+import type { Timer } from '../timers/timer-queue.js';
+import { ConfigurationStore, type HeadReading } from './configuration-store.js';
+import {
+  CHANGE_LIMIT_MS,
+  MAX_CHANGES_IN_PROGRESS,
+  MAX_SUMMARY_LINES,
+  MAX_VERSIONS_WALKED,
+  RETRY_MAX_MS,
+  RETRY_MIN_MS,
+} from './consts.js';
+import type { ChangeAsk, ChangeOutcome } from './types.js';
+
+interface Change {
+  readonly ask: ChangeAsk;
+  readonly configuration: Configuration;
+  readonly limitTimer: Timer;
+  /** Whether a write of the head row may have taken effect without an answer. */
+  mayBeCommitted: boolean;
+  readonly listeners: ((outcome: ChangeOutcome) => void)[];
+}
+
+interface Dependencies {
+  readonly context: NodeContext;
+  /** The head in force on this entry VM, for the summary of what a change alters. */
+  readonly readCurrent: () => ConfigurationHead | undefined;
+  readonly onCommitted: (head: ConfigurationHead) => void;
+}
+
+/**
+ * Commits changes by compare-and-set of the head row. A lost answer is decided by reading back: the
+ * change is committed if the head, or a version that the head is built on, carries its change id.
+ */
+export class ChangeCommitter {
+  private readonly changes = new Map<string, Change>();
+
+  private readonly store: ConfigurationStore;
+
+  constructor(private readonly dependencies: Dependencies) {
+    this.store = new ConfigurationStore(dependencies.context);
+  }
+
+  get inProgress(): number {
+    return this.changes.size;
+  }
+
+  /** Commits a change; the listener is called exactly once, within the limit of a change's time. */
+  commit(ask: ChangeAsk, listener: (outcome: ChangeOutcome) => void): void {
+    const parsed = parseConfiguration(ask.configuration);
+    if (parsed.err) {
+      const refused = { kind: 'refused', committed: 'no' } as const;
+      listener({ ...refused, code: resultCodes.invalidConfiguration });
+      return;
+    }
+    const running = this.changes.get(ask.changeId);
+    if (running !== undefined) {
+      this.joinChange(running, parsed.val, listener);
+      return;
+    }
+    if (this.changes.size >= MAX_CHANGES_IN_PROGRESS) {
+      listener({ kind: 'refused', code: resultCodes.tooManyChanges, committed: 'no' });
+      return;
+    }
+    this.startChange(ask, parsed.val, listener);
+  }
+
+  private startChange(
+    ask: ChangeAsk,
+    configuration: Configuration,
+    listener: (outcome: ChangeOutcome) => void,
+  ): void {
+    const { context } = this.dependencies;
+    const limitTimer = context.schedule(CHANGE_LIMIT_MS, () => this.giveUp(change));
+    const change: Change = {
+      ask,
+      configuration,
+      limitTimer,
+      mayBeCommitted: false,
+      listeners: [listener],
+    };
+    this.changes.set(ask.changeId, change);
+    this.readHead(change);
+  }
+
+  /** The same change asked for again while it is being committed: both get its outcome. */
+  // eslint-disable-next-line class-methods-use-this
+  private joinChange(
+    running: Change,
+    configuration: Configuration,
+    listener: (outcome: ChangeOutcome) => void,
+  ): void {
+    if (JSON.stringify(running.configuration) === JSON.stringify(configuration)) {
+      running.listeners.push(listener);
+    } else {
+      listener({ kind: 'refused', code: resultCodes.changeIdReused, committed: 'no' });
+    }
+  }
+
+  private readHead(change: Change): void {
+    this.store.readHead((reply) => {
+      if (!this.isOpen(change)) return;
+      if (reply.err) this.retry(change);
+      else this.decideOnHead(change, reply.val);
+    });
+  }
+
+  private decideOnHead(change: Change, read: HeadReading | undefined): void {
+    const { ask } = change;
+    if (read?.row.changeId === ask.changeId) {
+      this.checkSameDocument(change, read.row, read.row.version);
+      return;
+    }
+    const version = read?.row.version ?? 0;
+    if (version === ask.baseVersion) this.writeDocument(change, read);
+    else if (read === undefined || version < ask.baseVersion) this.refuseStale(change, version);
+    else this.findInHistory(change, read.row, read.row, MAX_VERSIONS_WALKED);
+  }
+
+  /** Walks from the head down to the change's base, to see whether the change is among them. */
+  private findInHistory(change: Change, head: HeadRow, name: VersionName, left: number): void {
+    if (name.changeId === change.ask.changeId) {
+      this.checkSameDocument(change, name, head.version);
+      return;
+    }
+    if (name.version <= change.ask.baseVersion + 1) {
+      this.refuseStale(change, head.version);
+      return;
+    }
+    if (left === 0) {
+      this.refuseUndecided(change, head.version);
+      return;
+    }
+    const place = { table: tables.history, key: formatHistoryKey(name) };
+    this.store.apply([{ kind: 'get', ...place }], (reply) => {
+      if (!this.isOpen(change)) return;
+      if (reply.err) {
+        this.retry(change);
+        return;
+      }
+      const [outcome] = reply.val;
+      const row = outcome?.kind === 'row' ? (outcome.row?.value as HistoryRow) : undefined;
+      if (row?.base === undefined) this.refuseUndecided(change, head.version);
+      else this.findInHistory(change, head, row.base, left - 1);
+    });
+  }
+
+  /** A change id that is found committed counts as this change only with the same document. */
+  private checkSameDocument(change: Change, name: VersionName, version: number): void {
+    this.store.readDocument(name, (reply) => {
+      if (!this.isOpen(change)) return;
+      if (reply.err) this.retry(change);
+      else if (ChangeCommitter.hasDocument(change, reply.val)) this.finish(change, name, version);
+      else this.refuse(change, resultCodes.changeIdReused, 'no', version);
+    });
+  }
+
+  private static hasDocument(change: Change, document: unknown): boolean {
+    const parsed = parseConfiguration(document);
+    return parsed.ok && JSON.stringify(parsed.val) === JSON.stringify(change.configuration);
+  }
+
+  private writeDocument(change: Change, read: HeadReading | undefined): void {
+    const name = ChangeCommitter.nameVersion(change);
+    const operations = [
+      ConfigurationStore.describeDocumentWrite(name, change.configuration),
+      {
+        kind: 'insert',
+        table: tables.history,
+        key: formatHistoryKey(name),
+        value: this.createHistoryRow(change, read?.row),
+      } as const,
+    ];
+    this.store.apply(operations, (reply) => {
+      if (!this.isOpen(change)) return;
+      if (reply.err) this.retry(change);
+      else this.acceptDocumentWritten(change, read, reply.val);
+    });
+  }
+
+  private acceptDocumentWritten(
+    change: Change,
+    read: HeadReading | undefined,
+    [document, history]: readonly TableOutcome[],
+  ): void {
+    if (document === undefined || history === undefined) {
+      this.retry(change);
+      return;
+    }
+    const found = document.kind === 'conflict' ? document.row?.value : undefined;
+    if (document.kind === 'conflict' && !ChangeCommitter.hasDocument(change, found)) {
+      this.refuse(change, resultCodes.changeIdReused, 'no', change.ask.baseVersion);
+      return;
+    }
+    this.writeHead(change, read);
+  }
+
+  private writeHead(change: Change, read: HeadReading | undefined): void {
+    const { author, submittedAtMs } = change.ask;
+    const name = ChangeCommitter.nameVersion(change);
+    const value = { ...name, author, committedAtMs: submittedAtMs };
+    const mayHaveBeenCommitted = change.mayBeCommitted;
+    change.mayBeCommitted = true;
+    this.store.apply([ConfigurationStore.describeHeadWrite(value, read)], (reply) => {
+      if (!this.isOpen(change)) return;
+      if (reply.err) {
+        change.mayBeCommitted = mayHaveBeenCommitted || reply.val === 'unanswered';
+        this.retry(change, reply.val);
+      } else if (reply.val[0]?.kind === 'written') {
+        this.finish(change, name, name.version);
+      } else {
+        // Another write came first, perhaps an earlier one of this very change: read and decide.
+        change.mayBeCommitted = mayHaveBeenCommitted;
+        this.readHead(change);
+      }
+    });
+  }
+
+  private createHistoryRow(change: Change, base: HeadRow | undefined): HistoryRow {
+    const { author, submittedAtMs, baseVersion } = change.ask;
+    const current = this.dependencies.readCurrent();
+    const before = current?.version === baseVersion ? current.configuration : undefined;
+    const known = before !== undefined || baseVersion === 0;
+    const changes = known ? diffConfigurations(before, change.configuration) : [];
+    return {
+      ...ChangeCommitter.nameVersion(change),
+      author,
+      committedAtMs: submittedAtMs,
+      base: base && { version: base.version, changeId: base.changeId },
+      summary: changes.slice(0, MAX_SUMMARY_LINES).map(formatChange),
+    };
+  }
+
+  private static nameVersion({ ask }: Change): VersionName {
+    return { version: ask.baseVersion + 1, changeId: ask.changeId };
+  }
+
+  private retry(change: Change, failure: PlatformFailure = 'unanswered'): void {
+    const { context } = this.dependencies;
+    const pauseMs = RETRY_MIN_MS + context.drawRandom() * (RETRY_MAX_MS - RETRY_MIN_MS);
+    context.log(logEvents.changeRetried, { change: change.ask.changeId, failure });
+    context.schedule(pauseMs, () => {
+      if (this.isOpen(change)) this.readHead(change);
+    });
+  }
+
+  private giveUp(change: Change): void {
+    if (change.mayBeCommitted) this.refuse(change, resultCodes.platformUnavailable, 'unknown');
+    else this.refuse(change, resultCodes.changeNotCommitted, 'no');
+  }
+
+  private refuseStale(change: Change, version: number): void {
+    this.refuse(change, resultCodes.serializationFailure, 'no', version);
+  }
+
+  /** The history does not reach back to the change's base. */
+  private refuseUndecided(change: Change, version: number): void {
+    this.refuse(change, resultCodes.serializationFailure, 'unknown', version);
+  }
+
+  private refuse(
+    change: Change,
+    code: ResultCode,
+    committed: 'no' | 'unknown',
+    version?: number,
+  ): void {
+    const { context } = this.dependencies;
+    const { changeId, author } = change.ask;
+    context.log(logEvents.changeRefused, { change: changeId, author, code: code.code, committed });
+    const known = version === undefined ? {} : { version };
+    this.close(change, { kind: 'refused', code, committed, ...known });
+  }
+
+  private finish(change: Change, name: VersionName, headVersion: number): void {
+    const { context, onCommitted } = this.dependencies;
+    const { changeId, author, submittedAtMs } = change.ask;
+    const { version } = name;
+    context.log(logEvents.changeCommitted, { change: changeId, author, version });
+    if (version === headVersion) {
+      const { configuration } = change;
+      onCommitted({ version, changeId, author, committedAtMs: submittedAtMs, configuration });
+    }
+    this.close(change, { kind: 'committed', version });
+  }
+
+  private close(change: Change, outcome: ChangeOutcome): void {
+    change.limitTimer.cancel();
+    this.changes.delete(change.ask.changeId);
+    change.listeners.forEach((listener) => listener(outcome));
+  }
+
+  private isOpen(change: Change): boolean {
+    return this.changes.get(change.ask.changeId) === change;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/configuration/configuration-flood.ts
@@ -0,0 +1,105 @@
+import type { ConfigurationHead, ConfigurationMessage, EntryVmId } from '@savorywind/model';
+import type { Membership } from '../membership/types.js';
+import type { NodeContext } from '../seam/node-context.js';
+import type { Timer } from '../timers/timer-queue.js';
+import type { ConfigurationKeeper } from './configuration-keeper.js';
+import { ASK_LIMIT_MS } from './consts.js';
+
+interface Dependencies {
+  readonly context: NodeContext;
+  readonly membership: Membership;
+  readonly keeper: ConfigurationKeeper;
+}
+
+type MessageOf<Kind extends ConfigurationMessage['kind']> = Extract<
+  ConfigurationMessage,
+  { readonly kind: Kind }
+>;
+
+type Handlers = {
+  readonly [Kind in ConfigurationMessage['kind']]: (
+    peer: EntryVmId,
+    message: MessageOf<Kind>,
+  ) => void;
+};
+
+/**
+ * Spreads versions over the links: a short offer to every peer, and the document only to those that
+ * ask for it. What is lost is caught by the poll of the store.
+ */
+export class ConfigurationFlood {
+  /** Version asked of a peer, until it comes or the time for it is over. */
+  private asked: { readonly version: number; readonly timer: Timer } | undefined;
+
+  private source: EntryVmId | undefined;
+
+  private readonly handlers: Handlers = {
+    'configuration.offer': (peer, { version }) => this.acceptOffer(peer, version),
+    'configuration.ask': (peer, { version }) => this.acceptAsk(peer, version),
+    'configuration.head': (peer, message) => this.acceptHead(peer, message),
+  };
+
+  constructor(private readonly dependencies: Dependencies) {}
+
+  acceptMessage(peer: EntryVmId, message: ConfigurationMessage): void {
+    const handler = this.handlers[message.kind] as (
+      from: EntryVmId,
+      given: ConfigurationMessage,
+    ) => void;
+    handler(peer, message);
+  }
+
+  /** A new link: both ends tell their version, and the lower one asks. */
+  greet(peer: EntryVmId): void {
+    this.sendOffer(peer);
+  }
+
+  /** Tells all peers but the one that it came from of a version that is now in force here. */
+  spread(head: ConfigurationHead): void {
+    if (this.asked !== undefined && this.asked.version <= head.version) this.endAsk();
+    this.dependencies.membership
+      .listLinked()
+      .filter((peer) => peer !== this.source)
+      .forEach((peer) => this.sendOffer(peer));
+  }
+
+  private acceptOffer(peer: EntryVmId, version: number): void {
+    const { keeper } = this.dependencies;
+    if (version < keeper.version) this.sendOffer(peer);
+    if (version <= keeper.version) return;
+    if (this.asked !== undefined && this.asked.version >= version) return;
+    this.ask(peer, version);
+  }
+
+  private ask(peer: EntryVmId, version: number): void {
+    const { context, keeper, membership } = this.dependencies;
+    this.endAsk();
+    const timer = context.schedule(ASK_LIMIT_MS, () => this.endAsk());
+    this.asked = { version, timer };
+    membership.send(peer, { kind: 'configuration.ask', version: keeper.version });
+  }
+
+  private endAsk(): void {
+    this.asked?.timer.cancel();
+    this.asked = undefined;
+  }
+
+  private acceptAsk(peer: EntryVmId, version: number): void {
+    const { keeper, membership } = this.dependencies;
+    const { head, ageMs } = keeper;
+    if (head === undefined || head.version <= version) return;
+    const age = ageMs === undefined ? {} : { ageMs };
+    membership.send(peer, { kind: 'configuration.head', head, ...age });
+  }
+
+  private acceptHead(peer: EntryVmId, { head, ageMs }: MessageOf<'configuration.head'>): void {
+    this.source = peer;
+    this.dependencies.keeper.offerDocument(head, head.configuration, ageMs);
+    this.source = undefined;
+  }
+
+  private sendOffer(peer: EntryVmId): void {
+    const { keeper, membership } = this.dependencies;
+    membership.send(peer, { kind: 'configuration.offer', version: keeper.version });
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/configuration/configuration-store.ts
@@ -0,0 +1,89 @@
+import {
+  CONFIGURATION_HEAD_KEY,
+  Err,
+  Ok,
+  formatDocumentKey,
+  tables,
+  type Configuration,
+  type HeadRow,
+  type PlatformFailure,
+  type PlatformReply,
+  type Result,
+  type Revision,
+  type TableOperation,
+  type TableOutcome,
+  type VersionName,
+} from '@savorywind/model';
+import { callPlatformWithin } from '../seam/call-platform-within.js';
+import type { NodeContext } from '../seam/node-context.js';
+import { PLATFORM_REPLY_LIMIT_MS } from './consts.js';
+
+/** The head row as it was read, with the revision that a compare-and-set needs. */
+export interface HeadReading {
+  readonly row: HeadRow;
+  readonly revision: Revision;
+}
+
+type Listener<T> = (reply: Result<T, PlatformFailure>) => void;
+
+const readOutcomes = (
+  reply: Result<PlatformReply, PlatformFailure>,
+): Result<readonly TableOutcome[], PlatformFailure> => {
+  if (reply.err) return reply;
+  return reply.val.kind === 'tables' ? Ok(reply.val.outcomes) : Err('unanswered');
+};
+
+/** Reads and writes the rows of the configuration in the table service. */
+export class ConfigurationStore {
+  constructor(private readonly context: NodeContext) {}
+
+  /** Reads the small head row; undefined where nothing is committed yet. */
+  readHead(listener: Listener<HeadReading | undefined>): void {
+    const operation = {
+      kind: 'get',
+      table: tables.configuration,
+      key: CONFIGURATION_HEAD_KEY,
+    } as const;
+    this.apply([operation], (reply) => {
+      if (reply.err) {
+        listener(reply);
+        return;
+      }
+      const [outcome] = reply.val;
+      const row = outcome?.kind === 'row' ? outcome.row : undefined;
+      listener(Ok(row && { row: row.value as HeadRow, revision: row.revision }));
+    });
+  }
+
+  /** Reads the document of a version, as it stands in the table: not yet checked. */
+  readDocument(name: VersionName, listener: Listener<unknown>): void {
+    const key = formatDocumentKey(name);
+    this.apply([{ kind: 'get', table: tables.configuration, key }], (reply) => {
+      if (reply.err) {
+        listener(reply);
+        return;
+      }
+      const [outcome] = reply.val;
+      listener(Ok(outcome?.kind === 'row' ? outcome.row?.value : undefined));
+    });
+  }
+
+  /** Applies operations in order; each is atomic by itself. */
+  apply(operations: readonly TableOperation[], listener: Listener<readonly TableOutcome[]>): void {
+    const call = { kind: 'tables', operations } as const;
+    callPlatformWithin(this.context, call, PLATFORM_REPLY_LIMIT_MS, (reply) =>
+      listener(readOutcomes(reply)),
+    );
+  }
+
+  /** Changes the head row if it still has the revision that was read; inserts it where none was. */
+  static describeHeadWrite(value: HeadRow, read: HeadReading | undefined): TableOperation {
+    const place = { table: tables.configuration, key: CONFIGURATION_HEAD_KEY, value };
+    if (read === undefined) return { kind: 'insert', ...place };
+    return { kind: 'replace', ...place, revision: read.revision };
+  }
+
+  static describeDocumentWrite(name: VersionName, value: Configuration): TableOperation {
+    return { kind: 'insert', table: tables.configuration, key: formatDocumentKey(name), value };
+  }
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,4 +1,6 @@
 export { ConfigurationKeeper } from './configuration/configuration-keeper.js';
+export { NodeConfiguration } from './configuration/node-configuration.js';
+export type * from './configuration/types.js';
 export { ClaimLedger, formatClaimKey } from './ledger/claim-ledger.js';
 export type { ClaimRow, ClaimState } from './ledger/types.js';
 export { EntryNode, type EntryNodeOptions } from './node/entry-node.js';
--- a/packages/decisions/src/node/entry-node.ts
+++ b/packages/decisions/src/node/entry-node.ts
@@ -1,6 +1,7 @@
 import {
   logEvents,
   resultCodes,
+  type ConfigurationHead,
   type EntryVm,
   type EntryVmId,
   type LinkMessage,
@@ -9,7 +10,7 @@
   type RequestContract,
   type ResultCode,
 } from '@savorywind/model';
-import { ConfigurationKeeper } from '../configuration/configuration-keeper.js';
+import { NodeConfiguration } from '../configuration/node-configuration.js';
 import { ClaimLedger } from '../ledger/claim-ledger.js';
 import { LocalRouter } from '../routing/local-router.js';
 import { EntryMembership } from '../membership/entry-membership.js';
@@ -57,7 +58,7 @@
 export class EntryNode {
   private readonly context: NodeContext;
 
-  private readonly configuration: ConfigurationKeeper;
+  private readonly configuration: NodeConfiguration;
 
   private readonly requests: RequestLifecycle;
 
@@ -72,7 +73,12 @@
   constructor(options: EntryNodeOptions) {
     this.context = new NodeContext(options.vm, options.seed);
     this.membership = new EntryMembership(this.context);
-    this.configuration = new ConfigurationKeeper(this.context, () => this.becomeReady());
+    this.configuration = new NodeConfiguration({
+      context: this.context,
+      membership: this.membership,
+      onSettled: () => this.becomeReady(),
+      onIdle: () => this.finishDrain(),
+    });
     const readConfiguration = () => this.configuration.configuration;
     this.requests = new RequestLifecycle({
       context: this.context,
@@ -102,12 +108,18 @@
     return this.context.nextWakeMs();
   }
 
+  /** The version in force on this entry VM, with its document. */
+  readHead(): ConfigurationHead | undefined {
+    return this.configuration.head;
+  }
+
   readStatus(): NodeStatus {
     return {
       vm: this.context.self,
       readiness: this.readiness,
       configurationVersion: this.configuration.version,
       configurationAgeMs: this.configuration.ageMs,
+      configurationVersions: this.configuration.listVersions(),
       requests: this.requests.listViews(),
     };
   }
@@ -124,8 +136,11 @@
       'attempt.chunkReceived': (event) => requests.acceptChunk(event),
       'attempt.ended': (event) => requests.acceptEnd(event),
       'attempt.failed': (event) => requests.acceptFailure(event),
-      'link.opened': ({ peer }) => this.membership.acceptLinkOpened(peer),
-      'link.closed': ({ peer }) => this.membership.acceptLinkClosed(peer),
+      'operator.change': (ask) => this.configuration.acceptChange(ask, this.isLeaving()),
+      'operator.readHistory': ({ askId, limit }) =>
+        this.configuration.acceptHistoryAsk(askId, limit),
+      'link.opened': ({ peer }) => this.acceptLinkOpened(peer),
+      'link.closed': ({ peer }) => this.acceptLinkClosed(peer),
       'link.received': ({ peer, message }) => this.acceptMessage(peer, message),
       'platform.replied': ({ callId, reply }) => context.acceptPlatformReply(callId, reply),
       'engine.replied': ({ callId, reply }) => context.acceptEngineReply(callId, reply),
@@ -134,8 +149,11 @@
 
   private createMessageHandlers(): MessageHandlers {
     return {
-      configuration: () => {},
-      membership: (peer, message) => this.membership.acceptMessage(peer, message),
+      configuration: (peer, message) => this.configuration.acceptMessage(peer, message),
+      membership: (peer, message) => {
+        this.configuration.acceptHeartbeat(message);
+        this.membership.acceptMessage(peer, message);
+      },
       request: () => {},
       slot: () => {},
     };
@@ -146,6 +164,16 @@
     this.configuration.start();
   }
 
+  private acceptLinkOpened(peer: EntryVmId): void {
+    this.membership.acceptLinkOpened(peer);
+    this.configuration.acceptLinkOpened(peer);
+  }
+
+  private acceptLinkClosed(peer: EntryVmId): void {
+    this.membership.acceptLinkClosed(peer);
+    this.configuration.acceptLinkClosed(peer);
+  }
+
   private acceptMessage(peer: EntryVmId, message: LinkMessage): void {
     const topic = message.kind.slice(0, message.kind.indexOf('.')) as LinkMessageTopic;
     const handler = this.messageHandlers[topic] as (from: EntryVmId, given: LinkMessage) => void;
@@ -171,8 +199,12 @@
     this.context.log(logEvents.processReady, { version: this.configuration.version });
   }
 
+  private isLeaving(): boolean {
+    return this.readiness === 'leaving' || this.readiness === 'drained';
+  }
+
   private startDrain(): void {
-    if (this.readiness === 'leaving' || this.readiness === 'drained') return;
+    if (this.isLeaving()) return;
     this.changeReadiness('leaving');
     this.context.log(logEvents.drainStarted, { inFlight: this.requests.inFlight });
     this.finishDrain();
@@ -180,6 +212,7 @@
 
   private finishDrain(): void {
     if (this.readiness !== 'leaving' || this.requests.inFlight > 0) return;
+    if (this.configuration.changesInProgress > 0) return;
     this.changeReadiness('drained');
   }
 
--- a/packages/decisions/src/seam/types.ts
+++ b/packages/decisions/src/seam/types.ts
@@ -18,6 +18,13 @@
   Result,
 } from '@savorywind/model';
 
+import type {
+  ChangeAsk,
+  ChangeOutcome,
+  HistoryOutcome,
+  VmVersion,
+} from '../configuration/types.js';
+
 /** How an attempt at an endpoint broke off. Decides whether the call may have run. */
 export type AttemptFailure =
   /** No byte of the request left this process. */
@@ -108,6 +115,9 @@
       readonly attemptId: AttemptId;
       readonly failure: AttemptFailure;
     }
+  /** An operator asks for a change; answered by one `operator.reply`. */
+  | ({ readonly kind: 'operator.change' } & ChangeAsk)
+  | { readonly kind: 'operator.readHistory'; readonly askId: string; readonly limit: number }
   | { readonly kind: 'link.opened'; readonly peer: EntryVmId }
   | { readonly kind: 'link.closed'; readonly peer: EntryVmId }
   | { readonly kind: 'link.received'; readonly peer: EntryVmId; readonly message: LinkMessage }
@@ -175,6 +185,12 @@
       readonly version: number;
       readonly configuration: Configuration;
     }
+  | {
+      readonly kind: 'operator.reply';
+      readonly changeId: string;
+      readonly outcome: ChangeOutcome;
+    }
+  | { readonly kind: 'operator.history'; readonly askId: string; readonly outcome: HistoryOutcome }
   | { readonly kind: 'readiness'; readonly state: Readiness }
   | { readonly kind: 'log'; readonly event: LogEvent; readonly fields: LogFields };
 
@@ -199,5 +215,7 @@
   readonly configurationVersion: number;
   /** Time since the platform last confirmed the version in force. */
   readonly configurationAgeMs: number | undefined;
+  /** Which version each live entry VM has, as far as this one was told. */
+  readonly configurationVersions: readonly VmVersion[];
   readonly requests: readonly RequestView[];
 }
--- /dev/null
+++ b/packages/entry/src/operators/operator-routes.ts
@@ -0,0 +1,104 @@
+import { z } from 'zod';
+import {
+  Err,
+  Ok,
+  parseConfiguration,
+  resultCodes,
+  type Result,
+  type ResultCode,
+} from '@savorywind/model';
+import type { ChangeOutcome } from '@savorywind/decisions';
+import type { OperatorCredential, OperatorDependencies } from './types.js';
+
+/** What an operator gets for a call that went through. */
+export interface OperatorAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Why a call of an operator was refused. */
+export interface OperatorRefusal {
+  readonly code: ResultCode;
+  readonly committed: 'no' | 'unknown';
+  /** The version in force, where it was read. */
+  readonly version?: number;
+  readonly faults?: readonly { readonly path: string; readonly message: string }[];
+}
+
+export interface OperatorCall {
+  readonly operator: OperatorCredential;
+  readonly query: URLSearchParams;
+  /** Undefined where the call has no body. */
+  readonly body: unknown;
+}
+
+export type OperatorReply = Result<OperatorAnswer, OperatorRefusal>;
+
+type Handler = (
+  dependencies: OperatorDependencies,
+  call: OperatorCall,
+) => OperatorReply | Promise<OperatorReply>;
+
+const changeBody = z.strictObject({
+  changeId: z.string().regex(/^[A-Za-z0-9._-]{1,64}$/),
+  baseVersion: z.number().int().min(0),
+  configuration: z.unknown(),
+});
+
+const DEFAULT_HISTORY_LENGTH = 20;
+
+const answer = (body: unknown): OperatorReply => Ok({ status: 200, body });
+
+const refuse = (code: ResultCode, rest: Partial<OperatorRefusal> = {}): OperatorReply =>
+  Err({ code, committed: 'no', ...rest });
+
+const formatOutcome = (outcome: ChangeOutcome): OperatorReply => {
+  if (outcome.kind === 'committed') return answer({ version: outcome.version });
+  const { code, committed, version } = outcome;
+  return refuse(code, { committed, ...(version === undefined ? {} : { version }) });
+};
+
+const commitChange: Handler = async ({ commitChange: commit }, { operator, body }) => {
+  const parsed = changeBody.safeParse(body);
+  if (!parsed.success) {
+    const faults = parsed.error.issues.map(({ path, message }) => ({
+      path: path.join('.'),
+      message,
+    }));
+    return refuse(resultCodes.invalidOperatorCall, { faults });
+  }
+  const { changeId, baseVersion } = parsed.data;
+  const configuration = parseConfiguration(parsed.data.configuration);
+  if (configuration.err) {
+    return refuse(resultCodes.invalidConfiguration, { faults: configuration.val });
+  }
+  const outcome = await commit({
+    changeId,
+    baseVersion,
+    configuration: configuration.val,
+    author: operator.name,
+    submittedAtMs: Date.now(),
+  });
+  return formatOutcome(outcome);
+};
+
+const readHistory: Handler = async (dependencies, { query }) => {
+  const limit = Number(query.get('limit') ?? DEFAULT_HISTORY_LENGTH);
+  if (!Number.isInteger(limit) || limit < 1) return refuse(resultCodes.invalidOperatorCall);
+  const outcome = await dependencies.readHistory(limit);
+  if (outcome.kind === 'unavailable') return refuse(resultCodes.changeNotCommitted);
+  return answer({ versions: outcome.versions });
+};
+
+/** The operators' interface, by method and path. */
+export const operatorRoutes: Readonly<Record<string, Handler>> = {
+  'GET /v1/status': ({ readStatus }) => answer(readStatus()),
+  'GET /v1/requests': ({ readStatus }) => answer({ requests: readStatus().requests }),
+  'GET /v1/configuration': ({ readHead }) => answer({ head: readHead() ?? null }),
+  'GET /v1/history': readHistory,
+  'POST /v1/changes': commitChange,
+  'POST /v1/drain': ({ drain }) => {
+    drain();
+    return answer({ readiness: 'leaving' });
+  },
+};
--- a/packages/entry/src/runtime/entry-process.ts
+++ b/packages/entry/src/runtime/entry-process.ts
@@ -15,6 +15,8 @@
 import { startServiceAttempt } from '../endpoints/service-attempt.js';
 import type { AttemptStarter, RunningAttempt } from '../endpoints/types.js';
 import { createEventLogger } from '../observe/logger.js';
+import { OperatorDesk } from '../operators/operator-desk.js';
+import { startOperatorServer } from '../operators/operator-server.js';
 import { PlatformClient } from '../platform/platform-client.js';
 import type { EntrySettings } from '../settings/schema.js';
 import { NodeRunner, type EffectHandlers } from './node-runner.js';
@@ -38,8 +40,14 @@
 
   private server: Server | undefined;
 
+  private operatorServer: Server | undefined;
+
+  private readonly desk = new OperatorDesk((event) => this.dispatch(event));
+
   private readonly vm: EntryVm;
 
+  private readonly node: EntryNode;
+
   private readonly runner: NodeRunner;
 
   private readonly platform: PlatformClient;
@@ -58,8 +66,8 @@
     };
     this.platform = new PlatformClient(settings.platform);
     this.log = createEventLogger(settings.id, settings.log.level);
-    const node = new EntryNode({ vm: this.vm, seed: this.vm.incarnation });
-    this.runner = new NodeRunner(node, this.createHandlers());
+    this.node = new EntryNode({ vm: this.vm, seed: this.vm.incarnation });
+    this.runner = new NodeRunner(this.node, this.createHandlers());
   }
 
   /** @returns the port on which callers are served */
@@ -72,8 +80,10 @@
       open: (session) => this.open(session),
       abandon: (requestId) => this.abandon(requestId),
     });
+    this.operatorServer = await this.startOperators();
     const { port } = this.server.address() as AddressInfo;
-    this.log.write(logEvents.processStarted, { port });
+    const { port: operatorPort } = this.operatorServer.address() as AddressInfo;
+    this.log.write(logEvents.processStarted, { port, operatorPort });
     this.dispatch({ kind: 'started' });
     return port;
   }
@@ -82,6 +92,19 @@
     this.dispatch({ kind: 'drainRequested' });
   }
 
+  private startOperators(): Promise<Server> {
+    const { operators } = this.settings;
+    return startOperatorServer({
+      address: { host: operators.host, port: operators.port },
+      credentials: operators.credentials,
+      readHead: () => this.node.readHead(),
+      readStatus: () => this.node.readStatus(),
+      commitChange: (ask) => this.desk.commitChange(ask),
+      readHistory: (limit) => this.desk.readHistory(limit),
+      drain: () => this.drain(),
+    });
+  }
+
   private dispatch(event: NodeEvent): void {
     this.runner.dispatch(event);
   }
@@ -106,6 +129,8 @@
   private stop(): void {
     this.runner.stop();
     this.platform.stop();
+    this.operatorServer?.close();
+    this.operatorServer?.closeIdleConnections();
     this.server?.close(() => this.onDrained());
     this.server?.closeIdleConnections();
   }
@@ -152,6 +177,8 @@
       'configuration.adopted': ({ configuration }) => {
         this.configuration = configuration;
       },
+      'operator.reply': (effect) => this.desk.acceptReply(effect),
+      'operator.history': (effect) => this.desk.acceptHistory(effect),
       readiness: ({ state }) => {
         this.readiness = state;
         if (state === 'drained') setImmediate(() => this.stop());
--- a/packages/model/src/configuration/schema.ts
+++ b/packages/model/src/configuration/schema.ts
@@ -42,6 +42,13 @@
   unkeyedCalls: z.enum(['sendOnce', 'refuse']).default('refuse'),
 });
 
+const placement = z.strictObject({
+  /** Version of the model's weights. */
+  version: z.string().min(1).max(128),
+  role: z.enum(['prefill', 'decode', 'mixed']),
+  adapters: z.array(identifier).default([]),
+});
+
 const engine = z.strictObject({
   kind: z.literal('engine'),
   id: identifier,
@@ -53,6 +60,8 @@
   prefillTokensPerS: z.number().positive(),
   decodeTokensPerS: z.number().positive(),
   fencing: z.enum(['checked', 'ignored']),
+  /** What the engine is ordered to load; without it the engine gets no orders. */
+  placement: placement.optional(),
 });
 
 const serviceReplica = z.strictObject({
@@ -86,7 +95,9 @@
 export type EndpointDeclaration = Configuration['endpoints'][number];
 export type PresetDeclaration = Configuration['presets'][number];
 
-/** The one row of the table service that says which configuration is in force. */
+export type PlacementDeclaration = z.output<typeof placement>;
+
+/** A committed version with its whole document, as an entry VM holds it and sends it to peers. */
 export interface ConfigurationHead {
   readonly version: number;
   /** Chosen by the operator's command; makes a lost answer to a commit decidable. */
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -3,6 +3,8 @@
   parseConfiguration,
   type ConfigurationFault,
 } from './configuration/parse-configuration.js';
+export * from './configuration/head-row.js';
+export * from './configuration/diff-configuration.js';
 export * from './configuration/schema.js';
 export * from './log-events/index.js';
 export type * from './messages/membership-messages.js';
--- a/packages/model/src/log-events/configuration-events.ts
+++ b/packages/model/src/log-events/configuration-events.ts
@@ -5,4 +5,13 @@
   configurationAdopted: [301, 'info', 'configuration version is in force on this entry VM'],
   configurationStale: [302, 'warn', 'configuration could not be confirmed with the platform'],
   configurationRejected: [303, 'error', 'configuration in the table service is not valid'],
+  configurationWentBack: [
+    304,
+    'error',
+    'the table service shows a lower version than this entry VM; the higher one stays in force',
+  ],
+  configurationConfirmed: [305, 'info', 'configuration is confirmed with the platform again'],
+  changeCommitted: [306, 'info', 'configuration change committed'],
+  changeRefused: [307, 'warn', 'configuration change refused'],
+  changeRetried: [308, 'warn', 'configuration change got no answer from the platform; read back'],
 });
--- a/packages/model/src/log-events/index.ts
+++ b/packages/model/src/log-events/index.ts
@@ -1,5 +1,6 @@
 import { configurationEvents } from './configuration-events.js';
 import { membershipEvents } from './membership-events.js';
+import { orderEvents } from './order-events.js';
 import { processEvents } from './process-events.js';
 import { requestEvents } from './request-events.js';
 
@@ -9,6 +10,7 @@
   ...requestEvents,
   ...configurationEvents,
   ...membershipEvents,
+  ...orderEvents,
 } as const;
 
 export type { LogEvent, LogFields, LogLevel } from './types.js';
--- a/packages/model/src/messages/types.ts
+++ b/packages/model/src/messages/types.ts
@@ -7,7 +7,12 @@
 export type ConfigurationMessage =
   | { readonly kind: 'configuration.offer'; readonly version: number }
   | { readonly kind: 'configuration.ask'; readonly version: number }
-  | { readonly kind: 'configuration.head'; readonly head: ConfigurationHead };
+  | {
+      readonly kind: 'configuration.head';
+      readonly head: ConfigurationHead;
+      /** Time since the platform last confirmed the version to the sender. */
+      readonly ageMs?: number;
+    };
 
 /** Everything that travels on a link between two entry VMs. */
 export type LinkMessage =
--- a/packages/model/src/world/types.ts
+++ b/packages/model/src/world/types.ts
@@ -37,6 +37,15 @@
 /** Whether an engine refuses an order that carries an older fencing number than one it has seen. */
 export type FencingSupport = 'checked' | 'ignored';
 
+export type EngineRole = 'prefill' | 'decode' | 'mixed';
+
+/** What an engine has loaded, or is ordered to load, besides the model's name. */
+export interface EnginePlacement {
+  readonly version: string;
+  readonly role: EngineRole;
+  readonly adapters: string[];
+}
+
 /** A model engine: what it serves, where, and how much KV memory it has. */
 export interface Engine {
   readonly kind: 'engine';
@@ -53,6 +62,7 @@
   /** Tokens generated per second for one sequence in a full batch. */
   readonly decodeTokensPerS: number;
   readonly fencing: FencingSupport;
+  readonly placement?: EnginePlacement | undefined;
 }
 
 /** One replica of a plain service. */
