Commit configuration changes by compare-and-set, spread and poll versions

Weighed: (a) the whole document in the head row, (b) a small head row and the document in a row of its own, written before it, (c) a version row beside a whole head. (c) is two writes that can part, (a) makes each poll as large as the deployment; (b) kept. The document row is named by the change id alone, so that a change id stands for one configuration on one base.

Not looking at the head's own change id failed no test at first: a change id sent again on its own version as base would have been committed twice. Mended by the document row's name, with a test.

--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -1,12 +1,16 @@
+import type { ChangeAsk, ChangeOutcome } from '@savorywind/decisions';
 import type { EffectHandlers } from '@savorywind/entry';
 import {
   CONFIGURATION_HEAD_KEY,
   Err,
+  formatDocumentKey,
   tables,
   type Configuration,
   type ConfigurationHead,
+  type DocumentRow,
   type Endpoint,
   type EntryVm,
+  type HeadRow,
   type RequestContract,
   type Row,
 } from '@savorywind/model';
@@ -84,6 +88,9 @@
 
   readonly services = new Map<string, FakeService>();
 
+  /** What operators were answered, in order. */
+  readonly changeOutcomes: { readonly changeId: string; readonly outcome: ChangeOutcome }[] = [];
+
   /** Digests of calls that must run at most once. */
   private readonly onceDigests = new Set<string>();
 
@@ -184,16 +191,22 @@
     }
   }
 
+  /** Asks one entry VM for a change, as an operator does. */
+  askForChange(vmId: string, ask: ChangeAsk): void {
+    this.transcript.record(`operator asks ${vmId} for change ${ask.changeId}`);
+    this.entryVms.get(vmId)?.dispatch({ kind: 'operator.change', ...ask });
+  }
+
   /** Changes the configuration as an operator elsewhere would, straight in the table service. */
   commitConfiguration(change: (configuration: Configuration) => Configuration): number {
     const row = this.readHeadRow();
-    const head = row.value as ConfigurationHead;
+    const head = row.value as HeadRow;
     const version = head.version + 1;
     const value: ConfigurationHead = {
       ...head,
       version,
       changeId: `world-${version}`,
-      configuration: change(head.configuration),
+      configuration: change(this.readDocument(head)),
     };
     const { table, key, revision } = row;
     this.platform.store.apply([{ kind: 'replace', table, key, value, revision }]);
@@ -266,6 +279,17 @@
     return outcome.row;
   }
 
+  /** The document of a head that was committed by an entry VM stands in a row of its own. */
+  private readDocument(head: HeadRow): Configuration {
+    if (head.configuration !== undefined) return head.configuration;
+    const key = formatDocumentKey(head.changeId);
+    const [outcome] = this.platform.store.apply([
+      { kind: 'get', table: tables.configuration, key },
+    ]);
+    if (outcome?.kind !== 'row' || outcome.row === undefined) throw new Error('no document row');
+    return (outcome.row.value as DocumentRow).configuration;
+  }
+
   private addEndpoint(endpoint: Endpoint): void {
     if (endpoint.kind === 'engine') this.engines.set(endpoint.id, new FakeEngine(endpoint));
     else this.services.set(endpoint.id, new FakeService(endpoint, this.runs));
@@ -361,6 +385,11 @@
         own.configurationVersion = version;
         this.transcript.record(`${id} has configuration ${version} in force`);
       },
+      'operator.reply': ({ changeId, outcome }) => {
+        this.transcript.record(`${id} answers change ${changeId}: ${outcome.kind}`);
+        this.changeOutcomes.push({ changeId, outcome });
+      },
+      'operator.history': () => {},
       readiness: ({ state }) => {
         own.readiness = state;
         this.transcript.record(`${id} is ${state}`);
--- a/packages/decisions/src/configuration/change-committer.ts
+++ b/packages/decisions/src/configuration/change-committer.ts
@@ -8,6 +8,7 @@
   tables,
   type Configuration,
   type ConfigurationHead,
+  type DocumentRow,
   type HeadRow,
   type HistoryRow,
   type PlatformFailure,
@@ -71,7 +72,7 @@
     }
     const running = this.changes.get(ask.changeId);
     if (running !== undefined) {
-      this.joinChange(running, parsed.val, listener);
+      ChangeCommitter.joinChange(running, ask, listener);
       return;
     }
     if (this.changes.size >= MAX_CHANGES_IN_PROGRESS) {
@@ -87,7 +88,7 @@
     listener: (outcome: ChangeOutcome) => void,
   ): void {
     const { context } = this.dependencies;
-    const limitTimer = context.schedule(CHANGE_LIMIT_MS, () => this.giveUp(change));
+    const limitTimer = context.schedule(CHANGE_LIMIT_MS, () => this.giveUp(ask.changeId));
     const change: Change = {
       ask,
       configuration,
@@ -100,13 +101,12 @@
   }
 
   /** The same change asked for again while it is being committed: both get its outcome. */
-  // eslint-disable-next-line class-methods-use-this
-  private joinChange(
+  private static joinChange(
     running: Change,
-    configuration: Configuration,
+    ask: ChangeAsk,
     listener: (outcome: ChangeOutcome) => void,
   ): void {
-    if (JSON.stringify(running.configuration) === JSON.stringify(configuration)) {
+    if (ChangeCommitter.hasDocument(running, ask)) {
       running.listeners.push(listener);
     } else {
       listener({ kind: 'refused', code: resultCodes.changeIdReused, committed: 'no' });
@@ -163,7 +163,7 @@
 
   /** A change id that is found committed counts as this change only with the same document. */
   private checkSameDocument(change: Change, name: VersionName, version: number): void {
-    this.store.readDocument(name, (reply) => {
+    this.store.readDocument(name.changeId, (reply) => {
       if (!this.isOpen(change)) return;
       if (reply.err) this.retry(change);
       else if (ChangeCommitter.hasDocument(change, reply.val)) this.finish(change, name, version);
@@ -171,15 +171,19 @@
     });
   }
 
-  private static hasDocument(change: Change, document: unknown): boolean {
-    const parsed = parseConfiguration(document);
-    return parsed.ok && JSON.stringify(parsed.val) === JSON.stringify(change.configuration);
+  private static hasDocument(change: Change, document: DocumentRow | undefined): boolean {
+    const parsed = parseConfiguration(document?.configuration);
+    if (parsed.err || document?.baseVersion !== change.ask.baseVersion) return false;
+    return JSON.stringify(parsed.val) === JSON.stringify(change.configuration);
   }
 
   private writeDocument(change: Change, read: HeadReading | undefined): void {
     const name = ChangeCommitter.nameVersion(change);
     const operations = [
-      ConfigurationStore.describeDocumentWrite(name, change.configuration),
+      ConfigurationStore.describeDocumentWrite(change.ask.changeId, {
+        baseVersion: change.ask.baseVersion,
+        configuration: change.configuration,
+      }),
       {
         kind: 'insert',
         table: tables.history,
@@ -204,7 +208,8 @@
       return;
     }
     const found = document.kind === 'conflict' ? document.row?.value : undefined;
-    if (document.kind === 'conflict' && !ChangeCommitter.hasDocument(change, found)) {
+    const isKnown = document.kind === 'written';
+    if (!isKnown && !ChangeCommitter.hasDocument(change, found as DocumentRow | undefined)) {
       this.refuse(change, resultCodes.changeIdReused, 'no', change.ask.baseVersion);
       return;
     }
@@ -260,7 +265,9 @@
     });
   }
 
-  private giveUp(change: Change): void {
+  private giveUp(changeId: string): void {
+    const change = this.changes.get(changeId);
+    if (change === undefined) return;
     if (change.mayBeCommitted) this.refuse(change, resultCodes.platformUnavailable, 'unknown');
     else this.refuse(change, resultCodes.changeNotCommitted, 'no');
   }
--- a/packages/decisions/src/configuration/configuration-keeper.ts
+++ b/packages/decisions/src/configuration/configuration-keeper.ts
@@ -147,12 +147,12 @@
   }
 
   private readDocument(row: HeadRow): void {
-    this.store.readDocument(row, (reply) => {
+    this.store.readDocument(row.changeId, (reply) => {
       if (reply.err) {
         this.acceptSilence();
         return;
       }
-      this.offerDocument(row, reply.val, 0);
+      this.offerDocument(row, reply.val?.configuration, 0);
       this.acceptConfirmation();
     });
   }
--- a/packages/decisions/src/configuration/configuration-store.ts
+++ b/packages/decisions/src/configuration/configuration-store.ts
@@ -4,7 +4,7 @@
   Ok,
   formatDocumentKey,
   tables,
-  type Configuration,
+  type DocumentRow,
   type HeadRow,
   type PlatformFailure,
   type PlatformReply,
@@ -12,7 +12,6 @@
   type Revision,
   type TableOperation,
   type TableOutcome,
-  type VersionName,
 } from '@savorywind/model';
 import { callPlatformWithin } from '../seam/call-platform-within.js';
 import type { NodeContext } from '../seam/node-context.js';
@@ -55,16 +54,17 @@
     });
   }
 
-  /** Reads the document of a version, as it stands in the table: not yet checked. */
-  readDocument(name: VersionName, listener: Listener<unknown>): void {
-    const key = formatDocumentKey(name);
+  /** Reads the document of a change, as it stands in the table: not yet checked. */
+  readDocument(changeId: string, listener: Listener<DocumentRow | undefined>): void {
+    const key = formatDocumentKey(changeId);
     this.apply([{ kind: 'get', table: tables.configuration, key }], (reply) => {
       if (reply.err) {
         listener(reply);
         return;
       }
       const [outcome] = reply.val;
-      listener(Ok(outcome?.kind === 'row' ? outcome.row?.value : undefined));
+      const row = outcome?.kind === 'row' ? outcome.row : undefined;
+      listener(Ok(row?.value as DocumentRow | undefined));
     });
   }
 
@@ -83,7 +83,7 @@
     return { kind: 'replace', ...place, revision: read.revision };
   }
 
-  static describeDocumentWrite(name: VersionName, value: Configuration): TableOperation {
-    return { kind: 'insert', table: tables.configuration, key: formatDocumentKey(name), value };
+  static describeDocumentWrite(changeId: string, value: DocumentRow): TableOperation {
+    return { kind: 'insert', table: tables.configuration, key: formatDocumentKey(changeId), value };
   }
 }
--- /dev/null
+++ b/packages/decisions/test/configuration.test.ts
@@ -0,0 +1,291 @@
+import {
+  CONFIGURATION_HEAD_KEY,
+  logEvents,
+  resultCodes,
+  tables,
+  type ConfigurationHead,
+  type HeadRow,
+  type TableOperation,
+} from '@savorywind/model';
+import { describe, expect, it } from 'vitest';
+import type { ChangeAsk, ChangeOutcome } from '../src/index.js';
+import { createConfiguration, createHead } from './fixtures/configurations.js';
+import { FakeNodes } from './fixtures/fake-nodes.js';
+
+const presets = [
+  { id: 'ordinary', slowdownWeight: 0.5 },
+  { id: 'peak', slowdownWeight: 1 },
+  { id: 'maintenance', slowdownWeight: 0 },
+];
+
+const createAsk = (overrides: Partial<ChangeAsk> = {}): ChangeAsk => ({
+  changeId: 'change-2',
+  baseVersion: 1,
+  configuration: createConfiguration({ presets, presetInForce: 'peak' }),
+  author: 'mona',
+  submittedAtMs: 1_000,
+  ...overrides,
+});
+
+const writeHead = (nodes: FakeNodes, head: ConfigurationHead): void => {
+  const place = { table: tables.configuration, key: CONFIGURATION_HEAD_KEY, value: head };
+  nodes.store.apply([{ kind: 'insert', ...place }]);
+};
+
+const readHeadRow = (nodes: FakeNodes): HeadRow => {
+  const [outcome] = nodes.store.apply([
+    { kind: 'get', table: tables.configuration, key: CONFIGURATION_HEAD_KEY },
+  ]);
+  if (outcome?.kind !== 'row') throw new Error('no head');
+  return outcome.row?.value as HeadRow;
+};
+
+const createNodes = (...ids: string[]): FakeNodes => {
+  const nodes = new FakeNodes();
+  writeHead(nodes, createHead());
+  ids.forEach((id) => nodes.start(id));
+  nodes.advance(10);
+  return nodes;
+};
+
+const ask = (nodes: FakeNodes, vm: string, change: ChangeAsk): void =>
+  nodes.hand(vm, { kind: 'operator.change', ...change });
+
+const listOutcomes = (nodes: FakeNodes): ChangeOutcome[] =>
+  nodes.listEffects('operator.reply').map(({ outcome }) => outcome);
+
+const listVersions = (nodes: FakeNodes): number[] =>
+  [...nodes.nodes.values()].map((node) => node.readStatus().configurationVersion);
+
+const isHeadWrite = (operations: readonly TableOperation[]): boolean =>
+  operations.some(({ kind, ...rest }) => {
+    const isWrite = kind === 'replace' || kind === 'insert';
+    return isWrite && 'key' in rest && rest.key === CONFIGURATION_HEAD_KEY;
+  });
+
+/** Treats the first write of the head in a way of its own; everything else is answered. */
+const failFirstHeadWrite = (nodes: FakeNodes, behaviour: 'lost' | 'late' | 'unsent'): void => {
+  let failed = false;
+  nodes.platform = (_vm, operations) => {
+    if (failed || !isHeadWrite(operations)) return 'up';
+    failed = true;
+    return behaviour;
+  };
+};
+
+describe('a change of the configuration', () => {
+  it('is committed and in force on every linked entry VM at once', () => {
+    const nodes = createNodes('entry-a1', 'entry-a2', 'entry-a3');
+    nodes.link();
+    nodes.advance(10);
+    ask(nodes, 'entry-a1', createAsk());
+    nodes.advance(20);
+    expect(listOutcomes(nodes)).toEqual([{ kind: 'committed', version: 2 }]);
+    expect(listVersions(nodes)).toEqual([2, 2, 2]);
+  });
+
+  it('reaches entry VMs without links by the poll, within 9 s', () => {
+    const nodes = createNodes('entry-a1', 'entry-b1');
+    nodes.isLinkUp = () => false;
+    ask(nodes, 'entry-a1', createAsk());
+    nodes.advance(9_000);
+    expect(listVersions(nodes)).toEqual([2, 2]);
+  });
+
+  it('is committed first of all by baseVersion 0', () => {
+    const nodes = new FakeNodes();
+    nodes.start('entry-a1');
+    ask(nodes, 'entry-a1', createAsk({ baseVersion: 0 }));
+    nodes.advance(20);
+    expect(listOutcomes(nodes)).toEqual([{ kind: 'committed', version: 1 }]);
+    expect(nodes.nodes.get('entry-a1')?.readStatus().readiness).toBe('ready');
+  });
+
+  it('gives the loser of a race a serialization failure', () => {
+    const nodes = createNodes('entry-a1', 'entry-a2');
+    ask(nodes, 'entry-a1', createAsk());
+    ask(nodes, 'entry-a2', createAsk({ changeId: 'change-x' }));
+    nodes.advance(9_000);
+    const outcomes = listOutcomes(nodes);
+    expect(outcomes.filter(({ kind }) => kind === 'committed')).toHaveLength(1);
+    expect(outcomes.find(({ kind }) => kind === 'refused')).toMatchObject({
+      code: resultCodes.serializationFailure,
+      committed: 'no',
+      version: 2,
+    });
+  });
+
+  it.each(['lost', 'late', 'unsent'] as const)(
+    'is committed once when the first write of the head is %s',
+    (behaviour) => {
+      const nodes = createNodes('entry-a1');
+      failFirstHeadWrite(nodes, behaviour);
+      ask(nodes, 'entry-a1', createAsk());
+      nodes.advance(12_000);
+      expect(listOutcomes(nodes)).toEqual([{ kind: 'committed', version: 2 }]);
+      expect(readHeadRow(nodes)).toMatchObject({ version: 2, changeId: 'change-2' });
+    },
+  );
+
+  it('is found committed when others have built on it since the answer was lost', () => {
+    const nodes = createNodes('entry-a1', 'entry-a2');
+    let lost = false;
+    nodes.platform = (vm, operations) => {
+      if (vm !== 'entry-a1') return 'up';
+      if (isHeadWrite(operations)) {
+        lost = true;
+        return 'lost';
+      }
+      return lost ? 'unsent' : 'up';
+    };
+    ask(nodes, 'entry-a1', createAsk());
+    nodes.advance(10);
+    ask(nodes, 'entry-a2', createAsk({ changeId: 'change-3', baseVersion: 2 }));
+    nodes.advance(10);
+    const next = createAsk({ changeId: 'change-4', baseVersion: 3 });
+    ask(nodes, 'entry-a2', { ...next, configuration: createConfiguration({ presets }) });
+    nodes.advance(10);
+    nodes.platform = () => 'up';
+    nodes.advance(10_000);
+    expect(listOutcomes(nodes).at(-1)).toEqual({ kind: 'committed', version: 2 });
+    expect(listVersions(nodes)).toEqual([4, 4]);
+  });
+
+  it('is committed once when it is sent again through another entry VM', () => {
+    const nodes = createNodes('entry-a1', 'entry-a2');
+    failFirstHeadWrite(nodes, 'late');
+    ask(nodes, 'entry-a1', createAsk());
+    nodes.advance(500);
+    ask(nodes, 'entry-a2', createAsk());
+    nodes.advance(12_000);
+    const committed = { kind: 'committed', version: 2 };
+    expect(listOutcomes(nodes)).toEqual([committed, committed]);
+    expect(readHeadRow(nodes).version).toBe(2);
+  });
+
+  it('is refused where its id was used for another configuration', () => {
+    const nodes = createNodes('entry-a1');
+    ask(nodes, 'entry-a1', createAsk());
+    nodes.advance(20);
+    ask(nodes, 'entry-a1', createAsk({ configuration: createConfiguration() }));
+    nodes.advance(20);
+    expect(listOutcomes(nodes).at(-1)).toMatchObject({ code: resultCodes.changeIdReused });
+  });
+
+  it('is refused where its id was used on another base', () => {
+    const nodes = createNodes('entry-a1');
+    ask(nodes, 'entry-a1', createAsk());
+    nodes.advance(20);
+    ask(nodes, 'entry-a1', createAsk({ baseVersion: 2 }));
+    nodes.advance(20);
+    expect(listOutcomes(nodes).at(-1)).toMatchObject({ code: resultCodes.changeIdReused });
+    expect(readHeadRow(nodes).version).toBe(2);
+  });
+
+  it('is refused as not committed when the platform was never reached', () => {
+    const nodes = createNodes('entry-a1');
+    nodes.platform = () => 'unsent';
+    ask(nodes, 'entry-a1', createAsk());
+    nodes.advance(16_000);
+    expect(listOutcomes(nodes)).toMatchObject([
+      { kind: 'refused', code: resultCodes.changeNotCommitted, committed: 'no' },
+    ]);
+  });
+
+  it('is refused as undecided when the platform goes away under the write of the head', () => {
+    const nodes = createNodes('entry-a1');
+    let away = false;
+    nodes.platform = (_vm, operations) => {
+      away ||= isHeadWrite(operations);
+      return away ? 'silent' : 'up';
+    };
+    ask(nodes, 'entry-a1', createAsk());
+    nodes.advance(16_000);
+    expect(listOutcomes(nodes)).toMatchObject([
+      { kind: 'refused', code: resultCodes.platformUnavailable, committed: 'unknown' },
+    ]);
+  });
+});
+
+describe('the history', () => {
+  it('lists committed versions only, newest first, with what changed', () => {
+    const nodes = createNodes('entry-a1', 'entry-a2');
+    ask(nodes, 'entry-a1', createAsk());
+    ask(nodes, 'entry-a2', createAsk({ changeId: 'change-x', author: 'olaf' }));
+    nodes.advance(9_000);
+    const configuration = createConfiguration({ presets, presetInForce: 'maintenance' });
+    ask(nodes, 'entry-a1', createAsk({ changeId: 'change-3', baseVersion: 2, configuration }));
+    nodes.advance(100);
+    nodes.hand('entry-a2', { kind: 'operator.readHistory', askId: '1', limit: 10 });
+    nodes.advance(100);
+    const [history] = nodes.listEffects('operator.history');
+    const versions = history?.outcome.kind === 'read' ? history.outcome.versions : [];
+    expect(versions.map(({ version }) => version)).toEqual([3, 2]);
+    expect(versions[0]?.summary).toEqual([
+      '~ preset in force: presetInForce: "peak" -> "maintenance"',
+    ]);
+  });
+});
+
+describe('an entry VM', () => {
+  it('never takes a lower version, also when the table service was set back', () => {
+    const nodes = createNodes('entry-a1');
+    ask(nodes, 'entry-a1', createAsk());
+    nodes.advance(20);
+    const place = { table: tables.configuration, key: CONFIGURATION_HEAD_KEY };
+    nodes.store.apply([{ kind: 'replace', ...place, value: createHead(), revision: 2 }]);
+    nodes.advance(30_000);
+    expect(listVersions(nodes)).toEqual([2]);
+    const logged = nodes.listEffects('log').map(({ event }) => event);
+    expect(logged.filter((event) => event === logEvents.configurationWentBack)).toHaveLength(1);
+  });
+
+  it('starts during an outage with what a peer has, and says how old it is', () => {
+    const nodes = createNodes('entry-a1');
+    nodes.platform = () => 'unsent';
+    nodes.advance(5_000);
+    const fresh = nodes.start('entry-a2');
+    expect(fresh.readStatus().readiness).toBe('starting');
+    nodes.link();
+    nodes.advance(3_000);
+    expect(fresh.readStatus()).toMatchObject({ readiness: 'ready', configurationVersion: 1 });
+    expect(fresh.readStatus().configurationAgeMs).toBeGreaterThan(5_000);
+  });
+
+  it('is not ready without a configuration', () => {
+    const nodes = new FakeNodes();
+    nodes.platform = () => 'silent';
+    const node = nodes.start('entry-a1');
+    nodes.advance(60_000);
+    expect(node.readStatus().readiness).toBe('starting');
+  });
+
+  it('reads only the small head row while nothing changes', () => {
+    const nodes = createNodes('entry-a1');
+    ask(nodes, 'entry-a1', createAsk());
+    nodes.advance(100);
+    const before = nodes.effects.length;
+    nodes.advance(60_000);
+    const reads = nodes.effects
+      .slice(before)
+      .flatMap(({ effect }) => (effect.kind === 'platform.call' ? [effect.call] : []))
+      .flatMap((call) => (call.kind === 'tables' ? call.operations : []));
+    expect(reads.every((read) => 'key' in read && read.key === CONFIGURATION_HEAD_KEY)).toBe(true);
+    expect(reads.length).toBeLessThanOrEqual(40);
+  });
+
+  it('serves on what it has in a cut, and catches up after it', () => {
+    const nodes = createNodes('entry-a1', 'entry-b1');
+    nodes.link();
+    nodes.isLinkUp = () => false;
+    nodes.platform = (vm) => (vm === 'entry-b1' ? 'unsent' : 'up');
+    ask(nodes, 'entry-a1', createAsk());
+    nodes.advance(30_000);
+    const cut = nodes.nodes.get('entry-b1');
+    expect(cut?.readStatus()).toMatchObject({ readiness: 'ready', configurationVersion: 1 });
+    expect(cut?.readStatus().configurationAgeMs).toBeGreaterThan(25_000);
+    nodes.platform = () => 'up';
+    nodes.advance(9_000);
+    expect(listVersions(nodes)).toEqual([2, 2]);
+  });
+});
--- a/packages/model/src/configuration/head-row.ts
+++ b/packages/model/src/configuration/head-row.ts
@@ -40,14 +40,20 @@
 export const formatHistoryKey = ({ version, changeId }: VersionName): string =>
   `${String(HIGHEST_VERSION - version).padStart(VERSION_DIGITS, '0')}.${changeId}`;
 
+/** The document of a change, written once and never altered. */
+export interface DocumentRow {
+  readonly baseVersion: number;
+  readonly configuration: Configuration;
+}
+
 /**
- * Key of the row that holds a version's document.
+ * Key of the row that holds the document of a change. One for each change id, so that a change id
+ * stands for one configuration on one base.
  *
  * @example
- * formatDocumentKey({ version: 7, changeId: 'c-1' }); // 'document/7.c-1'
+ * formatDocumentKey('c-1'); // 'document/c-1'
  */
-export const formatDocumentKey = ({ version, changeId }: VersionName): string =>
-  `document/${version}.${changeId}`;
+export const formatDocumentKey = (changeId: string): string => `document/${changeId}`;
 
 /** The row of a head, without its document. */
 export const formatHeadRow = (head: ConfigurationHead): HeadRow => {
