Keep the configuration that a request was admitted under in its record

Cause: a request read the configuration of the moment in each state, so that a change in mid-request could route it by a version it was not admitted under.

Change: RequestRecord.configuration, set once at admission; the choice of a service's replica reads it. Routing of model requests still reads the one in force when the slot is asked for, which is the moment of admission.

--- a/packages/decisions/src/requests/request-lifecycle.ts
+++ b/packages/decisions/src/requests/request-lifecycle.ts
@@ -61,6 +61,7 @@
     const { context } = this.dependencies;
     const record: RequestRecord = {
       contract,
+      configuration: this.dependencies.readConfiguration(),
       arrivedAtMs: context.nowMs,
       deadlineMs: context.nowMs + contract.timeoutMs,
       deadlineTimer: context.schedule(contract.timeoutMs, () => this.expire(contract.requestId)),
@@ -146,7 +147,7 @@
 
   private beginServiceCall(record: ServiceRecord): void {
     const { contract } = record;
-    const replica = this.findReplica(contract.service);
+    const replica = this.findReplica(record);
     if (replica === undefined) {
       this.refuse(record, { code: resultCodes.noEndpoint, ran: 'no' }, 'cancelled');
       return;
@@ -234,11 +235,11 @@
     if (this.records.size === 0) onIdle();
   }
 
-  private findReplica(service: string): ServiceReplica | undefined {
-    const { context, readConfiguration } = this.dependencies;
-    const replicas = (readConfiguration()?.endpoints ?? []).filter(
+  private findReplica({ configuration, contract }: ServiceRecord): ServiceReplica | undefined {
+    const { context } = this.dependencies;
+    const replicas = (configuration?.endpoints ?? []).filter(
       (endpoint): endpoint is ServiceReplica =>
-        endpoint.kind === 'service' && endpoint.service === service,
+        endpoint.kind === 'service' && endpoint.service === contract.service,
     );
     return replicas[Math.floor(context.drawRandom() * replicas.length)];
   }
--- a/packages/decisions/src/requests/types.ts
+++ b/packages/decisions/src/requests/types.ts
@@ -1,5 +1,6 @@
 import type {
   AttemptId,
+  Configuration,
   Endpoint,
   ModelContract,
   MonotonicMs,
@@ -14,6 +15,8 @@
 /** A request in flight. Removed from the table the moment its final answer is decided. */
 export interface RequestRecord<Contract extends RequestContract = RequestContract> {
   readonly contract: Contract;
+  /** What was in force when the request was admitted; it stays so for this request. */
+  readonly configuration: Configuration | undefined;
   readonly arrivedAtMs: MonotonicMs;
   readonly deadlineMs: MonotonicMs;
   readonly deadlineTimer: Timer;
