--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -410,6 +410,7 @@
         this.changeOutcomes.push({ changeId, outcome });
       },
       'operator.history': () => {},
+      'operator.version': () => {},
       readiness: ({ state }) => {
         own.readiness = state;
         this.transcript.record(`${id} is ${state}`);
--- /dev/null
+++ b/packages/cli/src/commands/apply.ts
@@ -0,0 +1,50 @@
+import { Ok } from '@savorywind/model';
+import type { EntryClient } from '../client/entry-client.js';
+import type { CommandIo } from '../types.js';
+import { loadChecked } from './check.js';
+import { commitConfiguration, type CommitOptions } from './commit.js';
+import { checkBase, createPlan, formatPlan } from './plan.js';
+import type { CommandResult } from './types.js';
+
+export interface ApplyOptions extends CommitOptions {
+  readonly place: string;
+  /** The version that the change is to be based on; without it the one in force. */
+  readonly base: number | undefined;
+}
+
+/** The same change sent again after a lost answer: what is in force now no longer matters. */
+const applyAgain = async (
+  client: EntryClient,
+  io: CommandIo,
+  options: ApplyOptions & { readonly base: number },
+): Promise<CommandResult> => {
+  const head = await client.readHead();
+  if (head.err) return head;
+  const preset = head.val.head?.configuration.presetInForce;
+  const loaded = loadChecked(options.place, preset);
+  if (loaded.err) return loaded;
+  const ask = { baseVersion: options.base, configuration: loaded.val, plan: [] };
+  return commitConfiguration(client, io, ask, options);
+};
+
+/** Makes declarations the configuration in force. */
+export const applyDeclarations = async (
+  client: EntryClient,
+  io: CommandIo,
+  options: ApplyOptions,
+): Promise<CommandResult> => {
+  const { base } = options;
+  if (options.changeId !== undefined && base !== undefined) {
+    return applyAgain(client, io, { ...options, base });
+  }
+  const planned = await createPlan(client, options.place);
+  if (planned.err) return planned;
+  const checked = checkBase(planned.val, base);
+  if (checked.err) return checked;
+  const plan = checked.val;
+  const lines = formatPlan(plan);
+  if (plan.changes.length === 0) {
+    return Ok({ json: { committed: false, version: plan.baseVersion, changes: [] }, lines });
+  }
+  return commitConfiguration(client, io, { ...plan, plan: lines }, options);
+};
--- /dev/null
+++ b/packages/cli/src/commands/preset.ts
@@ -0,0 +1,35 @@
+import { Err, Ok } from '@savorywind/model';
+import type { EntryClient } from '../client/entry-client.js';
+import { exitCodes } from '../exit-codes.js';
+import type { CommandIo } from '../types.js';
+import { commitConfiguration, type CommitOptions } from './commit.js';
+import type { CommandResult } from './types.js';
+
+/** Puts another preset in force; everything else stays as it is. */
+export const switchPreset = async (
+  client: EntryClient,
+  io: CommandIo,
+  preset: string,
+  options: CommitOptions,
+): Promise<CommandResult> => {
+  const read = await client.readHead();
+  if (read.err) return read;
+  const { head } = read.val;
+  const names = head?.configuration.presets.map(({ id }) => id) ?? [];
+  if (head === null || !names.includes(preset)) {
+    return Err({
+      exitCode: exitCodes.usage,
+      message: `No preset "${preset}" is in the configuration in force.`,
+      hint: names.length === 0 ? 'Run apply first.' : `There are: ${names.join(', ')}.`,
+    });
+  }
+  const { version, configuration } = head;
+  if (configuration.presetInForce === preset) {
+    const lines = [`preset ${preset} is in force already, version ${version}`];
+    return Ok({ json: { committed: false, version, preset }, lines });
+  }
+  const plan = [`~ preset in force: ${configuration.presetInForce} -> ${preset}`];
+  const changed = { ...configuration, presetInForce: preset };
+  const ask = { baseVersion: version, configuration: changed, plan };
+  return commitConfiguration(client, io, ask, options);
+};
--- /dev/null
+++ b/packages/cli/src/commands/rollback.ts
@@ -0,0 +1,30 @@
+import { Ok, diffConfigurations, formatChange, type Configuration } from '@savorywind/model';
+import type { EntryClient } from '../client/entry-client.js';
+import type { CommandIo } from '../types.js';
+import { commitConfiguration, type CommitOptions } from './commit.js';
+import type { CommandResult } from './types.js';
+
+/** Commits the content of an earlier version as the next one: versions only go up. */
+export const rollBack = async (
+  client: EntryClient,
+  io: CommandIo,
+  version: number,
+  options: CommitOptions,
+): Promise<CommandResult> => {
+  const [earlier, read] = [
+    await client.read<{ readonly configuration: Configuration }>(`/v1/versions?version=${version}`),
+    await client.readHead(),
+  ];
+  if (earlier.err) return earlier;
+  if (read.err) return read;
+  const { head } = read.val;
+  const { configuration } = earlier.val;
+  const changes = diffConfigurations(head?.configuration, configuration);
+  const baseVersion = head?.version ?? 0;
+  if (changes.length === 0) {
+    const lines = [`version ${baseVersion} has the content of version ${version} already`];
+    return Ok({ json: { committed: false, version: baseVersion }, lines });
+  }
+  const plan = [`content of version ${version}:`, ...changes.map(formatChange)];
+  return commitConfiguration(client, io, { baseVersion, configuration, plan }, options);
+};
--- /dev/null
+++ b/packages/cli/src/exit-codes.ts
@@ -0,0 +1,14 @@
+/** Exit codes of the command. docs/operators/command-line.md lists them. */
+export const exitCodes = {
+  done: 0,
+  usage: 1,
+  invalidDeclarations: 2,
+  serializationFailure: 3,
+  notCommitted: 4,
+  outcomeUnknown: 5,
+  notInForceEverywhere: 6,
+  noEntryVm: 7,
+  refused: 8,
+} as const;
+
+export type ExitCode = (typeof exitCodes)[keyof typeof exitCodes];
--- /dev/null
+++ b/packages/cli/test/operators.test.ts
@@ -0,0 +1,119 @@
+import { fileURLToPath } from 'node:url';
+import { resultCodes } from '@savorywind/model';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { exitCodes, runCommand, type ExitCode } from '../src/index.js';
+import { createIo } from './fixtures/create-io.js';
+import {
+  OPERATOR_CREDENTIAL,
+  startAnswerLoser,
+  startDeployment,
+  type Deployment,
+} from './fixtures/deployment.js';
+
+const stuhlwerk = fileURLToPath(new URL('../../../examples/stuhlwerk', import.meta.url));
+const UNUSED = 'http://127.0.0.1:9';
+const WAIT = ['--wait', '30'];
+
+interface Run {
+  readonly exitCode: ExitCode;
+  readonly json: Record<string, unknown>;
+}
+
+const run = async (entries: readonly string[], ...args: string[]): Promise<Run> => {
+  const io = createIo({
+    SAVORYWIND_ENTRY: entries.join(','),
+    SAVORYWIND_CREDENTIAL: OPERATOR_CREDENTIAL,
+  });
+  const exitCode = await runCommand([...args, '--json'], io);
+  return { exitCode, json: JSON.parse(io.lines.join('')) as Record<string, unknown> };
+};
+
+describe('the command savorywind', () => {
+  let deployment: Deployment;
+  let urls: string[];
+
+  beforeEach(async () => {
+    deployment = await startDeployment('entry-a1', 'entry-a2');
+    urls = deployment.entries.map(({ url }) => url);
+  });
+
+  afterEach(() => deployment.stop());
+
+  it('commits declarations, switches the preset, and rolls back as a new version', async () => {
+    const applied = await run(urls, 'apply', stuhlwerk, ...WAIT);
+    expect(applied).toMatchObject({
+      exitCode: exitCodes.done,
+      json: { version: 1, inForce: true },
+    });
+    expect((await run(urls, 'plan', stuhlwerk)).json).toEqual({ baseVersion: 1, changes: [] });
+    const switched = await run(urls, 'preset', 'switch', 'peak', ...WAIT);
+    expect(switched).toMatchObject({ exitCode: exitCodes.done, json: { version: 2, missing: [] } });
+    const kept = await run(urls, 'apply', stuhlwerk);
+    expect(kept.json).toMatchObject({ committed: false, version: 2 });
+    const back = await run(urls, 'rollback', '1', ...WAIT);
+    expect(back.json).toMatchObject({ committed: true, version: 3, baseVersion: 2 });
+    const { json } = await run(urls, 'history');
+    const versions = json.versions as { version: number; author: string }[];
+    expect(versions.map(({ version, author }) => [version, author])).toEqual([
+      [3, 'mona'],
+      [2, 'mona'],
+      [1, 'mona'],
+    ]);
+  });
+
+  it('refuses a change on a version that is no longer in force', async () => {
+    await run(urls, 'apply', stuhlwerk, ...WAIT);
+    await run(urls, 'preset', 'switch', 'peak', ...WAIT);
+    const late = await run(urls, 'apply', stuhlwerk, '--base', '1', '--change-id', 'late-1');
+    expect(late).toMatchObject({
+      exitCode: exitCodes.serializationFailure,
+      json: { error: { code: resultCodes.serializationFailure.code, committed: 'no', version: 2 } },
+    });
+  });
+
+  it('asks another entry VM with the same change id when the answer is lost', async () => {
+    const loser = await startAnswerLoser(urls[0]!);
+    const applied = await run([loser.url, urls[1]!], 'apply', stuhlwerk, '--change-id', 'c-1');
+    loser.server.close();
+    expect(applied.json).toMatchObject({ committed: true, version: 1, changeId: 'c-1' });
+    const { json } = await run(urls, 'history');
+    expect(json.versions).toHaveLength(1);
+  });
+
+  it('goes to the next entry VM where one is gone', async () => {
+    const applied = await run([UNUSED, urls[1]!], 'apply', stuhlwerk);
+    expect(applied.json).toMatchObject({ committed: true, version: 1 });
+  });
+
+  it('tells an operator without a credential, and a name of no preset', async () => {
+    const io = createIo({ SAVORYWIND_ENTRY: urls[0]!, SAVORYWIND_CREDENTIAL: 'wrong' });
+    expect(await runCommand(['status'], io)).toBe(exitCodes.refused);
+    expect(await runCommand(['history'], io)).toBe(exitCodes.refused);
+    expect(io.errors.join('\n')).toContain('5007');
+    await run(urls, 'apply', stuhlwerk);
+    const unknown = await run(urls.slice(0, 1), 'preset', 'switch', 'night');
+    expect(unknown.exitCode).toBe(exitCodes.usage);
+  });
+
+  it('drains one entry VM and shows the others', async () => {
+    await run(urls, 'apply', stuhlwerk, ...WAIT);
+    const drained = await run([urls[0]!], 'drain');
+    expect(drained.exitCode).toBe(exitCodes.done);
+    await deployment.entries[0]!.drained;
+    const { json } = await run(urls, 'status');
+    const entryVms = json.entryVms as { vm: { id: string }; readiness: string }[];
+    expect(entryVms.map(({ vm, readiness }) => [vm.id, readiness])).toEqual([
+      ['entry-a2', 'ready'],
+    ]);
+    expect((await run(urls, 'requests')).json).toEqual({ requests: [] });
+  });
+});
+
+describe('the command line', () => {
+  it('needs an entry VM and a credential, and knows its commands', async () => {
+    const io = createIo();
+    expect(await runCommand(['status'], io)).toBe(exitCodes.usage);
+    expect(await runCommand(['statsu'], io)).toBe(exitCodes.usage);
+    expect(await runCommand(['status', '--entry', UNUSED], io)).toBe(exitCodes.usage);
+  });
+});
--- a/packages/decisions/src/configuration/node-configuration.ts
+++ b/packages/decisions/src/configuration/node-configuration.ts
@@ -12,7 +12,7 @@
 import { ConfigurationFlood } from './configuration-flood.js';
 import { ConfigurationKeeper } from './configuration-keeper.js';
 import { ConfigurationStore } from './configuration-store.js';
-import { readHistory } from './read-history.js';
+import { readHistory, readVersion } from './read-history.js';
 import type { ChangeAsk, VmVersion } from './types.js';
 
 interface Dependencies {
@@ -104,6 +104,12 @@
     );
   }
 
+  acceptVersionAsk(askId: string, version: number): void {
+    readVersion(this.store, version, (outcome) =>
+      this.dependencies.context.emit({ kind: 'operator.version', askId, outcome }),
+    );
+  }
+
   acceptMessage(peer: EntryVmId, message: ConfigurationMessage): void {
     this.flood.acceptMessage(peer, message);
   }
--- a/packages/decisions/src/configuration/read-history.ts
+++ b/packages/decisions/src/configuration/read-history.ts
@@ -1,7 +1,13 @@
-import { tables, type HeadRow, type HistoryRow, type TableOutcome } from '@savorywind/model';
+import {
+  parseConfiguration,
+  tables,
+  type HeadRow,
+  type HistoryRow,
+  type TableOutcome,
+} from '@savorywind/model';
 import type { ConfigurationStore } from './configuration-store.js';
 import { MAX_HISTORY_LENGTH } from './consts.js';
-import type { HistoryOutcome } from './types.js';
+import type { HistoryOutcome, VersionOutcome } from './types.js';
 
 /** Rows read for each version wanted: changes that lost a race left rows that are not versions. */
 const ROWS_PER_VERSION = 3;
@@ -52,3 +58,30 @@
     });
   });
 };
+
+/** Reads the content of a committed version, as far back as the history is read. */
+export const readVersion = (
+  store: ConfigurationStore,
+  version: number,
+  listener: (outcome: VersionOutcome) => void,
+): void => {
+  readHistory(store, MAX_HISTORY_LENGTH, (history) => {
+    if (history.kind === 'unavailable') {
+      listener(history);
+      return;
+    }
+    const row = history.versions.find((found) => found.version === version);
+    if (row === undefined) {
+      listener({ kind: 'unknown' });
+      return;
+    }
+    store.readDocument(row.changeId, (reply) => {
+      if (reply.err) {
+        listener({ kind: 'unavailable' });
+        return;
+      }
+      const parsed = parseConfiguration(reply.val?.configuration);
+      listener(parsed.ok ? { kind: 'read', configuration: parsed.val } : { kind: 'unknown' });
+    });
+  });
+};
--- a/packages/decisions/src/configuration/types.ts
+++ b/packages/decisions/src/configuration/types.ts
@@ -29,6 +29,11 @@
   readonly versions: readonly HistoryRow[];
 }
 
+/** The content of one committed version. */
+export type VersionOutcome =
+  | { readonly kind: 'read'; readonly configuration: Configuration }
+  | { readonly kind: 'unknown' | 'unavailable' };
+
 export type HistoryOutcome = HistoryReading | { readonly kind: 'unavailable' };
 
 /** The version that an entry VM has; undefined where it has not told. */
--- a/packages/decisions/src/node/entry-node.ts
+++ b/packages/decisions/src/node/entry-node.ts
@@ -139,6 +139,8 @@
       'operator.change': (ask) => this.configuration.acceptChange(ask, this.isLeaving()),
       'operator.readHistory': ({ askId, limit }) =>
         this.configuration.acceptHistoryAsk(askId, limit),
+      'operator.readVersion': ({ askId, version }) =>
+        this.configuration.acceptVersionAsk(askId, version),
       'link.opened': ({ peer }) => this.acceptLinkOpened(peer),
       'link.closed': ({ peer }) => this.acceptLinkClosed(peer),
       'link.received': ({ peer, message }) => this.acceptMessage(peer, message),
--- a/packages/decisions/src/seam/types.ts
+++ b/packages/decisions/src/seam/types.ts
@@ -23,6 +23,7 @@
   ChangeAsk,
   ChangeOutcome,
   HistoryOutcome,
+  VersionOutcome,
   VmVersion,
 } from '../configuration/types.js';
 
@@ -119,6 +120,7 @@
   /** An operator asks for a change; answered by one `operator.reply`. */
   | ({ readonly kind: 'operator.change' } & ChangeAsk)
   | { readonly kind: 'operator.readHistory'; readonly askId: string; readonly limit: number }
+  | { readonly kind: 'operator.readVersion'; readonly askId: string; readonly version: number }
   | { readonly kind: 'link.opened'; readonly peer: EntryVmId }
   | { readonly kind: 'link.closed'; readonly peer: EntryVmId }
   | { readonly kind: 'link.received'; readonly peer: EntryVmId; readonly message: LinkMessage }
@@ -194,6 +196,7 @@
       readonly outcome: ChangeOutcome;
     }
   | { readonly kind: 'operator.history'; readonly askId: string; readonly outcome: HistoryOutcome }
+  | { readonly kind: 'operator.version'; readonly askId: string; readonly outcome: VersionOutcome }
   | { readonly kind: 'readiness'; readonly state: Readiness }
   | { readonly kind: 'log'; readonly event: LogEvent; readonly fields: LogFields };
 
--- a/packages/entry/src/operators/operator-desk.ts
+++ b/packages/entry/src/operators/operator-desk.ts
@@ -2,11 +2,13 @@
   ChangeAsk,
   ChangeOutcome,
   HistoryOutcome,
+  VersionOutcome,
   NodeEffect,
   NodeEvent,
 } from '@savorywind/decisions';
 
 type ReplyEffect = Extract<NodeEffect, { readonly kind: 'operator.reply' }>;
+type VersionEffect = Extract<NodeEffect, { readonly kind: 'operator.version' }>;
 type HistoryEffect = Extract<NodeEffect, { readonly kind: 'operator.history' }>;
 
 /** Matches the decisions' replies with the operators who wait for them. */
@@ -15,6 +17,8 @@
 
   private readonly histories = new Map<string, (outcome: HistoryOutcome) => void>();
 
+  private readonly versions = new Map<string, (outcome: VersionOutcome) => void>();
+
   private nextAsk = 1;
 
   constructor(private readonly dispatch: (event: NodeEvent) => void) {}
@@ -28,14 +32,21 @@
   }
 
   readHistory(limit: number): Promise<HistoryOutcome> {
-    const askId = String(this.nextAsk);
-    this.nextAsk += 1;
+    const askId = this.createAskId();
     return new Promise((resolve) => {
       this.histories.set(askId, resolve);
       this.dispatch({ kind: 'operator.readHistory', askId, limit });
     });
   }
 
+  readVersion(version: number): Promise<VersionOutcome> {
+    const askId = this.createAskId();
+    return new Promise((resolve) => {
+      this.versions.set(askId, resolve);
+      this.dispatch({ kind: 'operator.readVersion', askId, version });
+    });
+  }
+
   /** Replies to one change id come in the order in which it was asked for. */
   acceptReply({ changeId, outcome }: ReplyEffect): void {
     const [first, ...rest] = this.changes.get(changeId) ?? [];
@@ -44,9 +55,21 @@
     first?.(outcome);
   }
 
+  acceptVersion({ askId, outcome }: VersionEffect): void {
+    const listener = this.versions.get(askId);
+    this.versions.delete(askId);
+    listener?.(outcome);
+  }
+
   acceptHistory({ askId, outcome }: HistoryEffect): void {
     const listener = this.histories.get(askId);
     this.histories.delete(askId);
     listener?.(outcome);
   }
+
+  private createAskId(): string {
+    const askId = String(this.nextAsk);
+    this.nextAsk += 1;
+    return askId;
+  }
 }
--- a/packages/entry/src/operators/operator-routes.ts
+++ b/packages/entry/src/operators/operator-routes.ts
@@ -86,16 +86,26 @@
   const limit = Number(query.get('limit') ?? DEFAULT_HISTORY_LENGTH);
   if (!Number.isInteger(limit) || limit < 1) return refuse(resultCodes.invalidOperatorCall);
   const outcome = await dependencies.readHistory(limit);
-  if (outcome.kind === 'unavailable') return refuse(resultCodes.changeNotCommitted);
+  if (outcome.kind === 'unavailable') return refuse(resultCodes.historyUnavailable);
   return answer({ versions: outcome.versions });
 };
 
+const readVersion: Handler = async (dependencies, { query }) => {
+  const version = Number(query.get('version'));
+  if (!Number.isInteger(version) || version < 1) return refuse(resultCodes.invalidOperatorCall);
+  const outcome = await dependencies.readVersion(version);
+  if (outcome.kind === 'read') return answer({ configuration: outcome.configuration });
+  if (outcome.kind === 'unknown') return refuse(resultCodes.unknownVersion);
+  return refuse(resultCodes.historyUnavailable);
+};
+
 /** The operators' interface, by method and path. */
 export const operatorRoutes: Readonly<Record<string, Handler>> = {
   'GET /v1/status': ({ readStatus }) => answer(readStatus()),
   'GET /v1/requests': ({ readStatus }) => answer({ requests: readStatus().requests }),
   'GET /v1/configuration': ({ readHead }) => answer({ head: readHead() ?? null }),
   'GET /v1/history': readHistory,
+  'GET /v1/versions': readVersion,
   'POST /v1/changes': commitChange,
   'POST /v1/drain': ({ drain }) => {
     drain();
--- a/packages/entry/src/operators/types.ts
+++ b/packages/entry/src/operators/types.ts
@@ -1,4 +1,10 @@
-import type { ChangeAsk, ChangeOutcome, HistoryOutcome, NodeStatus } from '@savorywind/decisions';
+import type {
+  ChangeAsk,
+  ChangeOutcome,
+  HistoryOutcome,
+  NodeStatus,
+  VersionOutcome,
+} from '@savorywind/decisions';
 import type { ConfigurationHead, NetworkAddress } from '@savorywind/model';
 
 /** An operator as the settings name them; the name is the author in the history. */
@@ -16,5 +22,6 @@
   readonly readStatus: () => NodeStatus;
   readonly commitChange: (ask: ChangeAsk) => Promise<ChangeOutcome>;
   readonly readHistory: (limit: number) => Promise<HistoryOutcome>;
+  readonly readVersion: (version: number) => Promise<VersionOutcome>;
   readonly drain: () => void;
 }
--- a/packages/entry/src/runtime/effects/operator-effects.ts
+++ b/packages/entry/src/runtime/effects/operator-effects.ts
@@ -5,4 +5,5 @@
 export const createOperatorEffects = (desk: OperatorDesk): TopicHandlers<'operator'> => ({
   'operator.reply': (effect) => desk.acceptReply(effect),
   'operator.history': (effect) => desk.acceptHistory(effect),
+  'operator.version': (effect) => desk.acceptVersion(effect),
 });
--- a/packages/entry/src/runtime/entry-process.ts
+++ b/packages/entry/src/runtime/entry-process.ts
@@ -96,6 +96,7 @@
       readStatus: () => this.node.readStatus(),
       commitChange: (ask) => this.desk.commitChange(ask),
       readHistory: (limit) => this.desk.readHistory(limit),
+      readVersion: (version) => this.desk.readVersion(version),
       drain: () => this.drain(),
     });
   }
--- a/packages/model/src/codes/operator-codes.ts
+++ b/packages/model/src/codes/operator-codes.ts
@@ -65,4 +65,11 @@
     'No committed configuration has this version.',
     'savorywind history lists the versions.',
   ],
+  historyUnavailable: [
+    5010,
+    503,
+    'History unavailable',
+    'The table service did not answer, so that the history can not be read.',
+    'Try again when the platform is back; entry VMs serve on meanwhile.',
+  ],
 });
--- /dev/null
+++ b/packages/model/src/configuration/build-declarations-schema.ts
@@ -0,0 +1,11 @@
+import { z } from 'zod';
+import { declarationsSchema } from './schema.js';
+
+/**
+ * JSON Schema of a file of declarations. docs/schema/declarations.schema.json is checked against it.
+ *
+ * @example
+ * process.stdout.write(JSON.stringify(buildDeclarationsSchema(), undefined, 2));
+ */
+export const buildDeclarationsSchema = (): object =>
+  z.toJSONSchema(declarationsSchema, { io: 'input' });
--- a/packages/model/src/configuration/parse-configuration.ts
+++ b/packages/model/src/configuration/parse-configuration.ts
@@ -1,38 +1,72 @@
+import type { z } from 'zod';
 import { Err, Ok, type Result } from '../results/results.js';
 import { configurationSchema, type Configuration } from './schema.js';
 
-/** A fault in a declaration, with the path to it. */
+/** A fault in a declaration, with the path to it and what to do about it. */
 export interface ConfigurationFault {
   readonly path: string;
   readonly message: string;
+  readonly remedy: string;
 }
 
+type IssueCode = z.core.$ZodIssue['code'];
+
+const REMEDIES: Readonly<Partial<Record<IssueCode, string>>> = {
+  invalid_type: 'Give a value of the type that the schema names.',
+  unrecognized_keys: 'Remove the key, or correct its spelling.',
+  invalid_value: 'Use one of the values listed.',
+  invalid_format: 'Change the value to the pattern given.',
+  invalid_union: 'Set "kind" to "engine" or "service".',
+  too_small: 'Raise the value, or add an item.',
+  too_big: 'Lower the value, or remove an item.',
+};
+
+const DEFAULT_REMEDY = 'See docs/schema/declarations.schema.json.';
+
+const SECTIONS = ['teams', 'models', 'services', 'endpoints', 'presets'] as const;
+
+const describeIssue = ({ code, path, message }: z.core.$ZodIssue): ConfigurationFault => ({
+  path: path.join('.'),
+  message,
+  remedy: REMEDIES[code] ?? DEFAULT_REMEDY,
+});
+
+const describeMissing = (path: string, kind: string, id: string): ConfigurationFault => ({
+  path,
+  message: `no ${kind} "${id}" is declared`,
+  remedy: `Declare the ${kind}, or correct the name.`,
+});
+
 const listUnknownReferences = (configuration: Configuration): ConfigurationFault[] => {
-  const faults: ConfigurationFault[] = [];
   const models = new Set(configuration.models.map(({ id }) => id));
   const services = new Set(configuration.services.map(({ id }) => id));
   const presets = new Set(configuration.presets.map(({ id }) => id));
-  configuration.endpoints.forEach((endpoint, index) => {
+  const faults = configuration.endpoints.flatMap((endpoint, index) => {
     const path = `endpoints.${index}`;
-    if (endpoint.kind === 'engine' && !models.has(endpoint.model)) {
-      faults.push({ path: `${path}.model`, message: `no model "${endpoint.model}" is declared` });
-    }
-    if (endpoint.kind === 'service' && !services.has(endpoint.service)) {
-      faults.push({
-        path: `${path}.service`,
-        message: `no service "${endpoint.service}" is declared`,
-      });
+    if (endpoint.kind === 'engine') {
+      if (models.has(endpoint.model)) return [];
+      return [describeMissing(`${path}.model`, 'model', endpoint.model)];
     }
+    if (services.has(endpoint.service)) return [];
+    return [describeMissing(`${path}.service`, 'service', endpoint.service)];
   });
-  if (!presets.has(configuration.presetInForce)) {
-    faults.push({
-      path: 'presetInForce',
-      message: `no preset "${configuration.presetInForce}" is declared`,
-    });
-  }
-  return faults;
+  const { presetInForce } = configuration;
+  if (presets.has(presetInForce)) return faults;
+  return [...faults, describeMissing('presetInForce', 'preset', presetInForce)];
 };
 
+const listDoubleNames = (configuration: Configuration): ConfigurationFault[] =>
+  SECTIONS.flatMap((section) => {
+    const seen = new Set<string>();
+    return configuration[section].flatMap(({ id }, index) => {
+      const isDouble = seen.has(id);
+      seen.add(id);
+      if (!isDouble) return [];
+      const message = `"${id}" is declared twice`;
+      return [{ path: `${section}.${index}.id`, message, remedy: 'Remove or rename one of them.' }];
+    });
+  });
+
 /**
  * Checks declarations of unknown origin, shape first and references second.
  *
@@ -46,13 +80,7 @@
   value: unknown,
 ): Result<Configuration, readonly ConfigurationFault[]> => {
   const parsed = configurationSchema.safeParse(value);
-  if (!parsed.success) {
-    const faults = parsed.error.issues.map(({ path, message }) => ({
-      path: path.join('.'),
-      message,
-    }));
-    return Err(faults);
-  }
-  const faults = listUnknownReferences(parsed.data);
+  if (!parsed.success) return Err(parsed.error.issues.map(describeIssue));
+  const faults = [...listDoubleNames(parsed.data), ...listUnknownReferences(parsed.data)];
   return faults.length > 0 ? Err(faults) : Ok(parsed.data);
 };
--- a/packages/model/src/configuration/schema.ts
+++ b/packages/model/src/configuration/schema.ts
@@ -88,6 +88,13 @@
   presetInForce: identifier,
 });
 
+/** One file of a folder of declarations: any part of the configuration. */
+export const declarationsSchema = configurationSchema
+  .partial()
+  .extend({ $schema: z.string().optional() });
+
+export type Declarations = z.input<typeof declarationsSchema>;
+
 export type Configuration = z.output<typeof configurationSchema>;
 export type TeamDeclaration = Configuration['teams'][number];
 export type ModelDeclaration = Configuration['models'][number];
