--- a/packages/bench/src/world/fake-caller.ts
+++ b/packages/bench/src/world/fake-caller.ts
@@ -17,6 +17,9 @@
 
   finalAnswers = 0;
 
+  /** Whether the entry VM has read the request. */
+  wasRead = false;
+
   status: number | undefined;
 
   private readonly parts: string[] = [];
@@ -41,7 +44,6 @@
   }
 
   end(outcome: CallerOutcome): void {
-    if (outcome.kind === 'finished' || outcome.kind === 'refused') this.finalAnswers += 1;
     this.outcome ??= outcome;
   }
 
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -80,6 +80,9 @@
 
   readonly runs: RunLog = new Map();
 
+  /** Requests that entry VMs have sent to endpoints, resumptions included. */
+  attemptsStarted = 0;
+
   readonly callers: FakeCaller[] = [];
 
   readonly entryVms = new Map<string, FakeEntryVm>();
@@ -96,7 +99,7 @@
 
   private readonly attempts = new Map<string, Map<string, RunningAttempt>>();
 
-  private readonly contracts = new Map<string, RequestContract>();
+  private readonly callersById = new Map<string, FakeCaller>();
 
   private readonly openCallers = new Map<string, FakeCaller>();
 
@@ -168,12 +171,13 @@
     const caller = new FakeCaller(contract, vmId, vm.vm.incarnation, performance.now());
     this.callers.push(caller);
     this.openCallers.set(contract.requestId, caller);
-    this.contracts.set(contract.requestId, contract);
+    this.callersById.set(contract.requestId, caller);
     if (contract.kind === 'service' && contract.idempotency === 'nonIdempotent') {
       this.onceDigests.add(contract.digest);
     }
     this.transcript.record(`caller asks ${vmId} for ${World.describeContract(contract)}`);
     vm.run(() => {
+      caller.wasRead = true;
       vm.dispatch({ kind: 'request.arrived', contract });
       this.checkDeadlineLater(caller, contract.timeoutMs + DEADLINE_TOLERANCE_MS);
     });
@@ -329,21 +333,40 @@
       }));
   }
 
+  /** Requests that wait unread in front of a stopped process are not admitted. */
+  private endDrained(vm: FakeEntryVm): void {
+    if (vm.state === 'dead') return;
+    const admitted = this.listOpenCallers(vm).filter(({ wasRead }) => wasRead);
+    assertDrainCutsNothing(this.counts, vm.vm.id, admitted.length);
+    this.endEntryVm(vm);
+  }
+
+  private listOpenCallers({ vm }: FakeEntryVm): FakeCaller[] {
+    return [...this.openCallers.values()].filter(
+      ({ vmId, incarnation }) => vmId === vm.id && incarnation === vm.incarnation,
+    );
+  }
+
   private endEntryVm(vm: FakeEntryVm): void {
     vm.kill();
-    const { id, incarnation } = vm.vm;
+    const { id } = vm.vm;
     this.attempts.get(id)?.forEach(({ connection }) => connection.close());
     this.links.closeAll(id);
-    [...this.openCallers.values()]
-      .filter((caller) => caller.vmId === id && caller.incarnation === incarnation)
-      .forEach((caller) => this.endCaller(caller, { kind: 'disconnected' }));
+    this.listOpenCallers(vm).forEach((caller) => this.endCaller(caller, { kind: 'disconnected' }));
     this.scheduleMembership();
   }
 
+  /** Counts a final answer, also one that comes after another. */
+  private acceptFinal(vm: FakeEntryVm, requestId: string): void {
+    const caller = this.callersById.get(requestId);
+    if (caller === undefined || vm.state === 'dead') return;
+    caller.finalAnswers += 1;
+    assertOneFinalAnswer(this.counts, caller);
+  }
+
   private endCaller(caller: FakeCaller, outcome: NonNullable<FakeCaller['outcome']>): void {
     caller.end(outcome);
     this.openCallers.delete(caller.contract.requestId);
-    assertOneFinalAnswer(this.counts, caller);
     assertOwnAnswer(this.counts, caller);
     assertRefusalTrue(this.counts, caller, this.runs);
   }
@@ -372,15 +395,17 @@
       'caller.sendChunk': ({ requestId, data }) => findCaller(requestId)?.acceptChunk(data),
       'caller.finish': ({ requestId }) => {
         const caller = findCaller(requestId);
-        if (caller === undefined) return;
         this.transcript.record(`${id} finishes ${requestId}`);
+        this.acceptFinal(own, requestId);
+        if (caller === undefined) return;
         this.endCaller(caller, { kind: 'finished', text: caller.text, status: caller.status });
       },
       'caller.refuse': ({ requestId, refusal }) => {
         const caller = findCaller(requestId);
-        if (caller === undefined) return;
         const { code, ran } = refusal;
         this.transcript.record(`${id} refuses ${requestId}: ${code.code} ${code.name}, ran ${ran}`);
+        this.acceptFinal(own, requestId);
+        if (caller === undefined) return;
         this.endCaller(caller, { kind: 'refused', refusal, text: caller.text });
       },
       'link.open': ({ vm }) => this.links.open(own.vm, vm),
@@ -415,11 +440,7 @@
         own.readiness = state;
         this.transcript.record(`${id} is ${state}`);
         if (state !== 'drained') return;
-        const open = [...this.openCallers.values()].filter(
-          (caller) => caller.vmId === id && caller.incarnation === own.vm.incarnation,
-        );
-        assertDrainCutsNothing(this.counts, id, open.length);
-        setTimeout(() => this.endEntryVm(own), 0);
+        setTimeout(() => own.run(() => this.endDrained(own)), 0);
       },
       log: () => {},
     };
@@ -430,6 +451,7 @@
     const { id, failureDomain } = own.vm;
     const target = this.engines.get(endpoint.id) ?? this.services.get(endpoint.id);
     if (target === undefined) throw new Error(`no endpoint ${endpoint.id}`);
+    this.attemptsStarted += 1;
     this.transcript.record(`${id} tries ${requestId} at ${endpoint.id} (${mode})`);
     const connection = new FakeConnection(
       attemptId,
@@ -457,7 +479,7 @@
     const engine = this.engines.get(endpoint.id);
     const service = this.services.get(endpoint.id);
     const machine = engine?.machine ?? service?.machine;
-    const contract = this.contracts.get(requestId);
+    const contract = this.callersById.get(requestId)?.contract;
     const taken =
       reachable &&
       contract !== undefined &&
--- a/packages/cli/src/client/exchange.ts
+++ b/packages/cli/src/client/call-entry-vm.ts
@@ -29,7 +29,7 @@
 ]);
 
 /** Sends one call to one entry VM. */
-export const exchange = (
+export const callEntryVm = (
   entry: URL,
   credential: string,
   { method, path, body }: Exchange,
--- a/packages/cli/src/client/entry-client.ts
+++ b/packages/cli/src/client/entry-client.ts
@@ -10,7 +10,12 @@
 } from '@savorywind/model';
 import { exitCodes, type ExitCode } from '../exit-codes.js';
 import type { CommandIo, RemoteOptions } from '../types.js';
-import { exchange, type EntryAnswer, type Exchange, type ExchangeFailure } from './exchange.js';
+import {
+  callEntryVm,
+  type EntryAnswer,
+  type Exchange,
+  type ExchangeFailure,
+} from './call-entry-vm.js';
 
 /** Why a command failed: what the operator reads, and the exit code. */
 export interface CommandFailure {
@@ -144,7 +149,7 @@
   }
 
   private call(entry: URL, call: Exchange): Promise<Result<EntryAnswer, ExchangeFailure>> {
-    return exchange(entry, this.credential, call);
+    return callEntryVm(entry, this.credential, call);
   }
 }
 
--- a/packages/cli/src/commands/rollback.ts
+++ b/packages/cli/src/commands/apply-version.ts
@@ -5,7 +5,7 @@
 import type { CommandResult } from './types.js';
 
 /** Commits the content of an earlier version as the next one: versions only go up. */
-export const rollBack = async (
+export const applyVersion = async (
   client: EntryClient,
   io: CommandIo,
   version: number,
--- a/packages/cli/src/commands/preset.ts
+++ b/packages/cli/src/commands/change-preset.ts
@@ -6,7 +6,7 @@
 import type { CommandResult } from './types.js';
 
 /** Puts another preset in force; everything else stays as it is. */
-export const switchPreset = async (
+export const changePreset = async (
   client: EntryClient,
   io: CommandIo,
   preset: string,
--- a/packages/cli/src/commands/show.ts
+++ b/packages/cli/src/commands/describe.ts
@@ -21,7 +21,7 @@
 ];
 
 /** Who changed what and when, newest first. */
-export const showHistory = async (client: EntryClient, limit: number): Promise<CommandResult> => {
+export const listHistory = async (client: EntryClient, limit: number): Promise<CommandResult> => {
   const read = await client.read<{ readonly versions: readonly HistoryRow[] }>(
     `/v1/history?limit=${limit}`,
   );
@@ -56,7 +56,7 @@
 };
 
 /** What every entry VM that was named says of itself. */
-export const showStatus = async (client: EntryClient): Promise<CommandResult> => {
+export const describeStatus = async (client: EntryClient): Promise<CommandResult> => {
   const read = await readStatuses(client);
   if (read.err) return read;
   const statuses = read.val;
@@ -79,7 +79,7 @@
 };
 
 /** What runs now, for whom, how long and where; the oldest first. */
-export const showRequests = async (client: EntryClient): Promise<CommandResult> => {
+export const listRequests = async (client: EntryClient): Promise<CommandResult> => {
   const read = await readStatuses(client);
   if (read.err) return read;
   const statuses = read.val;
--- a/packages/cli/src/commands/plan.ts
+++ b/packages/cli/src/commands/plan.ts
@@ -55,7 +55,7 @@
   });
 };
 
-export const showPlan = async (client: EntryClient, place: string): Promise<CommandResult> => {
+export const describePlan = async (client: EntryClient, place: string): Promise<CommandResult> => {
   const plan = await createPlan(client, place);
   if (plan.err) return plan;
   const { baseVersion, changes } = plan.val;
--- a/packages/cli/src/run-command.ts
+++ b/packages/cli/src/run-command.ts
@@ -3,10 +3,10 @@
 import { createEntryClient, type CommandFailure, type EntryClient } from './client/entry-client.js';
 import { applyDeclarations } from './commands/apply.js';
 import { checkDeclarations } from './commands/check.js';
-import { showPlan } from './commands/plan.js';
-import { switchPreset } from './commands/preset.js';
-import { rollBack } from './commands/rollback.js';
-import { drainEntryVm, showHistory, showRequests, showStatus } from './commands/show.js';
+import { describePlan } from './commands/plan.js';
+import { changePreset } from './commands/change-preset.js';
+import { applyVersion } from './commands/apply-version.js';
+import { drainEntryVm, listHistory, listRequests, describeStatus } from './commands/describe.js';
 import type { CommandResult } from './commands/types.js';
 import { exitCodes, type ExitCode } from './exit-codes.js';
 import type { CommandIo, CommonOptions, RemoteOptions } from './types.js';
@@ -106,7 +106,7 @@
         addRemote(command)
           .positional('declarations', DECLARATIONS)
           .example('$0 plan examples/stuhlwerk', 'compare with what is in force'),
-      (options) => callEntryVms(options, (client) => showPlan(client, options.declarations)),
+      (options) => callEntryVms(options, (client) => describePlan(client, options.declarations)),
     )
     .command(
       'apply <declarations>',
@@ -134,7 +134,7 @@
               .positional('preset', { type: 'string', demandOption: true })
               .example('$0 preset switch peak --wait 9', 'and wait until every entry VM has it'),
           (options) =>
-            callEntryVms(options, (client) => switchPreset(client, io, options.preset, options)),
+            callEntryVms(options, (client) => changePreset(client, io, options.preset, options)),
         )
         .demandCommand(1),
     )
@@ -145,7 +145,7 @@
         addCommit(command)
           .positional('to', { type: 'number', demandOption: true, describe: 'a version' })
           .example('$0 rollback 6 --wait 9', 'version 9 gets the content of version 6'),
-      (options) => callEntryVms(options, (client) => rollBack(client, io, options.to, options)),
+      (options) => callEntryVms(options, (client) => applyVersion(client, io, options.to, options)),
     )
     .command(
       'history',
@@ -154,19 +154,19 @@
         addRemote(command)
           .option('limit', { type: 'number', default: DEFAULT_HISTORY_LENGTH })
           .example('$0 history --limit 5', 'the last five versions'),
-      (options) => callEntryVms(options, (client) => showHistory(client, options.limit)),
+      (options) => callEntryVms(options, (client) => listHistory(client, options.limit)),
     )
     .command(
       'status',
       'show readiness and version of each entry VM named',
       (command) => addRemote(command).example('$0 status --json', 'for a script'),
-      (options) => callEntryVms(options, showStatus),
+      (options) => callEntryVms(options, describeStatus),
     )
     .command(
       'requests',
       'list what runs now, for whom, how long and where',
       (command) => addRemote(command).example('$0 requests', 'the oldest first'),
-      (options) => callEntryVms(options, showRequests),
+      (options) => callEntryVms(options, listRequests),
     )
     .command(
       'drain',
--- a/packages/decisions/src/node/entry-node.ts
+++ b/packages/decisions/src/node/entry-node.ts
@@ -83,7 +83,8 @@
     this.requests = new RequestLifecycle({
       context: this.context,
       router: new LocalRouter(readConfiguration),
-      ledger: new ClaimLedger(this.context),
+      ledger: new ClaimLedger(this.context, this.membership, () => this.finishDrain()),
+      membership: this.membership,
       readConfiguration,
       onIdle: () => this.finishDrain(),
     });
@@ -209,11 +210,12 @@
     if (this.isLeaving()) return;
     this.changeReadiness('leaving');
     this.context.log(logEvents.drainStarted, { inFlight: this.requests.inFlight });
+    this.requests.startDrain();
     this.finishDrain();
   }
 
   private finishDrain(): void {
-    if (this.readiness !== 'leaving' || this.requests.inFlight > 0) return;
+    if (this.readiness !== 'leaving' || !this.requests.isIdle) return;
     if (this.configuration.changesInProgress > 0) return;
     this.changeReadiness('drained');
   }
