Give orders to engines under a lease with a fencing number

Cause: placements could be declared nowhere and nobody ordered engines.

Weighed: (a) every entry VM orders what it is home of: no lease, but two homes order against each other on engines that ignore fencing; (b) a lease per engine: one row and one renewal for each of 1,500 engines; (c) a lease per failure domain: one row, one holder, kept. Times of different machines are never compared: the row holds none. The holder counts from when it sent the request; others wait for the whole lease and a tenth more from when they first read the row as it is.

Change: lease-keeper and order-giver in decisions/src/orders; engine calls placement.read and order.give; an order that waited in a paused process is not sent (sendBeforeMs); engines that ignore fencing get nothing until the longest order delay after the lease was taken, one order at a time, and are read back; two engines of a failure domain load at the same time at most; a fencing number seen at an engine above one's own (table set back) is gone above; a leaving holder gives the lease back. Only the first two entry VMs of a failure domain look at the row, and nobody where no placement is declared. Peers' messages about the configuration are checked before use.

--- /dev/null
+++ b/packages/bench/src/configuration/fleet.ts
@@ -0,0 +1,140 @@
+import { createHash } from 'node:crypto';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { createInterface } from 'node:readline';
+import type { NodeStatus } from '@savorywind/decisions';
+import type { Configuration, MembershipEntry } from '@savorywind/model';
+import { startEntry, startStandIn, type StartedProcess } from '../process/child-process.js';
+import { startCountingProxy, type CountingProxy } from './counting-proxy.js';
+
+const host = '127.0.0.1';
+const CREDENTIAL = 'measurement';
+const DOMAINS = ['a', 'b', 'c'];
+const ADOPTED_EVENT = 301;
+
+const findFreePort = (): Promise<number> =>
+  new Promise((resolve) => {
+    const server = createServer().listen(0, host, () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+
+interface Member {
+  readonly id: string;
+  readonly operatorsUrl: string;
+  readonly process: StartedProcess;
+  readonly proxy: CountingProxy;
+}
+
+/** Entry VMs as processes before a platform stand-in, and when each adopted which version. */
+export class MeasuredFleet {
+  /** Wall-clock milliseconds of adoption, by version and entry VM. */
+  readonly adopted = new Map<number, Map<string, number>>();
+
+  private constructor(
+    private readonly folder: string,
+    private readonly platform: StartedProcess,
+    readonly members: readonly Member[],
+  ) {
+    members.forEach((member) => this.watch(member));
+  }
+
+  static async start(count: number): Promise<MeasuredFleet> {
+    const folder = mkdtempSync(join(tmpdir(), 'savorywind-measure-'));
+    const platform = await startStandIn('platform', { port: 0 });
+    const members: Member[] = [];
+    for (let index = 0; index < count; index += 1) {
+      members.push(await MeasuredFleet.startMember(folder, platform.port, index));
+    }
+    return new MeasuredFleet(folder, platform, members);
+  }
+
+  private static async startMember(
+    folder: string,
+    platformPort: number,
+    index: number,
+  ): Promise<Member> {
+    const failureDomain = DOMAINS[index % DOMAINS.length] ?? 'a';
+    const id = `entry-${failureDomain}${Math.floor(index / DOMAINS.length) + 1}`;
+    const [operators, links] = [await findFreePort(), await findFreePort()];
+    const proxy = await startCountingProxy(platformPort);
+    const sha256 = createHash('sha256').update(CREDENTIAL).digest('hex');
+    const file = join(folder, `${id}.json`);
+    const settings = {
+      id,
+      failureDomain,
+      callers: { host, port: 0 },
+      operators: { host, port: operators, credentials: [{ name: 'measurement', sha256 }] },
+      links: { host, port: links },
+      platform: { host, port: proxy.port },
+    };
+    writeFileSync(file, JSON.stringify(settings));
+    const process = await startEntry(file);
+    return { id, operatorsUrl: `http://${host}:${operators}`, process, proxy };
+  }
+
+  /** Puts every entry VM on the platform's list, so that they link up. */
+  async fillMembership(): Promise<void> {
+    const statuses = await Promise.all(this.members.map((member) => MeasuredFleet.status(member)));
+    const entries: MembershipEntry[] = statuses.map(({ vm }) => ({ vm, state: 'live' }));
+    await fetch(`http://${host}:${this.platform.port}/control/membership`, {
+      method: 'PUT',
+      body: JSON.stringify({ entries }),
+    });
+  }
+
+  /** @returns wall-clock milliseconds at which the change was sent, and its version */
+  async commit(baseVersion: number, configuration: Configuration) {
+    const member = this.members[baseVersion % this.members.length];
+    const sentAtMs = Date.now();
+    const response = await fetch(`${member?.operatorsUrl}/v1/changes`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${CREDENTIAL}` },
+      body: JSON.stringify({ changeId: `m-${baseVersion}`, baseVersion, configuration }),
+    });
+    const { version } = (await response.json()) as { version: number };
+    return { sentAtMs, version };
+  }
+
+  countPlatformBytes(): number {
+    return this.members.reduce((sum, { proxy }) => sum + proxy.countBytes(), 0);
+  }
+
+  hasEverywhere(version: number): boolean {
+    return this.adopted.get(version)?.size === this.members.length;
+  }
+
+  stop(): void {
+    this.members.forEach(({ process, proxy }) => {
+      process.child.kill('SIGKILL');
+      proxy.server.close();
+    });
+    this.platform.child.kill('SIGKILL');
+    rmSync(this.folder, { recursive: true });
+  }
+
+  private static async status({ operatorsUrl }: Member): Promise<NodeStatus> {
+    const headers = { authorization: `Bearer ${CREDENTIAL}` };
+    const response = await fetch(`${operatorsUrl}/v1/status`, { headers });
+    return (await response.json()) as NodeStatus;
+  }
+
+  private watch({ id, process }: Member): void {
+    if (process.child.stdout === null) return;
+    createInterface({ input: process.child.stdout }).on('line', (line) => {
+      const { event, version, time } = JSON.parse(line) as {
+        event: number;
+        version: number;
+        time: string;
+      };
+      if (event !== ADOPTED_EVENT) return;
+      const times = this.adopted.get(version) ?? new Map<string, number>();
+      this.adopted.set(version, times);
+      times.set(id, Date.parse(time));
+    });
+  }
+}
--- a/packages/decisions/src/configuration/configuration-flood.ts
+++ b/packages/decisions/src/configuration/configuration-flood.ts
@@ -1,4 +1,9 @@
-import type { ConfigurationHead, ConfigurationMessage, EntryVmId } from '@savorywind/model';
+import {
+  isHeadRow,
+  type ConfigurationHead,
+  type ConfigurationMessage,
+  type EntryVmId,
+} from '@savorywind/model';
 import type { Membership } from '../membership/types.js';
 import type { NodeContext } from '../seam/node-context.js';
 import type { Timer } from '../timers/timer-queue.js';
@@ -23,6 +28,15 @@
   ) => void;
 };
 
+const isVersion = (value: unknown): boolean =>
+  typeof value === 'number' && Number.isSafeInteger(value) && value >= 0;
+
+const isWellFormed = (message: ConfigurationMessage): boolean => {
+  if (message.kind !== 'configuration.head') return isVersion(message.version);
+  const { head, ageMs } = message;
+  return isHeadRow(head) && (ageMs === undefined || ageMs >= 0);
+};
+
 /**
  * Spreads versions over the links: a short offer to every peer, and the document only to those that
  * ask for it. What is lost is caught by the poll of the store.
@@ -41,12 +55,12 @@
 
   constructor(private readonly dependencies: Dependencies) {}
 
+  /** Messages come from another process: one that makes no sense is passed over. */
   acceptMessage(peer: EntryVmId, message: ConfigurationMessage): void {
-    const handler = this.handlers[message.kind] as (
-      from: EntryVmId,
-      given: ConfigurationMessage,
-    ) => void;
-    handler(peer, message);
+    if (!isWellFormed(message)) return;
+    const handler = this.handlers[message.kind] as
+      ((from: EntryVmId, given: ConfigurationMessage) => void) | undefined;
+    handler?.(peer, message);
   }
 
   /** A new link: both ends tell their version, and the lower one asks. */
--- a/packages/decisions/src/configuration/configuration-keeper.ts
+++ b/packages/decisions/src/configuration/configuration-keeper.ts
@@ -1,4 +1,5 @@
 import {
+  isHeadRow,
   logEvents,
   parseConfiguration,
   type Configuration,
@@ -98,7 +99,8 @@
   }
 
   /** Checks a document of unknown origin and takes it where it is valid. */
-  offerDocument(row: HeadRow, document: unknown, ageMs?: number): void {
+  offerDocument(row: unknown, document: unknown, ageMs?: number): void {
+    if (!isHeadRow(row)) return;
     const { version, changeId, author, committedAtMs } = row;
     if (version <= this.version) return;
     const parsed = parseConfiguration(document);
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -8,6 +8,7 @@
 export { EntryNode, type EntryNodeOptions } from './node/entry-node.js';
 export { EntryMembership } from './membership/entry-membership.js';
 export type * from './membership/types.js';
+export type * from './orders/types.js';
 export { LocalRouter } from './routing/local-router.js';
 export type * from './routing/types.js';
 export { NodeContext } from './seam/node-context.js';
--- a/packages/decisions/src/node/entry-node.ts
+++ b/packages/decisions/src/node/entry-node.ts
@@ -12,6 +12,7 @@
 } from '@savorywind/model';
 import { NodeConfiguration } from '../configuration/node-configuration.js';
 import { ClaimLedger } from '../ledger/claim-ledger.js';
+import { NodeOrders } from '../orders/node-orders.js';
 import { LocalRouter } from '../routing/local-router.js';
 import { EntryMembership } from '../membership/entry-membership.js';
 import { RequestLifecycle } from '../requests/request-lifecycle.js';
@@ -64,6 +65,8 @@
 
   private readonly membership: EntryMembership;
 
+  private readonly orders: NodeOrders;
+
   private readonly messageHandlers: MessageHandlers;
 
   private readiness: Readiness = 'starting';
@@ -88,6 +91,11 @@
       readConfiguration,
       onIdle: () => this.finishDrain(),
     });
+    this.orders = new NodeOrders({
+      context: this.context,
+      membership: this.membership,
+      readConfiguration,
+    });
     this.handlers = this.createHandlers();
     this.messageHandlers = this.createMessageHandlers();
   }
@@ -121,6 +129,7 @@
       configurationVersion: this.configuration.version,
       configurationAgeMs: this.configuration.ageMs,
       configurationVersions: this.configuration.listVersions(),
+      orderLease: this.orders.view,
       requests: this.requests.listViews(),
     };
   }
@@ -165,6 +174,7 @@
   private start(): void {
     this.membership.start();
     this.configuration.start();
+    this.orders.start();
   }
 
   private acceptLinkOpened(peer: EntryVmId): void {
@@ -211,6 +221,7 @@
     this.changeReadiness('leaving');
     this.context.log(logEvents.drainStarted, { inFlight: this.requests.inFlight });
     this.requests.startDrain();
+    this.orders.startDrain();
     this.finishDrain();
   }
 
--- a/packages/decisions/src/seam/types.ts
+++ b/packages/decisions/src/seam/types.ts
@@ -26,6 +26,7 @@
   VersionOutcome,
   VmVersion,
 } from '../configuration/types.js';
+import type { LeaseView, OrderedPlacement } from '../orders/types.js';
 
 /** How an attempt at an endpoint broke off. Decides whether the call may have run. */
 export type AttemptFailure =
@@ -58,7 +59,16 @@
 export type EngineCall =
   | { readonly kind: 'streams.list' }
   | { readonly kind: 'stream.cancel'; readonly streamId: string }
-  | { readonly kind: 'load.read' };
+  | { readonly kind: 'load.read' }
+  /** What the engine serves, what it is loading, and the highest fencing number it has seen. */
+  | { readonly kind: 'placement.read' }
+  | {
+      readonly kind: 'order.give';
+      readonly fencing: number;
+      readonly placement: OrderedPlacement;
+      /** An order that has not left the process by then is not sent, and reported as `unsent`. */
+      readonly sendBeforeMs: MonotonicMs;
+    };
 
 /** One stream that an engine holds memory for. */
 export interface EngineStream {
@@ -78,6 +88,13 @@
 export type EngineReply =
   | { readonly kind: 'streams'; readonly streams: readonly EngineStream[] }
   | { readonly kind: 'done' }
+  | {
+      readonly kind: 'placement';
+      readonly placement: OrderedPlacement;
+      readonly loading: OrderedPlacement | undefined;
+      /** Undefined where the engine does not check fencing numbers. */
+      readonly fencing: number | undefined;
+    }
   | { readonly kind: 'load'; readonly load: EngineLoad };
 
 /** `unsent` had certainly no effect, `unanswered` may have had one, `refused` is the engine's no. */
@@ -223,5 +240,7 @@
   readonly configurationAgeMs: number | undefined;
   /** Which version each live entry VM has, as far as this one was told. */
   readonly configurationVersions: readonly VmVersion[];
+  /** Whether it gives the orders in its failure domain. */
+  readonly orderLease: LeaseView;
   readonly requests: readonly RequestView[];
 }
--- a/packages/decisions/test/configuration.test.ts
+++ b/packages/decisions/test/configuration.test.ts
@@ -252,6 +252,20 @@
     expect(fresh.readStatus().configurationAgeMs).toBeGreaterThan(5_000);
   });
 
+  it.each([
+    { kind: 'configuration.head', head: createHead({ version: Number.NaN }) },
+    { kind: 'configuration.head', head: createHead({ version: 9, configuration: {} as never }) },
+    { kind: 'configuration.offer', version: 'nine' as never },
+    { kind: 'configuration.nonsense' as never, version: 9 },
+  ] as const)('passes over a message from a peer that makes no sense: %j', (message) => {
+    const nodes = createNodes('entry-a1');
+    nodes.link();
+    nodes.hand('entry-a1', { kind: 'link.received', peer: 'entry-a2', message });
+    nodes.advance(1_000);
+    expect(listVersions(nodes)).toEqual([1]);
+    expect(nodes.listEffects('link.send')).toEqual([]);
+  });
+
   it('is not ready without a configuration', () => {
     const nodes = new FakeNodes();
     nodes.platform = () => 'silent';
--- a/packages/entry/src/endpoints/engine-client.ts
+++ b/packages/entry/src/endpoints/engine-client.ts
@@ -9,8 +9,11 @@
 interface HttpCall {
   readonly method: string;
   readonly path: string;
+  readonly body?: object;
 }
 
+type PlacementReply = Extract<EngineReply, { readonly kind: 'placement' }>;
+
 type CallKind = EngineCall['kind'];
 
 const httpCalls: {
@@ -22,12 +25,24 @@
     path: `/v1/streams/${encodeURIComponent(streamId)}`,
   }),
   'load.read': () => ({ method: 'GET', path: '/v1/load' }),
+  'placement.read': () => ({ method: 'GET', path: '/v1/orders' }),
+  'order.give': ({ fencing, placement }) => ({
+    method: 'POST',
+    path: '/v1/orders',
+    body: { fencing, placement },
+  }),
 };
 
 const readReply: Readonly<Record<CallKind, (body: never) => EngineReply>> = {
   'streams.list': (body: { streams: [] }) => ({ kind: 'streams', streams: body.streams }),
   'stream.cancel': () => ({ kind: 'done' }),
   'load.read': (load: never) => ({ kind: 'load', load }),
+  'placement.read': (body: Omit<PlacementReply, 'kind'>) => ({
+    kind: 'placement',
+    ...body,
+    loading: body.loading ?? undefined,
+  }),
+  'order.give': () => ({ kind: 'done' }),
 };
 
 /** Asks an engine something outside of a request. */
@@ -37,7 +52,13 @@
 ): Promise<Result<EngineReply, EngineCallFailure>> =>
   new Promise((resolve) => {
     const describe = httpCalls[call.kind] as (given: EngineCall) => HttpCall;
-    const options = { ...engine.address, agent, timeout: CALL_TIMEOUT_MS, ...describe(call) };
+    const { method, path, body: sent } = describe(call);
+    // After a pause of this process another may hold the lease by now.
+    if (call.kind === 'order.give' && performance.now() > call.sendBeforeMs) {
+      resolve(Err('unsent'));
+      return;
+    }
+    const options = { ...engine.address, agent, timeout: CALL_TIMEOUT_MS, method, path };
     const request = sendRequest(options, (response) => {
       const parts: Buffer[] = [];
       response.on('data', (part: Buffer) => parts.push(part));
@@ -52,5 +73,5 @@
     });
     request.on('timeout', () => request.destroy());
     request.on('error', () => resolve(Err('unanswered')));
-    request.end();
+    request.end(sent === undefined ? undefined : JSON.stringify(sent));
   });
--- a/packages/model/src/configuration/head-row.ts
+++ b/packages/model/src/configuration/head-row.ts
@@ -1,3 +1,4 @@
+import { z } from 'zod';
 import type { Configuration, ConfigurationHead } from './schema.js';
 
 /** Names one committed version. */
@@ -18,6 +19,17 @@
   readonly configuration?: Configuration;
 }
 
+const headNameSchema = z.looseObject({
+  version: z.number().int().positive(),
+  changeId: z.string().min(1),
+  author: z.string(),
+  committedAtMs: z.number(),
+});
+
+/** Whether a value from the table service or a peer names a version; its document is not checked. */
+export const isHeadRow = (value: unknown): value is HeadRow =>
+  headNameSchema.safeParse(value).success;
+
 /** A row of the history: who changed what and when, and which version the change was based on. */
 export interface HistoryRow extends VersionName {
   readonly author: string;
--- a/packages/stand-ins/src/engine/engine-stand-in.ts
+++ b/packages/stand-ins/src/engine/engine-stand-in.ts
@@ -6,11 +6,14 @@
   type RouteHandler,
   type RunningServer,
 } from '../http/route-server.js';
+import { createOrderRoutes, EngineOrders, type EngineOrdersSettings } from './engine-orders.js';
 import { EngineModel } from './engine-model.js';
 import type { EngineModelSettings, ModelStream, StreamAsk } from './types.js';
 
 export interface EngineSettings extends EngineModelSettings {
   readonly port: number;
+  /** Without it the engine takes no orders. */
+  readonly orders?: EngineOrdersSettings;
 }
 
 /** Writes tokens from an offset on as server-sent events, and the end marker after the last. */
@@ -66,6 +69,7 @@
   };
   return startRouteServer(
     {
+      ...(settings.orders ? createOrderRoutes(new EngineOrders(settings.orders)) : {}),
       'POST /v1/streams': startStream,
       'GET /v1/streams/*': resumeStream,
       'GET /v1/streams': (_request, response) =>
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,6 +1,12 @@
 export { startBalancer, type BalancerSettings } from './balancer/balancer-stand-in.js';
 export { EngineModel } from './engine/engine-model.js';
 export type * from './engine/types.js';
+export {
+  EngineOrders,
+  type EngineOrder,
+  type EngineOrdersSettings,
+  type ServedPlacement,
+} from './engine/engine-orders.js';
 export { startEngine, type EngineSettings } from './engine/engine-stand-in.js';
 export type { RunningServer } from './http/route-server.js';
 export { startPlatform, type PlatformSettings } from './platform/platform-stand-in.js';
