--- a/packages/entry/src/operators/operator-server.ts
+++ b/packages/entry/src/operators/operator-server.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Err, Ok, resultCodes, type Result } from '@savorywind/model';
+import { BodyBudget } from '../callers/body-budget.js';
 import { readBody } from '../callers/read-body.js';
 import { findOperator } from './find-operator.js';
 import { operatorRoutes, type OperatorRefusal, type OperatorReply } from './operator-routes.js';
@@ -8,6 +9,9 @@
 /** Largest body of a call, in bytes: the whole declarations of a deployment. */
 const MAX_BODY_BYTES = 8_388_608;
 
+/** Bodies of all calls together, in bytes. */
+const MAX_BODIES_BYTES = 16_777_216;
+
 /** Longest time that a call may take to arrive, in milliseconds. */
 const ARRIVAL_LIMIT_MS = 30_000;
 
@@ -42,13 +46,15 @@
 const answerCall = async (
   dependencies: OperatorDependencies,
   request: IncomingMessage,
+  response: ServerResponse,
+  budget: BodyBudget,
 ): Promise<OperatorReply> => {
   const operator = findOperator(dependencies.credentials, request.headers.authorization);
   if (operator === undefined) return refuse(resultCodes.operatorUnauthorized);
   const url = new URL(request.url ?? '/', 'http://operators');
   const handler = operatorRoutes[`${request.method} ${url.pathname}`];
   if (handler === undefined) return refuse(resultCodes.invalidOperatorCall);
-  const body = await readBody(request, MAX_BODY_BYTES);
+  const body = await readBody(request, response, MAX_BODY_BYTES, budget);
   if (body.err) return refuse(resultCodes.invalidOperatorCall);
   const parsed = parseBody(body.val);
   if (parsed.err) return refuse(resultCodes.invalidOperatorCall);
@@ -63,8 +69,9 @@
  */
 export const startOperatorServer = (dependencies: OperatorDependencies): Promise<Server> =>
   new Promise((resolve, reject) => {
+    const budget = new BodyBudget(MAX_BODIES_BYTES);
     const server = createServer((request, response) => {
-      answerCall(dependencies, request)
+      answerCall(dependencies, request, response, budget)
         .then((reply) => sendReply(response, reply))
         .catch(() => response.destroy());
     });
--- a/packages/model/src/log-events/request-events.ts
+++ b/packages/model/src/log-events/request-events.ts
@@ -11,4 +11,6 @@
   claimInDoubt: [207, 'warn', 'claim could not be read back; its call was not sent'],
   claimUnsettled: [208, 'warn', 'result of a claim could not be written yet'],
   callerGone: [209, 'info', 'caller went away; its claimed call runs on to store the answer'],
+  requestRejected: [251, 'info', 'request refused before it was admitted'],
+  callerTooSlow: [252, 'info', 'caller was given up because it did not read its answer'],
 });
