--- a/packages/decisions/src/configuration/node-configuration.ts
+++ b/packages/decisions/src/configuration/node-configuration.ts
@@ -4,7 +4,6 @@
   type ConfigurationHead,
   type ConfigurationMessage,
   type EntryVmId,
-  type MembershipMessage,
 } from '@savorywind/model';
 import type { Membership } from '../membership/types.js';
 import type { NodeContext } from '../seam/node-context.js';
@@ -33,8 +32,6 @@
 
   private readonly store: ConfigurationStore;
 
-  private readonly peerVersions = new Map<EntryVmId, number>();
-
   constructor(private readonly dependencies: Dependencies) {
     const { context, membership, onSettled } = dependencies;
     this.store = new ConfigurationStore(context);
@@ -78,9 +75,10 @@
   listVersions(): VmVersion[] {
     const { context, membership } = this.dependencies;
     const own = context.self.id;
+    const told = new Map(membership.listMembers().map((member) => [member.vm.id, member]));
     return membership.listLive().map(({ id }) => ({
       vm: id,
-      version: id === own ? this.version : this.peerVersions.get(id),
+      version: id === own ? this.version : told.get(id)?.configurationVersion,
     }));
   }
 
@@ -117,14 +115,4 @@
   acceptLinkOpened(peer: EntryVmId): void {
     this.flood.greet(peer);
   }
-
-  acceptLinkClosed(peer: EntryVmId): void {
-    this.peerVersions.delete(peer);
-  }
-
-  /** Heartbeats tell which version each peer has. */
-  acceptHeartbeat(message: MembershipMessage): void {
-    if (message.kind !== 'membership.heartbeat') return;
-    this.peerVersions.set(message.vm.id, message.configurationVersion);
-  }
 }
--- a/packages/decisions/src/node/entry-node.ts
+++ b/packages/decisions/src/node/entry-node.ts
@@ -15,7 +15,9 @@
 import { NodeOrders } from '../orders/node-orders.js';
 import { LocalRouter } from '../routing/local-router.js';
 import { EntryMembership } from '../membership/entry-membership.js';
+import type { MembershipView } from '../membership/types.js';
 import { RequestLifecycle } from '../requests/request-lifecycle.js';
+import { EngineSweeper } from '../recovery/engine-sweeper.js';
 import { NodeContext } from '../seam/node-context.js';
 import type { NodeEffect, NodeEvent, NodeStatus, Readiness } from '../seam/types.js';
 
@@ -67,6 +69,8 @@
 
   private readonly orders: NodeOrders;
 
+  private readonly sweeper: EngineSweeper;
+
   private readonly messageHandlers: MessageHandlers;
 
   private readiness: Readiness = 'starting';
@@ -75,14 +79,18 @@
 
   constructor(options: EntryNodeOptions) {
     this.context = new NodeContext(options.vm, options.seed);
-    this.membership = new EntryMembership(this.context);
+    const readConfiguration = () => this.configuration.configuration;
+    this.membership = new EntryMembership({
+      context: this.context,
+      readConfiguration,
+      readVersion: () => this.configuration.version,
+    });
     this.configuration = new NodeConfiguration({
       context: this.context,
       membership: this.membership,
       onSettled: () => this.becomeReady(),
       onIdle: () => this.finishDrain(),
     });
-    const readConfiguration = () => this.configuration.configuration;
     this.requests = new RequestLifecycle({
       context: this.context,
       router: new LocalRouter(readConfiguration),
@@ -91,6 +99,11 @@
       readConfiguration,
       onIdle: () => this.finishDrain(),
     });
+    this.sweeper = new EngineSweeper({
+      context: this.context,
+      membership: this.membership,
+      readConfiguration,
+    });
     this.orders = new NodeOrders({
       context: this.context,
       membership: this.membership,
@@ -134,6 +147,11 @@
     };
   }
 
+  /** Who is there, as this entry VM sees it. */
+  readMembership(): MembershipView {
+    return { live: this.membership.listLive(), members: this.membership.listMembers() };
+  }
+
   private createHandlers(): EventHandlers {
     const { context, requests } = this;
     return {
@@ -152,7 +170,7 @@
       'operator.readVersion': ({ askId, version }) =>
         this.configuration.acceptVersionAsk(askId, version),
       'link.opened': ({ peer }) => this.acceptLinkOpened(peer),
-      'link.closed': ({ peer }) => this.acceptLinkClosed(peer),
+      'link.closed': ({ peer }) => this.membership.acceptLinkClosed(peer),
       'link.received': ({ peer, message }) => this.acceptMessage(peer, message),
       'platform.replied': ({ callId, reply }) => context.acceptPlatformReply(callId, reply),
       'engine.replied': ({ callId, reply }) => context.acceptEngineReply(callId, reply),
@@ -162,18 +180,16 @@
   private createMessageHandlers(): MessageHandlers {
     return {
       configuration: (peer, message) => this.configuration.acceptMessage(peer, message),
-      membership: (peer, message) => {
-        this.configuration.acceptHeartbeat(message);
-        this.membership.acceptMessage(peer, message);
-      },
+      membership: (peer, message) => this.membership.acceptMessage(peer, message),
       request: () => {},
       slot: () => {},
     };
   }
 
   private start(): void {
-    this.membership.start();
     this.configuration.start();
+    this.membership.start();
+    this.sweeper.start();
     this.orders.start();
   }
 
@@ -182,15 +198,12 @@
     this.configuration.acceptLinkOpened(peer);
   }
 
-  private acceptLinkClosed(peer: EntryVmId): void {
-    this.membership.acceptLinkClosed(peer);
-    this.configuration.acceptLinkClosed(peer);
-  }
-
   private acceptMessage(peer: EntryVmId, message: LinkMessage): void {
+    this.membership.acceptSign(peer);
     const topic = message.kind.slice(0, message.kind.indexOf('.')) as LinkMessageTopic;
-    const handler = this.messageHandlers[topic] as (from: EntryVmId, given: LinkMessage) => void;
-    handler(peer, message);
+    const handler = this.messageHandlers[topic] as
+      ((from: EntryVmId, given: LinkMessage) => void) | undefined;
+    handler?.(peer, message);
   }
 
   private acceptRequest(contract: RequestContract): void {
@@ -219,6 +232,7 @@
   private startDrain(): void {
     if (this.isLeaving()) return;
     this.changeReadiness('leaving');
+    this.membership.becomeLeaving();
     this.context.log(logEvents.drainStarted, { inFlight: this.requests.inFlight });
     this.requests.startDrain();
     this.orders.startDrain();
--- a/packages/model/src/configuration/schema.ts
+++ b/packages/model/src/configuration/schema.ts
@@ -48,6 +48,8 @@
   role: z.enum(['prefill', 'decode', 'mixed']),
   adapters: z.array(identifier).default([]),
 });
+/** A leaving endpoint gets no new work; absent means serving. */
+const endpointState = z.enum(['serving', 'leaving']).optional();
 
 const engine = z.strictObject({
   kind: z.literal('engine'),
@@ -62,6 +64,7 @@
   fencing: z.enum(['checked', 'ignored']),
   /** What the engine is ordered to load; without it the engine gets no orders. */
   placement: placement.optional(),
+  state: endpointState,
 });
 
 const serviceReplica = z.strictObject({
@@ -70,6 +73,7 @@
   failureDomain: identifier,
   address,
   service: identifier,
+  state: endpointState,
 });
 
 const preset = z.strictObject({
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -8,7 +8,7 @@
 export * from './configuration/diff-configuration.js';
 export * from './configuration/schema.js';
 export * from './log-events/index.js';
-export type * from './messages/membership-messages.js';
+export * from './messages/membership-messages.js';
 export type * from './messages/request-messages.js';
 export type * from './messages/routing-messages.js';
 export type * from './messages/types.js';
--- a/packages/model/src/log-events/index.ts
+++ b/packages/model/src/log-events/index.ts
@@ -2,6 +2,7 @@
 import { membershipEvents } from './membership-events.js';
 import { orderEvents } from './order-events.js';
 import { processEvents } from './process-events.js';
+import { recoveryEvents } from './recovery-events.js';
 import { requestEvents } from './request-events.js';
 
 /** The catalogue of log events. docs/log-events.md is checked against it. */
@@ -11,6 +12,7 @@
   ...configurationEvents,
   ...membershipEvents,
   ...orderEvents,
+  ...recoveryEvents,
 } as const;
 
 export type { LogEvent, LogFields, LogLevel } from './types.js';
--- a/packages/model/src/world/types.ts
+++ b/packages/model/src/world/types.ts
@@ -32,6 +32,9 @@
   readonly link: NetworkAddress;
 }
 
+/** What operators declare of an endpoint: a leaving one gets no new work. */
+export type EndpointState = 'serving' | 'leaving';
+
 export type EndpointKind = 'engine' | 'service';
 
 /** Whether an engine refuses an order that carries an older fencing number than one it has seen. */
@@ -63,6 +66,8 @@
   readonly decodeTokensPerS: number;
   readonly fencing: FencingSupport;
   readonly placement?: EnginePlacement | undefined;
+  /** Absent means serving. */
+  readonly state?: EndpointState | undefined;
 }
 
 /** One replica of a plain service. */
@@ -72,6 +77,8 @@
   readonly failureDomain: FailureDomainId;
   readonly address: NetworkAddress;
   readonly service: ServiceId;
+  /** Absent means serving. */
+  readonly state?: EndpointState | undefined;
 }
 
 export type Endpoint = Engine | ServiceReplica;
