--- a/packages/decisions/src/requests/service-calls.ts
+++ b/packages/decisions/src/requests/service-calls.ts
@@ -74,8 +74,10 @@
     return pickReplica(readConfiguration(), contract.service, avoided, membership, random);
   }
 
-  private readUnkeyedPolicy({ contract }: ServiceRecord): 'sendOnce' | 'refuse' {
-    const services = this.dependencies.readConfiguration()?.services ?? [];
+  /** A request keeps the policy under which it was admitted; endpoints are those in force. */
+  // eslint-disable-next-line class-methods-use-this
+  private readUnkeyedPolicy({ configuration, contract }: ServiceRecord): 'sendOnce' | 'refuse' {
+    const services = configuration?.services ?? [];
     return services.find(({ id }) => id === contract.service)?.unkeyedCalls ?? 'refuse';
   }
 }
