--- a/packages/bench/src/world/fake-links.ts
+++ b/packages/bench/src/world/fake-links.ts
@@ -7,11 +7,16 @@
 
 const formatLink = (a: string, b: string): string => (a < b ? `${a}|${b}` : `${b}|${a}`);
 
+interface WantedLink {
+  readonly from: EntryVm;
+  readonly to: EntryVm;
+}
+
 /** Links between entry VMs, which are tried again until the side that wanted them closes them. */
 export class FakeLinks {
   private readonly opened = new Set<string>();
 
-  private readonly wanted = new Map<string, EntryVm>();
+  private readonly wanted = new Map<string, WantedLink>();
 
   constructor(
     private readonly network: FakeNetwork,
@@ -20,8 +25,10 @@
   ) {}
 
   open(from: EntryVm, to: EntryVm): void {
-    this.wanted.set(`${from.id}.${from.incarnation}>${to.id}`, to);
-    this.connect(from, to);
+    const want = `${from.id}.${from.incarnation}>${to.id}`;
+    const known = this.wanted.has(want);
+    this.wanted.set(want, { from, to });
+    if (!known) this.connectLater(want, this.network.drawDelayMs());
   }
 
   close(from: EntryVm, peer: string): void {
@@ -56,22 +63,32 @@
     });
   }
 
-  private connect(from: EntryVm, to: EntryVm): void {
-    setTimeout(() => {
-      const near = this.findVm(from.id);
-      const wanted = this.wanted.has(`${from.id}.${from.incarnation}>${to.id}`);
-      if (!wanted || near?.vm.incarnation !== from.incarnation || near.state === 'dead') return;
-      const far = this.findVm(to.id);
-      const reachable = this.network.isReachable(from.failureDomain, to.failureDomain);
-      const link = formatLink(from.id, to.id);
-      if (reachable && far !== undefined && far.state !== 'dead' && !this.opened.has(link)) {
-        this.opened.add(link);
-        this.transcript.record(`link ${link} opens`);
-        near.dispatch({ kind: 'link.opened', peer: to.id });
-        far.dispatch({ kind: 'link.opened', peer: from.id });
-      }
-      setTimeout(() => this.connect(from, to), RECONNECT_MS);
-    }, this.network.drawDelayMs());
+  private connectLater(want: string, delayMs: number): void {
+    setTimeout(() => this.connect(want), delayMs);
+  }
+
+  /** Opens a link that is wanted; where that fails, or once it breaks, it is tried again. */
+  private connect(want: string): void {
+    const wanted = this.wanted.get(want);
+    if (wanted === undefined) return;
+    const { from, to } = wanted;
+    const near = this.findVm(from.id);
+    if (near?.vm.incarnation !== from.incarnation || near.state === 'dead') {
+      this.wanted.delete(want);
+      return;
+    }
+    const link = formatLink(from.id, to.id);
+    if (this.opened.has(link)) return;
+    const far = this.findVm(to.id);
+    const reachable = this.network.isReachable(from.failureDomain, to.failureDomain);
+    if (!reachable || far === undefined || far.state === 'dead') {
+      this.connectLater(want, RECONNECT_MS);
+      return;
+    }
+    this.opened.add(link);
+    this.transcript.record(`link ${link} opens`);
+    near.dispatch({ kind: 'link.opened', peer: to.id });
+    far.dispatch({ kind: 'link.opened', peer: from.id });
   }
 
   private breakOff(a: string, b: string): void {
@@ -79,5 +96,8 @@
     this.transcript.record(`link ${formatLink(a, b)} closes`);
     this.findVm(a)?.dispatch({ kind: 'link.closed', peer: b });
     this.findVm(b)?.dispatch({ kind: 'link.closed', peer: a });
+    [...this.wanted.entries()]
+      .filter(([, { from, to }]) => formatLink(from.id, to.id) === formatLink(a, b))
+      .forEach(([want]) => this.connectLater(want, RECONNECT_MS));
   }
 }
--- a/packages/bench/src/world/step-runner.ts
+++ b/packages/bench/src/world/step-runner.ts
@@ -28,9 +28,14 @@
 
 const RETRY_TIMEOUT_MS = 4_000;
 
-/** Long enough for all deadlines to pass, and for memory and configuration to settle. */
+/** Within this time a committed configuration is in force on every entry VM. */
+const CONFIGURATION_LIMIT_MS = 9_000;
+
+/** Within this time after the last fault all deadlines have passed and all memory is free. */
 const SETTLE_MS = 60_000;
 
+const SETTLE_STEP_MS = 5_000;
+
 const START_MS = 200;
 
 /** Carries out the steps of one randomised run on a world of its own. */
@@ -106,9 +111,14 @@
   /** Ends all faults, lets every deadline pass, and checks what must hold then. */
   private settle(): void {
     this.world.healAll();
-    this.clock.advance(SETTLE_MS);
+    this.clock.advance(CONFIGURATION_LIMIT_MS);
     this.world.healAll();
-    this.clock.advance(SETTLE_MS);
+    this.clock.advance(CONFIGURATION_LIMIT_MS);
+    this.world.assertConfigurationInForce();
+    for (let waitedMs = 0; waitedMs < SETTLE_MS; waitedMs += SETTLE_STEP_MS) {
+      if (this.world.isQuiet()) break;
+      this.clock.advance(SETTLE_STEP_MS);
+    }
     this.world.assertQuiet();
   }
 
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -264,12 +264,23 @@
     this.engines.forEach((engine, id) =>
       assertMemoryFree(this.counts, id, engine.usedMemoryTokens),
     );
+    this.assertConfigurationInForce();
+  }
+
+  /** Checks that every entry VM has the committed configuration in force. */
+  assertConfigurationInForce(): void {
     const committed = (this.readHeadRow().value as ConfigurationHead).version;
     this.entryVms.forEach((vm, id) =>
       assertVersionInForce(this.counts, id, committed, vm.configurationVersion),
     );
   }
 
+  /** Whether nothing is under way any more. */
+  isQuiet(): boolean {
+    const engines = [...this.engines.values()];
+    return this.openCallers.size === 0 && engines.every((engine) => engine.usedMemoryTokens === 0);
+  }
+
   private static describeContract(contract: RequestContract): string {
     if (contract.kind === 'model') {
       return `${contract.requestId}: ${contract.model}, ${contract.promptTokens} tokens`;
