--- a/packages/decisions/src/node/entry-node.ts
+++ b/packages/decisions/src/node/entry-node.ts
@@ -11,7 +11,8 @@
 } from '@savorywind/model';
 import { ConfigurationKeeper } from '../configuration/configuration-keeper.js';
 import { ClaimLedger } from '../ledger/claim-ledger.js';
-import { LocalRouter } from '../routing/local-router.js';
+import { DEFAULT_ROUTER, routers, type RouterName } from '../routing/routers.js';
+import type { Router } from '../routing/types.js';
 import { EntryMembership } from '../membership/entry-membership.js';
 import type { MembershipView } from '../membership/types.js';
 import { RequestLifecycle } from '../requests/request-lifecycle.js';
@@ -23,6 +24,8 @@
   readonly vm: EntryVm;
   /** Seed of the node's random numbers. */
   readonly seed: number;
+  /** Placement policy; the default is the one that measured best. */
+  readonly router?: RouterName;
 }
 
 type EventHandlers = {
@@ -65,6 +68,8 @@
 
   private readonly membership: EntryMembership;
 
+  private readonly router: Router;
+
   private readonly sweeper: EngineSweeper;
 
   private readonly messageHandlers: MessageHandlers;
@@ -82,9 +87,14 @@
       readConfiguration,
       readVersion: () => this.configuration.version,
     });
+    this.router = routers[options.router ?? DEFAULT_ROUTER]({
+      context: this.context,
+      membership: this.membership,
+      readConfiguration,
+    });
     this.requests = new RequestLifecycle({
       context: this.context,
-      router: new LocalRouter(readConfiguration),
+      router: this.router,
       ledger: new ClaimLedger(this.context, this.membership, () => this.finishDrain()),
       membership: this.membership,
       readConfiguration,
@@ -156,13 +166,14 @@
       configuration: () => {},
       membership: (peer, message) => this.membership.acceptMessage(peer, message),
       request: () => {},
-      slot: () => {},
+      slot: (peer, message) => this.router.acceptMessage(peer, message),
     };
   }
 
   private start(): void {
     this.configuration.start();
     this.membership.start();
+    this.router.start();
     this.sweeper.start();
   }
 
