--- a/packages/bench/src/experiments/fleet/fleet.ts
+++ b/packages/bench/src/experiments/fleet/fleet.ts
@@ -196,6 +196,9 @@
       readiness: ({ state }) => {
         node.isReady = state === 'ready';
       },
+      'operator.reply': () => {},
+      'operator.history': () => {},
+      'operator.version': () => {},
       log: () => {},
     };
   }
--- a/packages/entry/src/runtime/entry-process.ts
+++ b/packages/entry/src/runtime/entry-process.ts
@@ -6,6 +6,8 @@
 import type { CallerGateway, CallerSession } from '../callers/types.js';
 import { EntryLinks } from '../links/entry-links.js';
 import { createEventLogger } from '../observe/logger.js';
+import { OperatorDesk } from '../operators/operator-desk.js';
+import { startOperatorServer } from '../operators/operator-server.js';
 import { renderMetricsText, type Gauge } from '../observe/render-metrics.js';
 import { RequestMeasure } from '../observe/request-measure.js';
 import { RequestMetrics } from '../observe/request-metrics.js';
@@ -15,6 +17,7 @@
 import { createAttemptEffects } from './effects/attempt-effects.js';
 import { createCallerEffects } from './effects/caller-effects.js';
 import { createLinkEffects } from './effects/link-effects.js';
+import { createOperatorEffects } from './effects/operator-effects.js';
 import { createEngineEffects, createPlatformEffects } from './effects/platform-effects.js';
 import type { Dispatch, EffectHandlers } from './effects/types.js';
 import { NodeRunner } from './node-runner.js';
@@ -40,6 +43,10 @@
 
   private server: Server | undefined;
 
+  private operatorServer: Server | undefined;
+
+  private readonly desk = new OperatorDesk((event) => this.runner.dispatch(event));
+
   private readonly vm: EntryVm;
 
   private readonly node: EntryNode;
@@ -72,9 +79,11 @@
   /** @returns the port on which callers are served */
   async start(): Promise<number> {
     this.server = await startCallerServer(this.createGateway());
+    this.operatorServer = await this.startOperators();
     const { port } = this.server.address() as AddressInfo;
     await this.links.start();
-    this.log.write(logEvents.processStarted, { port });
+    const { port: operatorPort } = this.operatorServer.address() as AddressInfo;
+    this.log.write(logEvents.processStarted, { port, operatorPort });
     this.runner.dispatch({ kind: 'started' });
     return port;
   }
@@ -141,6 +150,20 @@
     };
   }
 
+  private startOperators(): Promise<Server> {
+    const { operators } = this.settings;
+    return startOperatorServer({
+      address: { host: operators.host, port: operators.port },
+      credentials: operators.credentials,
+      readHead: () => this.node.readHead(),
+      readStatus: () => this.node.readStatus(),
+      commitChange: (ask) => this.desk.commitChange(ask),
+      readHistory: (limit) => this.desk.readHistory(limit),
+      readVersion: (version) => this.desk.readVersion(version),
+      drain: () => this.drain(),
+    });
+  }
+
   private createRequestId(): string {
     const requestId = `${this.vm.id}-${this.vm.incarnation}-${this.nextRequest}`;
     this.nextRequest += 1;
@@ -168,6 +191,8 @@
     this.stopped = true;
     this.runner.stop();
     this.platform.stop();
+    this.operatorServer?.close();
+    this.operatorServer?.closeIdleConnections();
     this.links.stop();
     this.server?.close(() => {
       this.log.write(logEvents.processStopped, {});
@@ -193,6 +218,7 @@
         this.configurationVersion = version;
         this.configuration = configuration;
       },
+      ...createOperatorEffects(this.desk),
       readiness: ({ state }) => this.changeReadiness(state),
       log: ({ event, fields }) => this.log.write(event, fields),
     };
--- a/packages/model/src/log-events/index.ts
+++ b/packages/model/src/log-events/index.ts
@@ -1,5 +1,6 @@
 import { configurationEvents } from './configuration-events.js';
 import { membershipEvents } from './membership-events.js';
+import { orderEvents } from './order-events.js';
 import { processEvents } from './process-events.js';
 import { recoveryEvents } from './recovery-events.js';
 import { requestEvents } from './request-events.js';
@@ -10,6 +11,7 @@
   ...requestEvents,
   ...configurationEvents,
   ...membershipEvents,
+  ...orderEvents,
   ...recoveryEvents,
 } as const;
 
