--- a/packages/model/src/codes/caller-codes.ts
+++ b/packages/model/src/codes/caller-codes.ts
@@ -1,7 +1,10 @@
-import { defineCodes } from './define-codes.js';
+import { defineRefusals } from './define-codes.js';
+import type { CodeOutcome } from './types.js';
+
+const USUAL_OUTCOME: CodeOutcome = { ran: ['no'], retry: 'never' };
 
 /** 1000 to 1999: the request itself can't be taken as it stands. */
-export const callerCodes = defineCodes({
+export const callerCodes = defineRefusals(USUAL_OUTCOME, {
   invalidJson: [
     1001,
     400,
@@ -113,6 +116,7 @@
     'Request too slow',
     'The request did not arrive whole within its time. It was not started.',
     'Send the request again after Retry-After.',
+    { ran: ['no'], retry: 'afterHeader' },
   ],
   methodNotAllowed: [
     1017,
@@ -148,6 +152,7 @@
     'Answer too large',
     'The whole answer is over the limit of this entry VM.',
     'Ask for a streamed answer.',
+    { ran: ['yes'], retry: 'never' },
   ],
   buffersFull: [
     1022,
@@ -155,5 +160,6 @@
     'Buffers full',
     'This entry VM has no memory left for further request bodies.',
     'Ask again after Retry-After.',
+    { ran: ['no'], retry: 'afterHeader' },
   ],
 });
--- a/packages/model/src/codes/index.ts
+++ b/packages/model/src/codes/index.ts
@@ -13,4 +13,4 @@
   ...operatorCodes,
 } as const;
 
-export type { Ran, Refusal, ResultCode } from './types.js';
+export type { CodeOutcome, Ran, Refusal, ResultCode, RetryAdvice } from './types.js';
--- a/packages/model/src/codes/routing-codes.ts
+++ b/packages/model/src/codes/routing-codes.ts
@@ -1,7 +1,10 @@
-import { defineCodes } from './define-codes.js';
+import { defineRefusals } from './define-codes.js';
+import type { CodeOutcome } from './types.js';
+
+const USUAL_OUTCOME: CodeOutcome = { ran: ['no'], retry: 'afterHeader' };
 
 /** 2000 to 2999: the request is sound, but it can't be served now. */
-export const routingCodes = defineCodes({
+export const routingCodes = defineRefusals(USUAL_OUTCOME, {
   noEndpoint: [
     2001,
     503,
@@ -29,6 +32,7 @@
     'Prompt too long',
     'The prompt does not fit the engines that serve this model.',
     'Shorten the prompt.',
+    { ran: ['no'], retry: 'never' },
   ],
   draining: [
     2005,
