--- a/packages/entry/src/callers/caller-server.ts
+++ b/packages/entry/src/callers/caller-server.ts
@@ -1,8 +1,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { resultCodes } from '@savorywind/model';
 import { formatRawRefusal } from './answers.js';
 import { BodyBudget } from './body-budget.js';
-import { OpenRequests, refuseConnection } from './protocol-faults.js';
+import { OpenRequests } from './open-requests.js';
+import { refuseConnection } from './protocol-faults.js';
 import { handleRequest, refuseExpectation, type Incoming } from './request-handler.js';
 import type { CallerGateway } from './types.js';
 
@@ -27,9 +29,8 @@
   requireHostHeader: false,
 });
 
-const createCallerServer = (gateway: CallerGateway): Server => {
+const createCallerServer = (gateway: CallerGateway, open: OpenRequests): Server => {
   const budget = new BodyBudget(gateway.settings.limits.maxBufferedBodyBytes);
-  const open = new OpenRequests();
   const accept = (request: IncomingMessage, response: ServerResponse): Incoming => {
     open.add(response);
     const requestId = gateway.createRequestId();
@@ -54,11 +55,23 @@
   return server;
 };
 
+/** The server for callers, while it runs. */
+export interface CallerServer {
+  readonly port: number;
+  /** Closes once every answer has gone out; requests that still come until then are refused. */
+  close(onClosed: () => void): void;
+}
+
 /** Starts the server for callers: model requests, plain services, health and metrics. */
-export const startCallerServer = (gateway: CallerGateway): Promise<Server> =>
+export const startCallerServer = (gateway: CallerGateway): Promise<CallerServer> =>
   new Promise((resolve, reject) => {
-    const server = createCallerServer(gateway);
+    const open = new OpenRequests();
+    const server = createCallerServer(gateway, open);
     const { host, port } = gateway.settings.callers;
     server.on('error', reject);
-    server.listen(port, host, () => resolve(server));
+    // Node's close() also closes connections whose answer has been ended but not been sent in full.
+    const close = (onClosed: () => void): void => open.waitIdle(() => server.close(onClosed));
+    server.listen(port, host, () =>
+      resolve({ port: (server.address() as AddressInfo).port, close }),
+    );
   });
--- a/packages/entry/src/callers/protocol-faults.ts
+++ b/packages/entry/src/callers/protocol-faults.ts
@@ -1,4 +1,3 @@
-import type { ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import { resultCodes, type Refusal } from '@savorywind/model';
 import { formatRawRefusal } from './answers.js';
@@ -17,27 +16,6 @@
   },
 };
 
-/** The requests of each connection that have not been answered in full. */
-export class OpenRequests {
-  private readonly open = new WeakMap<Duplex, Set<ServerResponse>>();
-
-  add(response: ServerResponse): void {
-    const { socket } = response.req;
-    const responses = this.open.get(socket) ?? new Set();
-    this.open.set(socket, responses.add(response));
-    response.on('close', () => responses.delete(response));
-  }
-
-  /**
-   * Tells whether a fault on a connection concerns a request that is still being read. Where a whole
-   * request waits for its answer, nothing else may be taken for that answer.
-   */
-  mayAnswer(socket: Duplex): boolean {
-    const responses = [...(this.open.get(socket) ?? [])];
-    return responses.every(({ req, headersSent }) => !req.complete && !headersSent);
-  }
-}
-
 /** Answers a connection whose bytes are no HTTP request, and closes it. */
 export const refuseConnection = (
   gateway: CallerGateway,
--- a/packages/entry/src/endpoints/engine-attempt.ts
+++ b/packages/entry/src/endpoints/engine-attempt.ts
@@ -75,16 +75,21 @@
       return;
     }
     report({ kind: 'attempt.headReceived', attemptId, head: undefined });
+    const refuseResponse = (): void => {
+      fail('invalid');
+      response.destroy();
+    };
     const parser = new SseParser((data) => {
       const event = parseEvent(data);
       if (event?.streamId === streamId && Number.isInteger(event.offset)) {
         acceptEvent(event as EngineEvent);
-        return;
+      } else {
+        refuseResponse();
       }
-      fail('invalid');
-      response.destroy();
     });
-    response.on('data', (bytes: Buffer) => parser.push(bytes));
+    response.on('data', (bytes: Buffer) => {
+      if (!parser.push(bytes)) refuseResponse();
+    });
     response.on('error', () => fail('broken'));
     response.on('end', () => fail('broken'));
   };
--- a/packages/entry/src/runtime/entry-process.ts
+++ b/packages/entry/src/runtime/entry-process.ts
@@ -1,8 +1,6 @@
-import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { EntryNode, type Readiness } from '@savorywind/decisions';
 import { logEvents, resultCodes, type Configuration, type EntryVm } from '@savorywind/model';
-import { startCallerServer } from '../callers/caller-server.js';
+import { startCallerServer, type CallerServer } from '../callers/caller-server.js';
 import type { CallerGateway, CallerSession } from '../callers/types.js';
 import { EntryLinks } from '../links/entry-links.js';
 import { createEventLogger } from '../observe/logger.js';
@@ -38,7 +36,7 @@
 
   private nextRequest = 1;
 
-  private server: Server | undefined;
+  private server: CallerServer | undefined;
 
   private readonly vm: EntryVm;
 
@@ -72,7 +70,7 @@
   /** @returns the port on which callers are served */
   async start(): Promise<number> {
     this.server = await startCallerServer(this.createGateway());
-    const { port } = this.server.address() as AddressInfo;
+    const { port } = this.server;
     await this.links.start();
     this.log.write(logEvents.processStarted, { port });
     this.runner.dispatch({ kind: 'started' });
@@ -173,7 +171,6 @@
       this.log.write(logEvents.processStopped, {});
       this.onDrained();
     });
-    this.server?.closeIdleConnections();
   }
 
   private changeReadiness(state: Readiness): void {
--- /dev/null
+++ b/packages/entry/test/logs-and-metrics.test.ts
@@ -0,0 +1,168 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import type { ModelContract } from '@savorywind/model';
+import { renderMetricsText } from '../src/observe/render-metrics.js';
+import { RequestMeasure } from '../src/observe/request-measure.js';
+import { MAX_SERIES, RequestMetrics } from '../src/observe/request-metrics.js';
+import { startTestEngine } from './fixtures/test-engine.js';
+import {
+  startTestEntry,
+  TEST_CREDENTIAL,
+  TEST_HEADERS,
+  type TestEntry,
+} from './fixtures/test-entry.js';
+import { startTestService } from './fixtures/test-service.js';
+
+const CANARY = 'canary-prompt-text';
+const ANSWER_CANARY = 'canary-answer-text';
+const WRONG_CREDENTIAL = 'canary-wrong-credential';
+
+const createContract = (overrides: Partial<ModelContract>): ModelContract => ({
+  kind: 'model',
+  requestId: 'request-1',
+  team: 'counter',
+  timeoutMs: 10_000,
+  digest: 'digest-1',
+  model: 'assistant',
+  promptTokens: 1_000,
+  maxOutputTokens: 4,
+  prefixDigests: [],
+  ...overrides,
+});
+
+const post = (entry: TestEntry, path: string, body: string, headers = {}): Promise<string> =>
+  fetch(`${entry.url}${path}`, {
+    method: 'POST',
+    headers: { ...TEST_HEADERS, ...headers },
+    body,
+  }).then((response) => response.text());
+
+describe('logs', () => {
+  it('carry no prompt, no answer and no credential, at the most talkative level', async () => {
+    const lines: string[] = [];
+    const write = vi.spyOn(process.stdout, 'write').mockImplementation((line) => {
+      lines.push(String(line));
+      return true;
+    });
+    const engine = await startTestEngine();
+    const service = await startTestService();
+    service.answer = (response) => response.end(ANSWER_CANARY);
+    const entry = await startTestEntry({
+      enginePort: engine.port,
+      servicePort: service.port,
+      logLevel: 'debug',
+    });
+    const chat = JSON.stringify({
+      model: 'assistant',
+      messages: [{ role: 'user', content: CANARY }],
+    });
+    const answered = post(entry, '/v1/chat/completions', chat);
+    const stream = await engine.streams.take();
+    stream.send(ANSWER_CANARY);
+    stream.end();
+    expect(await answered).toContain(ANSWER_CANARY);
+    await post(entry, `/services/booking/${CANARY}?q=${CANARY}`, CANARY, {
+      'idempotency-key': CANARY,
+    });
+    await post(entry, '/v1/chat/completions', `{"model":"${CANARY}","messages":"${CANARY}"}`);
+    await post(entry, `/${CANARY}`, chat);
+    await post(entry, '/v1/chat/completions', chat, {
+      authorization: `Bearer ${WRONG_CREDENTIAL}`,
+    });
+    await post(entry, '/v1/chat/completions', chat, { 'x-request-timeout': CANARY });
+    await entry.close();
+    await Promise.all([engine.close(), service.close()]);
+    write.mockRestore();
+    const text = lines.join('');
+    expect(text).toContain('"name":"requestFinished"');
+    expect(text).toContain('"name":"requestRejected"');
+    [CANARY, ANSWER_CANARY, WRONG_CREDENTIAL, TEST_CREDENTIAL].forEach((secret) =>
+      expect(text).not.toContain(secret),
+    );
+    lines
+      .filter((line) => line.startsWith('{'))
+      .forEach((line) =>
+        expect(JSON.parse(line)).toMatchObject({
+          event: expect.any(Number),
+          name: expect.any(String),
+          vm: 'entry-a1',
+        }),
+      );
+  });
+});
+
+describe('metrics', () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: ['performance'] });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  const measureRequest = (metrics: RequestMetrics, promptTokens: number): RequestMeasure =>
+    new RequestMeasure(metrics, createContract({ promptTokens }));
+
+  const engine = {
+    kind: 'engine',
+    prefillTokensPerS: 1_000,
+    decodeTokensPerS: 100,
+  } as Parameters<RequestMeasure['recordAttempt']>[0];
+
+  it('show queueing, first token, gaps, total and slowdown per team, class and band', () => {
+    const metrics = new RequestMetrics();
+    const measure = measureRequest(metrics, 1_000);
+    vi.advanceTimersByTime(200);
+    measure.recordAttempt(engine);
+    vi.advanceTimersByTime(1_000);
+    measure.recordChunk();
+    vi.advanceTimersByTime(20);
+    measure.recordChunk();
+    vi.advanceTimersByTime(820);
+    measure.recordFinish();
+    const text = renderMetricsText(metrics, []);
+    const labels = 'team="counter",class="assistant",band="1k"';
+    const readCount = (metric: string, bound: string): string | undefined =>
+      text.split('\n').find((line) => line.startsWith(`${metric}_bucket{${labels},le="${bound}"}`));
+    expect(readCount('savorywind_queueing_seconds', '0.1')).toMatch(/ 0$/);
+    expect(readCount('savorywind_queueing_seconds', '0.25')).toMatch(/ 1$/);
+    expect(readCount('savorywind_first_token_seconds', '1')).toMatch(/ 0$/);
+    expect(readCount('savorywind_first_token_seconds', '2.5')).toMatch(/ 1$/);
+    expect(readCount('savorywind_between_tokens_seconds', '0.032')).toMatch(/ 1$/);
+    expect(readCount('savorywind_total_seconds', '2.5')).toMatch(/ 1$/);
+    // 2.04 s, of which 1.02 s would have done on an idle engine.
+    expect(readCount('savorywind_slowdown_ratio', '1.5')).toMatch(/ 0$/);
+    expect(readCount('savorywind_slowdown_ratio', '3')).toMatch(/ 1$/);
+    expect(text).toContain(`savorywind_requests_total{${labels},outcome="finished"} 1`);
+  });
+
+  it('tell prompt lengths apart by powers of ten', () => {
+    const metrics = new RequestMetrics();
+    [1, 1_000, 1_001, 100_000, 1_000_000, 1_000_001].forEach((tokens) =>
+      measureRequest(metrics, tokens),
+    );
+    expect(metrics.listSeries().map(({ labels }) => labels.band)).toEqual([
+      '1k',
+      '10k',
+      '100k',
+      '1M',
+      'over1M',
+    ]);
+  });
+
+  it('stay bounded whatever teams come, and lose no request from the count', () => {
+    const metrics = new RequestMetrics();
+    for (let index = 0; index < 5_000; index += 1) {
+      const contract = createContract({ team: `team-${index}` });
+      new RequestMeasure(metrics, contract).recordFinish();
+    }
+    expect(metrics.listSeries()).toHaveLength(MAX_SERIES);
+    const counts = metrics.listSeries().map(({ outcomes }) => outcomes.get('finished') ?? 0);
+    expect(counts.reduce((sum, count) => sum + count, 0)).toBe(5_000);
+  });
+
+  it('escape what would break the format', () => {
+    const metrics = new RequestMetrics();
+    new RequestMeasure(metrics, createContract({ team: 'a"\\\nb' })).recordAbandoned();
+    expect(renderMetricsText(metrics, [])).toContain('team="a\\"\\\\\\nb"');
+  });
+});
