--- a/packages/entry/test/endpoints/attempts.test.ts
+++ b/packages/entry/test/endpoints/attempts.test.ts
@@ -1,6 +1,7 @@
 import type { NodeEvent } from '@savorywind/decisions';
 import type { Endpoint } from '@savorywind/model';
 import { describe, expect, it } from 'vitest';
+import { OutputFlow } from '../../src/callers/output-flow.js';
 import type { CallerRequest } from '../../src/callers/types.js';
 import { startEngineAttempt } from '../../src/endpoints/engine-attempt.js';
 import { startServiceAttempt } from '../../src/endpoints/service-attempt.js';
@@ -33,7 +34,7 @@
 };
 
 const run = async (kind: Kind, port: number, overrides = {}): Promise<string[]> => {
-  const request = { ...requests[kind] } as CallerRequest;
+  const request = { ...requests[kind], flow: new OutputFlow() } as CallerRequest;
   const events = await runAttempt(starters[kind], endpoints[kind](port), request, overrides);
   return events.map(describeEvent);
 };
