--- a/packages/bench/src/process/child-process.ts
+++ b/packages/bench/src/process/child-process.ts
@@ -32,12 +32,15 @@
       const { port } = JSON.parse(line) as { port?: number };
       if (port === undefined) return;
       clearTimeout(timer);
+      lines.close();
+      child.stdout?.resume();
       resolve(port);
     });
     child.on('exit', (code) => reject(new Error(`process ended with ${code} before it listened`)));
   });
 
-const startNode = async (main: string, args: readonly string[]): Promise<StartedProcess> => {
+/** Starts a Node.js program that writes a JSON line with its port once it listens. */
+export const startNode = async (main: string, args: readonly string[]): Promise<StartedProcess> => {
   const child = spawn(process.execPath, [main, ...args], { stdio: ['ignore', 'pipe', 'inherit'] });
   const exited = new Promise<number | undefined>((resolve) => {
     child.on('exit', (code) => resolve(code ?? undefined));
--- a/packages/entry/src/callers/models/streamed-exchange.ts
+++ b/packages/entry/src/callers/models/streamed-exchange.ts
@@ -42,6 +42,12 @@
   const suffix = includeUsage ? '],"usage":null}\n\n' : ']}\n\n';
   const later = { before: prefix + chunkChoice[0], after: chunkChoice[1] + suffix };
   let next = { before: prefix + firstChoice[0], after: firstChoice[1] + suffix };
+  let begun = false;
+  // A long prompt's first token may be minutes away, so the caller's client sees the head before; but
+  // not in a packet of its own where the first tokens come right behind.
+  const flushHead = (): void => {
+    if (!begun && !response.destroyed) response.flushHeaders();
+  };
   return {
     sendHead: () => {
       response.writeHead(200, {
@@ -49,20 +55,22 @@
         'cache-control': 'no-cache',
         [REQUEST_ID_HEADER]: requestId,
       });
-      // A long prompt's first token may be minutes away; the caller's client sees the head before.
-      response.flushHeaders();
+      setImmediate(flushHead);
     },
     sendChunk: (data) => {
+      begun = true;
       output.write(next.before + JSON.stringify(data) + next.after);
       next = later;
     },
     finish: (reason, usage) => {
+      begun = true;
       const choice = JSON.stringify(formatEndChoice(FINISH_REASONS[reason]));
       const last = formatEvent(JSON.stringify({ ...base, choices: [], usage: formatUsage(usage) }));
       output.end(`${prefix}${choice}${suffix}${includeUsage ? last : ''}${formatEvent('[DONE]')}`);
     },
     refuse: (refusal) => {
       if (response.headersSent) {
+        begun = true;
         output.end(formatEvent(JSON.stringify(formatRefusal(requestId, refusal))));
       } else {
         sendRefusal(response, requestId, refusal);
