--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,23 +1,35 @@
-import { mkdirSync, writeFileSync } from 'node:fs';
-import { join } from 'node:path';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
+import { policyExperiments } from './experiments/index.js';
+import type { RunExperiment } from './experiments/types.js';
+import { writeReport } from './experiments/write-report.js';
 import { runOverhead } from './overhead/run-overhead.js';
 
-const experiments = { overhead: runOverhead } as const;
+const experiments: Readonly<Record<string, RunExperiment>> = {
+  ...policyExperiments,
+  overhead: runOverhead,
+};
 
 const args = await yargs(hideBin(process.argv))
-  .option('experiment', { choices: ['overhead'] as const, demandOption: true })
-  .option('seed', { type: 'number', default: 1 })
+  .option('experiment', { choices: Object.keys(experiments), demandOption: true })
+  .option('seed', { type: 'number', default: 1, describe: 'first seed' })
+  .option('seeds', { type: 'number', default: 5, describe: 'how many seeds' })
+  .option('minutes', { type: 'number', default: 10, describe: 'length of a run' })
+  .option('deployment', { type: 'string', default: 'stuhlwerk' })
   .option('out', { type: 'string', default: 'bench-results', describe: 'folder for the report' })
   .strict()
   .parse();
 
-const { rows } = await experiments[args.experiment]({
+const { experiment, seed, seeds, minutes, deployment, out } = args;
+const command = `npm run bench -- --experiment ${experiment} --seed ${seed} --seeds ${seeds} --minutes ${minutes} --deployment ${deployment}`;
+const report = await experiments[experiment]?.({
+  seed,
+  seeds,
+  minutes,
+  deployment,
   onProgress: (text) => process.stderr.write(`${text}\n`),
 });
-const lines = rows.map(({ label, cells }) => `| ${label} | ${Object.values(cells).join(' | ')} |`);
-const table = ['| | median | lowest | highest |', '| - | - | - | - |', ...lines].join('\n');
-mkdirSync(args.out, { recursive: true });
-writeFileSync(join(args.out, `${args.experiment}.md`), `${table}\n`);
-process.stdout.write(`${table}\n`);
+if (report !== undefined) {
+  const table = await writeReport(`${experiment}-${deployment}`, out, command, report);
+  process.stdout.write(`${command}\n\n${table}\n`);
+}
--- a/packages/bench/src/overhead/run-overhead.ts
+++ b/packages/bench/src/overhead/run-overhead.ts
@@ -1,3 +1,4 @@
+import type { RunExperiment } from '../experiments/types.js';
 import { measureMemory } from './measure-memory.js';
 import { measureRate } from './measure-rate.js';
 import { measureShort } from './measure-short.js';
@@ -14,18 +15,6 @@
   measureRate,
 ];
 
-interface OverheadOptions {
-  readonly onProgress: (text: string) => void;
-}
-
-interface OverheadReport {
-  readonly rows: readonly {
-    readonly label: string;
-    readonly cells: Readonly<Record<string, string>>;
-  }[];
-  readonly plots: readonly never[];
-}
-
 /** Runs measures on an entry VM of its own. */
 const measureFresh = async (measures: typeof MEASURES): Promise<Figures> => {
   const bench = await startBench();
@@ -52,7 +41,7 @@
 };
 
 /** What one entry VM adds to requests and tokens: the median of five runs, both sides in each. */
-export const runOverhead = async ({ onProgress }: OverheadOptions): Promise<OverheadReport> => {
+export const runOverhead: RunExperiment = async ({ onProgress }) => {
   const runs: Figures[] = [];
   for (let run = 1; run <= RUNS; run += 1) {
     const figures = { ...(await measureFresh(MEASURES)), ...(await measureFresh([measureMemory])) };
