--- a/packages/entry/src/endpoints/timed-send.ts
+++ b/packages/entry/src/endpoints/timed-send.ts
@@ -16,6 +16,8 @@
   onLate: () => void,
 ): ConnectionWatch => {
   let sent = false;
+  // Let go once it is sent: the listeners live as long as the answer.
+  let unsent = body;
   const send = (): void => {
     if (call.destroyed) return;
     if (performance.now() >= deadlineMs) {
@@ -24,7 +26,8 @@
       return;
     }
     sent = true;
-    call.end(body);
+    call.end(unsent);
+    unsent = undefined;
   };
   call.once('socket', (socket) => {
     if (socket.connecting) socket.once('connect', send);
