--- a/packages/decisions/src/seam/types.ts
+++ b/packages/decisions/src/seam/types.ts
@@ -19,6 +19,15 @@
   Result,
 } from '@savorywind/model';
 
+import type {
+  ChangeAsk,
+  ChangeOutcome,
+  HistoryOutcome,
+  VersionOutcome,
+  VmVersion,
+} from '../configuration/types.js';
+import type { LeaseView, OrderedPlacement } from '../orders/types.js';
+
 /** How an attempt at an endpoint broke off. Decides whether the call may have run. */
 export type AttemptFailure =
   /** No byte of the request left this process. */
@@ -50,7 +59,16 @@
 export type EngineCall =
   | { readonly kind: 'streams.list' }
   | { readonly kind: 'stream.cancel'; readonly streamId: string }
-  | { readonly kind: 'load.read' };
+  | { readonly kind: 'load.read' }
+  /** What the engine serves, what it is loading, and the highest fencing number it has seen. */
+  | { readonly kind: 'placement.read' }
+  | {
+      readonly kind: 'order.give';
+      readonly fencing: number;
+      readonly placement: OrderedPlacement;
+      /** An order that has not left the process by then is not sent, and reported as `unsent`. */
+      readonly sendBeforeMs: MonotonicMs;
+    };
 
 /** One stream that an engine holds memory for. */
 export interface EngineStream {
@@ -70,6 +88,13 @@
 export type EngineReply =
   | { readonly kind: 'streams'; readonly streams: readonly EngineStream[] }
   | { readonly kind: 'done' }
+  | {
+      readonly kind: 'placement';
+      readonly placement: OrderedPlacement;
+      readonly loading: OrderedPlacement | undefined;
+      /** Undefined where the engine does not check fencing numbers. */
+      readonly fencing: number | undefined;
+    }
   | { readonly kind: 'load'; readonly load: EngineLoad };
 
 /** `unsent` had certainly no effect, `unanswered` may have had one, `refused` is the engine's no. */
@@ -109,6 +134,10 @@
       readonly attemptId: AttemptId;
       readonly failure: AttemptFailure;
     }
+  /** An operator asks for a change; answered by one `operator.reply`. */
+  | ({ readonly kind: 'operator.change' } & ChangeAsk)
+  | { readonly kind: 'operator.readHistory'; readonly askId: string; readonly limit: number }
+  | { readonly kind: 'operator.readVersion'; readonly askId: string; readonly version: number }
   | { readonly kind: 'link.opened'; readonly peer: EntryVmId }
   | { readonly kind: 'link.closed'; readonly peer: EntryVmId }
   | { readonly kind: 'link.received'; readonly peer: EntryVmId; readonly message: LinkMessage }
@@ -178,6 +207,13 @@
       readonly version: number;
       readonly configuration: Configuration;
     }
+  | {
+      readonly kind: 'operator.reply';
+      readonly changeId: string;
+      readonly outcome: ChangeOutcome;
+    }
+  | { readonly kind: 'operator.history'; readonly askId: string; readonly outcome: HistoryOutcome }
+  | { readonly kind: 'operator.version'; readonly askId: string; readonly outcome: VersionOutcome }
   | { readonly kind: 'readiness'; readonly state: Readiness }
   | { readonly kind: 'log'; readonly event: LogEvent; readonly fields: LogFields };
 
@@ -202,5 +238,9 @@
   readonly configurationVersion: number;
   /** Time since the platform last confirmed the version in force. */
   readonly configurationAgeMs: number | undefined;
+  /** Which version each live entry VM has, as far as this one was told. */
+  readonly configurationVersions: readonly VmVersion[];
+  /** Whether it gives the orders in its failure domain. */
+  readonly orderLease: LeaseView;
   readonly requests: readonly RequestView[];
 }
--- a/packages/entry/src/runtime/entry-process.ts
+++ b/packages/entry/src/runtime/entry-process.ts
@@ -1,3 +1,5 @@
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { EntryNode, type Readiness } from '@savorywind/decisions';
 import { logEvents, resultCodes, type Configuration, type EntryVm } from '@savorywind/model';
 import { startCallerServer, type CallerServer } from '../callers/caller-server.js';
@@ -5,6 +7,8 @@
 import { EntryLinks } from '../links/entry-links.js';
 import { createStdoutSink } from '../observe/log-sink.js';
 import { createEventLogger } from '../observe/logger.js';
+import { OperatorDesk } from '../operators/operator-desk.js';
+import { startOperatorServer } from '../operators/operator-server.js';
 import { renderMetricsText, type Gauge } from '../observe/render-metrics.js';
 import { RequestMeasure } from '../observe/request-measure.js';
 import { RequestMetrics } from '../observe/request-metrics.js';
@@ -14,6 +18,7 @@
 import { createAttemptEffects } from './effects/attempt-effects.js';
 import { createCallerEffects } from './effects/caller-effects.js';
 import { createLinkEffects } from './effects/link-effects.js';
+import { createOperatorEffects } from './effects/operator-effects.js';
 import { createEngineEffects, createPlatformEffects } from './effects/platform-effects.js';
 import type { Dispatch, EffectHandlers } from './effects/types.js';
 import { NodeRunner } from './node-runner.js';
@@ -39,6 +44,10 @@
 
   private server: CallerServer | undefined;
 
+  private operatorServer: Server | undefined;
+
+  private readonly desk = new OperatorDesk((event) => this.runner.dispatch(event));
+
   private readonly vm: EntryVm;
 
   private readonly node: EntryNode;
@@ -73,9 +82,11 @@
   /** @returns the port on which callers are served */
   async start(): Promise<number> {
     this.server = await startCallerServer(this.createGateway());
+    this.operatorServer = await this.startOperators();
     const { port } = this.server;
     await this.links.start();
-    this.log.write(logEvents.processStarted, { port });
+    const { port: operatorPort } = this.operatorServer.address() as AddressInfo;
+    this.log.write(logEvents.processStarted, { port, operatorPort });
     this.runner.dispatch({ kind: 'started' });
     return port;
   }
@@ -157,6 +168,20 @@
     };
   }
 
+  private startOperators(): Promise<Server> {
+    const { operators } = this.settings;
+    return startOperatorServer({
+      address: { host: operators.host, port: operators.port },
+      credentials: operators.credentials,
+      readHead: () => this.node.readHead(),
+      readStatus: () => this.node.readStatus(),
+      commitChange: (ask) => this.desk.commitChange(ask),
+      readHistory: (limit) => this.desk.readHistory(limit),
+      readVersion: (version) => this.desk.readVersion(version),
+      drain: () => this.drain(),
+    });
+  }
+
   private createRequestId(): string {
     const requestId = `${this.vm.id}-${this.vm.incarnation}-${this.nextRequest}`;
     this.nextRequest += 1;
@@ -184,6 +209,8 @@
     this.stopped = true;
     this.runner.stop();
     this.platform.stop();
+    this.operatorServer?.close();
+    this.operatorServer?.closeIdleConnections();
     this.links.stop();
     this.server?.close(() => {
       this.log.write(logEvents.processStopped, {});
@@ -209,6 +236,7 @@
         this.configurationVersion = version;
         this.configuration = configuration;
       },
+      ...createOperatorEffects(this.desk),
       readiness: ({ state }) => this.changeReadiness(state),
       log: ({ event, fields }) => this.log.write(event, fields),
     };
