--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,9 +3,11 @@
 import { policyExperiments } from './experiments/index.js';
 import type { RunExperiment } from './experiments/types.js';
 import { writeReport } from './experiments/write-report.js';
+import { runOverhead } from './overhead/run-overhead.js';
 
 const experiments: Readonly<Record<string, RunExperiment>> = {
   ...policyExperiments,
+  overhead: runOverhead,
 };
 
 const args = await yargs(hideBin(process.argv))
--- a/packages/entry/src/callers/caller-server.ts
+++ b/packages/entry/src/callers/caller-server.ts
@@ -1,8 +1,18 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { resultCodes } from '@savorywind/model';
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import { createServer as createTlsServer, type Server as TlsServer } from 'node:https';
+import type { AddressInfo } from 'node:net';
+import { Ok, resultCodes, type Result } from '@savorywind/model';
 import { formatRawRefusal } from './answers.js';
 import { BodyBudget } from './body-budget.js';
-import { OpenRequests, refuseConnection } from './protocol-faults.js';
+import { loadCertificate } from './caller-tls.js';
+import { OpenRequests } from './open-requests.js';
+import { refuseConnection } from './protocol-faults.js';
 import { handleRequest, refuseExpectation, type Incoming } from './request-handler.js';
 import type { CallerGateway } from './types.js';
 
@@ -27,15 +37,25 @@
   requireHostHeader: false,
 });
 
-const createCallerServer = (gateway: CallerGateway): Server => {
+type AnyServer = Server | TlsServer;
+
+const createAnyServer = (gateway: CallerGateway, listener: RequestListener): AnyServer => {
+  const options = createOptions(gateway);
+  const { tls } = gateway.settings.callers;
+  if (tls === undefined) return createServer(options, listener);
+  const certificate = loadCertificate(tls);
+  if (certificate.err) throw new Error(certificate.val);
+  return createTlsServer({ ...options, ...certificate.val, minVersion: 'TLSv1.2' }, listener);
+};
+
+const createCallerServer = (gateway: CallerGateway, open: OpenRequests): AnyServer => {
   const budget = new BodyBudget(gateway.settings.limits.maxBufferedBodyBytes);
-  const open = new OpenRequests();
   const accept = (request: IncomingMessage, response: ServerResponse): Incoming => {
     open.add(response);
     const requestId = gateway.createRequestId();
     return { gateway, budget, request, response, requestId };
   };
-  const server = createServer(createOptions(gateway), (request, response) => {
+  const server = createAnyServer(gateway, (request, response) => {
     handleRequest(accept(request, response)).catch(() => response.destroy());
   });
   // All headers are looked at; their size is bounded by maxHeaderSize.
@@ -54,11 +74,35 @@
   return server;
 };
 
+const reloadCertificate = (gateway: CallerGateway, server: AnyServer): Result<void, string> => {
+  const { tls } = gateway.settings.callers;
+  if (tls === undefined || !('setSecureContext' in server)) return Ok(undefined);
+  const certificate = loadCertificate(tls);
+  if (certificate.err) return certificate;
+  server.setSecureContext({ ...certificate.val, minVersion: 'TLSv1.2' });
+  return Ok(undefined);
+};
+
+/** The server for callers, while it runs. */
+export interface CallerServer {
+  readonly port: number;
+  /** Reads certificate and key again; connections that are open keep theirs. */
+  reload(): Result<void, string>;
+  /** Closes once every answer has gone out; requests that still come until then are refused. */
+  close(onClosed: () => void): void;
+}
+
 /** Starts the server for callers: model requests, plain services, health and metrics. */
-export const startCallerServer = (gateway: CallerGateway): Promise<Server> =>
+export const startCallerServer = (gateway: CallerGateway): Promise<CallerServer> =>
   new Promise((resolve, reject) => {
-    const server = createCallerServer(gateway);
+    const open = new OpenRequests();
+    const server = createCallerServer(gateway, open);
     const { host, port } = gateway.settings.callers;
     server.on('error', reject);
-    server.listen(port, host, () => resolve(server));
+    // Node's close() also closes connections whose answer has been ended but not been sent in full.
+    const close = (onClosed: () => void): void => open.waitIdle(() => server.close(onClosed));
+    server.listen(port, host, () => {
+      const { port: boundPort } = server.address() as AddressInfo;
+      resolve({ port: boundPort, reload: () => reloadCertificate(gateway, server), close });
+    });
   });
