--- a/packages/bench/src/process/free-ports.ts
+++ b/packages/bench/src/process/free-ports.ts
@@ -1,23 +1,28 @@
-import { createServer, type AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
 
-const openServer = (): Promise<{ port: number; close: () => Promise<void> }> =>
+/** Ports below those that the system gives to outgoing connections and to port 0. */
+const FIRST_PORT = 20_000;
+const PORTS = 12_000;
+
+const isFree = (port: number): Promise<boolean> =>
   new Promise((resolve) => {
     const server = createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo;
-      resolve({
-        port,
-        close: () =>
-          new Promise((done) => {
-            server.close(() => done());
-          }),
-      });
-    });
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
 
-/** Finds ports of the loopback address that are free now; each is given once. */
+const given = new Set<number>();
+
+const findFreePort = async (): Promise<number> => {
+  const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+  if (given.has(port) || !(await isFree(port))) return findFreePort();
+  given.add(port);
+  return port;
+};
+
+/** Finds ports of the loopback address that are free; this process is given each one once. */
 export const findFreePorts = async (count: number): Promise<number[]> => {
-  const servers = await Promise.all(Array.from({ length: count }, openServer));
-  await Promise.all(servers.map(({ close }) => close()));
-  return servers.map(({ port }) => port);
+  const ports: number[] = [];
+  while (ports.length < count) ports.push(await findFreePort());
+  return ports;
 };
--- a/packages/bench/test/membership.test.ts
+++ b/packages/bench/test/membership.test.ts
@@ -11,6 +11,9 @@
 /** Longest time until all know of an entry VM that ended, or that came. */
 const NEWS_MS = 10_000;
 
+/** What an entry VM may send for control in all. */
+const CONTROL_BYTES_PER_S = 3_000;
+
 const victim = formatVmId(1, 1);
 
 const listIds = ({ domains, perDomain }: typeof TODAY): string[] =>
@@ -101,6 +104,24 @@
     listViews(cluster).forEach((view) => expect(view).toEqual(listIds(size)));
   });
 
+  it.each([TODAY, LARGE])('joins again without a storm: $domains domains of $perDomain', (size) => {
+    const cluster = createCluster(size);
+    for (let domain = 1; domain < size.domains; domain += 1) {
+      cluster.cut(formatDomain(0), formatDomain(domain));
+    }
+    cluster.cut(formatDomain(0), PLATFORM);
+    cluster.kill(victim);
+    cluster.start('entry-0-9', formatDomain(0));
+    cluster.advance(300_000);
+    cluster.healAll();
+    const seconds = 10;
+    cluster.listRunning().forEach((member) => member.resetCost());
+    cluster.advance(seconds * 1_000);
+    cluster.listRunning().forEach(({ cost }) => {
+      expect(cost.sentBytes / seconds).toBeLessThan(CONTROL_BYTES_PER_S);
+    });
+  });
+
   it('keeps the links of an entry VM to its own failure domain and a few others', () => {
     const cluster = createCluster(LARGE);
     const counts = cluster.listRunning().map(({ linked }) => linked.size);
--- a/packages/decisions/src/membership/entry-membership.ts
+++ b/packages/decisions/src/membership/entry-membership.ts
@@ -61,6 +61,8 @@
 
   private factsAskedAtMs: number | undefined;
 
+  private planKey = '';
+
   constructor(private readonly dependencies: Dependencies) {
     const { context, readConfiguration, readVersion } = dependencies;
     this.context = context;
@@ -77,7 +79,7 @@
       send: (peer, message) => this.send(peer, message),
       onJudged: () => this.update(),
     });
-    this.homes = new HomeFinder(context);
+    this.homes = new HomeFinder(context, (id) => this.isLeaving(id));
     this.endpoints = new EndpointHealth(context, readConfiguration);
     this.messageHandlers = this.createMessageHandlers();
     this.update();
@@ -307,6 +309,11 @@
     return this.links.isPlanned(vm.id) || this.links.isUnreachable(vm.id) ? 'unreachable' : 'live';
   }
 
+  private isLeaving(id: EntryVmId): boolean {
+    const member = this.table.find(id);
+    return member !== undefined && this.judge(member) === 'leaving';
+  }
+
   private mayBeGateway(id: EntryVmId): boolean {
     if (id === this.context.self.id) return this.state === 'live';
     return this.table.find(id)?.state === 'live' && !this.links.isUnreachable(id);
@@ -314,12 +321,22 @@
 
   /** Draws the conclusions of whatever changed: links to keep, who is live, where homes are. */
   private update(): void {
+    this.updatePlan();
+    this.heartbeats.updateWatchers();
+    const live = this.table
+      .list()
+      .filter((member) => this.judge(member) === 'live')
+      .map(({ vm }) => vm);
+    this.homes.updateLive(this.state === 'live' ? [this.context.self, ...live] : live);
+  }
+
+  /** Plans links anew only where what the plan depends on has changed. */
+  private updatePlan(): void {
+    const key = `${this.table.version}|${this.links.unreachableVersion}|${this.state}`;
+    if (key === this.planKey) return;
+    this.planKey = key;
     const { self } = this.context;
-    const members = this.table.list();
-    const vms = [self, ...members.map(({ vm }) => vm)];
+    const vms = [self, ...this.table.list().map(({ vm }) => vm)];
     this.links.updatePlan(listPlannedPeers(self, vms, ({ id }) => this.mayBeGateway(id)));
-    this.heartbeats.updateWatchers();
-    const live = members.filter((member) => this.judge(member) === 'live').map(({ vm }) => vm);
-    this.homes.updateLive(this.state === 'live' ? [self, ...live] : live);
   }
 }
--- a/packages/decisions/src/membership/home-finder.ts
+++ b/packages/decisions/src/membership/home-finder.ts
@@ -23,7 +23,10 @@
 
   private readonly listeners: (() => void)[] = [];
 
-  constructor(private readonly context: NodeContext) {}
+  constructor(
+    private readonly context: NodeContext,
+    private readonly isLeaving: (id: EntryVmId) => boolean,
+  ) {}
 
   onChanged(listener: () => void): void {
     this.listeners.push(listener);
@@ -61,8 +64,9 @@
       );
     this.live
       .filter((vm) => vm.id !== self.id && !lives.has(formatLife(vm)))
-      .forEach(({ id, incarnation }) =>
-        this.context.log(logEvents.peerLost, { peer: id, incarnation }),
-      );
+      .forEach(({ id, incarnation }) => {
+        const event = this.isLeaving(id) ? logEvents.peerLeaving : logEvents.peerLost;
+        this.context.log(event, { peer: id, incarnation });
+      });
   }
 }
--- a/packages/decisions/src/membership/link-keeper.ts
+++ b/packages/decisions/src/membership/link-keeper.ts
@@ -28,6 +28,8 @@
   /** Peers outside the plan to which no link could be opened lately. */
   private readonly unreachable = new Set<EntryVmId>();
 
+  private unreachableChanges = 0;
+
   constructor(
     private readonly context: NodeContext,
     private readonly onUnreachable: () => void,
@@ -45,6 +47,11 @@
     return this.unreachable.has(peer);
   }
 
+  /** Rises whenever other peers are unreachable. */
+  get unreachableVersion(): number {
+    return this.unreachableChanges;
+  }
+
   listLinked(): EntryVmId[] {
     return [...this.linked];
   }
@@ -65,7 +72,7 @@
 
   acceptOpened(peer: EntryVmId): void {
     this.linked.add(peer);
-    this.unreachable.delete(peer);
+    if (this.unreachable.delete(peer)) this.unreachableChanges += 1;
     const waiting = this.demanded.get(peer)?.waiting.splice(0) ?? [];
     waiting.forEach((message) => this.context.emit({ kind: 'link.send', peer, message }));
   }
@@ -112,9 +119,11 @@
 
   private keepUnreachable(peer: EntryVmId): void {
     this.unreachable.add(peer);
+    this.unreachableChanges += 1;
     this.onUnreachable();
     this.context.schedule(UNREACHABLE_MS, () => {
-      this.unreachable.delete(peer);
+      if (!this.unreachable.delete(peer)) return;
+      this.unreachableChanges += 1;
       this.onUnreachable();
     });
   }
--- a/packages/decisions/src/membership/member-table.ts
+++ b/packages/decisions/src/membership/member-table.ts
@@ -16,6 +16,10 @@
 /** Incarnation of an entry VM in a list that does not know it. */
 export const UNKNOWN_INCARNATION = 0;
 
+const mixFact = (digest: number, { vm, state }: MemberFact): number =>
+  // eslint-disable-next-line no-bitwise
+  digest ^ hashText(`${vm.id}|${vm.incarnation}|${state}`);
+
 /**
  * All entry VMs that are known. Facts only rise: a higher incarnation replaces a lower one, and
  * within an incarnation `leaving` replaces `live`. So every entry VM ends with the same facts, in
@@ -26,8 +30,18 @@
 
   private readonly forgotten = new Map<EntryVmId, number>();
 
+  private changes = 0;
+
+  /** Digest of the other members' facts at a version. */
+  private digest: { readonly version: number; readonly value: number } | undefined;
+
   constructor(private readonly self: EntryVm) {}
 
+  /** Rises whenever something is known that was not known before. */
+  get version(): number {
+    return this.changes;
+  }
+
   get size(): number {
     return this.members.size;
   }
@@ -48,17 +62,9 @@
 
   /** @returns whether the fact was news */
   accept(fact: MemberFact, nowMs: MonotonicMs): boolean {
-    if (fact.vm.id === this.self.id) return false;
-    const known = this.members.get(fact.vm.id);
-    if (known === undefined) return this.add(fact, nowMs);
-    known.mentionedAtMs = nowMs;
-    if (fact.vm.incarnation < known.vm.incarnation) return false;
-    const isNewer = fact.vm.incarnation > known.vm.incarnation;
-    if (!isNewer && (known.state === 'leaving' || fact.state === 'live')) return false;
-    known.vm = fact.vm;
-    known.state = fact.state;
-    if (isNewer) known.configurationVersion = 0;
-    return true;
+    const isNews = this.merge(fact, nowMs);
+    if (isNews) this.changes += 1;
+    return isNews;
   }
 
   /** Takes an entry of the platform's list. @returns whether it was news */
@@ -70,6 +76,7 @@
     const isLeaving = fact.state === 'leaving';
     const changed = member.listedLeaving !== isLeaving;
     member.listedLeaving = isLeaving;
+    if (changed) this.changes += 1;
     return news || changed;
   }
 
@@ -88,16 +95,31 @@
       ({ vm, mentionedAtMs }) => nowMs - mentionedAtMs >= FORGET_MS && !isLinked(vm.id),
     );
     gone.forEach(({ vm }) => this.forget(vm));
+    this.changes += gone.length;
     return gone.map(({ vm }) => vm);
   }
 
   /** Digest of all facts, the one of this entry VM included; it does not depend on their order. */
   hashFacts(ownFact: MemberFact): number {
-    return [ownFact, ...this.listFacts()].reduce(
-      // eslint-disable-next-line no-bitwise
-      (digest, { vm, state }) => digest ^ hashText(`${vm.id}|${vm.incarnation}|${state}`),
-      0,
-    );
+    if (this.digest?.version !== this.changes) {
+      const value = this.listFacts().reduce((sum, fact) => mixFact(sum, fact), 0);
+      this.digest = { version: this.changes, value };
+    }
+    return mixFact(this.digest.value, ownFact);
+  }
+
+  private merge(fact: MemberFact, nowMs: MonotonicMs): boolean {
+    if (fact.vm.id === this.self.id) return false;
+    const known = this.members.get(fact.vm.id);
+    if (known === undefined) return this.add(fact, nowMs);
+    known.mentionedAtMs = nowMs;
+    if (fact.vm.incarnation < known.vm.incarnation) return false;
+    const isNewer = fact.vm.incarnation > known.vm.incarnation;
+    if (!isNewer && (known.state === 'leaving' || fact.state === 'live')) return false;
+    known.vm = fact.vm;
+    known.state = fact.state;
+    if (isNewer) known.configurationVersion = 0;
+    return true;
   }
 
   private add(fact: MemberFact, nowMs: MonotonicMs): boolean {
--- a/packages/decisions/src/membership/types.ts
+++ b/packages/decisions/src/membership/types.ts
@@ -54,8 +54,8 @@
    */
   findHome(engine: Engine): EntryVmId | undefined;
   /**
-   * Calls the listener when homes may have moved. A new home reads the engine's stream list before
-   * it grants, since the old one may have granted what it does not know of.
+   * Calls the listener when homes may have moved. The old home may have granted what the new one does
+   * not know of; the engine refuses what does not fit.
    */
   onHomesChanged(listener: () => void): void;
 }
--- a/packages/decisions/test/membership/home-finder.test.ts
+++ b/packages/decisions/test/membership/home-finder.test.ts
@@ -17,7 +17,7 @@
 );
 
 const createFinder = (vms: readonly EntryVm[]): HomeFinder => {
-  const finder = new HomeFinder(createTestContext().context);
+  const finder = new HomeFinder(createTestContext().context, () => false);
   finder.updateLive(vms);
   return finder;
 };
