--- a/packages/decisions/src/node/entry-node.ts
+++ b/packages/decisions/src/node/entry-node.ts
@@ -1,6 +1,7 @@
 import {
   logEvents,
   resultCodes,
+  type ConfigurationHead,
   type EntryVm,
   type EntryVmId,
   type LinkMessage,
@@ -9,10 +10,11 @@
   type RequestContract,
   type ResultCode,
 } from '@savorywind/model';
-import { ConfigurationKeeper } from '../configuration/configuration-keeper.js';
+import { NodeConfiguration } from '../configuration/node-configuration.js';
 import { ClaimLedger } from '../ledger/claim-ledger.js';
 import { DEFAULT_ROUTER, routers, type RouterName } from '../routing/routers.js';
 import type { Router } from '../routing/types.js';
+import { NodeOrders } from '../orders/node-orders.js';
 import { EntryMembership } from '../membership/entry-membership.js';
 import type { MembershipView } from '../membership/types.js';
 import { RequestLifecycle } from '../requests/request-lifecycle.js';
@@ -62,7 +64,7 @@
 export class EntryNode {
   private readonly context: NodeContext;
 
-  private readonly configuration: ConfigurationKeeper;
+  private readonly configuration: NodeConfiguration;
 
   private readonly requests: RequestLifecycle;
 
@@ -70,6 +72,8 @@
 
   private readonly router: Router;
 
+  private readonly orders: NodeOrders;
+
   private readonly sweeper: EngineSweeper;
 
   private readonly messageHandlers: MessageHandlers;
@@ -80,13 +84,18 @@
 
   constructor(options: EntryNodeOptions) {
     this.context = new NodeContext(options.vm, options.seed);
-    this.configuration = new ConfigurationKeeper(this.context, () => this.becomeReady());
     const readConfiguration = () => this.configuration.configuration;
     this.membership = new EntryMembership({
       context: this.context,
       readConfiguration,
       readVersion: () => this.configuration.version,
     });
+    this.configuration = new NodeConfiguration({
+      context: this.context,
+      membership: this.membership,
+      onSettled: () => this.becomeReady(),
+      onIdle: () => this.finishDrain(),
+    });
     this.router = routers[options.router ?? DEFAULT_ROUTER]({
       context: this.context,
       membership: this.membership,
@@ -105,6 +114,11 @@
       membership: this.membership,
       readConfiguration,
     });
+    this.orders = new NodeOrders({
+      context: this.context,
+      membership: this.membership,
+      readConfiguration,
+    });
     this.handlers = this.createHandlers();
     this.messageHandlers = this.createMessageHandlers();
   }
@@ -126,12 +140,19 @@
     return this.context.nextWakeMs();
   }
 
+  /** The version in force on this entry VM, with its document. */
+  readHead(): ConfigurationHead | undefined {
+    return this.configuration.head;
+  }
+
   readStatus(): NodeStatus {
     return {
       vm: this.context.self,
       readiness: this.readiness,
       configurationVersion: this.configuration.version,
       configurationAgeMs: this.configuration.ageMs,
+      configurationVersions: this.configuration.listVersions(),
+      orderLease: this.orders.view,
       requests: this.requests.listViews(),
     };
   }
@@ -153,7 +174,12 @@
       'attempt.chunkReceived': (event) => requests.acceptChunk(event),
       'attempt.ended': (event) => requests.acceptEnd(event),
       'attempt.failed': (event) => requests.acceptFailure(event),
-      'link.opened': ({ peer }) => this.membership.acceptLinkOpened(peer),
+      'operator.change': (ask) => this.configuration.acceptChange(ask, this.isLeaving()),
+      'operator.readHistory': ({ askId, limit }) =>
+        this.configuration.acceptHistoryAsk(askId, limit),
+      'operator.readVersion': ({ askId, version }) =>
+        this.configuration.acceptVersionAsk(askId, version),
+      'link.opened': ({ peer }) => this.acceptLinkOpened(peer),
       'link.closed': ({ peer }) => this.membership.acceptLinkClosed(peer),
       'link.received': ({ peer, message }) => this.acceptMessage(peer, message),
       'platform.replied': ({ callId, reply }) => context.acceptPlatformReply(callId, reply),
@@ -163,7 +189,7 @@
 
   private createMessageHandlers(): MessageHandlers {
     return {
-      configuration: () => {},
+      configuration: (peer, message) => this.configuration.acceptMessage(peer, message),
       membership: (peer, message) => this.membership.acceptMessage(peer, message),
       request: () => {},
       slot: (peer, message) => this.router.acceptMessage(peer, message),
@@ -175,6 +201,12 @@
     this.membership.start();
     this.router.start();
     this.sweeper.start();
+    this.orders.start();
+  }
+
+  private acceptLinkOpened(peer: EntryVmId): void {
+    this.membership.acceptLinkOpened(peer);
+    this.configuration.acceptLinkOpened(peer);
   }
 
   private acceptMessage(peer: EntryVmId, message: LinkMessage): void {
@@ -204,17 +236,23 @@
     this.context.log(logEvents.processReady, { version: this.configuration.version });
   }
 
+  private isLeaving(): boolean {
+    return this.readiness === 'leaving' || this.readiness === 'drained';
+  }
+
   private startDrain(): void {
-    if (this.readiness === 'leaving' || this.readiness === 'drained') return;
+    if (this.isLeaving()) return;
     this.changeReadiness('leaving');
     this.membership.becomeLeaving();
     this.context.log(logEvents.drainStarted, { inFlight: this.requests.inFlight });
     this.requests.startDrain();
+    this.orders.startDrain();
     this.finishDrain();
   }
 
   private finishDrain(): void {
     if (this.readiness !== 'leaving' || !this.requests.isIdle) return;
+    if (this.configuration.changesInProgress > 0) return;
     this.changeReadiness('drained');
   }
 
