Look only at drawn engines for a light request

Change: usability is checked for the few that are drawn, and for all only where none of them is usable.

--- a/packages/bench/src/experiments/index.ts
+++ b/packages/bench/src/experiments/index.ts
@@ -2,6 +2,7 @@
 import { runFlood } from './flood.js';
 import { runPolicies } from './policies.js';
 import { runPresets } from './presets.js';
+import { runScale } from './scale.js';
 import type { RunExperiment } from './types.js';
 
 /** Experiments of the policies, by name. */
@@ -10,4 +11,5 @@
   faults: runFaults,
   presets: runPresets,
   flood: runFlood,
+  scale: runScale,
 };
--- a/packages/decisions/src/routing/home/engine-picker.ts
+++ b/packages/decisions/src/routing/home/engine-picker.ts
@@ -1,4 +1,4 @@
-import type { EndpointId, Engine } from '@savorywind/model';
+import type { EndpointId, Engine, ModelId } from '@savorywind/model';
 import type { FleetIndex } from '../fleet-index.js';
 import { findOwner } from '../../membership/rendezvous.js';
 import type { RouterDependencies, SlotAsk } from '../types.js';
@@ -48,13 +48,13 @@
   pickForLight(ask: SlotAsk, peerCount: number, creditPart: number): Engine | undefined {
     const { context, findView } = this.dependencies;
     const { contract } = ask;
-    const engines = this.listBand(this.listUsable(ask), true);
+    const engines = this.listBand(this.listNear(contract.model), true);
     const preferred = this.findPrefixEngine(engines, contract.prefixDigests);
     const tokens = countMemoryTokens(contract);
     const giveWayMs = this.findGiveWayMs();
     let best: Engine | undefined;
     let bestMs = Infinity;
-    this.drawSample(engines, preferred).forEach((engine) => {
+    this.drawUsable(ask, engines, preferred).forEach((engine) => {
       const view = findView(engine);
       if (!view.hasCredit(tokens, peerCount, creditPart, context.nowMs)) return;
       const savedMs =
@@ -73,7 +73,8 @@
   pickForHeavy(ask: SlotAsk): Engine | undefined {
     const { context, findView, policy } = this.dependencies;
     const tokens = countMemoryTokens(ask.contract);
-    const fitting = this.listUsable(ask).filter(({ memoryTokens }) => memoryTokens >= tokens);
+    const near = this.listNear(ask.contract.model);
+    const fitting = this.listUsable(ask, near).filter(({ memoryTokens }) => memoryTokens >= tokens);
     const engines = this.listBand(fitting, false);
     let best: Engine | undefined;
     let bestMs = Infinity;
@@ -106,20 +107,25 @@
     return most - (most - least) * this.dependencies.readSlowdownWeight();
   }
 
-  /** Engines of this failure domain, or of all where it has none that are usable. */
-  private listUsable({ contract, avoid }: SlotAsk): readonly Engine[] {
-    const { context, index, membership } = this.dependencies;
-    const near = index.listEngines(contract.model, context.self.failureDomain);
-    const isUsable = ({ id }: Engine): boolean =>
-      membership.isUsable(id) && !avoid?.has(id) && this.isInShare(id);
-    const usable = near.filter(isUsable);
+  private listNear(model: ModelId): readonly Engine[] {
+    const { context, index } = this.dependencies;
+    return index.listEngines(model, context.self.failureDomain);
+  }
+
+  /** Those of this failure domain that are usable, or of all where it has none. */
+  private listUsable(ask: SlotAsk, near: readonly Engine[]): readonly Engine[] {
+    const usable = near.filter((engine) => this.isUsable(ask, engine));
     if (usable.length > 0) return usable;
-    const all = index.listEngines(contract.model);
-    const anywhere = all.filter(isUsable);
+    const all = this.dependencies.index.listEngines(ask.contract.model);
+    const anywhere = all.filter((engine) => this.isUsable(ask, engine));
     if (anywhere.length > 0) return anywhere;
     return near.length > 0 ? near : all;
   }
 
+  private isUsable({ avoid }: SlotAsk, { id }: Engine): boolean {
+    return this.dependencies.membership.isUsable(id) && !avoid?.has(id) && this.isInShare(id);
+  }
+
   /** An engine that has come back gets a growing share of its usual work. */
   private isInShare(id: EndpointId): boolean {
     const share = this.dependencies.membership.readShare(id);
@@ -132,16 +138,22 @@
     return light ? engines.slice(heavyCount) : engines.slice(0, heavyCount);
   }
 
-  private drawSample(engines: readonly Engine[], preferred: Engine | undefined): Set<Engine> {
+  /** A few usable engines; all are looked at only where none of the few that are drawn is usable. */
+  private drawUsable(
+    ask: SlotAsk,
+    engines: readonly Engine[],
+    preferred: Engine | undefined,
+  ): readonly Engine[] {
     const { context } = this.dependencies;
-    if (engines.length <= SAMPLE_SIZE) return new Set(engines);
+    if (engines.length <= SAMPLE_SIZE) return this.listUsable(ask, engines);
     const sample = new Set<Engine>();
     if (preferred !== undefined) sample.add(preferred);
     for (let count = 0; count < SAMPLE_SIZE; count += 1) {
       const engine = engines[Math.floor(context.drawRandom() * engines.length)];
       if (engine !== undefined) sample.add(engine);
     }
-    return sample;
+    const usable = [...sample].filter((engine) => this.isUsable(ask, engine));
+    return usable.length > 0 ? usable : this.listUsable(ask, engines);
   }
 
   /** Rendezvous hash: the same prefix goes to the same engine as long as that is there. */
@@ -152,7 +164,7 @@
     const [first] = digests;
     if (this.dependencies.policy.affinity === 'none' || first === undefined) return undefined;
     const known = this.prefixEngines.get(first);
-    if (known !== undefined && engines.includes(known)) return known;
+    if (known !== undefined && this.dependencies.index.findEngine(known.id) === known) return known;
     const owner = findOwner(
       first,
       engines.map(({ id }) => id),
