--- a/packages/bench/src/experiments/index.ts
+++ b/packages/bench/src/experiments/index.ts
@@ -1,5 +1,6 @@
 import { runFaults } from './faults.js';
 import { runFlood } from './flood.js';
+import { runNodeCosts } from './node-costs.js';
 import { runPolicies } from './policies.js';
 import { runPresets } from './presets.js';
 import { runScale } from './scale.js';
@@ -12,4 +13,5 @@
   presets: runPresets,
   flood: runFlood,
   scale: runScale,
+  'node-costs': runNodeCosts,
 };
--- /dev/null
+++ b/packages/bench/src/experiments/node-costs.ts
@@ -0,0 +1,100 @@
+import { EntryNode, type NodeEffect } from '@savorywind/decisions';
+import {
+  CONFIGURATION_HEAD_KEY,
+  Ok,
+  tables,
+  type Configuration,
+  type ModelContract,
+} from '@savorywind/model';
+import { Packr } from 'msgpackr';
+import { createFleetConfiguration, listEntryVms } from './fleet/fleet-configuration.js';
+import { formatNumber } from './spread.js';
+import type { RunExperiment, TableRow } from './types.js';
+import { deployments } from './workload/deployments.js';
+import type { Deployment } from './workload/types.js';
+
+const NS_PER_US = 1_000;
+
+/** Tokens that one request passes on when the cost of a token is measured. */
+const TOKENS = 200_000;
+
+const FLEETS = [
+  { engines: 15, teams: 10 },
+  { engines: 100, teams: 49 },
+  { engines: 400, teams: 490 },
+  { engines: 1_500, teams: 490 },
+];
+
+const createDeployment = (engines: number, teams: number): Deployment => ({
+  ...deployments.stuhlwerk,
+  engines,
+  failureDomains: 14,
+  teamRates: Array.from({ length: teams }, () => 1),
+});
+
+const CONTRACT: ModelContract = {
+  kind: 'model',
+  requestId: 'request-1',
+  team: 'team-0',
+  timeoutMs: 600_000,
+  digest: 'digest',
+  model: 'assistant',
+  promptTokens: 1_000,
+  maxOutputTokens: TOKENS,
+  prefixDigests: [],
+};
+
+const startNode = (configuration: Configuration): EntryNode => {
+  const [vm] = listEntryVms(deployments.stuhlwerk);
+  if (vm === undefined) throw new Error('no entry VM');
+  const node = new EntryNode({ vm, seed: 1 });
+  const head = { version: 1, changeId: 'c1', author: 'bench', committedAtMs: 0, configuration };
+  const row = {
+    table: tables.configuration,
+    key: CONFIGURATION_HEAD_KEY,
+    value: head,
+    revision: 1,
+  };
+  node.handle({ kind: 'started' }, 0).forEach((effect) => {
+    if (effect.kind !== 'platform.call' || effect.call.kind !== 'tables') return;
+    const reply = Ok({ kind: 'tables', outcomes: [{ kind: 'row', row }] } as const);
+    node.handle({ kind: 'platform.replied', callId: effect.callId, reply }, 1);
+  });
+  return node;
+};
+
+const isStart = (
+  effect: NodeEffect,
+): effect is Extract<NodeEffect, { readonly kind: 'attempt.start' }> =>
+  effect.kind === 'attempt.start';
+
+/** Processor time of the decisions for each token that is passed on, in microseconds. */
+const measureTokenUs = (configuration: Configuration): number => {
+  const node = startNode(configuration);
+  const effects = node.handle({ kind: 'request.arrived', contract: CONTRACT }, 2);
+  const start = effects.find(isStart);
+  if (start === undefined) return NaN;
+  const { attemptId } = start;
+  node.handle({ kind: 'attempt.headReceived', attemptId, head: undefined }, 3);
+  const startNs = process.hrtime.bigint();
+  for (let offset = 0; offset < TOKENS; offset += 1) {
+    const chunk = { kind: 'attempt.chunkReceived', attemptId, offset, count: 1 } as const;
+    node.handle({ ...chunk, data: 'word ' }, 4);
+  }
+  return Number(process.hrtime.bigint() - startNs) / TOKENS / NS_PER_US;
+};
+
+/** Size of the configuration, and the cost of a token, by the size of the fleet. */
+export const runNodeCosts: RunExperiment = () => {
+  const rows = FLEETS.map(({ engines, teams }): TableRow => {
+    const configuration = createFleetConfiguration(createDeployment(engines, teams), 1);
+    const packed = new Packr({ sequential: true }).pack(configuration);
+    const cells = {
+      'configuration, JSON bytes': formatNumber(JSON.stringify(configuration).length),
+      'packed for a link, bytes': formatNumber(packed.length),
+      'decisions for a token, µs': formatNumber(measureTokenUs(configuration)),
+    };
+    return { label: `${engines} engines, ${teams} teams`, cells };
+  });
+  return { rows, plots: [] };
+};
