--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,4 +1,6 @@
 export { ConfigurationKeeper } from './configuration/configuration-keeper.js';
+export { NodeConfiguration } from './configuration/node-configuration.js';
+export type * from './configuration/types.js';
 export { InvariantViolation } from './invariants/promises.js';
 export { invariantCodes, type Invariant } from './invariants/consts.js';
 export { ClaimLedger, formatClaimKey } from './ledger/claim-ledger.js';
@@ -7,6 +9,7 @@
 export { EntryMembership } from './membership/entry-membership.js';
 export type * from './membership/types.js';
 export { DEFAULT_ROUTER, routers, type RouterName } from './routing/routers.js';
+export type * from './orders/types.js';
 export type * from './routing/types.js';
 export { NodeContext } from './seam/node-context.js';
 export type * from './seam/types.js';
--- a/packages/decisions/src/requests/request-lifecycle.ts
+++ b/packages/decisions/src/requests/request-lifecycle.ts
@@ -80,11 +80,11 @@
   }
 
   admit(contract: RequestContract): void {
-    const { context } = this.dependencies;
+    const { context, readConfiguration } = this.dependencies;
     const { requestId, team, timeoutMs } = contract;
     if (this.table.has(requestId)) return;
     const timer = context.schedule(timeoutMs, () => this.steps.expireRequest(requestId));
-    const record = createRecord(contract, context.nowMs, timer);
+    const record = createRecord(contract, readConfiguration(), context.nowMs, timer);
     this.table.add(record);
     context.log(logEvents.requestAdmitted, { request: requestId, team });
     if (contract.kind === 'model') this.modelRequests.queue(record as ModelRecord);
--- a/packages/decisions/src/requests/request-table.ts
+++ b/packages/decisions/src/requests/request-table.ts
@@ -1,4 +1,10 @@
-import type { AttemptId, MonotonicMs, RequestContract, RequestId } from '@savorywind/model';
+import type {
+  AttemptId,
+  Configuration,
+  MonotonicMs,
+  RequestContract,
+  RequestId,
+} from '@savorywind/model';
 import { RunEvidence } from '../invariants/run-evidence.js';
 import type { RequestView } from '../seam/types.js';
 import type { Timer } from '../timers/timer-queue.js';
@@ -8,10 +14,12 @@
 /** A request that has just arrived. */
 export const createRecord = (
   contract: RequestContract,
+  configuration: Configuration | undefined,
   nowMs: MonotonicMs,
   deadlineTimer: Timer,
 ): RequestRecord => ({
   contract,
+  configuration,
   arrivedAtMs: nowMs,
   deadlineMs: nowMs + contract.timeoutMs,
   deadlineTimer,
--- a/packages/decisions/test/requests/at-most-once.test.ts
+++ b/packages/decisions/test/requests/at-most-once.test.ts
@@ -204,9 +204,9 @@
 
   it('is claimed again by exactly one of two entry VMs after it did not run', () => {
     const [first, second] = createPair();
-    first.arrive(createCall('request-1', { timeoutMs: 40 }));
+    first.arrive(createCall('request-1', { timeoutMs: 20 }));
     first.fail('notSent');
-    first.advance(40);
+    first.advance(20);
     expect(first.readClaim(KEY)).toMatchObject({ state: 'notRun' });
     [first, second].forEach((driver, index) => {
       driver.claims = 'held';
