--- a/packages/bench/src/experiments/fleet/fleet.ts
+++ b/packages/bench/src/experiments/fleet/fleet.ts
@@ -39,6 +39,15 @@
   readonly [Kind in Fault['kind']]: (fault: Extract<Fault, { readonly kind: Kind }>) => void;
 };
 
+/** What an entry VM has spent since it started. */
+interface Spent {
+  readonly totalNs: number;
+  readonly linkBytes: number;
+  readonly engineCalls: number;
+}
+
+const NOTHING_SPENT: Spent = { totalNs: 0, linkBytes: 0, engineCalls: 0 };
+
 /**
  * A fleet on a paused clock: the product's decisions on every entry VM, engine models, and delays
  * between them. Tokens between the first and the last of an answer are not carried one by one.
@@ -85,14 +94,17 @@
     this.startNodes();
     advance(START_MS);
     const startMs = performance.now();
+    const before = this.readSpent();
     this.settings.faults.forEach((fault) => this.scheduleFault(fault));
     this.planArrivals(new Workload(this.settings.workload).listRequests(), startMs);
     advance(durationMs);
+    const after = this.readSpent();
     for (let waitedMs = 0; waitedMs < END_MS && this.unanswered > 0; waitedMs += MS_PER_S) {
       advance(MS_PER_S);
     }
-    const endMs = performance.now();
-    const nodes = [...this.nodes.values()].map((node) => this.measureCost(node, endMs));
+    const nodes = [...this.nodes.values()].map((node, index) =>
+      Fleet.measureCost(node, before[index], after[index], durationMs),
+    );
     this.nodes.forEach((node) => node.stop());
     return { results: [...this.results.values()], nodes, durationMs };
   }
@@ -291,15 +303,28 @@
     );
   }
 
-  private measureCost(node: FleetNode, elapsedMs: number): NodeCost {
-    const { decisions, totalNs } = node.node;
-    const elapsedS = elapsedMs / MS_PER_S;
+  private readSpent(): Spent[] {
+    return [...this.nodes.values()].map(({ vm, node, engineCalls }) => ({
+      totalNs: node.totalNs,
+      linkBytes: this.network.readBytes(vm.id),
+      engineCalls,
+    }));
+  }
+
+  /** What was spent while requests came in, without the start and the end of the run. */
+  private static measureCost(
+    { node: { decisions } }: FleetNode,
+    before: Spent = NOTHING_SPENT,
+    after: Spent = NOTHING_SPENT,
+    durationMs = 1,
+  ): NodeCost {
+    const elapsedS = durationMs / MS_PER_S;
     return {
       decisionP50Us: decisions.getValueAtPercentile(50),
       decisionP99Us: decisions.getValueAtPercentile(99),
-      coreShare: totalNs / NS_PER_MS / elapsedMs,
-      linkBytesPerS: this.network.readBytes(node.vm.id) / elapsedS,
-      engineCallsPerS: node.engineCalls / elapsedS,
+      coreShare: (after.totalNs - before.totalNs) / NS_PER_MS / durationMs,
+      linkBytesPerS: (after.linkBytes - before.linkBytes) / elapsedS,
+      engineCallsPerS: (after.engineCalls - before.engineCalls) / elapsedS,
     };
   }
 }
