--- a/packages/decisions/src/node/entry-node.ts
+++ b/packages/decisions/src/node/entry-node.ts
@@ -13,7 +13,8 @@
 import { NodeConfiguration } from '../configuration/node-configuration.js';
 import { ClaimLedger } from '../ledger/claim-ledger.js';
 import { NodeOrders } from '../orders/node-orders.js';
-import { LocalRouter } from '../routing/local-router.js';
+import { DEFAULT_ROUTER, routers, type RouterName } from '../routing/routers.js';
+import type { Router } from '../routing/types.js';
 import { EntryMembership } from '../membership/entry-membership.js';
 import type { MembershipView } from '../membership/types.js';
 import { RequestLifecycle } from '../requests/request-lifecycle.js';
@@ -25,6 +26,8 @@
   readonly vm: EntryVm;
   /** Seed of the node's random numbers. */
   readonly seed: number;
+  /** Placement policy; the default is the one that measured best. */
+  readonly router?: RouterName;
 }
 
 type EventHandlers = {
@@ -69,6 +72,8 @@
 
   private readonly orders: NodeOrders;
 
+  private readonly router: Router;
+
   private readonly sweeper: EngineSweeper;
 
   private readonly messageHandlers: MessageHandlers;
@@ -91,9 +96,14 @@
       onSettled: () => this.becomeReady(),
       onIdle: () => this.finishDrain(),
     });
+    this.router = routers[options.router ?? DEFAULT_ROUTER]({
+      context: this.context,
+      membership: this.membership,
+      readConfiguration,
+    });
     this.requests = new RequestLifecycle({
       context: this.context,
-      router: new LocalRouter(readConfiguration),
+      router: this.router,
       ledger: new ClaimLedger(this.context, this.membership, () => this.finishDrain()),
       membership: this.membership,
       readConfiguration,
@@ -182,13 +192,14 @@
       configuration: (peer, message) => this.configuration.acceptMessage(peer, message),
       membership: (peer, message) => this.membership.acceptMessage(peer, message),
       request: () => {},
-      slot: () => {},
+      slot: (peer, message) => this.router.acceptMessage(peer, message),
     };
   }
 
   private start(): void {
     this.configuration.start();
     this.membership.start();
+    this.router.start();
     this.sweeper.start();
     this.orders.start();
   }
