--- a/packages/decisions/src/node/entry-node.ts
+++ b/packages/decisions/src/node/entry-node.ts
@@ -12,9 +12,9 @@
 } from '@savorywind/model';
 import { NodeConfiguration } from '../configuration/node-configuration.js';
 import { ClaimLedger } from '../ledger/claim-ledger.js';
-import { NodeOrders } from '../orders/node-orders.js';
 import { DEFAULT_ROUTER, routers, type RouterName } from '../routing/routers.js';
 import type { Router } from '../routing/types.js';
+import { NodeOrders } from '../orders/node-orders.js';
 import { EntryMembership } from '../membership/entry-membership.js';
 import type { MembershipView } from '../membership/types.js';
 import { RequestLifecycle } from '../requests/request-lifecycle.js';
@@ -70,10 +70,10 @@
 
   private readonly membership: EntryMembership;
 
-  private readonly orders: NodeOrders;
-
   private readonly router: Router;
 
+  private readonly orders: NodeOrders;
+
   private readonly sweeper: EngineSweeper;
 
   private readonly messageHandlers: MessageHandlers;
