--- a/packages/decisions/src/configuration/change-committer.ts
+++ b/packages/decisions/src/configuration/change-committer.ts
@@ -6,7 +6,6 @@
   parseConfiguration,
   resultCodes,
   tables,
-  type Configuration,
   type ConfigurationHead,
   type DocumentRow,
   type HeadRow,
@@ -23,15 +22,14 @@
   CHANGE_LIMIT_MS,
   MAX_CHANGES_IN_PROGRESS,
   MAX_SUMMARY_LINES,
-  MAX_VERSIONS_WALKED,
   RETRY_MAX_MS,
   RETRY_MIN_MS,
 } from './consts.js';
+import { findChange, matchesDocument } from './find-change.js';
 import type { ChangeAsk, ChangeOutcome } from './types.js';
 
 interface Change {
   readonly ask: ChangeAsk;
-  readonly configuration: Configuration;
   readonly limitTimer: Timer;
   /** Whether a write of the head row may have taken effect without an answer. */
   mayBeCommitted: boolean;
@@ -79,19 +77,14 @@
       listener({ kind: 'refused', code: resultCodes.tooManyChanges, committed: 'no' });
       return;
     }
-    this.startChange(ask, parsed.val, listener);
+    this.startChange({ ...ask, configuration: parsed.val }, listener);
   }
 
-  private startChange(
-    ask: ChangeAsk,
-    configuration: Configuration,
-    listener: (outcome: ChangeOutcome) => void,
-  ): void {
+  private startChange(ask: ChangeAsk, listener: (outcome: ChangeOutcome) => void): void {
     const { context } = this.dependencies;
     const limitTimer = context.schedule(CHANGE_LIMIT_MS, () => this.giveUp(ask.changeId));
     const change: Change = {
       ask,
-      configuration,
       limitTimer,
       mayBeCommitted: false,
       listeners: [listener],
@@ -106,7 +99,7 @@
     ask: ChangeAsk,
     listener: (outcome: ChangeOutcome) => void,
   ): void {
-    if (ChangeCommitter.hasDocument(running, ask)) {
+    if (matchesDocument(running.ask, ask)) {
       running.listeners.push(listener);
     } else {
       listener({ kind: 'refused', code: resultCodes.changeIdReused, committed: 'no' });
@@ -122,67 +115,33 @@
   }
 
   private decideOnHead(change: Change, read: HeadReading | undefined): void {
-    const { ask } = change;
-    if (read?.row.changeId === ask.changeId) {
-      this.checkSameDocument(change, read.row, read.row.version);
-      return;
-    }
+    const { changeId, baseVersion } = change.ask;
     const version = read?.row.version ?? 0;
-    if (version === ask.baseVersion) this.writeDocument(change, read);
-    else if (read === undefined || version < ask.baseVersion) this.refuseStale(change, version);
-    else this.findInHistory(change, read.row, read.row, MAX_VERSIONS_WALKED);
-  }
-
-  /** Walks from the head down to the change's base, to see whether the change is among them. */
-  private findInHistory(change: Change, head: HeadRow, name: VersionName, left: number): void {
-    if (name.changeId === change.ask.changeId) {
-      this.checkSameDocument(change, name, head.version);
-      return;
-    }
-    if (name.version <= change.ask.baseVersion + 1) {
-      this.refuseStale(change, head.version);
-      return;
-    }
-    if (left === 0) {
-      this.refuseUndecided(change, head.version);
-      return;
-    }
-    const place = { table: tables.history, key: formatHistoryKey(name) };
-    this.store.apply([{ kind: 'get', ...place }], (reply) => {
-      if (!this.isOpen(change)) return;
-      if (reply.err) {
-        this.retry(change);
-        return;
-      }
-      const [outcome] = reply.val;
-      const row = outcome?.kind === 'row' ? (outcome.row?.value as HistoryRow) : undefined;
-      if (row?.base === undefined) this.refuseUndecided(change, head.version);
-      else this.findInHistory(change, head, row.base, left - 1);
-    });
+    const isLater = version > baseVersion || read?.row.changeId === changeId;
+    if (read !== undefined && isLater) this.findCommitted(change, read.row);
+    else if (version === baseVersion) this.writeDocument(change, read);
+    else this.refuseStale(change, version);
   }
 
-  /** A change id that is found committed counts as this change only with the same document. */
-  private checkSameDocument(change: Change, name: VersionName, version: number): void {
-    this.store.readDocument(name.changeId, (reply) => {
+  private findCommitted(change: Change, head: HeadRow): void {
+    const { version } = head;
+    findChange(this.store, change.ask, head, (finding) => {
       if (!this.isOpen(change)) return;
-      if (reply.err) this.retry(change);
-      else if (ChangeCommitter.hasDocument(change, reply.val)) this.finish(change, name, version);
-      else this.refuse(change, resultCodes.changeIdReused, 'no', version);
+      const { changeIdReused, serializationFailure } = resultCodes;
+      if (finding.kind === 'committed') this.finish(change, finding.name, version);
+      else if (finding.kind === 'unavailable') this.retry(change);
+      else if (finding.kind === 'reused') this.refuse(change, changeIdReused, 'no', version);
+      else if (finding.kind === 'absent') this.refuseStale(change, version);
+      else this.refuse(change, serializationFailure, 'unknown', version);
     });
   }
 
-  private static hasDocument(change: Change, document: DocumentRow | undefined): boolean {
-    const parsed = parseConfiguration(document?.configuration);
-    if (parsed.err || document?.baseVersion !== change.ask.baseVersion) return false;
-    return JSON.stringify(parsed.val) === JSON.stringify(change.configuration);
-  }
-
   private writeDocument(change: Change, read: HeadReading | undefined): void {
     const name = ChangeCommitter.nameVersion(change);
     const operations = [
       ConfigurationStore.describeDocumentWrite(change.ask.changeId, {
         baseVersion: change.ask.baseVersion,
-        configuration: change.configuration,
+        configuration: change.ask.configuration,
       }),
       {
         kind: 'insert',
@@ -209,7 +168,7 @@
     }
     const found = document.kind === 'conflict' ? document.row?.value : undefined;
     const isKnown = document.kind === 'written';
-    if (!isKnown && !ChangeCommitter.hasDocument(change, found as DocumentRow | undefined)) {
+    if (!isKnown && !matchesDocument(change.ask, found as DocumentRow | undefined)) {
       this.refuse(change, resultCodes.changeIdReused, 'no', change.ask.baseVersion);
       return;
     }
@@ -242,7 +201,7 @@
     const current = this.dependencies.readCurrent();
     const before = current?.version === baseVersion ? current.configuration : undefined;
     const known = before !== undefined || baseVersion === 0;
-    const changes = known ? diffConfigurations(before, change.configuration) : [];
+    const changes = known ? diffConfigurations(before, change.ask.configuration) : [];
     return {
       ...ChangeCommitter.nameVersion(change),
       author,
@@ -276,11 +235,6 @@
     this.refuse(change, resultCodes.serializationFailure, 'no', version);
   }
 
-  /** The history does not reach back to the change's base. */
-  private refuseUndecided(change: Change, version: number): void {
-    this.refuse(change, resultCodes.serializationFailure, 'unknown', version);
-  }
-
   private refuse(
     change: Change,
     code: ResultCode,
@@ -300,7 +254,7 @@
     const { version } = name;
     context.log(logEvents.changeCommitted, { change: changeId, author, version });
     if (version === headVersion) {
-      const { configuration } = change;
+      const { configuration } = change.ask;
       onCommitted({ version, changeId, author, committedAtMs: submittedAtMs, configuration });
     }
     this.close(change, { kind: 'committed', version });
