Report each change of the stand-in engine's streams once

Cause: the process tests failed now and then under load (rolling replacement: 502 endpointFailed; kill -9 of an engine: no end within 110 s), with ERR_STREAM_WRITE_AFTER_END in the output: the engine stand-in died. EngineModel.reportChanged told a copied list of streams; a listener that released one stream brought the model up to date, ended another of the list and told it; the outer loop then told that one again, and its answer was ended twice. Ruled out: the entry VM's answers to callers (the trace is the stand-in's attachReader); load alone (the same tests pass at a load of 20 when the ends don't fall together). Change: one loop takes the changes out one by one; a report within a report leaves them to it. Conclusion: the stand-in no longer dies of two streams that end together.

--- a/packages/stand-ins/src/engine/engine-model.ts
+++ b/packages/stand-ins/src/engine/engine-model.ts
@@ -89,6 +89,8 @@
   /** Streams whose listeners are called once the model is up to date. */
   private readonly changed = new Set<Sequence>();
 
+  private reporting = false;
+
   constructor(settings: EngineModelSettings) {
     this.settings = { ...DEFAULTS, ...settings };
     const { prefixBlockTokens, cacheEventDelayMs, cacheEventLoss, loadLagMs } = this.settings;
@@ -306,11 +308,15 @@
     this.reportChanged();
   }
 
-  /** Listeners may start and release streams. */
+  /** Listeners may start and release streams; what that changes is told after them, once. */
   private reportChanged(): void {
-    const changed = [...this.changed];
-    this.changed.clear();
-    changed.forEach(({ listener }) => listener?.());
+    if (this.reporting) return;
+    this.reporting = true;
+    for (const sequence of this.changed) {
+      this.changed.delete(sequence);
+      sequence.listener?.();
+    }
+    this.reporting = false;
   }
 
   private schedule(): void {
