Work a repeated change out from the version that it was based on

Cause: after a lost answer the command tells operators to repeat it with the same change id and base, but preset switch and rollback took no base, and apply took over the preset in force now: a repeated change could differ from the first and was refused (5006) in place of told as committed. Ruled out: remembering the change on the operator's machine, which may be another one. Conclusion: a lost answer can be settled with any of the three commands.

--- a/packages/cli/src/commands/apply-version.ts
+++ b/packages/cli/src/commands/apply-version.ts
@@ -2,6 +2,7 @@
 import type { EntryClient } from '../client/entry-client.js';
 import type { CommandIo } from '../types.js';
 import { commitConfiguration, type CommitOptions } from './commit.js';
+import { readBase } from './read-base.js';
 import type { CommandResult } from './types.js';
 
 /** Commits the content of an earlier version as the next one: versions only go up. */
@@ -13,14 +14,13 @@
 ): Promise<CommandResult> => {
   const [earlier, read] = [
     await client.read<{ readonly configuration: Configuration }>(`/v1/versions?version=${version}`),
-    await client.readHead(),
+    await readBase(client, options.base),
   ];
   if (earlier.err) return earlier;
   if (read.err) return read;
-  const { head } = read.val;
+  const { version: baseVersion, configuration: replaced } = read.val;
   const { configuration } = earlier.val;
-  const changes = diffConfigurations(head?.configuration, configuration);
-  const baseVersion = head?.version ?? 0;
+  const changes = diffConfigurations(replaced, configuration);
   if (changes.length === 0) {
     const lines = [`version ${baseVersion} has the content of version ${version} already`];
     return Ok({ json: { committed: false, version: baseVersion }, lines });
--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -4,12 +4,11 @@
 import { loadChecked } from './check.js';
 import { commitConfiguration, type CommitOptions } from './commit.js';
 import { checkBase, createPlan, formatPlan } from './plan.js';
+import { readBase } from './read-base.js';
 import type { CommandResult } from './types.js';
 
 export interface ApplyOptions extends CommitOptions {
   readonly place: string;
-  /** The version that the change is to be based on; without it the one in force. */
-  readonly base: number | undefined;
 }
 
 /** The same change sent again after a lost answer: what is in force now no longer matters. */
@@ -18,9 +17,9 @@
   io: CommandIo,
   options: ApplyOptions & { readonly base: number },
 ): Promise<CommandResult> => {
-  const head = await client.readHead();
-  if (head.err) return head;
-  const preset = head.val.head?.configuration.presetInForce;
+  const read = await readBase(client, options.base);
+  if (read.err) return read;
+  const preset = read.val.configuration?.presetInForce;
   const loaded = loadChecked(options.place, preset);
   if (loaded.err) return loaded;
   const ask = { baseVersion: options.base, configuration: loaded.val, plan: [] };
--- a/packages/cli/src/commands/change-preset.ts
+++ b/packages/cli/src/commands/change-preset.ts
@@ -3,6 +3,7 @@
 import { exitCodes } from '../exit-codes.js';
 import type { CommandIo } from '../types.js';
 import { commitConfiguration, type CommitOptions } from './commit.js';
+import { readBase } from './read-base.js';
 import type { CommandResult } from './types.js';
 
 /** Puts another preset in force; everything else stays as it is. */
@@ -12,18 +13,17 @@
   preset: string,
   options: CommitOptions,
 ): Promise<CommandResult> => {
-  const read = await client.readHead();
+  const read = await readBase(client, options.base);
   if (read.err) return read;
-  const { head } = read.val;
-  const names = head?.configuration.presets.map(({ id }) => id) ?? [];
-  if (head === null || !names.includes(preset)) {
+  const { version, configuration } = read.val;
+  const names = configuration?.presets.map(({ id }) => id) ?? [];
+  if (configuration === undefined || !names.includes(preset)) {
     return Err({
       exitCode: exitCodes.usage,
-      message: `No preset "${preset}" is in the configuration in force.`,
+      message: `No preset "${preset}" is in the configuration.`,
       hint: names.length === 0 ? 'Run apply first.' : `There are: ${names.join(', ')}.`,
     });
   }
-  const { version, configuration } = head;
   if (configuration.presetInForce === preset) {
     const lines = [`preset ${preset} is in force already, version ${version}`];
     return Ok({ json: { committed: false, version, preset }, lines });
--- a/packages/cli/src/commands/commit.ts
+++ b/packages/cli/src/commands/commit.ts
@@ -13,6 +13,8 @@
   /** Seconds to wait until the version is in force on every live entry VM. */
   readonly wait: number | undefined;
   readonly changeId: string | undefined;
+  /** The version that the change is to be based on; without it the one in force. */
+  readonly base: number | undefined;
 }
 
 interface CommitAsk {
--- a/packages/cli/src/run-command.ts
+++ b/packages/cli/src/run-command.ts
@@ -49,6 +49,10 @@
     .option('change-id', {
       type: 'string',
       describe: 'name of the change; give the same one again after a lost answer',
+    })
+    .option('base', {
+      type: 'number',
+      describe: 'fail unless this version is in force; give the same one again after a lost answer',
     });
 
 const DECLARATIONS = {
@@ -114,10 +118,6 @@
       (command) =>
         addCommit(command)
           .positional('declarations', DECLARATIONS)
-          .option('base', {
-            type: 'number',
-            describe: 'fail unless this version is in force, as plan showed it',
-          })
           .example('$0 apply examples/stuhlwerk --base 7 --wait 9', 'only on version 7'),
       (options) =>
         callEntryVms(options, (client) =>
--- a/packages/cli/test/operators.test.ts
+++ b/packages/cli/test/operators.test.ts
@@ -80,6 +80,23 @@
     expect(json.versions).toHaveLength(1);
   });
 
+  it('tells the version of a change that is sent again, whatever came after it', async () => {
+    const apply = ['apply', stuhlwerk, '--change-id', 'c-1', '--base', '0', ...WAIT];
+    const change = ['preset', 'switch', 'peak', '--change-id', 'c-2', '--base', '1', ...WAIT];
+    const back = ['rollback', '1', '--change-id', 'c-3', '--base', '2', ...WAIT];
+    const first = [await run(urls, ...apply), await run(urls, ...change), await run(urls, ...back)];
+    expect(first.map(({ json }) => json.version)).toEqual([1, 2, 3]);
+    await run(urls, 'preset', 'switch', 'maintenance', ...WAIT);
+    const again = [await run(urls, ...apply), await run(urls, ...change), await run(urls, ...back)];
+    expect(again.map(({ exitCode, json }) => [exitCode, json.version])).toEqual([
+      [exitCodes.done, 1],
+      [exitCodes.done, 2],
+      [exitCodes.done, 3],
+    ]);
+    const { json } = await run(urls, 'history');
+    expect(json.versions).toHaveLength(4);
+  });
+
   it('goes to the next entry VM where one is gone', async () => {
     const applied = await run([UNUSED, urls[1]!], 'apply', stuhlwerk);
     expect(applied.json).toMatchObject({ committed: true, version: 1 });
