Let randomised runs break engines' protocol and race operators

Change: engines that lose or double tokens; changes asked of entry VMs, also sent again with the same change id; a check that a change is committed once, as a version of its own.

--- a/packages/bench/src/world/fake-engine.ts
+++ b/packages/bench/src/world/fake-engine.ts
@@ -20,6 +20,18 @@
   readonly maxOutputTokens: number;
 }
 
+/** How an engine breaks its protocol: it loses tokens of an answer, or sends them twice. */
+export type EngineFault = 'none' | 'losesTokens' | 'doublesTokens';
+
+const LOSS_PERIOD = 3;
+
+/** How often a token is sent, by fault and position. */
+const countSends: Readonly<Record<EngineFault, (offset: number) => number>> = {
+  none: () => 1,
+  losesTokens: (offset) => (offset % LOSS_PERIOD === LOSS_PERIOD - 1 ? 0 : 1),
+  doublesTokens: () => 2,
+};
+
 const MS_PER_S = 1_000;
 
 /** The token that an engine generates at a position; a second run gives the same. */
@@ -38,6 +50,8 @@
   /** Raised with each new stream, for checks on placement. */
   startedStreams = 0;
 
+  fault: EngineFault = 'none';
+
   private streams = new Map<string, FakeStream>();
 
   constructor(
@@ -129,11 +143,7 @@
     if (this.streams.get(stream.streamId) !== stream) return;
     const offset = stream.generated;
     stream.generated += 1;
-    stream.reader?.report({
-      kind: 'chunkReceived',
-      offset,
-      data: formatToken(stream.digest, offset),
-    });
+    this.sendToken(stream, offset);
     if (stream.generated < stream.maxTokens) {
       this.generateLater(stream, MS_PER_S / this.declaration.decodeTokensPerS);
     } else {
@@ -141,6 +151,13 @@
     }
   }
 
+  private sendToken({ reader, digest }: FakeStream, offset: number): void {
+    const data = formatToken(digest, offset);
+    for (let sends = countSends[this.fault](offset); sends > 0; sends -= 1) {
+      reader?.report({ kind: 'chunkReceived', offset, data });
+    }
+  }
+
   private finishWhenRead(stream: FakeStream): void {
     if (stream.generated < stream.maxTokens || stream.reader?.isOpen !== true) return;
     stream.reader.report({ kind: 'ended', total: stream.generated });
--- a/packages/bench/src/world/promises.ts
+++ b/packages/bench/src/world/promises.ts
@@ -110,6 +110,33 @@
     () => `${vmId} has version ${inForce}, committed is ${committed}`,
   );
 
+/** One answer to an operator: this change is committed as this version. */
+export interface CommitAnswer {
+  readonly changeId: string;
+  readonly version: number;
+}
+
+/** Two changes never get the same version, and one change never gets two. */
+export const assertCommitsDistinct = (
+  counts: CheckCounts,
+  answers: readonly CommitAnswer[],
+): void => {
+  const versions = new Map<number, string>();
+  const changes = new Map<string, number>();
+  answers.forEach(({ changeId, version }) => {
+    const holder = versions.get(version) ?? changeId;
+    const known = changes.get(changeId) ?? version;
+    assertPromise(
+      counts,
+      'a change is committed once, as a version of its own',
+      holder === changeId && known === version,
+      () => `version ${version} for ${changeId}; before: ${holder}, version ${known}`,
+    );
+    versions.set(version, changeId);
+    changes.set(changeId, version);
+  });
+};
+
 export const assertMemoryFree = (counts: CheckCounts, engineId: string, usedTokens: number): void =>
   assertPromise(
     counts,
--- a/packages/bench/src/world/step-runner.ts
+++ b/packages/bench/src/world/step-runner.ts
@@ -1,3 +1,5 @@
+import type { ChangeAsk } from '@savorywind/decisions';
+import type { Configuration } from '@savorywind/model';
 import type { FakeClock } from './clock.js';
 import { createEntryVmPlaces, createSmallConfiguration, FAILURE_DOMAINS } from './deployments.js';
 import type { FakeCaller } from './fake-caller.js';
@@ -50,6 +52,10 @@
 
   private nextRequest = 1;
 
+  private lastChange: ChangeAsk | undefined;
+
+  private readonly configuration: Configuration;
+
   private readonly handlers: StepHandlers = {
     advance: ({ ms }) => this.clock.advance(ms),
     chat: (step) => this.chat(step),
@@ -73,6 +79,11 @@
       this.findMachine(endpoint)?.wake();
       this.world.restartEndpoint(this.pickEndpoint(endpoint));
     },
+    breakProtocol: ({ endpoint, fault }) => {
+      const engine = this.world.engines.get(this.pickEndpoint(endpoint));
+      if (engine !== undefined) engine.fault = fault;
+    },
+    askForChange: ({ vm, again }) => this.askForChange(vm, again),
     cut: ({ from, to }) => this.cut(from, to),
     heal: ({ from, to }) => this.world.heal(this.pickPlace(from), this.pickPlace(to)),
     setPlatform: ({ mode }) => this.world.setPlatform(mode),
@@ -88,9 +99,10 @@
     private readonly clock: FakeClock,
     settings: RunSettings,
   ) {
+    this.configuration = createSmallConfiguration(settings.enginesPerDomain);
     this.world = new World({
       seed: settings.seed,
-      configuration: createSmallConfiguration(settings.enginesPerDomain),
+      configuration: this.configuration,
       entryVms: createEntryVmPlaces(settings.entryVmsPerDomain),
       network: ROUGH_NETWORK,
       transcriptLines: settings.transcriptLines ?? 0,
@@ -178,6 +190,23 @@
     });
   }
 
+  /** An operator's change on the version that one entry VM has; or the last one once more. */
+  private askForChange(vm: number, again: boolean): void {
+    const vmId = this.pickVm(vm);
+    if (!again || this.lastChange === undefined) {
+      const baseVersion = this.world.entryVms.get(vmId)?.configurationVersion ?? 0;
+      const presetInForce = this.nextRequest % 2 === 0 ? 'ordinary' : 'peak';
+      this.lastChange = {
+        changeId: `change-${this.createRequestId()}`,
+        baseVersion,
+        configuration: { ...this.configuration, presetInForce },
+        author: 'operator',
+        submittedAtMs: 0,
+      };
+    }
+    this.world.askForChange(vmId, this.lastChange);
+  }
+
   private abandon(caller: number): void {
     const open = this.world.callers.filter(({ outcome }) => outcome === undefined);
     const picked: FakeCaller | undefined = open[caller % Math.max(1, open.length)];
--- a/packages/bench/src/world/steps.ts
+++ b/packages/bench/src/world/steps.ts
@@ -1,4 +1,5 @@
 import fc from 'fast-check';
+import type { EngineFault } from './fake-engine.js';
 import type { PlatformMode } from './fake-platform.js';
 
 /** One step of a randomised run. Numbers pick machines and callers by remainder. */
@@ -26,9 +27,11 @@
   | { readonly kind: 'reviveEntryVm'; readonly vm: number }
   | { readonly kind: 'killEndpoint' | 'freezeEndpoint'; readonly endpoint: number }
   | { readonly kind: 'reviveEndpoint'; readonly endpoint: number }
+  | { readonly kind: 'breakProtocol'; readonly endpoint: number; readonly fault: EngineFault }
   | { readonly kind: 'cut' | 'heal'; readonly from: number; readonly to: number }
   | { readonly kind: 'setPlatform'; readonly mode: PlatformMode }
-  | { readonly kind: 'commit' };
+  | { readonly kind: 'commit' }
+  | { readonly kind: 'askForChange'; readonly vm: number; readonly again: boolean };
 
 const MAX_INDEX = 1_000;
 const index = fc.nat({ max: MAX_INDEX });
@@ -106,6 +109,25 @@
     }),
   },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('commit' as const) }) },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('askForChange' as const),
+      vm: index,
+      again: fc.boolean(),
+    }),
+  },
+];
+
+const protocolFaults = [
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('breakProtocol' as const),
+      endpoint: index,
+      fault: fc.constantFrom('none' as const, 'losesTokens' as const, 'doublesTokens' as const),
+    }),
+  },
 ];
 
 const advances = [
@@ -120,7 +142,7 @@
 
 /** A list of steps: requests, faults of every kind, and time that passes between them. */
 export const createStepsArbitrary = (length: number): fc.Arbitrary<Step[]> =>
-  fc.array(fc.oneof(...requests, ...faults, ...advances), {
+  fc.array(fc.oneof(...requests, ...faults, ...protocolFaults, ...advances), {
     minLength: Math.ceil(length / 2),
     maxLength: length,
     size: 'max',
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -23,6 +23,7 @@
 import { FakeLinks } from './fake-links.js';
 import { FakeNetwork, PLATFORM_PLACE, type NetworkSettings, type Place } from './network.js';
 import {
+  assertCommitsDistinct,
   assertDrainCutsNothing,
   assertEndsInTime,
   assertMemoryFree,
@@ -240,6 +241,7 @@
     this.platform.mode = 'up';
     [...this.engines.values(), ...this.services.values()].forEach((endpoint) => {
       endpoint.machine.wake();
+      if (endpoint instanceof FakeEngine) endpoint.fault = 'none';
       this.restartEndpoint(endpoint.declaration.id);
     });
     this.entryVms.forEach((vm, id) => {
@@ -255,6 +257,10 @@
       assertRefusalTrue(this.counts, caller, this.runs);
     });
     assertRunsAtMostOnce(this.counts, this.runs, this.onceDigests);
+    const commits = this.changeOutcomes.flatMap(({ changeId, outcome }) =>
+      outcome.kind === 'committed' ? [{ changeId, version: outcome.version }] : [],
+    );
+    assertCommitsDistinct(this.counts, commits);
   }
 
   /** Checks that hold once faults have ended and all deadlines have passed. */
