--- a/packages/bench/src/experiments/retries/retry-storm.ts
+++ b/packages/bench/src/experiments/retries/retry-storm.ts
@@ -93,9 +93,9 @@
   clock.advance(START_MS);
   const spans = (['before', 'storm', 'after'] as const).map((name) => {
     if (name === 'storm') killEngines(world, deadShare);
-    const attemptsBefore = world.attemptsStarted;
+    const attemptsBefore = world.endpoints.attemptsStarted;
     const callers = runLoad(clock, world, settings);
-    return { name, callers, attempts: world.attemptsStarted - attemptsBefore };
+    return { name, callers, attempts: world.endpoints.attemptsStarted - attemptsBefore };
   });
   clock.advance(timeoutMs + MS_PER_S);
   world.assertAlways();
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -8,18 +8,17 @@
   type Configuration,
   type ConfigurationHead,
   type DocumentRow,
-  type Endpoint,
   type EntryVm,
   type HeadRow,
   type RequestContract,
   type Row,
 } from '@savorywind/model';
-import { FakeConnection } from './connection.js';
 import { FakeCaller } from './fake-caller.js';
 import { FakeEngine } from './fake-engine.js';
-import { FakeEntryVm, type EffectOf } from './fake-entry-vm.js';
+import { FakeEndpoints } from './fake-endpoints.js';
+import { FakeEntryVm } from './fake-entry-vm.js';
 import { FakePlatform, type PlatformMode } from './fake-platform.js';
-import { FakeService, type RunLog } from './fake-service.js';
+import type { FakeService, RunLog } from './fake-service.js';
 import { FakeLinks } from './fake-links.js';
 import { FakeNetwork, PLATFORM_PLACE, type NetworkSettings, type Place } from './network.js';
 import {
@@ -47,16 +46,11 @@
   readonly transcriptLines?: number;
 }
 
-interface RunningAttempt {
-  readonly start: EffectOf<'attempt.start'>;
-  readonly connection: FakeConnection;
-}
-
 /** What a running entry VM may be late by when its own timers are due. */
 const DEADLINE_TOLERANCE_MS = 100;
 
-/** How long a network that refuses a connection outright takes; a cut one stays silent longer. */
-const CONNECT_TIMEOUT_MS = 1_000;
+/** How long an entry VM that is cut off waits for the platform before it gives a call up. */
+const PLATFORM_TIMEOUT_MS = 1_000;
 
 const MEMBERSHIP_LAG_MS = 2_000;
 
@@ -81,16 +75,11 @@
 
   readonly runs: RunLog = new Map();
 
-  /** Requests that entry VMs have sent to endpoints, resumptions included. */
-  attemptsStarted = 0;
-
   readonly callers: FakeCaller[] = [];
 
   readonly entryVms = new Map<string, FakeEntryVm>();
 
-  readonly engines = new Map<string, FakeEngine>();
-
-  readonly services = new Map<string, FakeService>();
+  readonly endpoints: FakeEndpoints;
 
   /** What operators were answered, in order. */
   readonly changeOutcomes: { readonly changeId: string; readonly outcome: ChangeOutcome }[] = [];
@@ -98,8 +87,6 @@
   /** Digests of calls that must run at most once. */
   private readonly onceDigests = new Set<string>();
 
-  private readonly attempts = new Map<string, Map<string, RunningAttempt>>();
-
   private readonly callersById = new Map<string, FakeCaller>();
 
   private readonly openCallers = new Map<string, FakeCaller>();
@@ -112,12 +99,26 @@
     this.transcript = new Transcript(options.transcriptLines ?? DEFAULT_TRANSCRIPT_LINES);
     this.platform = new FakePlatform(this.random, (text) => this.transcript.record(text));
     this.links = new FakeLinks(this.network, (vmId) => this.entryVms.get(vmId), this.transcript);
+    this.endpoints = new FakeEndpoints(
+      this.network,
+      this.transcript,
+      this.runs,
+      (requestId) => this.callersById.get(requestId)?.contract,
+    );
     this.writeFirstHead();
-    options.configuration.endpoints.forEach((endpoint) => this.addEndpoint(endpoint));
+    options.configuration.endpoints.forEach((endpoint) => this.endpoints.add(endpoint));
     Object.keys(options.entryVms).forEach((id) => this.startEntryVm(id));
     this.updateMembership();
   }
 
+  get engines(): ReadonlyMap<string, FakeEngine> {
+    return this.endpoints.engines;
+  }
+
+  get services(): ReadonlyMap<string, FakeService> {
+    return this.endpoints.services;
+  }
+
   /** Starts a new incarnation of an entry VM whose last one has ended. */
   startEntryVm(id: string): void {
     if (this.entryVms.has(id) && this.entryVms.get(id)?.state !== 'dead') return;
@@ -130,7 +131,7 @@
       link: { host: id, port: 1 },
     };
     const seed = this.options.seed * 1_000 + incarnation;
-    this.attempts.set(id, new Map());
+    this.endpoints.resetAttempts(id);
     const started = new FakeEntryVm(vm, seed, (own) => this.createHandlers(own));
     this.entryVms.set(id, started);
     this.transcript.record(`${id} starts, incarnation ${incarnation}`);
@@ -327,15 +328,6 @@
     return (outcome.row.value as DocumentRow).configuration;
   }
 
-  private addEndpoint(endpoint: Endpoint): void {
-    const record = (text: string): void => this.transcript.record(text);
-    if (endpoint.kind === 'engine') {
-      this.engines.set(endpoint.id, new FakeEngine(endpoint, record));
-    } else {
-      this.services.set(endpoint.id, new FakeService(endpoint, this.runs, record));
-    }
-  }
-
   /** The platform's list follows the truth with a lag. */
   private scheduleMembership(): void {
     setTimeout(() => this.updateMembership(), MEMBERSHIP_LAG_MS);
@@ -367,7 +359,7 @@
   private endEntryVm(vm: FakeEntryVm): void {
     vm.kill();
     const { id } = vm.vm;
-    this.attempts.get(id)?.forEach(({ connection }) => connection.close());
+    this.endpoints.closeAttempts(id);
     this.links.closeAll(id);
     this.listOpenCallers(vm).forEach((caller) => this.endCaller(caller, { kind: 'disconnected' }));
     this.scheduleMembership();
@@ -403,8 +395,8 @@
     const findCaller = (requestId: string): FakeCaller | undefined =>
       own.state === 'dead' ? undefined : this.openCallers.get(requestId);
     return {
-      'attempt.start': (start) => this.startAttempt(own, start),
-      'attempt.cancel': ({ attemptId }) => this.cancelAttempt(own, attemptId),
+      'attempt.start': (start) => this.endpoints.startAttempt(own, start),
+      'attempt.cancel': ({ attemptId }) => this.endpoints.cancelAttempt(own, attemptId),
       'caller.sendHead': ({ requestId, head }) => {
         const caller = findCaller(requestId);
         if (caller !== undefined) caller.status = head?.status;
@@ -432,7 +424,7 @@
         if (!this.network.isReachable(failureDomain, PLATFORM_PLACE)) {
           setTimeout(() => {
             own.dispatch({ kind: 'platform.replied', callId, reply: Err('unsent') });
-          }, CONNECT_TIMEOUT_MS);
+          }, PLATFORM_TIMEOUT_MS);
           return;
         }
         this.platform.call(call, (reply) => {
@@ -441,7 +433,7 @@
           own.dispatch({ kind: 'platform.replied', callId, reply: heard });
         });
       },
-      'engine.call': (effect) => this.callEngine(own, effect),
+      'engine.call': (effect) => this.endpoints.callEngine(own, effect),
       'configuration.adopted': ({ version }) => {
         assertVersionRises(this.counts, id, own.configurationVersion, version);
         own.configurationVersion = version;
@@ -462,97 +454,4 @@
       log: () => {},
     };
   }
-
-  private startAttempt(own: FakeEntryVm, start: EffectOf<'attempt.start'>): void {
-    const { attemptId, endpoint, mode, requestId } = start;
-    const { id, failureDomain } = own.vm;
-    const target = this.engines.get(endpoint.id) ?? this.services.get(endpoint.id);
-    if (target === undefined) throw new Error(`no endpoint ${endpoint.id}`);
-    this.attemptsStarted += 1;
-    this.transcript.record(`${id} tries ${requestId} at ${endpoint.id} (${mode})`);
-    const connection = new FakeConnection(
-      attemptId,
-      failureDomain,
-      endpoint.failureDomain,
-      this.network,
-      (event) => own.dispatch(event),
-    );
-    this.attempts.get(id)?.set(attemptId, { start, connection });
-    const reachable = this.network.isReachable(failureDomain, endpoint.failureDomain);
-    setTimeout(
-      () => this.deliverAttempt(own, start, connection),
-      reachable ? this.network.drawDelayMs() : CONNECT_TIMEOUT_MS,
-    );
-  }
-
-  private deliverAttempt(
-    own: FakeEntryVm,
-    start: EffectOf<'attempt.start'>,
-    connection: FakeConnection,
-  ): void {
-    if (!connection.isOpen) return;
-    const { endpoint, attemptId, requestId } = start;
-    const reachable = this.network.isReachable(own.vm.failureDomain, endpoint.failureDomain);
-    const engine = this.engines.get(endpoint.id);
-    const service = this.services.get(endpoint.id);
-    const machine = engine?.machine ?? service?.machine;
-    const contract = this.callersById.get(requestId)?.contract;
-    const taken =
-      reachable &&
-      contract !== undefined &&
-      machine?.run(() => {
-        if (service !== undefined) service.call(contract.digest, requestId, connection);
-        else if (engine !== undefined) World.startStream(engine, start, contract, connection);
-      });
-    if (taken !== true) own.dispatch({ kind: 'attempt.failed', attemptId, failure: 'notSent' });
-  }
-
-  private static startStream(
-    engine: FakeEngine,
-    start: EffectOf<'attempt.start'>,
-    contract: RequestContract,
-    connection: FakeConnection,
-  ): void {
-    if (contract.kind !== 'model') return;
-    if (start.mode === 'resume') {
-      engine.resume(start.streamId, start.offset, connection);
-      return;
-    }
-    const { digest, promptTokens, maxOutputTokens } = contract;
-    engine.start({ streamId: start.streamId, digest, promptTokens, maxOutputTokens }, connection);
-  }
-
-  /** Closes the connection, and tells an engine to give the stream's memory back. */
-  private cancelAttempt(own: FakeEntryVm, attemptId: string): void {
-    const attempt = this.attempts.get(own.vm.id)?.get(attemptId);
-    if (attempt === undefined) return;
-    this.attempts.get(own.vm.id)?.delete(attemptId);
-    attempt.connection.close();
-    const { endpoint, streamId } = attempt.start;
-    setTimeout(() => {
-      if (!this.network.isReachable(own.vm.failureDomain, endpoint.failureDomain)) return;
-      const engine = this.engines.get(endpoint.id);
-      engine?.machine.run(() => engine.release(streamId));
-    }, this.network.drawDelayMs());
-  }
-
-  private callEngine(own: FakeEntryVm, effect: EffectOf<'engine.call'>): void {
-    const { callId, call } = effect;
-    const engine = this.engines.get(effect.engine.id);
-    const places = [own.vm.failureDomain, effect.engine.failureDomain] as const;
-    setTimeout(() => {
-      const taken =
-        this.network.isReachable(...places) &&
-        engine?.machine.run(() => {
-          const reply = engine.answer(call);
-          setTimeout(() => {
-            const heard = this.network.isReachable(...places) ? reply : Err('unanswered' as const);
-            own.dispatch({ kind: 'engine.replied', callId, reply: heard });
-          }, this.network.drawDelayMs());
-        });
-      if (taken !== true) {
-        own.dispatch({ kind: 'engine.replied', callId, reply: Err('unsent') });
-      }
-    }, this.network.drawDelayMs());
-  }
 }
