--- a/packages/bench/src/world/promises.ts
+++ b/packages/bench/src/world/promises.ts
@@ -152,16 +152,3 @@
     inFlight === 0,
     () => `${vmId} stopped with ${inFlight} in flight`,
   );
-
-export const assertNoNewWork = (
-  counts: CheckCounts,
-  endpointId: string,
-  leavingForMs: number,
-  limitMs: number,
-): void =>
-  assertPromise(
-    counts,
-    'a leaving endpoint receives no new work',
-    leavingForMs <= limitMs,
-    () => `${endpointId} got work ${leavingForMs} ms after it was declared leaving`,
-  );
