Let changes of the configuration travel as differences

Change: an ask names the version and change that the asker has; who still knows that version answers with what differs by declaration, which was checked to give the same document to the letter; anything else gets the whole. The result is parsed like any document of a peer, and applies only to the very version and change in force. Ruled out: a general JSON patch, which names array places, so that one removed engine shifts all others; a difference without the change id, which a table service that was set back could mislead.

--- a/packages/bench/src/experiments/node-costs.ts
+++ b/packages/bench/src/experiments/node-costs.ts
@@ -2,6 +2,8 @@
 import {
   CONFIGURATION_HEAD_KEY,
   Ok,
+  buildDifference,
+  parseConfiguration,
   tables,
   type Configuration,
   type ModelContract,
@@ -14,6 +16,10 @@
 import type { Deployment } from './workload/types.js';
 
 const NS_PER_US = 1_000;
+const NS_PER_MS = 1_000_000;
+
+/** Rounds over which a change is measured. */
+const ROUNDS = 20;
 
 /** Tokens that one request passes on when the cost of a token is measured. */
 const TOKENS = 200_000;
@@ -84,14 +90,44 @@
   return Number(process.hrtime.bigint() - startNs) / TOKENS / NS_PER_US;
 };
 
+const packForLink = (value: unknown): Buffer => new Packr({ sequential: true }).pack(value);
+
+/** One engine with another batch limit: the smallest change of a large section. */
+const changeEngine = (configuration: Configuration): Configuration => ({
+  ...configuration,
+  endpoints: configuration.endpoints.map((endpoint, index) =>
+    index === 0 && endpoint.kind === 'engine'
+      ? { ...endpoint, batchLimit: endpoint.batchLimit + 1 }
+      : endpoint,
+  ),
+});
+
+const measureMs = (run: () => unknown): number => {
+  const startNs = process.hrtime.bigint();
+  for (let round = 0; round < ROUNDS; round += 1) run();
+  return Number(process.hrtime.bigint() - startNs) / ROUNDS / NS_PER_MS;
+};
+
+/** What a change of one declaration costs on a link and in processor time. */
+const measureChange = (before: Configuration): Record<string, string> => {
+  const after = changeEngine(before);
+  const difference = buildDifference(before, after);
+  return {
+    'difference of one engine, bytes': formatNumber(packForLink(difference).length),
+    'worked out in, ms': formatNumber(measureMs(() => buildDifference(before, after))),
+    'checked in, ms': formatNumber(measureMs(() => parseConfiguration(after))),
+  };
+};
+
 /** Size of the configuration, and the cost of a token, by the size of the fleet. */
 export const runNodeCosts: RunExperiment = () => {
   const rows = FLEETS.map(({ engines, teams }): TableRow => {
     const configuration = createFleetConfiguration(createDeployment(engines, teams), 1);
-    const packed = new Packr({ sequential: true }).pack(configuration);
+    const packed = packForLink(configuration);
     const cells = {
       'configuration, JSON bytes': formatNumber(JSON.stringify(configuration).length),
       'packed for a link, bytes': formatNumber(packed.length),
+      ...measureChange(configuration),
       'decisions for a token, µs': formatNumber(measureTokenUs(configuration)),
     };
     return { label: `${engines} engines, ${teams} teams`, cells };
--- a/packages/decisions/src/configuration/configuration-flood.ts
+++ b/packages/decisions/src/configuration/configuration-flood.ts
@@ -1,4 +1,5 @@
 import {
+  applyDifference,
   isHeadRow,
   type ConfigurationHead,
   type ConfigurationMessage,
@@ -9,6 +10,7 @@
 import type { Timer } from '../timers/timer-queue.js';
 import type { ConfigurationKeeper } from './configuration-keeper.js';
 import { ASK_LIMIT_MS } from './consts.js';
+import { RecentDifferences } from './recent-differences.js';
 
 interface Dependencies {
   readonly context: NodeContext;
@@ -32,14 +34,16 @@
   typeof value === 'number' && Number.isSafeInteger(value) && value >= 0;
 
 const isWellFormed = (message: ConfigurationMessage): boolean => {
-  if (message.kind !== 'configuration.head') return isVersion(message.version);
+  if (message.kind === 'configuration.offer' || message.kind === 'configuration.ask') {
+    return isVersion(message.version);
+  }
   const { head, ageMs } = message;
   return isHeadRow(head) && (ageMs === undefined || ageMs >= 0);
 };
 
 /**
- * Spreads versions over the links: a short offer to every peer, and the document only to those that
- * ask for it. What is lost is caught by the poll of the store.
+ * Spreads versions over the links: a short offer to every peer, and to those that ask what
+ * differs from the version they have, or the whole document. What is lost is caught by the poll of the store.
  */
 export class ConfigurationFlood {
   /** Version asked of a peer, until it comes or the time for it is over. */
@@ -49,10 +53,13 @@
 
   private readonly handlers: Handlers = {
     'configuration.offer': (peer, { version }) => this.acceptOffer(peer, version),
-    'configuration.ask': (peer, { version }) => this.acceptAsk(peer, version),
+    'configuration.ask': (peer, message) => this.acceptAsk(peer, message),
+    'configuration.difference': (peer, message) => this.acceptDifference(peer, message),
     'configuration.head': (peer, message) => this.acceptHead(peer, message),
   };
 
+  private readonly differences = new RecentDifferences();
+
   constructor(private readonly dependencies: Dependencies) {}
 
   /** Messages come from another process: one that makes no sense is passed over. */
@@ -70,6 +77,7 @@
 
   /** Tells all peers but the one that it came from of a version that is now in force here. */
   spread(head: ConfigurationHead): void {
+    this.differences.add(head);
     if (this.asked !== undefined && this.asked.version <= head.version) this.endAsk();
     this.dependencies.membership
       .listLinked()
@@ -90,7 +98,9 @@
     this.endAsk();
     const timer = context.schedule(ASK_LIMIT_MS, () => this.endAsk());
     this.asked = { version, timer };
-    membership.send(peer, { kind: 'configuration.ask', version: keeper.version });
+    const { head, version: own } = keeper;
+    const base = head === undefined ? {} : { changeId: head.changeId };
+    membership.send(peer, { kind: 'configuration.ask', version: own, ...base });
   }
 
   private endAsk(): void {
@@ -98,12 +108,37 @@
     this.asked = undefined;
   }
 
-  private acceptAsk(peer: EntryVmId, version: number): void {
+  /** Sends what differs from the asker's version where that is known here, else the document. */
+  private acceptAsk(peer: EntryVmId, ask: MessageOf<'configuration.ask'>): void {
     const { keeper, membership } = this.dependencies;
     const { head, ageMs } = keeper;
-    if (head === undefined || head.version <= version) return;
+    if (head === undefined || head.version <= ask.version) return;
     const age = ageMs === undefined ? {} : { ageMs };
-    membership.send(peer, { kind: 'configuration.head', head, ...age });
+    const { version, changeId } = ask;
+    const base = changeId === undefined ? undefined : { version, changeId };
+    const difference = base === undefined ? undefined : this.differences.find(base);
+    if (base === undefined || difference === undefined) {
+      membership.send(peer, { kind: 'configuration.head', head, ...age });
+      return;
+    }
+    const { version: next, changeId: nextChange, author, committedAtMs } = head;
+    const row = { version: next, changeId: nextChange, author, committedAtMs };
+    const message = { kind: 'configuration.difference', head: row, base, difference } as const;
+    membership.send(peer, { ...message, ...age });
+  }
+
+  /** A difference to anything but the version in force here is passed over; the poll catches up. */
+  private acceptDifference(
+    peer: EntryVmId,
+    { head, base, difference, ageMs }: MessageOf<'configuration.difference'>,
+  ): void {
+    const { keeper } = this.dependencies;
+    const current = keeper.head;
+    if (current === undefined || base?.version !== current.version) return;
+    if (base.changeId !== current.changeId) return;
+    this.source = peer;
+    keeper.offerDocument(head, applyDifference(current.configuration, difference), ageMs);
+    this.source = undefined;
   }
 
   private acceptHead(peer: EntryVmId, { head, ageMs }: MessageOf<'configuration.head'>): void {
--- a/packages/decisions/src/configuration/consts.ts
+++ b/packages/decisions/src/configuration/consts.ts
@@ -32,3 +32,6 @@
 
 /** Versions that one reading of the history gives at most. */
 export const MAX_HISTORY_LENGTH = 200;
+
+/** Versions kept to work out differences from. */
+export const RECENT_VERSIONS = 4;
--- /dev/null
+++ b/packages/decisions/src/configuration/recent-differences.ts
@@ -0,0 +1,31 @@
+import {
+  buildDifference,
+  type ConfigurationDifference,
+  type ConfigurationHead,
+  type VersionName,
+} from '@savorywind/model';
+import { RECENT_VERSIONS } from './consts.js';
+
+/** Differences from the last few versions to the newest one, each worked out once. */
+export class RecentDifferences {
+  private heads: ConfigurationHead[] = [];
+
+  private readonly found = new Map<number, ConfigurationDifference | undefined>();
+
+  /** Takes the newest version. */
+  add(head: ConfigurationHead): void {
+    this.heads = [...this.heads, head].slice(-RECENT_VERSIONS);
+    this.found.clear();
+  }
+
+  /** Gives undefined where the base is not among the last versions, or only a document will do. */
+  find({ version, changeId }: VersionName): ConfigurationDifference | undefined {
+    const newest = this.heads.at(-1);
+    const base = this.heads.find((head) => head.version === version);
+    if (newest === undefined || base === undefined || base.changeId !== changeId) return undefined;
+    if (!this.found.has(version)) {
+      this.found.set(version, buildDifference(base.configuration, newest.configuration));
+    }
+    return this.found.get(version);
+  }
+}
--- a/packages/decisions/test/configuration.test.ts
+++ b/packages/decisions/test/configuration.test.ts
@@ -84,6 +84,41 @@
     expect(listVersions(nodes)).toEqual([2, 2, 2]);
   });
 
+  it('travels as what differs, and gives the same configuration to the letter', () => {
+    const nodes = createNodes('entry-a1', 'entry-a2', 'entry-a3');
+    nodes.link();
+    nodes.advance(10);
+    const change = createAsk();
+    ask(nodes, 'entry-a1', change);
+    nodes.advance(20);
+    const sent = nodes.listEffects('link.send').map(({ message }) => message.kind);
+    expect(sent).toContain('configuration.difference');
+    expect(sent).not.toContain('configuration.head');
+    const adopted = nodes
+      .listEffects('configuration.adopted')
+      .filter(({ version }) => version === 2)
+      .map(({ configuration }) => JSON.stringify(configuration));
+    expect(adopted).toHaveLength(3);
+    expect(new Set(adopted).size).toBe(1);
+  });
+
+  it('that is a difference to another version is passed over', () => {
+    const nodes = createNodes('entry-a1');
+    nodes.link();
+    const { author, committedAtMs } = createHead();
+    const head = { version: 3, changeId: 'change-3', author, committedAtMs };
+    const difference = { presetInForce: 'ordinary', sections: {} };
+    const bases = [
+      { version: 2, changeId: 'change-1' },
+      { version: 1, changeId: 'another' },
+    ];
+    bases.forEach((base) => {
+      const message = { kind: 'configuration.difference', head, base, difference } as const;
+      nodes.hand('entry-a1', { kind: 'link.received', peer: 'entry-a2', message });
+    });
+    expect(listVersions(nodes)).toEqual([1]);
+  });
+
   it('reaches entry VMs without links by the poll, within 9 s', () => {
     const nodes = createNodes('entry-a1', 'entry-b1');
     nodes.isLinkUp = () => false;
@@ -256,6 +291,18 @@
     { kind: 'configuration.head', head: createHead({ version: Number.NaN }) },
     { kind: 'configuration.head', head: createHead({ version: 9, configuration: {} as never }) },
     { kind: 'configuration.offer', version: 'nine' as never },
+    {
+      kind: 'configuration.difference',
+      head: createHead({ version: 2 }),
+      base: { version: 1, changeId: createHead().changeId },
+      difference: { presetInForce: 'night', sections: { teams: 'none' as never } },
+    },
+    {
+      kind: 'configuration.difference',
+      head: createHead({ version: 2 }),
+      base: undefined as never,
+      difference: undefined as never,
+    },
     { kind: 'configuration.nonsense' as never, version: 9 },
   ] as const)('passes over a message from a peer that makes no sense: %j', (message) => {
     const nodes = createNodes('entry-a1');
--- a/packages/model/src/configuration/diff-configuration.ts
+++ b/packages/model/src/configuration/diff-configuration.ts
@@ -22,7 +22,7 @@
   readonly id: string;
 }
 
-const SECTIONS: readonly ConfigurationSection[] = [
+export const CONFIGURATION_SECTIONS: readonly ConfigurationSection[] = [
   'teams',
   'models',
   'services',
@@ -76,7 +76,7 @@
   before: Configuration | undefined,
   after: Configuration,
 ): DeclarationChange[] => {
-  const changes = SECTIONS.flatMap((section) =>
+  const changes = CONFIGURATION_SECTIONS.flatMap((section) =>
     listSectionChanges(section, before?.[section] ?? [], after[section]),
   );
   if (before?.presetInForce === after.presetInForce) return changes;
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -4,6 +4,7 @@
   type ConfigurationFault,
 } from './configuration/parse-configuration.js';
 export { buildDeclarationsSchema } from './configuration/build-declarations-schema.js';
+export * from './configuration/difference.js';
 export * from './configuration/head-row.js';
 export * from './configuration/diff-configuration.js';
 export * from './configuration/schema.js';
--- a/packages/model/src/messages/types.ts
+++ b/packages/model/src/messages/types.ts
@@ -1,3 +1,5 @@
+import type { ConfigurationDifference } from '../configuration/difference.js';
+import type { HeadRow, VersionName } from '../configuration/head-row.js';
 import type { ConfigurationHead } from '../configuration/schema.js';
 import type { RequestMessage } from './request-messages.js';
 import type { RoutingMessage } from './routing-messages.js';
@@ -6,7 +8,20 @@
 /** Messages about configuration between entry VMs. */
 export type ConfigurationMessage =
   | { readonly kind: 'configuration.offer'; readonly version: number }
-  | { readonly kind: 'configuration.ask'; readonly version: number }
+  | {
+      readonly kind: 'configuration.ask';
+      readonly version: number;
+      /** Change that the asker's version came from; with it a difference may be sent. */
+      readonly changeId?: string;
+    }
+  | {
+      readonly kind: 'configuration.difference';
+      /** The version, without its document. */
+      readonly head: HeadRow;
+      readonly base: VersionName;
+      readonly difference: ConfigurationDifference;
+      readonly ageMs?: number;
+    }
   | {
       readonly kind: 'configuration.head';
       readonly head: ConfigurationHead;
--- /dev/null
+++ b/packages/model/test/difference.test.ts
@@ -0,0 +1,57 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { applyDifference, buildDifference, type Configuration } from '../src/index.js';
+
+const SEED = 7;
+const RUNS = 500;
+
+const createConfiguration = (
+  teams: readonly { id: string; weight: number }[],
+  presetInForce: string,
+): Configuration => ({
+  teams: teams.map((team) => ({ ...team, credentialSha256: ['0'.repeat(64)], limits: {} })),
+  models: [],
+  services: [],
+  endpoints: [],
+  presets: [{ id: presetInForce, slowdownWeight: 0.5 }],
+  presetInForce,
+});
+
+const configurations = fc
+  .tuple(
+    fc.uniqueArray(
+      fc.record({ id: fc.constantFrom('a', 'b', 'c', 'd', 'e'), weight: fc.nat({ max: 3 }) }),
+      { selector: ({ id }) => id },
+    ),
+    fc.constantFrom('ordinary', 'peak'),
+  )
+  .map(([teams, preset]) => createConfiguration(teams, preset));
+
+describe('the difference of two configurations', () => {
+  it('leads from one to the other to the letter, or is not given', () => {
+    let given = 0;
+    fc.assert(
+      fc.property(configurations, configurations, (before, after) => {
+        const difference = buildDifference(before, after);
+        if (difference === undefined) return;
+        given += 1;
+        expect(JSON.stringify(applyDifference(before, difference))).toBe(JSON.stringify(after));
+      }),
+      { seed: SEED, numRuns: RUNS },
+    );
+    expect(given).toBeGreaterThan(RUNS / 10);
+  });
+
+  it('names the preset alone where nothing else changed', () => {
+    const before = createConfiguration([{ id: 'a', weight: 1 }], 'ordinary');
+    const after = { ...before, presetInForce: 'peak' };
+    expect(buildDifference(before, after)).toEqual({ presetInForce: 'peak', sections: {} });
+  });
+
+  it('of no shape at all gives nothing', () => {
+    const before = createConfiguration([], 'ordinary');
+    const shapeless = { presetInForce: 'peak', sections: { teams: 3 } } as never;
+    expect(applyDifference(before, shapeless)).toBeUndefined();
+    expect(applyDifference(before, undefined as never)).toBeUndefined();
+  });
+});
