--- a/packages/bench/src/process/child-process.ts
+++ b/packages/bench/src/process/child-process.ts
@@ -1,4 +1,4 @@
-import { spawn, type ChildProcess } from 'node:child_process';
+import { execFile, spawn, type ChildProcess } from 'node:child_process';
 import { createInterface } from 'node:readline';
 import { fileURLToPath } from 'node:url';
 
@@ -19,6 +19,8 @@
   'main.js',
 );
 
+const CLI_MAIN = fileURLToPath(import.meta.resolve('savorywind')).replace(/index\.js$/, 'main.js');
+
 /** Longest time that a process may take to listen, in milliseconds. */
 const START_LIMIT_MS = 20_000;
 
@@ -56,3 +58,22 @@
 /** Starts an entry VM with settings from a file. */
 export const startEntry = (settingsFile: string): Promise<StartedProcess> =>
   startNode(ENTRY_MAIN, ['--settings', settingsFile]);
+
+/** What one run of the operators' command came to. */
+export interface CommandRun {
+  readonly exitCode: number | null;
+  readonly output: string;
+}
+
+/** Runs the operators' command to its end. */
+export const runOperatorCommand = (
+  args: readonly string[],
+  env: Readonly<Record<string, string>>,
+): Promise<CommandRun> =>
+  new Promise((resolve) => {
+    const options = { env: { ...process.env, ...env } };
+    execFile(process.execPath, [CLI_MAIN, ...args], options, (fault, stdout, stderr) => {
+      const exitCode = typeof fault?.code === 'number' ? fault.code : Number(fault !== null);
+      resolve({ exitCode, output: `${stdout}${stderr}`.trim() });
+    });
+  });
