Take replies of engines and the platform for what they are: input from outside

Cause: callEngine and PlatformClient parsed replies unguarded inside event handlers; a reply that was no JSON ended the process, and one of another shape failed in the decisions. Change: replies are parsed by schema; one that makes no sense, is cut off, or answers another number of operations counts as unanswered. Ruled out: counting it as refused or unsent: a write may have taken effect. Conclusion: a broken endpoint or platform takes no entry VM with it by its replies.

--- a/packages/entry/src/endpoints/engine-client.ts
+++ b/packages/entry/src/endpoints/engine-client.ts
@@ -1,6 +1,7 @@
 import { Agent, request as sendRequest } from 'node:http';
 import type { EngineCall, EngineCallFailure, EngineReply } from '@savorywind/decisions';
 import { Err, Ok, type Engine, type Result } from '@savorywind/model';
+import { parseEngineReply } from './engine-replies.js';
 
 const agent = new Agent({ keepAlive: true });
 
@@ -12,8 +13,6 @@
   readonly body?: object;
 }
 
-type PlacementReply = Extract<EngineReply, { readonly kind: 'placement' }>;
-
 type CallKind = EngineCall['kind'];
 
 const httpCalls: {
@@ -33,18 +32,6 @@
   }),
 };
 
-const readReply: Readonly<Record<CallKind, (body: never) => EngineReply>> = {
-  'streams.list': (body: { streams: [] }) => ({ kind: 'streams', streams: body.streams }),
-  'stream.cancel': () => ({ kind: 'done' }),
-  'load.read': (load: never) => ({ kind: 'load', load }),
-  'placement.read': (body: Omit<PlacementReply, 'kind'>) => ({
-    kind: 'placement',
-    ...body,
-    loading: body.loading ?? undefined,
-  }),
-  'order.give': () => ({ kind: 'done' }),
-};
-
 /** Asks an engine something outside of a request. */
 export const callEngine = (
   engine: Engine,
@@ -67,9 +54,10 @@
           resolve(Err('refused'));
           return;
         }
-        const body = JSON.parse(Buffer.concat(parts).toString('utf8')) as never;
-        resolve(Ok(readReply[call.kind](body)));
+        const reply = parseEngineReply[call.kind](Buffer.concat(parts).toString('utf8'));
+        resolve(reply === undefined ? Err('unanswered') : Ok(reply));
       });
+      response.on('error', () => resolve(Err('unanswered')));
     });
     request.on('timeout', () => request.destroy());
     request.on('error', () => resolve(Err('unanswered')));
--- a/packages/entry/src/platform/platform-client.ts
+++ b/packages/entry/src/platform/platform-client.ts
@@ -9,9 +9,11 @@
   type PlatformReply,
   type Result,
   type TableOperation,
-  type TableOutcome,
 } from '@savorywind/model';
+import type { z } from 'zod';
 import { watchConnection } from '../endpoints/connection-watch.js';
+import { parseReply } from '../replies/parse-reply.js';
+import { membershipReplySchema, tablesReplySchema } from './platform-replies.js';
 
 type ReplyListener = (reply: Result<PlatformReply, PlatformFailure>) => void;
 
@@ -25,13 +27,14 @@
 const CALL_TIMEOUT_MS = 2_000;
 
 /** Sends one HTTP request with a JSON answer; tells whether a failed one may have had an effect. */
-const exchangeJson = (
+const exchangeJson = <Schema extends z.ZodType>(
+  schema: Schema,
   agent: Agent,
   address: NetworkAddress,
   method: string,
   path: string,
   body: unknown,
-): Promise<Result<unknown, PlatformFailure>> =>
+): Promise<Result<z.output<Schema>, PlatformFailure>> =>
   new Promise((resolve) => {
     const options = { ...address, agent, method, path, timeout: CALL_TIMEOUT_MS };
     const call = sendRequest(options, (response) => {
@@ -40,8 +43,11 @@
       response.on('data', (part: Buffer) => parts.push(part));
       response.on('error', fail);
       response.on('end', () => {
-        if (response.statusCode !== 200) fail();
-        else resolve(Ok(JSON.parse(Buffer.concat(parts).toString('utf8'))));
+        const isAnswer = response.statusCode === 200;
+        const text = Buffer.concat(parts).toString('utf8');
+        const reply = isAnswer ? parseReply(text, schema) : undefined;
+        if (reply === undefined) fail();
+        else resolve(Ok(reply));
       });
     });
     const watch = watchConnection(call);
@@ -75,7 +81,14 @@
   }
 
   private async readMembership(listener: ReplyListener): Promise<void> {
-    const reply = await exchangeJson(this.agent, this.address, 'GET', '/v1/membership', undefined);
+    const reply = await exchangeJson(
+      membershipReplySchema,
+      this.agent,
+      this.address,
+      'GET',
+      '/v1/membership',
+      undefined,
+    );
     if (reply.err) listener(reply);
     else listener(Ok({ kind: 'membership', ...(reply.val as object) } as PlatformReply));
   }
@@ -107,16 +120,23 @@
 
   private async sendBatch(batch: readonly QueuedCall[]): Promise<void> {
     const operations = batch.flatMap((call) => call.operations);
-    const reply = await exchangeJson(this.agent, this.address, 'POST', '/v1/tables', {
-      operations,
-    });
+    const reply = await exchangeJson(
+      tablesReplySchema,
+      this.agent,
+      this.address,
+      'POST',
+      '/v1/tables',
+      {
+        operations,
+      },
+    );
     let next = 0;
     batch.forEach((call) => {
-      if (reply.err) {
-        call.listener(reply);
+      if (reply.err || reply.val.outcomes.length !== operations.length) {
+        call.listener(reply.err ? reply : Err('unanswered'));
         return;
       }
-      const { outcomes } = reply.val as { outcomes: TableOutcome[] };
+      const { outcomes } = reply.val;
       const own = outcomes.slice(next, next + call.operations.length);
       next += call.operations.length;
       call.listener(Ok({ kind: 'tables', outcomes: own }));
