Bound the size and the time of replies of engines and the platform

Cause: read once more for unbounded paths: a reply was gathered whatever its size, and one that trickled in held its call for ever, since the timeout is for idle connections only. The gathering also stood twice. Change: collect-reply.ts for both clients: 16 MiB and 10 s at most; more counts as unanswered. The 10 s have no test. Conclusion: a broken peer costs a bounded amount of memory and time.

--- a/packages/entry/src/endpoints/engine-client.ts
+++ b/packages/entry/src/endpoints/engine-client.ts
@@ -1,12 +1,15 @@
 import { Agent, request as sendRequest } from 'node:http';
 import type { EngineCall, EngineCallFailure, EngineReply } from '@savorywind/decisions';
 import { Err, Ok, type Engine, type Result } from '@savorywind/model';
+import { collectReply, createCallLimit } from '../replies/collect-reply.js';
 import { parseEngineReply } from './engine-replies.js';
 
 const agent = new Agent({ keepAlive: true });
 
 const CALL_TIMEOUT_MS = 2_000;
 
+const HTTP_OK = 200;
+
 interface HttpCall {
   readonly method: string;
   readonly path: string;
@@ -45,19 +48,17 @@
       resolve(Err('unsent'));
       return;
     }
-    const options = { ...engine.address, agent, timeout: CALL_TIMEOUT_MS, method, path };
+    const limits = { timeout: CALL_TIMEOUT_MS, signal: createCallLimit() };
+    const options = { ...engine.address, agent, method, path, ...limits };
     const request = sendRequest(options, (response) => {
-      const parts: Buffer[] = [];
-      response.on('data', (part: Buffer) => parts.push(part));
-      response.on('end', () => {
-        if (response.statusCode !== 200) {
-          resolve(Err('refused'));
+      collectReply(response, (text) => {
+        if (text === undefined || response.statusCode !== HTTP_OK) {
+          resolve(Err(text === undefined ? 'unanswered' : 'refused'));
           return;
         }
-        const reply = parseEngineReply[call.kind](Buffer.concat(parts).toString('utf8'));
+        const reply = parseEngineReply[call.kind](text);
         resolve(reply === undefined ? Err('unanswered') : Ok(reply));
       });
-      response.on('error', () => resolve(Err('unanswered')));
     });
     request.on('timeout', () => request.destroy());
     request.on('error', () => resolve(Err('unanswered')));
--- a/packages/entry/src/platform/platform-client.ts
+++ b/packages/entry/src/platform/platform-client.ts
@@ -12,6 +12,7 @@
 } from '@savorywind/model';
 import type { z } from 'zod';
 import { watchConnection } from '../endpoints/connection-watch.js';
+import { collectReply, createCallLimit } from '../replies/collect-reply.js';
 import { parseReply } from '../replies/parse-reply.js';
 import { membershipReplySchema, tablesReplySchema } from './platform-replies.js';
 
@@ -26,6 +27,8 @@
 const MAX_CALLS_PER_BATCH = 64;
 const CALL_TIMEOUT_MS = 2_000;
 
+const HTTP_OK = 200;
+
 /** Sends one HTTP request with a JSON answer; tells whether a failed one may have had an effect. */
 const exchangeJson = <Schema extends z.ZodType>(
   schema: Schema,
@@ -36,18 +39,13 @@
   body: unknown,
 ): Promise<Result<z.output<Schema>, PlatformFailure>> =>
   new Promise((resolve) => {
-    const options = { ...address, agent, method, path, timeout: CALL_TIMEOUT_MS };
+    const limits = { timeout: CALL_TIMEOUT_MS, signal: createCallLimit() };
+    const options = { ...address, agent, method, path, ...limits };
     const call = sendRequest(options, (response) => {
-      const parts: Buffer[] = [];
-      const fail = (): void => resolve(Err('unanswered'));
-      response.on('data', (part: Buffer) => parts.push(part));
-      response.on('error', fail);
-      response.on('end', () => {
-        const isAnswer = response.statusCode === 200;
-        const text = Buffer.concat(parts).toString('utf8');
+      collectReply(response, (text) => {
+        const isAnswer = text !== undefined && response.statusCode === HTTP_OK;
         const reply = isAnswer ? parseReply(text, schema) : undefined;
-        if (reply === undefined) fail();
-        else resolve(Ok(reply));
+        resolve(reply === undefined ? Err('unanswered') : Ok(reply));
       });
     });
     const watch = watchConnection(call);
--- a/packages/entry/test/endpoints/bad-replies.test.ts
+++ b/packages/entry/test/endpoints/bad-replies.test.ts
@@ -47,6 +47,12 @@
     expect(replies.map(({ val }) => val)).toEqual(READS.map(() => 'unanswered'));
   });
 
+  it('of an engine that is longer than any can be is not kept', async () => {
+    body = JSON.stringify({ streams: [], filler: 'x'.repeat(17_000_000) });
+    const engine = { id: 'engine-a1', address } as Engine;
+    expect((await callEngine(engine, { kind: 'streams.list' })).val).toBe('unanswered');
+  });
+
   it.each([...BODIES, '{"outcomes":[]}'])(
     'of the platform counts as no answer: %j',
     async (text) => {
