Name the reader of replies with a verb of the list

I had run the tests of the folders I touched, not the one of names. Ruled out: a new verb: read says the same. Change: readReply in read-reply.ts. Conclusion: the whole script runs before a commit is called done.

--- a/packages/entry/src/endpoints/engine-client.ts
+++ b/packages/entry/src/endpoints/engine-client.ts
@@ -1,7 +1,7 @@
 import { Agent, request as sendRequest } from 'node:http';
 import type { EngineCall, EngineCallFailure, EngineReply } from '@savorywind/decisions';
 import { Err, Ok, type Engine, type Result } from '@savorywind/model';
-import { collectReply, createCallLimit } from '../replies/collect-reply.js';
+import { readReply, createCallLimit } from '../replies/read-reply.js';
 import { parseEngineReply } from './engine-replies.js';
 
 const agent = new Agent({ keepAlive: true });
@@ -51,7 +51,7 @@
     const limits = { timeout: CALL_TIMEOUT_MS, signal: createCallLimit() };
     const options = { ...engine.address, agent, method, path, ...limits };
     const request = sendRequest(options, (response) => {
-      collectReply(response, (text) => {
+      readReply(response, (text) => {
         if (text === undefined || response.statusCode !== HTTP_OK) {
           resolve(Err(text === undefined ? 'unanswered' : 'refused'));
           return;
--- a/packages/entry/src/platform/platform-client.ts
+++ b/packages/entry/src/platform/platform-client.ts
@@ -12,7 +12,7 @@
 } from '@savorywind/model';
 import type { z } from 'zod';
 import { watchConnection } from '../endpoints/connection-watch.js';
-import { collectReply, createCallLimit } from '../replies/collect-reply.js';
+import { readReply, createCallLimit } from '../replies/read-reply.js';
 import { parseReply } from '../replies/parse-reply.js';
 import { membershipReplySchema, tablesReplySchema } from './platform-replies.js';
 
@@ -42,7 +42,7 @@
     const limits = { timeout: CALL_TIMEOUT_MS, signal: createCallLimit() };
     const options = { ...address, agent, method, path, ...limits };
     const call = sendRequest(options, (response) => {
-      collectReply(response, (text) => {
+      readReply(response, (text) => {
         const isAnswer = text !== undefined && response.statusCode === HTTP_OK;
         const reply = isAnswer ? parseReply(text, schema) : undefined;
         resolve(reply === undefined ? Err('unanswered') : Ok(reply));
--- a/packages/entry/src/replies/collect-reply.ts
+++ b/packages/entry/src/replies/read-reply.ts
@@ -10,14 +10,14 @@
 export const createCallLimit = (): AbortSignal => AbortSignal.timeout(CALL_LIMIT_MS);
 
 /**
- * Gathers a reply up to a size.
+ * Reads a reply up to a size.
  *
  * @example
- * collectReply(response, (text) => resolve(text === undefined ? Err('unanswered') : Ok(text)));
+ * readReply(response, (text) => resolve(text === undefined ? Err('unanswered') : Ok(text)));
  *
  * @param done called with the text, or with undefined where the reply is too long or breaks off
  */
-export const collectReply = (
+export const readReply = (
   response: IncomingMessage,
   done: (text: string | undefined) => void,
 ): void => {
