Serve routes through the gateway on the users' platform: the whole path, thin

Cause: the product spoke only its own interface; the users' platform brings routes, engines and a store of its own. New: a gateway whose decisions (routes, credentials, placement, repeats) are a state machine without input and output, an adapter in platform/ with names, formats and calls, a deploy file.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,17 @@
 const IO_MODULES = ['node:*', 'ws', 'js-csp', 'msgpackr', 'tslog', 'yargs', '@savorywind/entry'];
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'docs/**', 'eslint.config.js'] },
+  {
+    ignores: [
+      '**/dist/**',
+      'target/**',
+      'journal/**',
+      'deploy/build.mjs',
+      '**/node_modules/**',
+      'docs/**',
+      'eslint.config.js',
+    ],
+  },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
@@ -15,7 +25,7 @@
     languageOptions: {
       parserOptions: {
         projectService: false,
-        project: ['packages/*/tsconfig.json', 'tsconfig.test.json'],
+        project: ['packages/*/tsconfig.json', 'platform/tsconfig.json', 'tsconfig.test.json'],
         tsconfigRootDir: import.meta.dirname,
       },
     },
--- /dev/null
+++ b/packages/decisions/src/gateway/engine-placement.ts
@@ -0,0 +1,156 @@
+import type { EngineTraits, GatewayEndpoint } from '@savorywind/model';
+import { GAP_HEADROOM, MAX_HELPERS, MEMORY_HEADROOM } from './consts.js';
+import { estimatePassMs } from './engine-costs.js';
+import type { EngineLoad } from './fleet-picture.js';
+
+/** What a placement needs to know of a generation. */
+export interface PlacementAsk {
+  /** Time that one idle engine takes to read the prompt, in milliseconds. */
+  readonly readMs: number;
+  readonly memoryTokens: number;
+  /** Time left until the first event is late; negative where it is late already. */
+  readonly aimLeftMs: number;
+  /** Whether reading this prompt alone would spoil the tightest pauses of the service. */
+  readonly isLong: boolean;
+}
+
+export interface Placement {
+  readonly endpoint: GatewayEndpoint;
+  /** Engines that read a part each, besides the first one. */
+  readonly helpers: readonly GatewayEndpoint[];
+  /** Reading time of each part, in milliseconds. */
+  readonly partMs: number;
+  /** Streams whose pauses become too long. */
+  readonly harmed: number;
+  readonly isLate: boolean;
+}
+
+export interface EngineCandidate {
+  readonly endpoint: GatewayEndpoint;
+  readonly load: EngineLoad;
+}
+
+interface Estimate extends EngineCandidate {
+  readonly harmed: number;
+  readonly firstEventMs: number;
+  readonly isLate: boolean;
+}
+
+/** Part of its aim that a first event may use by the estimate; the rest is for work not yet known. */
+const AIM_HEADROOM = 0.7;
+
+const countRequests = (load: EngineLoad): number => load.writers + load.readers;
+
+const hasRoom = (
+  { endpoint, load }: EngineCandidate,
+  memoryTokens: number,
+  traits: EngineTraits,
+): boolean =>
+  countRequests(load) < Math.min(traits.slots, endpoint.slots) &&
+  load.memoryTokens + memoryTokens <= MEMORY_HEADROOM * traits.memoryTokens;
+
+const estimateOn = (
+  candidate: EngineCandidate,
+  partMs: number,
+  ask: PlacementAsk,
+  traits: EngineTraits,
+): Estimate => {
+  const { load } = candidate;
+  const passMs = estimatePassMs(traits, load.writers + 1, load.memoryTokens);
+  const gapMs = passMs + load.readMs + partMs;
+  const spoils = load.tightGapMs > 0 && gapMs > GAP_HEADROOM * load.tightGapMs;
+  const firstEventMs = passMs + load.readMs + partMs;
+  return {
+    ...candidate,
+    harmed: spoils ? load.tightWriters : 0,
+    firstEventMs,
+    isLate: firstEventMs > AIM_HEADROOM * ask.aimLeftMs,
+  };
+};
+
+/** Packs: engines that stay empty can take long prompts. */
+const compareForShort = (a: Estimate, b: Estimate): number =>
+  a.harmed - b.harmed ||
+  Number(a.isLate) - Number(b.isLate) ||
+  countRequests(b.load) - countRequests(a.load) ||
+  a.firstEventMs - b.firstEventMs;
+
+const compareForLong = (a: Estimate, b: Estimate): number =>
+  a.harmed - b.harmed ||
+  a.load.readMs - b.load.readMs ||
+  countRequests(a.load) - countRequests(b.load);
+
+const buildPlacement = (
+  first: Estimate,
+  helpers: readonly Estimate[],
+  partMs: number,
+): Placement => ({
+  endpoint: first.endpoint,
+  helpers: helpers.map(({ endpoint }) => endpoint),
+  partMs,
+  harmed: [first, ...helpers].reduce((sum, { harmed }) => sum + harmed, 0),
+  isLate: [first, ...helpers].some(({ isLate }) => isLate),
+});
+
+const placeShort = (
+  ask: PlacementAsk,
+  candidates: readonly EngineCandidate[],
+  traits: EngineTraits,
+): Placement | undefined => {
+  const estimates = candidates
+    .filter((candidate) => hasRoom(candidate, ask.memoryTokens, traits))
+    .map((candidate) => estimateOn(candidate, ask.readMs, ask, traits));
+  const [best] = estimates.sort(compareForShort);
+  return best === undefined ? undefined : buildPlacement(best, [], ask.readMs);
+};
+
+const placeWithReaders = (
+  ask: PlacementAsk,
+  candidates: readonly EngineCandidate[],
+  traits: EngineTraits,
+  readers: number,
+): Placement | undefined => {
+  const partMs = ask.readMs / readers;
+  const estimates = candidates
+    .map((candidate) => estimateOn(candidate, partMs, ask, traits))
+    .sort(compareForLong);
+  const first = estimates.find((estimate) => hasRoom(estimate, ask.memoryTokens, traits));
+  if (first === undefined) return undefined;
+  const helpers = estimates.filter((estimate) => estimate !== first).slice(0, readers - 1);
+  return buildPlacement(first, helpers, partMs);
+};
+
+const isBetter = (a: Placement, b: Placement): boolean =>
+  a.harmed < b.harmed || (a.harmed === b.harmed && b.isLate && !a.isLate);
+
+/** Takes as few readers as bring the first event in time without spoiling other streams. */
+const placeLong = (
+  ask: PlacementAsk,
+  candidates: readonly EngineCandidate[],
+  traits: EngineTraits,
+): Placement | undefined => {
+  const most = Math.min(MAX_HELPERS + 1, candidates.length);
+  let best: Placement | undefined;
+  for (let readers = 1; readers <= most; readers += 1) {
+    const placement = placeWithReaders(ask, candidates, traits, readers);
+    if (placement !== undefined && (best === undefined || isBetter(placement, best))) {
+      best = placement;
+    }
+    if (best !== undefined && best.harmed === 0 && !best.isLate) return best;
+  }
+  return best;
+};
+
+/**
+ * Chooses engines for a generation. Answers a load that swings between many short prompts and a few
+ * long ones: short ones share engines, long ones are read where no stream is disturbed, by several
+ * engines where one would be late.
+ *
+ * @returns undefined where no engine has room
+ */
+export const placeGeneration = (
+  ask: PlacementAsk,
+  candidates: readonly EngineCandidate[],
+  traits: EngineTraits,
+): Placement | undefined =>
+  ask.isLong ? placeLong(ask, candidates, traits) : placeShort(ask, candidates, traits);
--- /dev/null
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -0,0 +1,143 @@
+import { logEvents, type GatewayEndpoint } from '@savorywind/model';
+import { CONNECT_TIMEOUT_MS } from './consts.js';
+import type { FleetPicture, OwnWork } from './fleet-picture.js';
+import type { GatewayContext } from './gateway-context.js';
+import { mayRunAgain, type GatewayAttempt, type GatewayRecord } from './request-record.js';
+
+/** Shortest silence after which an endpoint is taken to hang, in milliseconds. */
+const MIN_SILENCE_MS = 1_000;
+
+/** Silence before the first event, in aims, after which the endpoint is taken to hang. */
+const SILENCE_PER_AIM = 4;
+
+/** Pause between events, in permitted pauses, after which the endpoint is taken to hang. */
+const SILENCE_PER_GAP = 4;
+
+/** Gives requests to endpoints and keeps what they weigh there in the picture of the fleet. */
+export class GatewayAttempts {
+  private readonly records = new Map<string, GatewayRecord>();
+
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly picture: FleetPicture,
+    private readonly onWorkChanged: () => void,
+    private readonly onSilent: (record: GatewayRecord, attempt: GatewayAttempt) => void,
+  ) {}
+
+  /** The request whose present attempt has this id. */
+  find(attemptId: string): GatewayRecord | undefined {
+    return this.records.get(attemptId);
+  }
+
+  start(
+    record: GatewayRecord,
+    endpoint: GatewayEndpoint,
+    helpers: readonly GatewayEndpoint[],
+    partMs: number,
+  ): void {
+    const attempt: GatewayAttempt = {
+      attemptId: this.context.createName(),
+      endpoint,
+      helpers,
+      work: this.addWork(record, endpoint, helpers, partMs),
+      startedAtMs: this.context.nowMs,
+      silenceTimer: undefined,
+      hasHead: false,
+    };
+    record.attempt = attempt;
+    record.sends += 1;
+    this.records.set(attempt.attemptId, record);
+    this.emitStart(record, attempt);
+    this.armSilenceTimer(record, attempt, this.estimateSilenceMs(record, partMs));
+    this.onWorkChanged();
+  }
+
+  /** The first event is there, or another one: reading is over. */
+  acceptEvent(record: GatewayRecord, attempt: GatewayAttempt): void {
+    const [first, ...helpers] = attempt.work;
+    if (first?.state === 'reading') {
+      first.state = 'writing';
+      helpers.forEach((work) => this.picture.removeOwn(work));
+      this.onWorkChanged();
+    }
+    const gapMs = record.route.maxEventGapMs ?? 0;
+    this.armSilenceTimer(record, attempt, Math.max(MIN_SILENCE_MS, SILENCE_PER_GAP * gapMs));
+  }
+
+  /** Forgets an attempt that has ended; what comes of it later reaches no caller. */
+  detach(record: GatewayRecord): void {
+    const { attempt } = record;
+    if (attempt === undefined) return;
+    attempt.silenceTimer?.cancel();
+    attempt.work.forEach((work) => this.picture.removeOwn(work));
+    this.records.delete(attempt.attemptId);
+    record.attempt = undefined;
+    this.onWorkChanged();
+  }
+
+  cancel(record: GatewayRecord): void {
+    const { attempt } = record;
+    if (attempt === undefined) return;
+    this.context.emit({ kind: 'attempt.cancel', attemptId: attempt.attemptId });
+    this.detach(record);
+  }
+
+  private addWork(
+    record: GatewayRecord,
+    endpoint: GatewayEndpoint,
+    helpers: readonly GatewayEndpoint[],
+    partMs: number,
+  ): OwnWork[] {
+    const { route, memoryTokens, isLong } = record;
+    const base = { startedAtMs: this.context.nowMs, readMs: partMs, state: 'reading' as const };
+    const gapMs = route.maxEventGapMs;
+    const first = { ...base, endpoint: endpoint.id, memoryTokens, gapMs, tight: !isLong };
+    const others = helpers.map(({ id }) => ({
+      ...base,
+      endpoint: id,
+      memoryTokens: 0,
+      gapMs: undefined,
+      tight: false,
+    }));
+    const work: OwnWork[] = [first, ...others];
+    work.forEach((item) => this.picture.addOwn(item));
+    return work;
+  }
+
+  private emitStart(record: GatewayRecord, attempt: GatewayAttempt): void {
+    const { request, route, team } = record;
+    const { attemptId, endpoint, helpers } = attempt;
+    const timeoutMs = Math.max(1, Math.floor(record.deadlineMs - this.context.nowMs));
+    this.context.emit({
+      kind: 'attempt.start',
+      attemptId,
+      requestId: request.requestId,
+      endpoint,
+      team: team?.name,
+      timeoutMs,
+      connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, timeoutMs),
+      priority: undefined,
+      lastEventId: record.lastEventId,
+      helpers: helpers.map(({ address }) => ({ address, reservationId: undefined })),
+      connection: mayRunAgain(record) ? 'kept' : 'recent',
+      delivery: route.kind === 'streaming' ? 'events' : 'whole',
+    });
+    this.context.log(logEvents.requestPlaced, {
+      request: request.callerAttempt,
+      endpoint: endpoint.id,
+      helpers: helpers.length,
+      waitedMs: Math.round(this.context.nowMs - record.arrivedAtMs),
+    });
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  private estimateSilenceMs({ route }: GatewayRecord, partMs: number): number {
+    return Math.max(MIN_SILENCE_MS, SILENCE_PER_AIM * route.targetLatencyMs, 2 * partMs);
+  }
+
+  private armSilenceTimer(record: GatewayRecord, attempt: GatewayAttempt, delayMs: number): void {
+    attempt.silenceTimer?.cancel();
+    if (!mayRunAgain(record)) return;
+    attempt.silenceTimer = this.context.schedule(delayMs, () => this.onSilent(record, attempt));
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -0,0 +1,311 @@
+import { logEvents, type GatewayTeam, type Route, type RoutedService } from '@savorywind/model';
+import { MIN_ATTEMPT_MS, PLACE_AGAIN_MS } from './consts.js';
+import type { EndpointHealth } from './endpoint-health.js';
+import type { EndpointTable } from './endpoint-table.js';
+import { estimateReadMs } from './engine-costs.js';
+import type { FleetPicture } from './fleet-picture.js';
+import type { FleetRetryBudget } from './fleet-retry-budget.js';
+import { GatewayAttempts } from './gateway-attempts.js';
+import type { GatewayContext } from './gateway-context.js';
+import type { PlacementDesk } from './placement-desk.js';
+import { mayRunAgain, type GatewayAttempt, type GatewayRecord } from './request-record.js';
+import type {
+  GatewayAnswerHead,
+  GatewayAttemptFailure,
+  GatewayRefusal,
+  GatewayRefusalReason,
+  GatewayRequest,
+} from './types.js';
+
+export interface GatewayRequestsOptions {
+  readonly context: GatewayContext;
+  readonly table: EndpointTable;
+  readonly health: EndpointHealth;
+  readonly picture: FleetPicture;
+  readonly desk: PlacementDesk;
+  readonly budget: FleetRetryBudget;
+  readonly onWorkChanged: () => void;
+  readonly onIdle: () => void;
+}
+
+/** What a request was resolved to in the configuration in force. */
+export interface ResolvedRoute {
+  readonly route: Route;
+  readonly service: RoutedService;
+  readonly team: GatewayTeam | undefined;
+  /** Shortest permitted pause of streams of the service, in milliseconds. */
+  readonly tightestGapMs: number | undefined;
+}
+
+/** Part of the tightest pause that reading a short prompt may take. */
+const SHORT_SHARE_OF_GAP = 0.6;
+
+/** Longest time that a caller waits where it does not say how long, in milliseconds. */
+const DEFAULT_WAIT_MS = 30_000;
+
+/** Attempts that endpoints rejected or that never left, beyond those that may have run. */
+const MAX_EXTRA_ATTEMPTS = 3;
+
+/** When a caller whose request found no room comes back, in milliseconds; spread by chance. */
+const COME_BACK_MS = 250;
+
+/** Statuses that promise that the request has not run. */
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+const FIRST_SERVER_ERROR = 500;
+
+const mayRepeat = ({ route, runs, sends, unsent }: GatewayRecord): boolean =>
+  runs < route.maxAttempts && sends - unsent < route.maxAttempts + MAX_EXTRA_ATTEMPTS;
+
+const isSuccess = (status: number): boolean => status >= 200 && status < 300;
+
+/** The life of requests from arrival to their final answer. */
+export class GatewayRequests {
+  private readonly records = new Map<string, GatewayRecord>();
+
+  private readonly waiting = new Set<GatewayRecord>();
+
+  private readonly attempts: GatewayAttempts;
+
+  constructor(private readonly options: GatewayRequestsOptions) {
+    const { context, picture, onWorkChanged } = options;
+    this.attempts = new GatewayAttempts(context, picture, onWorkChanged, (record, attempt) =>
+      this.acceptSilence(record, attempt),
+    );
+  }
+
+  get inFlight(): number {
+    return this.records.size;
+  }
+
+  admit(request: GatewayRequest, resolved: ResolvedRoute): void {
+    const record = this.createRecord(request, resolved);
+    this.records.set(request.requestId, record);
+    this.options.budget.recordRequest(record.service.name, this.options.context.nowMs);
+    this.place(record);
+  }
+
+  abandon(requestId: string): void {
+    const record = this.records.get(requestId);
+    if (record === undefined) return;
+    this.attempts.cancel(record);
+    this.close(record);
+  }
+
+  /** Tries again to place what waits; called whenever work has ended somewhere. */
+  placeWaiting(): void {
+    [...this.waiting].forEach((record) => {
+      if (this.waiting.has(record)) this.place(record);
+    });
+  }
+
+  acceptHead(attemptId: string, head: GatewayAnswerHead): void {
+    const record = this.attempts.find(attemptId);
+    const attempt = record?.attempt;
+    if (record === undefined || attempt === undefined) return;
+    attempt.hasHead = true;
+    this.options.health.reportAnswer(attempt.endpoint.id);
+    if (isSuccess(head.status) && !head.hasReceipt) {
+      this.attempts.cancel(record);
+      this.repeatOrGiveUp(record, 'invalid');
+    } else if (this.isWorthRepeating(record, head)) {
+      this.attempts.cancel(record);
+      this.place(record);
+    } else if (!mayRunAgain(record) && PROMISING_STATUSES.has(head.status)) {
+      this.attempts.cancel(record);
+      this.giveUp(record, 'broken');
+    } else {
+      this.relay(record, attempt);
+    }
+  }
+
+  acceptEvent(attemptId: string, eventId: string | undefined): void {
+    const record = this.attempts.find(attemptId);
+    if (record?.attempt === undefined) return;
+    if (eventId !== undefined) record.lastEventId = eventId;
+    this.attempts.acceptEvent(record, record.attempt);
+  }
+
+  acceptEnd(attemptId: string): void {
+    const record = this.attempts.find(attemptId);
+    if (record === undefined) return;
+    this.attempts.detach(record);
+    this.options.context.emit({ kind: 'caller.finish', requestId: record.request.requestId });
+    this.close(record);
+  }
+
+  acceptFailure(attemptId: string, failure: GatewayAttemptFailure, detail: string): void {
+    const record = this.attempts.find(attemptId);
+    const attempt = record?.attempt;
+    if (record === undefined || attempt === undefined) return;
+    const { context, health } = this.options;
+    context.log(logEvents.attemptFailed, {
+      request: record.request.callerAttempt,
+      endpoint: attempt.endpoint.id,
+      failure,
+      detail,
+    });
+    health.reportFailure(attempt.endpoint.id, context.nowMs);
+    this.attempts.detach(record);
+    record.avoided.add(attempt.endpoint.id);
+    this.repeatOrGiveUp(record, failure);
+  }
+
+  private acceptSilence(record: GatewayRecord, attempt: GatewayAttempt): void {
+    if (record.attempt !== attempt || !mayRepeat(record)) return;
+    const { context, health, budget } = this.options;
+    if (!budget.takeRepeat(record.service.name, context.nowMs)) return;
+    health.reportFailure(attempt.endpoint.id, context.nowMs);
+    this.attempts.cancel(record);
+    record.avoided.add(attempt.endpoint.id);
+    record.runs += 1;
+    this.logRepeat(record, 'silent');
+    this.place(record);
+  }
+
+  private createRecord(request: GatewayRequest, resolved: ResolvedRoute): GatewayRecord {
+    const { context } = this.options;
+    const { route, service, team } = resolved;
+    const waitMs = Math.min(request.waitsMs ?? DEFAULT_WAIT_MS, route.timeoutMs);
+    const traits = service.engine;
+    const readMs = traits === undefined ? 0 : estimateReadMs(traits, request.promptTokens);
+    const gapMs = resolved.tightestGapMs ?? Number.POSITIVE_INFINITY;
+    return {
+      request,
+      route,
+      service,
+      team,
+      priority: team?.priority ?? route.priority,
+      arrivedAtMs: context.nowMs,
+      deadlineMs: context.nowMs + waitMs,
+      readMs,
+      memoryTokens: request.promptTokens + request.maxOutputTokens,
+      isLong: readMs > SHORT_SHARE_OF_GAP * gapMs,
+      deadlineTimer: context.schedule(waitMs, () => this.expire(request.requestId)),
+      retryTimer: undefined,
+      attempt: undefined,
+      sends: 0,
+      runs: 0,
+      unsent: 0,
+      avoided: new Set(),
+      headPassed: false,
+      lastEventId: request.lastEventId,
+    };
+  }
+
+  private place(record: GatewayRecord): void {
+    const { context, desk } = this.options;
+    this.stopWaiting(record);
+    if (context.nowMs + MIN_ATTEMPT_MS >= record.deadlineMs) {
+      this.giveUp(record, 'timeout');
+      return;
+    }
+    const decision = desk.decide(record);
+    if (decision.kind === 'noEndpoint') {
+      this.giveUp(record, 'noEndpoint');
+    } else if (decision.kind === 'wait') {
+      this.wait(record);
+    } else {
+      this.attempts.start(record, decision.endpoint, decision.helpers, decision.partMs);
+    }
+  }
+
+  private wait(record: GatewayRecord): void {
+    this.waiting.add(record);
+    record.retryTimer = this.options.context.schedule(PLACE_AGAIN_MS, () => this.place(record));
+  }
+
+  private stopWaiting(record: GatewayRecord): void {
+    this.waiting.delete(record);
+    record.retryTimer?.cancel();
+    record.retryTimer = undefined;
+  }
+
+  private relay(record: GatewayRecord, attempt: GatewayAttempt): void {
+    const { requestId } = record.request;
+    record.headPassed = true;
+    this.options.context.emit({
+      kind: 'caller.relay',
+      requestId,
+      attemptId: attempt.attemptId,
+    });
+  }
+
+  /** An endpoint's failure of a call that may be repeated is tried once more elsewhere. */
+  private isWorthRepeating(record: GatewayRecord, head: GatewayAnswerHead): boolean {
+    if (head.status < FIRST_SERVER_ERROR || record.headPassed || record.attempt === undefined) {
+      return false;
+    }
+    record.runs += 1;
+    if (!mayRunAgain(record) || !mayRepeat(record)) return false;
+    const { budget, context } = this.options;
+    if (!budget.takeRepeat(record.service.name, context.nowMs)) return false;
+    record.avoided.add(record.attempt.endpoint.id);
+    return true;
+  }
+
+  private repeatOrGiveUp(record: GatewayRecord, failure: GatewayAttemptFailure): void {
+    if (failure === 'notSent') record.unsent += 1;
+    else if (failure === 'broken' || failure === 'invalid') record.runs += 1;
+    const hasRun = record.runs > 0;
+    if (hasRun && !mayRunAgain(record)) {
+      this.giveUp(record, 'broken');
+    } else if (mayRepeat(record) && this.takeBudget(record, failure)) {
+      this.logRepeat(record, failure);
+      this.place(record);
+    } else {
+      this.giveUp(record, hasRun ? 'broken' : 'rejected');
+    }
+  }
+
+  /** What never left is no repeat. */
+  private takeBudget(record: GatewayRecord, failure: GatewayAttemptFailure): boolean {
+    const { budget, context } = this.options;
+    if (failure === 'notSent') return record.unsent <= MAX_EXTRA_ATTEMPTS;
+    return budget.takeRepeat(record.service.name, context.nowMs);
+  }
+
+  private logRepeat(record: GatewayRecord, cause: string): void {
+    const { callerAttempt } = record.request;
+    this.options.context.log(logEvents.requestRepeated, { request: callerAttempt, cause });
+  }
+
+  private expire(requestId: string): void {
+    const record = this.records.get(requestId);
+    if (record === undefined) return;
+    if (record.attempt !== undefined) record.runs += 1;
+    this.attempts.cancel(record);
+    this.giveUp(record, 'timeout');
+  }
+
+  /** The final answer of a request that can't be served. */
+  private giveUp(record: GatewayRecord, reason: GatewayRefusalReason): void {
+    const { context } = this.options;
+    const { requestId, callerAttempt } = record.request;
+    if (record.headPassed) {
+      context.log(logEvents.requestBrokenOff, { request: callerAttempt, reason });
+      context.emit({ kind: 'caller.breakOff', requestId });
+    } else {
+      const refusal = this.createRefusal(record, reason);
+      context.log(logEvents.requestTurnedAway, { request: callerAttempt, reason });
+      context.emit({ kind: 'caller.refuse', requestId, refusal });
+    }
+    this.close(record);
+  }
+
+  private createRefusal(record: GatewayRecord, reason: GatewayRefusalReason): GatewayRefusal {
+    const hasRun = record.runs > 0;
+    if (hasRun)
+      return { reason: reason === 'timeout' ? 'timeout' : 'broken', retryAfterMs: undefined };
+    const retryAfterMs = COME_BACK_MS * (1 + this.options.context.drawRandom());
+    return { reason: reason === 'timeout' ? 'noRoom' : reason, retryAfterMs };
+  }
+
+  private close(record: GatewayRecord): void {
+    this.stopWaiting(record);
+    record.deadlineTimer.cancel();
+    this.attempts.detach(record);
+    this.records.delete(record.request.requestId);
+    if (this.records.size === 0) this.options.onIdle();
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -0,0 +1,56 @@
+import type {
+  AttemptId,
+  EndpointId,
+  GatewayEndpoint,
+  GatewayTeam,
+  MonotonicMs,
+  Route,
+  RoutedService,
+} from '@savorywind/model';
+import type { Timer } from '../timers/timer-queue.js';
+import type { OwnWork } from './fleet-picture.js';
+import type { GatewayRequest } from './types.js';
+
+/** A request at one endpoint. */
+export interface GatewayAttempt {
+  readonly attemptId: AttemptId;
+  readonly endpoint: GatewayEndpoint;
+  /** What the attempt weighs on the first endpoint and its helpers. */
+  readonly work: readonly OwnWork[];
+  readonly helpers: readonly GatewayEndpoint[];
+  readonly startedAtMs: MonotonicMs;
+  silenceTimer: Timer | undefined;
+  hasHead: boolean;
+}
+
+/** A request from its arrival to its final answer. */
+export interface GatewayRecord {
+  readonly request: GatewayRequest;
+  readonly route: Route;
+  readonly service: RoutedService;
+  readonly team: GatewayTeam | undefined;
+  readonly priority: number;
+  readonly arrivedAtMs: MonotonicMs;
+  readonly deadlineMs: MonotonicMs;
+  /** Time that one idle engine takes to read the prompt; 0 for plain services. */
+  readonly readMs: number;
+  readonly memoryTokens: number;
+  readonly isLong: boolean;
+  readonly deadlineTimer: Timer;
+  retryTimer: Timer | undefined;
+  attempt: GatewayAttempt | undefined;
+  /** Attempts of which bytes have left. */
+  sends: number;
+  /** Attempts that an endpoint may have begun to work on. */
+  runs: number;
+  /** Attempts that never left this process. */
+  unsent: number;
+  readonly avoided: Set<EndpointId>;
+  /** Whether the caller has the head of an answer. */
+  headPassed: boolean;
+  lastEventId: string | undefined;
+}
+
+/** Whether the request may be given to another endpoint although one may have run it. */
+export const mayRunAgain = ({ route }: GatewayRecord): boolean =>
+  route.kind === 'idempotent' || (route.kind === 'streaming' && route.resumable);
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -17,3 +17,5 @@
 export { EngineSweeper } from './recovery/engine-sweeper.js';
 export { formatStreamId, parseStreamId, type StreamOwner } from './recovery/stream-id.js';
 export type * from './recovery/types.js';
+export { GatewayNode, type GatewayNodeOptions } from './gateway/gateway-node.js';
+export type * from './gateway/types.js';
--- /dev/null
+++ b/packages/entry/src/gateway/callers/front-server.ts
@@ -0,0 +1,148 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { CallerLimits, NetworkAddress } from '@savorywind/model';
+import type { GatewayWire } from '../types.js';
+import { CallerExchange } from './caller-exchange.js';
+
+/** Bytes of a head that the parser takes; the declared limit is checked on top. */
+const MAX_PARSED_HEAD_BYTES = 65_536;
+
+/** How often connections that send too slowly are looked for, in milliseconds. */
+const CHECK_INTERVAL_MS = 1_000;
+
+/** Kept connections stay open this much longer than callers use them, in milliseconds. */
+const IDLE_MARGIN_MS = 1_000;
+
+/** Limits until the configuration is known. */
+const FIRST_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 5_000,
+  idleTimeoutMs: 15_000,
+};
+
+const PAYLOAD_TOO_LARGE = 413;
+const HEADERS_TOO_LARGE = 431;
+const BAD_REQUEST = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
+
+export interface FrontServerOptions {
+  readonly address: NetworkAddress;
+  readonly wire: GatewayWire;
+  readonly onRequest: (exchange: CallerExchange, path: string, host: string) => void;
+  /** The caller went away before its answer was complete. */
+  readonly onGone: (requestId: string) => void;
+}
+
+const countHeadBytes = (rawHeaders: readonly string[]): number =>
+  rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+
+/** Takes callers' connections and reads their requests whole. */
+export class FrontServer {
+  private readonly server: Server;
+
+  private limits = FIRST_LIMITS;
+
+  private stopping = false;
+
+  private nextRequest = 1;
+
+  constructor(private readonly options: FrontServerOptions) {
+    this.server = createServer(
+      {
+        maxHeaderSize: MAX_PARSED_HEAD_BYTES,
+        connectionsCheckingInterval: CHECK_INTERVAL_MS,
+        requestTimeout: 0,
+        keepAliveTimeout: FIRST_LIMITS.idleTimeoutMs + IDLE_MARGIN_MS,
+        headersTimeout: FIRST_LIMITS.headerTimeoutMs,
+        noDelay: true,
+      },
+      (incoming, outgoing) => this.accept(incoming, outgoing),
+    );
+    this.server.maxHeadersCount = 0;
+    this.server.on('clientError', (_fault, socket) => this.acceptBadInput(socket as Socket));
+  }
+
+  start(): Promise<void> {
+    const { host, port } = this.options.address;
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+  }
+
+  changeLimits(limits: CallerLimits): void {
+    this.limits = limits;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+    this.server.headersTimeout = limits.headerTimeoutMs;
+  }
+
+  /** From now on every answer asks its caller to open another connection next time. */
+  announceStop(): void {
+    this.stopping = true;
+  }
+
+  /** Takes no more connections and ends those that are idle. */
+  stop(onClosed: () => void): void {
+    this.server.close(() => onClosed());
+    this.server.closeIdleConnections();
+  }
+
+  private accept(incoming: IncomingMessage, outgoing: ServerResponse): void {
+    if (this.stopping) outgoing.shouldKeepAlive = false;
+    if (countHeadBytes(incoming.rawHeaders) > this.limits.maxHeaderBytes) {
+      this.reject(incoming, outgoing, HEADERS_TOO_LARGE);
+      return;
+    }
+    this.readBody(incoming, outgoing);
+  }
+
+  private readBody(incoming: IncomingMessage, outgoing: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    incoming.on('data', (chunk: Buffer) => {
+      chunks.push(chunk);
+      bytes += chunk.length;
+      if (bytes <= this.limits.maxBodyBytes || outgoing.headersSent) return;
+      chunks.length = 0;
+      this.reject(incoming, outgoing, PAYLOAD_TOO_LARGE);
+    });
+    incoming.on('error', () => outgoing.destroy());
+    incoming.on('end', () => {
+      if (!outgoing.headersSent) this.open(incoming, outgoing, Buffer.concat(chunks, bytes));
+    });
+  }
+
+  private open(incoming: IncomingMessage, outgoing: ServerResponse, body: Buffer): void {
+    const { wire, onRequest, onGone } = this.options;
+    const requestId = String(this.nextRequest);
+    this.nextRequest += 1;
+    const facts = wire.readRequest(incoming.headers);
+    const exchange = new CallerExchange(requestId, facts, body, incoming, outgoing);
+    outgoing.on('error', () => {});
+    outgoing.on('close', () => {
+      if (!outgoing.writableFinished) onGone(requestId);
+    });
+    const [path = '/'] = (incoming.url ?? '/').split('?');
+    onRequest(exchange, path, incoming.headers.host ?? '');
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  private reject(incoming: IncomingMessage, outgoing: ServerResponse, status: number): void {
+    outgoing.writeHead(status, { Connection: 'close', 'Content-Length': '0' });
+    outgoing.end();
+    incoming.resume();
+  }
+
+  /** Answers bytes that are no request, unless an earlier request still waits for its answer. */
+  // eslint-disable-next-line class-methods-use-this
+  private acceptBadInput(socket: Socket): void {
+    const { _httpMessage: unanswered } = socket as Socket & {
+      _httpMessage?: ServerResponse | null;
+    };
+    if (socket.writable && (unanswered === undefined || unanswered === null)) {
+      socket.end(BAD_REQUEST);
+    } else {
+      socket.destroy();
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -0,0 +1,245 @@
+import { GatewayNode, type GatewayEffect, type GatewayEvent } from '@savorywind/decisions';
+import { logEvents, type GatewayEndpoint } from '@savorywind/model';
+import { createStdoutSink } from '../observe/log-sink.js';
+import { createEventLogger } from '../observe/logger.js';
+import { NodeRunner, type HandlersOf } from '../runtime/node-runner.js';
+import type { CallerExchange } from './callers/caller-exchange.js';
+import { FrontServer } from './callers/front-server.js';
+import { ElapsedClock } from './elapsed-clock.js';
+import { ConnectionPools } from './endpoints/connection-pools.js';
+import { EndpointAttempt } from './endpoints/endpoint-attempt.js';
+import { PeerSocket } from './peer-socket.js';
+import { ReadinessServer } from './readiness-server.js';
+import { TableWatch, type TableUpdate } from './store/table-watch.js';
+import type { TableRow } from './store/types.js';
+import type { GatewayAdapter, GatewaySettings } from './types.js';
+
+/** Longest time that the store holds a question back: a third of the credentials' freshness. */
+const WAITS_PER_FRESHNESS = 3;
+
+/** Time before the platform kills the process at which it ends by itself, in milliseconds. */
+const STOP_MARGIN_MS = 400;
+
+/** Pause before the registration of this entry VM is tried again, in milliseconds. */
+const REGISTER_AGAIN_MS = 500;
+
+/** One running gateway: the decisions with sockets around them. */
+export class GatewayProcess {
+  private readonly clock = new ElapsedClock();
+
+  private readonly node: GatewayNode;
+
+  private readonly runner: NodeRunner<GatewayEvent, GatewayEffect>;
+
+  private readonly front: FrontServer;
+
+  private readonly readiness: ReadinessServer;
+
+  private readonly peers: PeerSocket;
+
+  private readonly pools = new ConnectionPools();
+
+  private readonly exchanges = new Map<string, CallerExchange>();
+
+  private readonly attempts = new Map<string, EndpointAttempt>();
+
+  private readonly watches: TableWatch[];
+
+  private readonly logSink = createStdoutSink();
+
+  private readonly log;
+
+  private stopped = false;
+
+  constructor(
+    private readonly settings: GatewaySettings,
+    private readonly adapter: GatewayAdapter,
+    private readonly onStopped: () => void,
+  ) {
+    const { self, contract } = settings;
+    const incarnation = Date.now();
+    const { wire } = adapter;
+    this.log = createEventLogger(self.id, 'info', this.logSink);
+    this.node = new GatewayNode({ self, incarnation, seed: incarnation, contract });
+    this.runner = new NodeRunner(this.node, this.createHandlers(), () => this.clock.readMs());
+    this.front = new FrontServer({
+      address: settings.callers,
+      wire,
+      onRequest: (exchange, path, host) => this.open(exchange, path, host),
+      onGone: (requestId) => this.abandon(requestId),
+    });
+    this.readiness = new ReadinessServer(settings.readiness, wire.readinessPath);
+    this.peers = new PeerSocket({
+      address: self.address,
+      onSnapshot: (snapshot) => this.runner.dispatch({ kind: 'peer.received', snapshot }),
+      onUnreadable: (detail) => this.log.write(logEvents.peerUnreadable, { detail }),
+    });
+    this.watches = this.createWatches();
+  }
+
+  async start(): Promise<void> {
+    await Promise.all([this.front.start(), this.readiness.start(), this.peers.start()]);
+    this.log.write(logEvents.gatewayStarted, { callers: this.settings.callers.port });
+    this.watches.forEach((watch) => watch.start());
+    await this.register();
+  }
+
+  /** Says at once that no requests are taken, and ends when those that still come are answered. */
+  drain(): void {
+    this.readiness.setReady(false);
+    this.front.announceStop();
+    this.runner.dispatch({ kind: 'drainRequested' });
+    const { stopGraceMs } = this.settings.contract;
+    setTimeout(() => this.stop(), stopGraceMs - STOP_MARGIN_MS).unref();
+  }
+
+  private createWatches(): TableWatch[] {
+    const { rows, tables } = this.adapter;
+    const waitMs = Math.floor(this.settings.contract.credentialFreshnessMs / WAITS_PER_FRESHNESS);
+    const readClockMs = (): number => this.clock.readMs();
+    const build = (table: string, onUpdate: (update: TableUpdate) => void): TableWatch =>
+      new TableWatch({ tables, table, waitMs, readClockMs, onUpdate });
+    return [
+      build(rows.configurationTable, (update) => this.acceptConfiguration(update)),
+      build(rows.endpointTable, (update) => this.acceptEndpoints(update)),
+    ];
+  }
+
+  private acceptConfiguration(update: TableUpdate): void {
+    if (update.kind === 'failed') {
+      this.runner.dispatch({ kind: 'store.failed', detail: update.detail });
+      return;
+    }
+    const { rows } = this.adapter;
+    const row = update.rows.findLast(
+      ({ key, removed }) => key === rows.configurationKey && !removed,
+    );
+    const configuration = row === undefined ? undefined : rows.decodeConfiguration(row);
+    if (row !== undefined && configuration === undefined) this.logUnreadable(row);
+    this.runner.dispatch({
+      kind: 'configuration.confirmed',
+      askedAtMs: update.askedAtMs,
+      configuration,
+    });
+  }
+
+  private acceptEndpoints(update: TableUpdate): void {
+    if (update.kind === 'failed') {
+      this.runner.dispatch({ kind: 'store.failed', detail: update.detail });
+      return;
+    }
+    const changes = update.rows.map((row) => ({ id: row.key, endpoint: this.decodeEndpoint(row) }));
+    if (update.kind === 'changes') {
+      this.runner.dispatch({ kind: 'endpoints.changed', changes });
+      return;
+    }
+    const endpoints = changes.flatMap(({ endpoint }) => endpoint ?? []);
+    this.runner.dispatch({ kind: 'endpoints.read', endpoints });
+  }
+
+  private decodeEndpoint(row: TableRow): GatewayEndpoint | undefined {
+    if (row.removed) return undefined;
+    const endpoint = this.adapter.rows.decodeEndpoint(row);
+    if (endpoint === undefined) this.logUnreadable(row);
+    return endpoint;
+  }
+
+  private logUnreadable({ key }: TableRow): void {
+    this.log.write(logEvents.storeEntryUnreadable, { key });
+  }
+
+  /** Writes this entry VM's row and reads the others: of any two, the later one sees the earlier. */
+  private async register(): Promise<void> {
+    const { rows, tables } = this.adapter;
+    const { self } = this.settings;
+    const written = await tables.putRow(rows.peerTable, self.id, rows.encodePeer(self));
+    const read = await tables.readAll(rows.peerTable);
+    if (this.stopped) return;
+    if (written.err || read.err) {
+      setTimeout(() => this.register(), REGISTER_AGAIN_MS).unref();
+      return;
+    }
+    const peers = read.val.rows
+      .filter(({ removed }) => !removed)
+      .flatMap((row) => rows.decodePeer(row) ?? []);
+    this.runner.dispatch({ kind: 'peers.read', peers });
+  }
+
+  private open(exchange: CallerExchange, path: string, host: string): void {
+    const { requestId, facts } = exchange;
+    if (this.stopped) {
+      exchange.refuse({ reason: 'notReady', retryAfterMs: 0 });
+      return;
+    }
+    this.exchanges.set(requestId, exchange);
+    this.runner.dispatch({
+      kind: 'request.arrived',
+      request: { requestId, host, path, ...facts },
+    });
+  }
+
+  private abandon(requestId: string): void {
+    if (!this.exchanges.delete(requestId)) return;
+    this.runner.dispatch({ kind: 'request.abandoned', requestId });
+  }
+
+  private takeExchange(requestId: string): CallerExchange | undefined {
+    const exchange = this.exchanges.get(requestId);
+    this.exchanges.delete(requestId);
+    return exchange;
+  }
+
+  private startAttempt(start: Extract<GatewayEffect, { kind: 'attempt.start' }>): void {
+    const exchange = this.exchanges.get(start.requestId);
+    if (exchange === undefined) return;
+    const { wire } = this.adapter;
+    const dispatch = (event: GatewayEvent): void => {
+      if (event.kind === 'attempt.ended' || event.kind === 'attempt.failed') {
+        this.attempts.delete(start.attemptId);
+      }
+      this.runner.dispatch(event);
+    };
+    const attempt = new EndpointAttempt({ start, exchange, pools: this.pools, wire, dispatch });
+    this.attempts.set(start.attemptId, attempt);
+  }
+
+  private createHandlers(): HandlersOf<GatewayEffect> {
+    return {
+      'attempt.start': (effect) => this.startAttempt(effect),
+      'attempt.cancel': ({ attemptId }) => {
+        this.attempts.get(attemptId)?.cancel();
+        this.attempts.delete(attemptId);
+      },
+      'caller.relay': ({ attemptId }) => this.attempts.get(attemptId)?.pass(),
+      'caller.finish': ({ requestId }) => this.takeExchange(requestId)?.finish(),
+      'caller.breakOff': ({ requestId }) => this.takeExchange(requestId)?.breakOff(),
+      'caller.refuse': ({ requestId, refusal }) => this.takeExchange(requestId)?.refuse(refusal),
+      'reservation.ask': () => {},
+      'reservation.release': () => {},
+      'peers.send': ({ snapshot, peers }) => this.peers.send(snapshot, peers),
+      'callerLimits.changed': ({ limits }) => this.front.changeLimits(limits),
+      'endpoint.forgotten': ({ endpoint }) => this.pools.forget(endpoint),
+      readiness: ({ ready }) => this.readiness.setReady(ready),
+      drained: () => this.stop(),
+      log: ({ event, fields }) => this.log.write(event, fields),
+    };
+  }
+
+  private stop(): void {
+    if (this.stopped) return;
+    this.stopped = true;
+    this.watches.forEach((watch) => watch.stop());
+    this.front.stop(() => this.end());
+  }
+
+  private end(): void {
+    this.runner.stop();
+    this.pools.stop();
+    this.adapter.tables.stop();
+    this.peers.stop();
+    this.readiness.stop();
+    this.log.write(logEvents.gatewayStopped, {});
+    this.logSink.flush();
+    this.onStopped();
+  }
+}
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -16,3 +16,4 @@
 export * from './platform/types.js';
 export { Err, None, Ok, Some, type Option, type Result } from './results/results.js';
 export type * from './world/types.js';
+export type * from './gateway/types.js';
--- a/packages/model/src/log-events/index.ts
+++ b/packages/model/src/log-events/index.ts
@@ -1,4 +1,5 @@
 import { configurationEvents } from './configuration-events.js';
+import { gatewayEvents } from './gateway-events.js';
 import { membershipEvents } from './membership-events.js';
 import { orderEvents } from './order-events.js';
 import { processEvents } from './process-events.js';
@@ -13,6 +14,7 @@
   ...membershipEvents,
   ...orderEvents,
   ...recoveryEvents,
+  ...gatewayEvents,
 } as const;
 
 export type { LogEvent, LogFields, LogLevel } from './types.js';
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -15,7 +15,7 @@
     },
   },
   test: {
-    include: ['packages/*/test/**/*.test.ts'],
+    include: ['packages/*/test/**/*.test.ts', 'platform/test/**/*.test.ts'],
     testTimeout: 120_000,
     hookTimeout: 60_000,
   },
