Count short prompts whole until their first event, and protect the pauses of all streams

Engines filled to their last slot made the request that raced wait for 350 to 680 ms. Long prompts were read where long streams were written (pauses of 1.7 s). An answer without a length that is reset was taken for whole: mended.

Left: prompts over one engine's memory, and joint reading that is later than estimated.

--- a/packages/decisions/src/gateway/engine-placement.ts
+++ b/packages/decisions/src/gateway/engine-placement.ts
@@ -16,6 +16,8 @@
 
 export interface Placement {
   readonly endpoint: GatewayEndpoint;
+  /** Load of the first engine before. */
+  readonly load: EngineLoad;
   /** Engines that read a part each, besides the first one. */
   readonly helpers: readonly GatewayEndpoint[];
   /** Reading time of each part, in milliseconds. */
@@ -37,7 +39,13 @@
 }
 
 /** Part of its aim that a first event may use by the estimate; the rest is for work not yet known. */
-const AIM_HEADROOM = 0.7;
+const AIM_HEADROOM = 0.8;
+
+/** Share of the slots up to which engines are filled while others are free; entry VMs may race. */
+const PACKED_SHARE = 0.75;
+
+/** A first event waits for the end of the pass in progress, half of one on average, and its own. */
+const PASSES_TO_FIRST_EVENT = 1.5;
 
 const countRequests = (load: EngineLoad): number => load.writers + load.readers;
 
@@ -59,7 +67,7 @@
   const passMs = estimatePassMs(traits, load.writers + 1, load.memoryTokens);
   const gapMs = passMs + load.readMs + partMs;
   const spoils = load.tightGapMs > 0 && gapMs > GAP_HEADROOM * load.tightGapMs;
-  const firstEventMs = passMs + load.readMs + partMs;
+  const firstEventMs = PASSES_TO_FIRST_EVENT * passMs + load.readMs + partMs;
   return {
     ...candidate,
     harmed: spoils ? load.tightWriters : 0,
@@ -68,10 +76,14 @@
   };
 };
 
-/** Packs: engines that stay empty can take long prompts. */
+const isPacked = ({ endpoint, load }: Estimate): boolean =>
+  countRequests(load) >= Math.floor(PACKED_SHARE * endpoint.slots);
+
+/** Packs up to a share of the slots: engines that stay empty can take long prompts. */
 const compareForShort = (a: Estimate, b: Estimate): number =>
   a.harmed - b.harmed ||
   Number(a.isLate) - Number(b.isLate) ||
+  Number(isPacked(a)) - Number(isPacked(b)) ||
   countRequests(b.load) - countRequests(a.load) ||
   a.firstEventMs - b.firstEventMs;
 
@@ -86,6 +98,7 @@
   partMs: number,
 ): Placement => ({
   endpoint: first.endpoint,
+  load: first.load,
   helpers: helpers.map(({ endpoint }) => endpoint),
   partMs,
   harmed: [first, ...helpers].reduce((sum, { harmed }) => sum + harmed, 0),
--- a/packages/decisions/src/gateway/fleet-picture.ts
+++ b/packages/decisions/src/gateway/fleet-picture.ts
@@ -14,10 +14,10 @@
   readonly endpoint: EndpointId;
   readonly readMs: number;
   readonly memoryTokens: number;
-  /** Undefined where pauses between events do not matter here, as at a helper. */
+  /** Permitted pause between events; undefined where there are none, as at a helper. */
   readonly gapMs: number | undefined;
-  /** Whether pauses must be short enough that reading elsewhere on the engine spoils them. */
-  readonly tight: boolean;
+  /** Whether reading goes on over several passes; a short prompt is read in one. */
+  readonly isLong: boolean;
   readonly startedAtMs: MonotonicMs;
   state: 'reading' | 'writing';
 }
@@ -70,12 +70,14 @@
 
 const estimateRemainingReadMs = (work: OwnWork, nowMs: MonotonicMs): number => {
   if (work.state === 'writing') return 0;
+  // A short prompt is read in the pass that ends with its first event: it counts whole until then.
+  if (!work.isLong) return work.readMs;
   return Math.max(LEAST_READING_SHARE * work.readMs, work.readMs - (nowMs - work.startedAtMs));
 };
 
 const describeOwn = (work: OwnWork, nowMs: MonotonicMs): EngineWork => {
   const writes = work.state === 'writing' && work.gapMs !== undefined;
-  const tight = work.tight && work.gapMs !== undefined;
+  const tight = work.gapMs !== undefined;
   return {
     endpoint: work.endpoint,
     writers: writes ? 1 : 0,
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -89,15 +89,15 @@
     partMs: number,
   ): OwnWork[] {
     const { route, memoryTokens, isLong } = record;
-    const base = { startedAtMs: this.context.nowMs, readMs: partMs, state: 'reading' as const };
+    const { nowMs: startedAtMs } = this.context;
+    const base = { startedAtMs, readMs: partMs, isLong, state: 'reading' as const };
     const gapMs = route.maxEventGapMs;
-    const first = { ...base, endpoint: endpoint.id, memoryTokens, gapMs, tight: !isLong };
+    const first = { ...base, endpoint: endpoint.id, memoryTokens, gapMs };
     const others = helpers.map(({ id }) => ({
       ...base,
       endpoint: id,
       memoryTokens: 0,
       gapMs: undefined,
-      tight: false,
     }));
     const work: OwnWork[] = [first, ...others];
     work.forEach((item) => this.picture.addOwn(item));
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -8,7 +8,12 @@
 import { GatewayAttempts } from './gateway-attempts.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { PlacementDesk } from './placement-desk.js';
-import { mayRunAgain, type GatewayAttempt, type GatewayRecord } from './request-record.js';
+import {
+  mayRunAgain,
+  type EventTimes,
+  type GatewayAttempt,
+  type GatewayRecord,
+} from './request-record.js';
 import type {
   GatewayAnswerHead,
   GatewayAttemptFailure,
@@ -57,6 +62,12 @@
 const mayRepeat = ({ route, runs, sends, unsent }: GatewayRecord): boolean =>
   runs < route.maxAttempts && sends - unsent < route.maxAttempts + MAX_EXTRA_ATTEMPTS;
 
+const recordEvent = (times: EventTimes, nowMs: number): void => {
+  times.firstAtMs ??= nowMs;
+  times.longestGapMs = Math.max(times.longestGapMs, nowMs - (times.lastAtMs ?? nowMs));
+  times.lastAtMs = nowMs;
+};
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 /** The life of requests from arrival to their final answer. */
@@ -123,12 +134,14 @@
     const record = this.attempts.find(attemptId);
     if (record?.attempt === undefined) return;
     if (eventId !== undefined) record.lastEventId = eventId;
+    recordEvent(record.times, this.options.context.nowMs);
     this.attempts.acceptEvent(record, record.attempt);
   }
 
   acceptEnd(attemptId: string): void {
     const record = this.attempts.find(attemptId);
     if (record === undefined) return;
+    this.logIfLate(record, record.attempt?.endpoint.id);
     this.attempts.detach(record);
     this.options.context.emit({ kind: 'caller.finish', requestId: record.request.requestId });
     this.close(record);
@@ -190,6 +203,8 @@
       avoided: new Set(),
       headPassed: false,
       lastEventId: request.lastEventId,
+      times: { firstAtMs: undefined, lastAtMs: undefined, longestGapMs: 0 },
+      basis: {},
     };
   }
 
@@ -206,6 +221,7 @@
     } else if (decision.kind === 'wait') {
       this.wait(record);
     } else {
+      record.basis = decision.basis;
       this.attempts.start(record, decision.endpoint, decision.helpers, decision.partMs);
     }
   }
@@ -270,6 +286,22 @@
     this.options.context.log(logEvents.requestRepeated, { request: callerAttempt, cause });
   }
 
+  private logIfLate(record: GatewayRecord, endpoint: string | undefined): void {
+    const { context } = this.options;
+    const { arrivedAtMs, route, times, basis, request, readMs } = record;
+    const tookMs = (times.firstAtMs ?? context.nowMs) - arrivedAtMs;
+    const hasLongGap = times.longestGapMs > (route.maxEventGapMs ?? Number.POSITIVE_INFINITY);
+    if (tookMs <= route.targetLatencyMs && !hasLongGap) return;
+    context.log(logEvents.answerLate, {
+      request: request.callerAttempt,
+      endpoint,
+      tookMs: Math.round(tookMs),
+      longestGapMs: Math.round(times.longestGapMs),
+      promptReadMs: Math.round(readMs),
+      ...basis,
+    });
+  }
+
   private expire(requestId: string): void {
     const record = this.records.get(requestId);
     if (record === undefined) return;
--- a/packages/decisions/src/gateway/placement-desk.ts
+++ b/packages/decisions/src/gateway/placement-desk.ts
@@ -1,7 +1,7 @@
-import type { FailureDomainId, GatewayEndpoint } from '@savorywind/model';
+import type { FailureDomainId, GatewayEndpoint, LogFields } from '@savorywind/model';
 import type { EndpointHealth } from './endpoint-health.js';
 import type { EndpointTable } from './endpoint-table.js';
-import { placeGeneration, type EngineCandidate } from './engine-placement.js';
+import { placeGeneration, type EngineCandidate, type Placement } from './engine-placement.js';
 import type { EngineLoad, FleetPicture } from './fleet-picture.js';
 import type { GatewayContext } from './gateway-context.js';
 import { pickReplica } from './replica-placement.js';
@@ -14,6 +14,8 @@
       readonly endpoint: GatewayEndpoint;
       readonly helpers: readonly GatewayEndpoint[];
       readonly partMs: number;
+      /** What the choice was based on, for the log. */
+      readonly basis: LogFields;
     }
   /** Better later: every engine is full, or streams would be spoilt that need not be. */
   | { readonly kind: 'wait' }
@@ -32,6 +34,17 @@
 /** Part of a request's time after which a place that disturbs others is better than none. */
 const PATIENCE = 0.25;
 
+const describeBasis = (placement: Placement, aimLeftMs: number): LogFields => ({
+  helpers: placement.helpers.length,
+  partMs: Math.round(placement.partMs),
+  aimLeftMs: Math.round(aimLeftMs),
+  writers: placement.load.writers,
+  readers: placement.load.readers,
+  readMs: Math.round(placement.load.readMs),
+  harmed: placement.harmed,
+  isLate: placement.isLate,
+});
+
 /** Chooses endpoints by the registrations, what was seen of them, and the work of all entry VMs. */
 export class PlacementDesk {
   constructor(
@@ -53,7 +66,7 @@
     const { context, failureDomain } = this;
     const endpoint = pickReplica(candidates, failureDomain, () => context.drawRandom());
     if (endpoint === undefined) return { kind: 'noEndpoint' };
-    return { kind: 'place', endpoint, helpers: [], partMs: 0 };
+    return { kind: 'place', endpoint, helpers: [], partMs: 0, basis: {} };
   }
 
   private decideEngine(
@@ -72,7 +85,7 @@
     const mayWait = waitedMs < patienceMs && (placement.harmed > 0 || placement.isLate);
     return mayWait && placement.harmed > 0
       ? { kind: 'wait' }
-      : { kind: 'place', endpoint, helpers, partMs };
+      : { kind: 'place', endpoint, helpers, partMs, basis: describeBasis(placement, aimLeftMs) };
   }
 
   /** Endpoints that may get the request; those in trouble only where there is no other. */
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -3,6 +3,7 @@
   EndpointId,
   GatewayEndpoint,
   GatewayTeam,
+  LogFields,
   MonotonicMs,
   Route,
   RoutedService,
@@ -23,6 +24,13 @@
   hasHead: boolean;
 }
 
+/** When events of a stream were passed on. */
+export interface EventTimes {
+  firstAtMs: MonotonicMs | undefined;
+  lastAtMs: MonotonicMs | undefined;
+  longestGapMs: number;
+}
+
 /** A request from its arrival to its final answer. */
 export interface GatewayRecord {
   readonly request: GatewayRequest;
@@ -49,6 +57,9 @@
   /** Whether the caller has the head of an answer. */
   headPassed: boolean;
   lastEventId: string | undefined;
+  readonly times: EventTimes;
+  /** What the last placement was based on, for the log. */
+  basis: LogFields;
 }
 
 /** Whether the request may be given to another endpoint although one may have run it. */
--- a/packages/entry/src/gateway/endpoints/answer-relay.ts
+++ b/packages/entry/src/gateway/endpoints/answer-relay.ts
@@ -121,7 +121,8 @@
     exchange.onceWritable(() => answer.resume());
   }
 
-  private fail(failure: 'broken' | 'invalid', detail: string): void {
+  /** The answer ends here, incomplete. */
+  fail(failure: 'broken' | 'invalid', detail: string): void {
     if (this.ended) return;
     this.ended = true;
     this.options.answer.destroy();
--- a/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
@@ -126,7 +126,9 @@
     clearTimeout(this.connectTimer);
     const isNoAnswer = fault.code?.startsWith('HPE_') === true;
     if (!this.mayHaveLeft) this.fail('notSent', fault.message);
-    else if (this.relay === undefined) this.fail(isNoAnswer ? 'invalid' : 'broken', fault.message);
+    // An answer that ends with its connection would look complete after a reset.
+    else if (this.relay !== undefined) this.relay.fail('broken', fault.message);
+    else this.fail(isNoAnswer ? 'invalid' : 'broken', fault.message);
   }
 
   private fail(failure: Failure, detail: string): void {
