--- a/packages/decisions/src/gateway/engine-placement.ts
+++ b/packages/decisions/src/gateway/engine-placement.ts
@@ -25,6 +25,8 @@
   /** Streams whose pauses become too long. */
   readonly harmed: number;
   readonly isLate: boolean;
+  /** Estimate of the time to the first event. */
+  readonly firstEventMs: number;
 }
 
 export interface EngineCandidate {
@@ -39,7 +41,7 @@
 }
 
 /** Part of its aim that a first event may use by the estimate; the rest is for work not yet known. */
-const AIM_HEADROOM = 0.8;
+const AIM_HEADROOM = { short: 0.8, long: 0.45 };
 
 /** Share of the slots up to which engines are filled while others are free; entry VMs may race. */
 const PACKED_SHARE = 0.75;
@@ -72,7 +74,7 @@
     ...candidate,
     harmed: spoils ? load.tightWriters : 0,
     firstEventMs,
-    isLate: firstEventMs > AIM_HEADROOM * ask.aimLeftMs,
+    isLate: firstEventMs > AIM_HEADROOM[ask.isLong ? 'long' : 'short'] * ask.aimLeftMs,
   };
 };
 
@@ -103,6 +105,7 @@
   partMs,
   harmed: [first, ...helpers].reduce((sum, { harmed }) => sum + harmed, 0),
   isLate: [first, ...helpers].some(({ isLate }) => isLate),
+  firstEventMs: Math.max(...[first, ...helpers].map(({ firstEventMs }) => firstEventMs)),
 });
 
 const placeShort = (
@@ -134,7 +137,7 @@
 };
 
 const isBetter = (a: Placement, b: Placement): boolean =>
-  a.harmed < b.harmed || (a.harmed === b.harmed && b.isLate && !a.isLate);
+  a.harmed < b.harmed || (a.harmed === b.harmed && a.firstEventMs < b.firstEventMs);
 
 /** Takes as few readers as bring the first event in time without spoiling other streams. */
 const placeLong = (
--- a/packages/decisions/src/gateway/placement-desk.ts
+++ b/packages/decisions/src/gateway/placement-desk.ts
@@ -43,6 +43,7 @@
   readMs: Math.round(placement.load.readMs),
   harmed: placement.harmed,
   isLate: placement.isLate,
+  estimateMs: Math.round(placement.firstEventMs),
 });
 
 /** Chooses endpoints by the registrations, what was seen of them, and the work of all entry VMs. */
