--- a/packages/decisions/src/gateway/engine-placement.ts
+++ b/packages/decisions/src/gateway/engine-placement.ts
@@ -14,19 +14,30 @@
   readonly isLong: boolean;
 }
 
+/** An engine that reads a part of the prompt, and keeps some of its memory if it must. */
+export interface PlacedHelper {
+  readonly endpoint: GatewayEndpoint;
+  /** Memory to reserve there; 0 where it only reads. */
+  readonly reservedTokens: number;
+}
+
 export interface Placement {
   readonly endpoint: GatewayEndpoint;
   /** Load of the first engine before. */
   readonly load: EngineLoad;
   /** Engines that read a part each, besides the first one. */
-  readonly helpers: readonly GatewayEndpoint[];
+  readonly helpers: readonly PlacedHelper[];
   /** Reading time of each part, in milliseconds. */
   readonly partMs: number;
+  /** Memory at the first engine. */
+  readonly memoryTokens: number;
   /** Streams whose pauses become too long. */
   readonly harmed: number;
   readonly isLate: boolean;
   /** Estimate of the time to the first event. */
   readonly firstEventMs: number;
+  /** Whether the first engine is filled as far as it should be while others are free. */
+  readonly isPacked: boolean;
 }
 
 export interface EngineCandidate {
@@ -41,23 +52,27 @@
 }
 
 /** Part of its aim that a first event may use by the estimate; the rest is for work not yet known. */
-const AIM_HEADROOM = { short: 0.65, long: 0.45 };
+export const AIM_HEADROOM = { short: 0.65, long: 0.45 };
 
 /** Share of the slots up to which engines are filled while others are free; entry VMs may race. */
 const PACKED_SHARE = 0.75;
 
 /** A first event waits for the end of the pass in progress and of its own. */
-const PASSES_TO_FIRST_EVENT = 2;
+export const PASSES_TO_FIRST_EVENT = 2;
 
 const countRequests = (load: EngineLoad): number => load.writers + load.readers;
 
-const hasRoom = (
-  { endpoint, load }: EngineCandidate,
-  memoryTokens: number,
-  traits: EngineTraits,
-): boolean =>
-  countRequests(load) < Math.min(traits.slots, endpoint.slots) &&
-  load.memoryTokens + memoryTokens <= MEMORY_HEADROOM * traits.memoryTokens;
+const isPacked = ({ endpoint, load }: EngineCandidate): boolean =>
+  countRequests(load) >= Math.floor(PACKED_SHARE * endpoint.slots);
+
+const hasSlot = ({ endpoint, load }: EngineCandidate, traits: EngineTraits): boolean =>
+  countRequests(load) < Math.min(traits.slots, endpoint.slots);
+
+const countFreeTokens = ({ load }: EngineCandidate, traits: EngineTraits): number =>
+  Math.max(0, Math.floor(MEMORY_HEADROOM * traits.memoryTokens - load.memoryTokens));
+
+const hasRoom = (candidate: EngineCandidate, tokens: number, traits: EngineTraits): boolean =>
+  hasSlot(candidate, traits) && tokens <= countFreeTokens(candidate, traits);
 
 const estimateOn = (
   candidate: EngineCandidate,
@@ -78,9 +93,6 @@
   };
 };
 
-const isPacked = ({ endpoint, load }: Estimate): boolean =>
-  countRequests(load) >= Math.floor(PACKED_SHARE * endpoint.slots);
-
 /** Packs up to a share of the slots: engines that stay empty can take long prompts. */
 const compareForShort = (a: Estimate, b: Estimate): number =>
   a.harmed - b.harmed ||
@@ -94,19 +106,33 @@
   a.load.readMs - b.load.readMs ||
   countRequests(a.load) - countRequests(b.load);
 
+interface HelperEstimate {
+  readonly estimate: Estimate;
+  readonly reservedTokens: number;
+}
+
 const buildPlacement = (
   first: Estimate,
-  helpers: readonly Estimate[],
+  helpers: readonly HelperEstimate[],
   partMs: number,
-): Placement => ({
-  endpoint: first.endpoint,
-  load: first.load,
-  helpers: helpers.map(({ endpoint }) => endpoint),
-  partMs,
-  harmed: [first, ...helpers].reduce((sum, { harmed }) => sum + harmed, 0),
-  isLate: [first, ...helpers].some(({ isLate }) => isLate),
-  firstEventMs: Math.max(...[first, ...helpers].map(({ firstEventMs }) => firstEventMs)),
-});
+  memoryTokens: number,
+): Placement => {
+  const all = [first, ...helpers.map(({ estimate }) => estimate)];
+  return {
+    endpoint: first.endpoint,
+    load: first.load,
+    helpers: helpers.map(({ estimate, reservedTokens }) => ({
+      endpoint: estimate.endpoint,
+      reservedTokens,
+    })),
+    partMs,
+    memoryTokens,
+    harmed: all.reduce((sum, { harmed }) => sum + harmed, 0),
+    isLate: all.some(({ isLate }) => isLate),
+    firstEventMs: Math.max(...all.map(({ firstEventMs }) => firstEventMs)),
+    isPacked: isPacked(first),
+  };
+};
 
 const placeShort = (
   ask: PlacementAsk,
@@ -117,7 +143,45 @@
     .filter((candidate) => hasRoom(candidate, ask.memoryTokens, traits))
     .map((candidate) => estimateOn(candidate, ask.readMs, ask, traits));
   const [best] = estimates.sort(compareForShort);
-  return best === undefined ? undefined : buildPlacement(best, [], ask.readMs);
+  return best === undefined ? undefined : buildPlacement(best, [], ask.readMs, ask.memoryTokens);
+};
+
+/**
+ * Divides the memory of a prompt that no engine can hold alone: helpers with the most free memory
+ * keep what does not fit at the first engine.
+ *
+ * @returns undefined where the memory of all of them is not enough
+ */
+const reserveParts = (
+  helpers: readonly Estimate[],
+  missingTokens: number,
+  traits: EngineTraits,
+): HelperEstimate[] | undefined => {
+  let missing = missingTokens;
+  const byMemory = [...helpers].sort(
+    (a, b) => countFreeTokens(b, traits) - countFreeTokens(a, traits),
+  );
+  const reserved = byMemory.map((estimate) => {
+    const reservedTokens = Math.min(missing, countFreeTokens(estimate, traits));
+    missing -= reservedTokens;
+    return { estimate, reservedTokens };
+  });
+  return missing > 0 ? undefined : reserved;
+};
+
+const placeInParts = (
+  ask: PlacementAsk,
+  estimates: readonly Estimate[],
+  traits: EngineTraits,
+  readers: number,
+): Placement | undefined => {
+  const first = estimates.find((estimate) => hasSlot(estimate, traits));
+  if (first === undefined) return undefined;
+  const others = estimates.filter((estimate) => estimate !== first).slice(0, readers - 1);
+  const ownTokens = Math.min(ask.memoryTokens, countFreeTokens(first, traits));
+  const helpers = reserveParts(others, ask.memoryTokens - ownTokens, traits);
+  if (helpers === undefined) return undefined;
+  return buildPlacement(first, helpers, ask.readMs / readers, ownTokens);
 };
 
 const placeWithReaders = (
@@ -130,10 +194,16 @@
   const estimates = candidates
     .map((candidate) => estimateOn(candidate, partMs, ask, traits))
     .sort(compareForLong);
+  if (ask.memoryTokens > MEMORY_HEADROOM * traits.memoryTokens) {
+    return placeInParts(ask, estimates, traits, readers);
+  }
   const first = estimates.find((estimate) => hasRoom(estimate, ask.memoryTokens, traits));
   if (first === undefined) return undefined;
-  const helpers = estimates.filter((estimate) => estimate !== first).slice(0, readers - 1);
-  return buildPlacement(first, helpers, partMs);
+  const helpers = estimates
+    .filter((estimate) => estimate !== first)
+    .slice(0, readers - 1)
+    .map((estimate) => ({ estimate, reservedTokens: 0 }));
+  return buildPlacement(first, helpers, partMs, ask.memoryTokens);
 };
 
 const isBetter = (a: Placement, b: Placement): boolean =>
@@ -160,7 +230,7 @@
 /**
  * Chooses engines for a generation. Answers a load that swings between many short prompts and a few
  * long ones: short ones share engines, long ones are read where no stream is disturbed, by several
- * engines where one would be late.
+ * engines where one would be late or has not the memory.
  *
  * @returns undefined where no engine has room
  */
--- a/packages/decisions/src/gateway/fleet-picture.ts
+++ b/packages/decisions/src/gateway/fleet-picture.ts
@@ -32,6 +32,8 @@
   memoryTokens: number;
 }
 
+export type EngineLoads = ReadonlyMap<EndpointId, EngineLoad>;
+
 interface KnownPeer {
   readonly peer: GatewayPeer;
   incarnation: number;
@@ -100,6 +102,9 @@
 
   private sequence = 0;
 
+  /** The sums for one moment, as long as nothing has changed. */
+  private summed: { readonly atMs: MonotonicMs; readonly loads: EngineLoads } | undefined;
+
   constructor(
     private readonly self: GatewayPeer,
     private readonly incarnation: number,
@@ -107,10 +112,12 @@
 
   addOwn(work: OwnWork): void {
     this.own.add(work);
+    this.summed = undefined;
   }
 
   removeOwn(work: OwnWork): void {
     this.own.delete(work);
+    this.summed = undefined;
   }
 
   addPeer(peer: GatewayPeer): void {
@@ -138,6 +145,7 @@
     known.sequence = snapshot.sequence;
     known.heardAtMs = nowMs;
     known.work = snapshot.work;
+    this.summed = undefined;
     return true;
   }
 
@@ -147,7 +155,12 @@
   }
 
   /** Load of every engine that has any. */
-  sumLoads(nowMs: MonotonicMs): Map<EndpointId, EngineLoad> {
+  sumLoads(nowMs: MonotonicMs): EngineLoads {
+    if (this.summed?.atMs !== nowMs) this.summed = { atMs: nowMs, loads: this.sumAll(nowMs) };
+    return this.summed.loads;
+  }
+
+  private sumAll(nowMs: MonotonicMs): EngineLoads {
     const loads = new Map<EndpointId, EngineLoad>();
     const find = (id: EndpointId): EngineLoad => {
       const load = loads.get(id) ?? createLoad();
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -1,8 +1,11 @@
 import { logEvents, type GatewayEndpoint } from '@savorywind/model';
 import { CONNECT_TIMEOUT_MS } from './consts.js';
+import type { PlacedHelper } from './engine-placement.js';
 import type { FleetPicture, OwnWork } from './fleet-picture.js';
 import type { GatewayContext } from './gateway-context.js';
+import type { MemoryReservation } from './memory-reservations.js';
 import { mayRunAgain, type GatewayAttempt, type GatewayRecord } from './request-record.js';
+import type { ReadHelper } from './types.js';
 
 /** Shortest silence after which an endpoint is taken to hang, in milliseconds. */
 const MIN_SILENCE_MS = 1_000;
@@ -13,6 +16,26 @@
 /** Pause between events, in permitted pauses, after which the endpoint is taken to hang. */
 const SILENCE_PER_GAP = 4;
 
+/** Where an attempt goes, and who helps. */
+export interface AttemptPlan {
+  readonly endpoint: GatewayEndpoint;
+  readonly helpers: readonly PlacedHelper[];
+  /** Reading time of each part, in milliseconds. */
+  readonly partMs: number;
+  /** Memory at the endpoint itself. */
+  readonly memoryTokens: number;
+}
+
+/** Reservations are filled in the order in which the helpers are listed. */
+const listReadHelpers = (
+  helpers: readonly PlacedHelper[],
+  held: readonly MemoryReservation[],
+): ReadHelper[] =>
+  helpers.map(({ endpoint }) => ({
+    address: endpoint.address,
+    reservationId: held.find((item) => item.endpoint.id === endpoint.id)?.reservationId,
+  }));
+
 /** Gives requests to endpoints and keeps what they weigh there in the picture of the fleet. */
 export class GatewayAttempts {
   private readonly records = new Map<string, GatewayRecord>();
@@ -29,17 +52,11 @@
     return this.records.get(attemptId);
   }
 
-  start(
-    record: GatewayRecord,
-    endpoint: GatewayEndpoint,
-    helpers: readonly GatewayEndpoint[],
-    partMs: number,
-  ): void {
+  start(record: GatewayRecord, plan: AttemptPlan): void {
     const attempt: GatewayAttempt = {
       attemptId: this.context.createName(),
-      endpoint,
-      helpers,
-      work: this.addWork(record, endpoint, helpers, partMs),
+      endpoint: plan.endpoint,
+      work: this.addWork(record, plan),
       startedAtMs: this.context.nowMs,
       silenceTimer: undefined,
       hasHead: false,
@@ -47,8 +64,8 @@
     record.attempt = attempt;
     record.sends += 1;
     this.records.set(attempt.attemptId, record);
-    this.emitStart(record, attempt);
-    this.armSilenceTimer(record, attempt, this.estimateSilenceMs(record, partMs));
+    this.emitStart(record, attempt, plan);
+    this.armSilenceTimer(record, attempt, this.estimateSilenceMs(record, plan.partMs));
     this.onWorkChanged();
   }
 
@@ -57,7 +74,8 @@
     const [first, ...helpers] = attempt.work;
     if (first?.state === 'reading') {
       first.state = 'writing';
-      helpers.forEach((work) => this.picture.removeOwn(work));
+      // Helpers have read their parts; what they keep for the first engine stays counted.
+      helpers.forEach((work) => this.finishReading(work));
       this.onWorkChanged();
     }
     const gapMs = record.route.maxEventGapMs ?? 0;
@@ -82,21 +100,20 @@
     this.detach(record);
   }
 
-  private addWork(
-    record: GatewayRecord,
-    endpoint: GatewayEndpoint,
-    helpers: readonly GatewayEndpoint[],
-    partMs: number,
-  ): OwnWork[] {
-    const { route, memoryTokens, isLong } = record;
+  private finishReading(work: OwnWork): void {
+    if (work.memoryTokens > 0) work.state = 'writing';
+    else this.picture.removeOwn(work);
+  }
+
+  private addWork({ route, isLong }: GatewayRecord, plan: AttemptPlan): OwnWork[] {
     const { nowMs: startedAtMs } = this.context;
+    const { endpoint, helpers, partMs, memoryTokens } = plan;
     const base = { startedAtMs, readMs: partMs, isLong, state: 'reading' as const };
-    const gapMs = route.maxEventGapMs;
-    const first = { ...base, endpoint: endpoint.id, memoryTokens, gapMs };
-    const others = helpers.map(({ id }) => ({
+    const first = { ...base, endpoint: endpoint.id, memoryTokens, gapMs: route.maxEventGapMs };
+    const others = helpers.map((helper) => ({
       ...base,
-      endpoint: id,
-      memoryTokens: 0,
+      endpoint: helper.endpoint.id,
+      memoryTokens: helper.reservedTokens,
       gapMs: undefined,
     }));
     const work: OwnWork[] = [first, ...others];
@@ -104,9 +121,9 @@
     return work;
   }
 
-  private emitStart(record: GatewayRecord, attempt: GatewayAttempt): void {
-    const { request, route, team } = record;
-    const { attemptId, endpoint, helpers } = attempt;
+  private emitStart(record: GatewayRecord, attempt: GatewayAttempt, plan: AttemptPlan): void {
+    const { request, route, team, reservations } = record;
+    const { attemptId, endpoint } = attempt;
     const timeoutMs = Math.max(1, Math.floor(record.deadlineMs - this.context.nowMs));
     this.context.emit({
       kind: 'attempt.start',
@@ -118,14 +135,14 @@
       connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, timeoutMs),
       priority: undefined,
       lastEventId: record.lastEventId,
-      helpers: helpers.map(({ address }) => ({ address, reservationId: undefined })),
+      helpers: listReadHelpers(plan.helpers, reservations?.held ?? []),
       connection: mayRunAgain(record) ? 'kept' : 'recent',
       delivery: route.kind === 'streaming' ? 'events' : 'whole',
     });
     this.context.log(logEvents.requestPlaced, {
       request: request.callerAttempt,
       endpoint: endpoint.id,
-      helpers: helpers.length,
+      helpers: plan.helpers.length,
       waitedMs: Math.round(this.context.nowMs - record.arrivedAtMs),
     });
   }
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -1,5 +1,6 @@
 import {
   logEvents,
+  type CallerPatience,
   type EndpointId,
   type GatewayConfiguration,
   type GatewayContract,
@@ -16,6 +17,7 @@
 import { FleetRetryBudget } from './fleet-retry-budget.js';
 import { GatewayContext } from './gateway-context.js';
 import { GatewayRequests, type ResolvedRoute } from './gateway-requests.js';
+import { MemoryReservations } from './memory-reservations.js';
 import { PlacementDesk } from './placement-desk.js';
 import { RouteIndex } from './route-index.js';
 import type { GatewayEffect, GatewayEvent, GatewayRefusalReason, GatewayRequest } from './types.js';
@@ -62,6 +64,8 @@
 
   private readonly budget: FleetRetryBudget;
 
+  private readonly reservations: MemoryReservations;
+
   private readonly requests: GatewayRequests;
 
   private readonly handlers: EventHandlers;
@@ -89,7 +93,8 @@
       allowance: contract.retryAllowance,
       windowMs: contract.retryWindowMs,
     });
-    this.requests = this.createRequests(self);
+    this.reservations = new MemoryReservations(this.context, contract);
+    this.requests = this.createRequests(self, contract.patience);
     this.handlers = this.createHandlers();
   }
 
@@ -107,8 +112,8 @@
     return this.context.nextWakeMs();
   }
 
-  private createRequests(self: GatewayPeer): GatewayRequests {
-    const { context, table, health, picture, budget } = this;
+  private createRequests(self: GatewayPeer, patience: CallerPatience): GatewayRequests {
+    const { context, table, health, picture, budget, reservations } = this;
     const desk = new PlacementDesk(context, table, health, picture, self.failureDomain);
     return new GatewayRequests({
       context,
@@ -117,6 +122,8 @@
       picture,
       budget,
       desk,
+      reservations,
+      patience,
       onWorkChanged: () => this.armSnapshotTimer(SNAPSHOT_DELAY_MS),
       onIdle: () => this.stopIfDone(),
     });
@@ -159,7 +166,8 @@
       'attempt.ended': ({ attemptId }) => requests.acceptEnd(attemptId),
       'attempt.failed': ({ attemptId, failure, detail }) =>
         requests.acceptFailure(attemptId, failure, detail),
-      'reservation.answered': () => {},
+      'reservation.answered': ({ reservationId, outcome }) =>
+        this.reservations.acceptOutcome(reservationId, outcome),
     };
   }
 
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -1,19 +1,28 @@
-import { logEvents, type GatewayTeam, type Route, type RoutedService } from '@savorywind/model';
+import {
+  logEvents,
+  type CallerPatience,
+  type GatewayTeam,
+  type Route,
+  type RoutedService,
+} from '@savorywind/model';
 import { MIN_ATTEMPT_MS, PLACE_AGAIN_MS } from './consts.js';
 import type { EndpointHealth } from './endpoint-health.js';
 import type { EndpointTable } from './endpoint-table.js';
 import { estimateReadMs } from './engine-costs.js';
 import type { FleetPicture } from './fleet-picture.js';
 import type { FleetRetryBudget } from './fleet-retry-budget.js';
-import { GatewayAttempts } from './gateway-attempts.js';
+import type { Timer } from '../timers/timer-queue.js';
+import { GatewayAttempts, type AttemptPlan } from './gateway-attempts.js';
 import type { GatewayContext } from './gateway-context.js';
-import type { PlacementDesk } from './placement-desk.js';
+import type { MemoryReservations } from './memory-reservations.js';
+import { estimateLeastMs, type PlacementDesk } from './placement-desk.js';
 import {
   mayRunAgain,
   type EventTimes,
   type GatewayAttempt,
   type GatewayRecord,
 } from './request-record.js';
+import { WaitingLine } from './waiting-line.js';
 import type {
   GatewayAnswerHead,
   GatewayAttemptFailure,
@@ -29,6 +38,8 @@
   readonly picture: FleetPicture;
   readonly desk: PlacementDesk;
   readonly budget: FleetRetryBudget;
+  readonly reservations: MemoryReservations;
+  readonly patience: CallerPatience;
   readonly onWorkChanged: () => void;
   readonly onIdle: () => void;
 }
@@ -51,9 +62,12 @@
 /** Attempts that endpoints rejected or that never left, beyond those that may have run. */
 const MAX_EXTRA_ATTEMPTS = 3;
 
-/** When a caller whose request found no room comes back, in milliseconds; spread by chance. */
+/** When a caller whose request was rejected comes back, in milliseconds; spread by chance. */
 const COME_BACK_MS = 250;
 
+/** When a caller whose request found no room comes back: streams end within such a time. */
+const ROOM_AGAIN_MS = 1_000;
+
 /** Statuses that promise that the request has not run. */
 const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -74,7 +88,9 @@
 export class GatewayRequests {
   private readonly records = new Map<string, GatewayRecord>();
 
-  private readonly waiting = new Set<GatewayRecord>();
+  private readonly waiting = new WaitingLine();
+
+  private waitingTimer: Timer | undefined;
 
   private readonly attempts: GatewayAttempts;
 
@@ -105,7 +121,7 @@
 
   /** Tries again to place what waits; called whenever work has ended somewhere. */
   placeWaiting(): void {
-    [...this.waiting].forEach((record) => {
+    this.waiting.listInOrder(this.options.context.nowMs).forEach((record) => {
       if (this.waiting.has(record)) this.place(record);
     });
   }
@@ -160,6 +176,7 @@
     });
     health.reportFailure(attempt.endpoint.id, context.nowMs);
     this.attempts.detach(record);
+    this.releaseReservations(record);
     record.avoided.add(attempt.endpoint.id);
     this.repeatOrGiveUp(record, failure);
   }
@@ -170,6 +187,7 @@
     if (!budget.takeRepeat(record.service.name, context.nowMs)) return;
     health.reportFailure(attempt.endpoint.id, context.nowMs);
     this.attempts.cancel(record);
+    this.releaseReservations(record);
     record.avoided.add(attempt.endpoint.id);
     record.runs += 1;
     this.logRepeat(record, 'silent');
@@ -191,11 +209,12 @@
       priority: team?.priority ?? route.priority,
       arrivedAtMs: context.nowMs,
       deadlineMs: context.nowMs + waitMs,
+      patienceEndMs: context.nowMs + Math.min(waitMs, this.estimatePatienceMs(route)),
       readMs,
       memoryTokens: request.promptTokens + request.maxOutputTokens,
       isLong: readMs > SHORT_SHARE_OF_GAP * gapMs,
       deadlineTimer: context.schedule(waitMs, () => this.expire(request.requestId)),
-      retryTimer: undefined,
+      reservations: undefined,
       attempt: undefined,
       sends: 0,
       runs: 0,
@@ -211,8 +230,10 @@
   private place(record: GatewayRecord): void {
     const { context, desk } = this.options;
     this.stopWaiting(record);
-    if (context.nowMs + MIN_ATTEMPT_MS >= record.deadlineMs) {
-      this.giveUp(record, 'timeout');
+    const leastMs = Math.max(MIN_ATTEMPT_MS, estimateLeastMs(record));
+    const endMs = record.headPassed ? record.deadlineMs : record.patienceEndMs;
+    if (context.nowMs + leastMs >= endMs) {
+      this.giveUp(record, 'noRoom');
       return;
     }
     const decision = desk.decide(record);
@@ -222,19 +243,47 @@
       this.wait(record);
     } else {
       record.basis = decision.basis;
-      this.attempts.start(record, decision.endpoint, decision.helpers, decision.partMs);
+      this.reserveAndStart(record, decision);
     }
   }
 
+  /** Memory on other engines is reserved first; where that fails, the request waits again. */
+  private reserveAndStart(record: GatewayRecord, plan: AttemptPlan): void {
+    if (plan.helpers.every(({ reservedTokens }) => reservedTokens === 0)) {
+      this.attempts.start(record, plan);
+      return;
+    }
+    record.reservations = this.options.reservations.reserve(plan.helpers, (reserved) => {
+      if (reserved === undefined) {
+        record.reservations = undefined;
+        this.wait(record);
+      } else {
+        this.attempts.start(record, plan);
+      }
+    });
+  }
+
   private wait(record: GatewayRecord): void {
     this.waiting.add(record);
-    record.retryTimer = this.options.context.schedule(PLACE_AGAIN_MS, () => this.place(record));
+    this.waitingTimer ??= this.options.context.schedule(PLACE_AGAIN_MS, () => {
+      this.waitingTimer = undefined;
+      this.placeWaiting();
+    });
   }
 
   private stopWaiting(record: GatewayRecord): void {
-    this.waiting.delete(record);
-    record.retryTimer?.cancel();
-    record.retryTimer = undefined;
+    this.waiting.remove(record);
+  }
+
+  private releaseReservations(record: GatewayRecord): void {
+    record.reservations?.release();
+    record.reservations = undefined;
+  }
+
+  private estimatePatienceMs({ kind, targetLatencyMs, maxEventGapMs }: Route): number {
+    if (kind !== 'streaming') return Number.POSITIVE_INFINITY;
+    const { leastMs, perTarget, perGap } = this.options.patience;
+    return Math.max(leastMs, perTarget * targetLatencyMs, perGap * (maxEventGapMs ?? 0));
   }
 
   private relay(record: GatewayRecord, attempt: GatewayAttempt): void {
@@ -329,7 +378,9 @@
     const hasRun = record.runs > 0;
     if (hasRun)
       return { reason: reason === 'timeout' ? 'timeout' : 'broken', retryAfterMs: undefined };
-    const retryAfterMs = COME_BACK_MS * (1 + this.options.context.drawRandom());
+    const spread = 1 + this.options.context.drawRandom();
+    const isFull = reason === 'noRoom' || reason === 'timeout';
+    const retryAfterMs = (isFull ? ROOM_AGAIN_MS : COME_BACK_MS) * spread;
     return { reason: reason === 'timeout' ? 'noRoom' : reason, retryAfterMs };
   }
 
@@ -337,6 +388,7 @@
     this.stopWaiting(record);
     record.deadlineTimer.cancel();
     this.attempts.detach(record);
+    this.releaseReservations(record);
     this.records.delete(record.request.requestId);
     if (this.records.size === 0) this.options.onIdle();
   }
--- a/packages/decisions/src/gateway/placement-desk.ts
+++ b/packages/decisions/src/gateway/placement-desk.ts
@@ -1,7 +1,16 @@
 import type { FailureDomainId, GatewayEndpoint, LogFields } from '@savorywind/model';
+import { MAX_HELPERS } from './consts.js';
 import type { EndpointHealth } from './endpoint-health.js';
 import type { EndpointTable } from './endpoint-table.js';
-import { placeGeneration, type EngineCandidate, type Placement } from './engine-placement.js';
+import { estimatePassMs } from './engine-costs.js';
+import {
+  AIM_HEADROOM,
+  PASSES_TO_FIRST_EVENT,
+  placeGeneration,
+  type EngineCandidate,
+  type PlacedHelper,
+  type Placement,
+} from './engine-placement.js';
 import type { EngineLoad, FleetPicture } from './fleet-picture.js';
 import type { GatewayContext } from './gateway-context.js';
 import { pickReplica } from './replica-placement.js';
@@ -12,8 +21,10 @@
   | {
       readonly kind: 'place';
       readonly endpoint: GatewayEndpoint;
-      readonly helpers: readonly GatewayEndpoint[];
+      readonly helpers: readonly PlacedHelper[];
       readonly partMs: number;
+      /** Memory at the first endpoint. */
+      readonly memoryTokens: number;
       /** What the choice was based on, for the log. */
       readonly basis: LogFields;
     }
@@ -31,8 +42,14 @@
   memoryTokens: 0,
 };
 
-/** Part of a request's time after which a place that disturbs others is better than none. */
-const PATIENCE = 0.25;
+/** A request that may still find a better place waits for it until so much of its time is left. */
+const LAST_MOMENT_MS = 100;
+
+/** Tokens of a prompt that weigh as much as one stream whose pauses it spoils. */
+const TOKENS_PER_SPOILT_STREAM = 10_000;
+
+/** What a prompt weighs once it is late, as a share of what it weighs in time. */
+const LATE_WEIGHT = 0.25;
 
 const describeBasis = (placement: Placement, aimLeftMs: number): LogFields => ({
   helpers: placement.helpers.length,
@@ -46,6 +63,13 @@
   estimateMs: Math.round(placement.firstEventMs),
 });
 
+/** Shortest time to the first event, on engines that do nothing else, in milliseconds. */
+export const estimateLeastMs = ({ service, isLong, readMs }: GatewayRecord): number => {
+  if (service.engine === undefined) return 0;
+  const readers = isLong ? MAX_HELPERS + 1 : 1;
+  return readMs / readers + PASSES_TO_FIRST_EVENT * estimatePassMs(service.engine, 1, 0);
+};
+
 /** Chooses endpoints by the registrations, what was seen of them, and the work of all entry VMs. */
 export class PlacementDesk {
   constructor(
@@ -67,7 +91,7 @@
     const { context, failureDomain } = this;
     const endpoint = pickReplica(candidates, failureDomain, () => context.drawRandom());
     if (endpoint === undefined) return { kind: 'noEndpoint' };
-    return { kind: 'place', endpoint, helpers: [], partMs: 0, basis: {} };
+    return { kind: 'place', endpoint, helpers: [], partMs: 0, memoryTokens: 0, basis: {} };
   }
 
   private decideEngine(
@@ -79,14 +103,30 @@
     const { readMs, memoryTokens, isLong } = record;
     const ask = { readMs, memoryTokens, aimLeftMs, isLong };
     const placement = placeGeneration(ask, candidates, record.service.engine!);
-    if (placement === undefined) return { kind: 'wait' };
-    const { endpoint, helpers, partMs } = placement;
-    const waitedMs = nowMs - record.arrivedAtMs;
-    const patienceMs = PATIENCE * (record.deadlineMs - record.arrivedAtMs);
-    const mayWait = waitedMs < patienceMs && (placement.harmed > 0 || placement.isLate);
-    return mayWait && placement.harmed > 0
-      ? { kind: 'wait' }
-      : { kind: 'place', endpoint, helpers, partMs, basis: describeBasis(placement, aimLeftMs) };
+    if (placement === undefined || !this.isAcceptable(record, placement, aimLeftMs)) {
+      return { kind: 'wait' };
+    }
+    const { endpoint, helpers, partMs, memoryTokens: ownTokens } = placement;
+    const basis = describeBasis(placement, aimLeftMs);
+    return { kind: 'place', endpoint, helpers, partMs, memoryTokens: ownTokens, basis };
+  }
+
+  /**
+   * Under more load than the engines bear, requests that can still be in time go first: one that is
+   * late takes no place that they could need until its caller is about to leave.
+   */
+  private isAcceptable(record: GatewayRecord, placement: Placement, aimLeftMs: number): boolean {
+    const { harmed, isLate, firstEventMs } = placement;
+    if (harmed === 0 && !isLate) return true;
+    const { nowMs } = this.context;
+    const headroom = AIM_HEADROOM[record.isLong ? 'long' : 'short'];
+    const slackMs = headroom * aimLeftMs - estimateLeastMs(record);
+    if (slackMs > LAST_MOMENT_MS) return false;
+    const weight = record.memoryTokens / TOKENS_PER_SPOILT_STREAM;
+    if (!isLate) return harmed <= weight;
+    if (harmed === 0 && !placement.isPacked) return true;
+    const isLastMoment = nowMs + firstEventMs + LAST_MOMENT_MS >= record.patienceEndMs;
+    return isLastMoment && harmed <= LATE_WEIGHT * weight;
   }
 
   /** Endpoints that may get the request; those in trouble only where there is no other. */
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -9,6 +9,7 @@
   RoutedService,
 } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
+import type { ReservationSet } from './memory-reservations.js';
 import type { OwnWork } from './fleet-picture.js';
 import type { GatewayRequest } from './types.js';
 
@@ -18,7 +19,6 @@
   readonly endpoint: GatewayEndpoint;
   /** What the attempt weighs on the first endpoint and its helpers. */
   readonly work: readonly OwnWork[];
-  readonly helpers: readonly GatewayEndpoint[];
   readonly startedAtMs: MonotonicMs;
   silenceTimer: Timer | undefined;
   hasHead: boolean;
@@ -40,12 +40,15 @@
   readonly priority: number;
   readonly arrivedAtMs: MonotonicMs;
   readonly deadlineMs: MonotonicMs;
+  /** When the caller leaves if it has not got the first event. */
+  readonly patienceEndMs: MonotonicMs;
   /** Time that one idle engine takes to read the prompt; 0 for plain services. */
   readonly readMs: number;
   readonly memoryTokens: number;
   readonly isLong: boolean;
   readonly deadlineTimer: Timer;
-  retryTimer: Timer | undefined;
+  /** Memory that is being reserved, or is held, on other engines. */
+  reservations: ReservationSet | undefined;
   attempt: GatewayAttempt | undefined;
   /** Attempts of which bytes have left. */
   sends: number;
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -12,7 +12,7 @@
 import { ReadinessServer } from './readiness-server.js';
 import { TableWatch, type TableUpdate } from './store/table-watch.js';
 import type { TableRow } from './store/types.js';
-import type { GatewayAdapter, GatewaySettings } from './types.js';
+import type { GatewayAdapter, GatewaySettings, ReservationAsk } from './types.js';
 
 /** Longest time that the store holds a question back: a third of the credentials' freshness. */
 const WAITS_PER_FRESHNESS = 3;
@@ -203,6 +203,14 @@
     this.attempts.set(start.attemptId, attempt);
   }
 
+  private reserve(ask: ReservationAsk): void {
+    const { reservationId, endpoint } = ask;
+    const agent = this.pools.find(endpoint.id, 'kept');
+    this.adapter.orders.reserve(ask, agent).then((outcome) => {
+      this.runner.dispatch({ kind: 'reservation.answered', reservationId, outcome });
+    });
+  }
+
   private createHandlers(): HandlersOf<GatewayEffect> {
     return {
       'attempt.start': (effect) => this.startAttempt(effect),
@@ -214,8 +222,11 @@
       'caller.finish': ({ requestId }) => this.takeExchange(requestId)?.finish(),
       'caller.breakOff': ({ requestId }) => this.takeExchange(requestId)?.breakOff(),
       'caller.refuse': ({ requestId, refusal }) => this.takeExchange(requestId)?.refuse(refusal),
-      'reservation.ask': () => {},
-      'reservation.release': () => {},
+      'reservation.ask': (ask) => this.reserve(ask),
+      'reservation.release': (release) => {
+        const agent = this.pools.find(release.endpoint.id, 'kept');
+        this.adapter.orders.release(release, agent);
+      },
       'peers.send': ({ snapshot, peers }) => this.peers.send(snapshot, peers),
       'callerLimits.changed': ({ limits }) => this.front.changeLimits(limits),
       'endpoint.forgotten': ({ endpoint }) => this.pools.forget(endpoint),
--- a/packages/entry/src/gateway/types.ts
+++ b/packages/entry/src/gateway/types.ts
@@ -1,9 +1,10 @@
-import type { IncomingHttpHeaders } from 'node:http';
+import type { Agent, IncomingHttpHeaders } from 'node:http';
 import type {
   GatewayAnswerHead,
   GatewayEffect,
   GatewayEvent,
   GatewayRequest,
+  ReservationOutcome,
 } from '@savorywind/decisions';
 import type {
   GatewayConfiguration,
@@ -24,6 +25,10 @@
   readonly contract: GatewayContract;
 }
 
+export type ReservationAsk = Extract<GatewayEffect, { readonly kind: 'reservation.ask' }>;
+
+export type ReservationRelease = Extract<GatewayEffect, { readonly kind: 'reservation.release' }>;
+
 export type StartAttempt = Extract<GatewayEffect, { readonly kind: 'attempt.start' }>;
 
 /** What the head of a caller's request says beyond HTTP. */
@@ -65,11 +70,19 @@
   encodePeer(peer: GatewayPeer): Uint8Array;
 }
 
+/** Orders to engines about their memory. */
+export interface EngineOrders {
+  /** Reserves memory, or renews a reservation of the same id. */
+  reserve(order: ReservationAsk, agent: Agent): Promise<ReservationOutcome>;
+  release(order: ReservationRelease, agent: Agent): Promise<void>;
+}
+
 /** All that a platform brings to the gateway. */
 export interface GatewayAdapter {
   readonly wire: GatewayWire;
   readonly rows: GatewayRows;
   readonly tables: TableClient;
+  readonly orders: EngineOrders;
 }
 
 export type DispatchGatewayEvent = (event: GatewayEvent) => void;
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -134,6 +134,19 @@
   readonly maxReservationMs: number;
   /** Memory that no request uses any more is free again after this time. */
   readonly reservationReleaseMs: number;
+  readonly patience: CallerPatience;
+}
+
+/**
+ * How long callers wait for the next event of a stream, also for the first one: the longest of three
+ * times.
+ */
+export interface CallerPatience {
+  readonly leastMs: number;
+  /** Multiple of the route's target latency. */
+  readonly perTarget: number;
+  /** Multiple of the route's longest permitted pause. */
+  readonly perGap: number;
 }
 
 /** An entry VM as its peers know it. */
