--- a/packages/decisions/src/gateway/endpoint-table.ts
+++ b/packages/decisions/src/gateway/endpoint-table.ts
@@ -8,8 +8,8 @@
 export class EndpointTable {
   private readonly endpoints = new Map<EndpointId, GatewayEndpoint>();
 
-  /** Vanished registrations that may come back, and until when they are waited for. */
-  private readonly lapsed = new Map<EndpointId, MonotonicMs>();
+  /** Vanished registrations that may come back until the store has been back for a while. */
+  private readonly lapsed = new Set<EndpointId>();
 
   private hasRead = false;
 
@@ -57,16 +57,13 @@
 
   /** Forgets registrations that were waited for in vain. */
   expire(nowMs: MonotonicMs): void {
-    if (this.storeAway) return;
-    this.lapsed.forEach((untilMs, id) => {
-      if (nowMs >= untilMs) this.forget(id);
-    });
+    if (this.storeAway || nowMs < this.troubledUntilMs) return;
+    this.lapsed.forEach((id) => this.forget(id));
   }
 
   /** When `expire` has something to do. */
   get nextExpiryMs(): MonotonicMs | undefined {
-    if (this.storeAway || this.lapsed.size === 0) return undefined;
-    return Math.min(...this.lapsed.values());
+    return this.storeAway || this.lapsed.size === 0 ? undefined : this.troubledUntilMs;
   }
 
   find(id: EndpointId): GatewayEndpoint | undefined {
@@ -96,9 +93,7 @@
   private removeOrKeep(id: EndpointId, nowMs: MonotonicMs): void {
     if (!this.endpoints.has(id)) return;
     if (!this.storeAway && nowMs >= this.troubledUntilMs) this.forget(id);
-    else if (!this.lapsed.has(id)) {
-      this.lapsed.set(id, Math.max(this.troubledUntilMs, nowMs + this.reregistrationMs));
-    }
+    else this.lapsed.add(id);
   }
 
   private forget(id: EndpointId): void {
--- a/packages/decisions/src/gateway/engine-placement.ts
+++ b/packages/decisions/src/gateway/engine-placement.ts
@@ -12,6 +12,8 @@
   readonly aimLeftMs: number;
   /** Whether reading this prompt alone would spoil the tightest pauses of the service. */
   readonly isLong: boolean;
+  /** Whether a long prompt may queue behind the reading of others; else it waits for calm engines. */
+  readonly mayQueue: boolean;
 }
 
 /** An engine that reads a part of the prompt, and keeps some of its memory if it must. */
@@ -52,7 +54,10 @@
 }
 
 /** Part of its aim that a first event may use by the estimate; the rest is for work not yet known. */
-export const AIM_HEADROOM = { short: 0.65, long: 0.45 };
+export const AIM_HEADROOM = { short: 0.65, long: 0.75 };
+
+/** Part of its aim up to which more engines read a long prompt. */
+const SPREAD_HEADROOM = 0.45;
 
 /** Share of the slots up to which engines are filled while others are free; entry VMs may race. */
 const PACKED_SHARE = 0.75;
@@ -62,6 +67,11 @@
 
 const countRequests = (load: EngineLoad): number => load.writers + load.readers;
 
+/** Reading that is queued on an engine that may take a long prompt: the rest of a pass or two. */
+const CALM_READ_MS = 120;
+
+const isCalm = ({ load }: EngineCandidate): boolean => load.readMs <= CALM_READ_MS;
+
 const isPacked = ({ endpoint, load }: EngineCandidate): boolean =>
   countRequests(load) >= Math.floor(PACKED_SHARE * endpoint.slots);
 
@@ -215,14 +225,15 @@
   candidates: readonly EngineCandidate[],
   traits: EngineTraits,
 ): Placement | undefined => {
-  const most = Math.min(MAX_HELPERS + 1, candidates.length);
+  const usable = ask.mayQueue ? candidates : candidates.filter(isCalm);
+  const most = Math.min(MAX_HELPERS + 1, usable.length);
   let best: Placement | undefined;
   for (let readers = 1; readers <= most; readers += 1) {
-    const placement = placeWithReaders(ask, candidates, traits, readers);
+    const placement = placeWithReaders(ask, usable, traits, readers);
     if (placement !== undefined && (best === undefined || isBetter(placement, best))) {
       best = placement;
     }
-    if (best !== undefined && best.harmed === 0 && !best.isLate) return best;
+    if (best?.harmed === 0 && best.firstEventMs <= SPREAD_HEADROOM * ask.aimLeftMs) return best;
   }
   return best;
 };
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -36,8 +36,11 @@
   ) => void;
 };
 
-/** Time from the order to stop during which requests still come, as the balancer takes a while. */
-const STOP_NOTICE_MS = 3_200;
+/**
+ * Time from the order to stop during which requests are still taken: the balancer asks once a second
+ * and needs two misses. What is taken later might not end before the process is killed.
+ */
+const STOP_NOTICE_MS = 2_900;
 
 /** Callers that are turned away because nothing is known yet come back after this time. */
 const NOT_READY_RETRY_MS = 500;
@@ -197,7 +200,8 @@
 
   private acceptRequest(request: GatewayRequest): void {
     const resolved = this.resolve(request);
-    if (typeof resolved === 'string') this.refuse(request, resolved);
+    if (this.hasStopped()) this.refuse(request, 'notReady');
+    else if (typeof resolved === 'string') this.refuse(request, resolved);
     else this.requests.admit(request, resolved);
   }
 
@@ -283,12 +287,19 @@
   private startStopping(): void {
     if (this.stoppingSinceMs !== undefined) return;
     this.stoppingSinceMs = this.context.nowMs;
-    this.context.schedule(STOP_NOTICE_MS, () => this.stopIfDone());
+    this.context.schedule(STOP_NOTICE_MS, () => {
+      this.context.emit({ kind: 'callers.close' });
+      this.stopIfDone();
+    });
+  }
+
+  private hasStopped(): boolean {
+    const { stoppingSinceMs } = this;
+    return stoppingSinceMs !== undefined && this.context.nowMs >= stoppingSinceMs + STOP_NOTICE_MS;
   }
 
   private stopIfDone(): void {
-    if (this.stoppingSinceMs === undefined || this.requests.inFlight > 0) return;
-    if (this.context.nowMs - this.stoppingSinceMs < STOP_NOTICE_MS) return;
+    if (!this.hasStopped() || this.requests.inFlight > 0) return;
     this.context.emit({ kind: 'drained' });
   }
 }
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -5,7 +5,7 @@
   type Route,
   type RoutedService,
 } from '@savorywind/model';
-import { MIN_ATTEMPT_MS, PLACE_AGAIN_MS } from './consts.js';
+import { MAX_HELPERS, MIN_ATTEMPT_MS, PLACE_AGAIN_MS } from './consts.js';
 import type { EndpointHealth } from './endpoint-health.js';
 import type { EndpointTable } from './endpoint-table.js';
 import { estimateReadMs } from './engine-costs.js';
@@ -230,7 +230,7 @@
   private place(record: GatewayRecord): void {
     const { context, desk } = this.options;
     this.stopWaiting(record);
-    const leastMs = Math.max(MIN_ATTEMPT_MS, estimateLeastMs(record));
+    const leastMs = Math.max(MIN_ATTEMPT_MS, estimateLeastMs(record, MAX_HELPERS + 1));
     const endMs = record.headPassed ? record.deadlineMs : record.patienceEndMs;
     if (context.nowMs + leastMs >= endMs) {
       this.giveUp(record, 'noRoom');
--- a/packages/decisions/src/gateway/placement-desk.ts
+++ b/packages/decisions/src/gateway/placement-desk.ts
@@ -64,9 +64,12 @@
 });
 
 /** Shortest time to the first event, on engines that do nothing else, in milliseconds. */
-export const estimateLeastMs = ({ service, isLong, readMs }: GatewayRecord): number => {
+export const estimateLeastMs = (
+  { service, isLong, readMs }: GatewayRecord,
+  engines: number,
+): number => {
   if (service.engine === undefined) return 0;
-  const readers = isLong ? MAX_HELPERS + 1 : 1;
+  const readers = isLong ? Math.min(MAX_HELPERS + 1, engines) : 1;
   return readMs / readers + PASSES_TO_FIRST_EVENT * estimatePassMs(service.engine, 1, 0);
 };
 
@@ -101,9 +104,13 @@
     const { nowMs } = this.context;
     const aimLeftMs = record.arrivedAtMs + record.route.targetLatencyMs - nowMs;
     const { readMs, memoryTokens, isLong } = record;
-    const ask = { readMs, memoryTokens, aimLeftMs, isLong };
+    const mayQueue = nowMs + LAST_MOMENT_MS + readMs >= record.patienceEndMs;
+    const ask = { readMs, memoryTokens, aimLeftMs, isLong, mayQueue };
     const placement = placeGeneration(ask, candidates, record.service.engine!);
-    if (placement === undefined || !this.isAcceptable(record, placement, aimLeftMs)) {
+    if (
+      placement === undefined ||
+      !this.isAcceptable(record, placement, aimLeftMs, candidates.length)
+    ) {
       return { kind: 'wait' };
     }
     const { endpoint, helpers, partMs, memoryTokens: ownTokens } = placement;
@@ -115,12 +122,19 @@
    * Under more load than the engines bear, requests that can still be in time go first: one that is
    * late takes no place that they could need until its caller is about to leave.
    */
-  private isAcceptable(record: GatewayRecord, placement: Placement, aimLeftMs: number): boolean {
+  private isAcceptable(
+    record: GatewayRecord,
+    placement: Placement,
+    aimLeftMs: number,
+    engines: number,
+  ): boolean {
     const { harmed, isLate, firstEventMs } = placement;
     if (harmed === 0 && !isLate) return true;
     const { nowMs } = this.context;
+    // The caller would leave before its first event.
+    if (nowMs + firstEventMs >= record.patienceEndMs) return false;
     const headroom = AIM_HEADROOM[record.isLong ? 'long' : 'short'];
-    const slackMs = headroom * aimLeftMs - estimateLeastMs(record);
+    const slackMs = headroom * aimLeftMs - estimateLeastMs(record, engines);
     if (slackMs > LAST_MOMENT_MS) return false;
     const weight = record.memoryTokens / TOKENS_PER_SPOILT_STREAM;
     if (!isLate) return harmed <= weight;
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -189,6 +189,9 @@
   /** Kept connections to this endpoint are of no more use. */
   | { readonly kind: 'endpoint.forgotten'; readonly endpoint: EndpointId }
   | { readonly kind: 'readiness'; readonly ready: boolean }
+  /** Takes no more connections; those in use go on. */
+  | { readonly kind: 'callers.close' }
+  /** Nothing is in flight any more, and the process may end. */
   | { readonly kind: 'drained' }
   | { readonly kind: 'log'; readonly event: LogEvent; readonly fields: LogFields };
 
--- /dev/null
+++ b/packages/decisions/test/gateway/attempts.test.ts
@@ -0,0 +1,100 @@
+import { describe, expect, it } from 'vitest';
+import { startDriver } from '../fixtures/gateway-driver.js';
+
+describe('a call that must not run twice', () => {
+  it('is not sent again after bytes have left, and the answer promises nothing', () => {
+    const driver = startDriver('e1');
+    const id = driver.request('/booking/');
+    driver.fail(id, 'broken');
+    expect(driver.list('attempt.start')).toHaveLength(1);
+    expect(driver.findRefusal(id)).toEqual({ reason: 'broken', retryAfterMs: undefined });
+  });
+
+  it('is refused as not run where the only endpoint rejects it, with when to come back', () => {
+    const driver = startDriver('e1');
+    const id = driver.request('/booking/');
+    for (let tries = 0; driver.findRefusal(id) === undefined && tries < 10; tries += 1) {
+      driver.fail(id, 'rejected');
+    }
+    expect(driver.findRefusal(id)?.reason).toBe('rejected');
+    expect(driver.findRefusal(id)?.retryAfterMs).toBeGreaterThan(0);
+  });
+
+  it('gets a status that promises nothing where the endpoint answers one that would', () => {
+    const driver = startDriver('e1');
+    const id = driver.request('/booking/');
+    const { attemptId } = driver.findAttempt(id)!;
+    const head = { status: 503, hasReceipt: true };
+    driver.dispatch({ kind: 'attempt.headReceived', attemptId, head });
+    expect(driver.findRefusal(id)?.reason).toBe('broken');
+  });
+
+  it('is never sent once its caller has left', () => {
+    const driver = startDriver('e1');
+    const id = driver.request('/booking/');
+    driver.dispatch({ kind: 'request.abandoned', requestId: id });
+    driver.advance(5_000);
+    expect(driver.list('attempt.start')).toHaveLength(1);
+    expect(driver.list('attempt.cancel')).toHaveLength(1);
+  });
+});
+
+describe('a stream that may be resumed', () => {
+  it('goes on at another engine after the last event that the caller has', () => {
+    const driver = startDriver('e1', 'e2');
+    const id = driver.request('/chat/');
+    const first = driver.findAttempt(id)!;
+    driver.passEvent(id, '7');
+    driver.fail(id, 'broken');
+    const second = driver.findAttempt(id)!;
+    expect(second.endpoint.id).not.toBe(first.endpoint.id);
+    expect(second.lastEventId).toBe('7');
+  });
+
+  it('runs on no more engines than its route allows, and ends visibly incomplete then', () => {
+    const driver = startDriver('e1', 'e2', 'e3');
+    const id = driver.request('/chat/');
+    driver.passEvent(id, '7');
+    driver.fail(id, 'broken');
+    driver.fail(id, 'broken');
+    expect(driver.list('attempt.start')).toHaveLength(2);
+    expect(driver.list('caller.breakOff')).toHaveLength(1);
+  });
+
+  it('leaves an engine that falls silent', () => {
+    const driver = startDriver('e1', 'e2');
+    const id = driver.request('/chat/');
+    driver.passEvent(id, '7');
+    driver.advance(1_500);
+    expect(driver.list('attempt.cancel')).toHaveLength(1);
+    expect(driver.findAttempt(id)?.lastEventId).toBe('7');
+  });
+});
+
+describe('repeats', () => {
+  it('stay within this entry VM’s part of the budget of all', () => {
+    const driver = startDriver('e1', 'e2');
+    for (let count = 0; count < 40; count += 1) driver.fail(driver.request('/chat/'), 'rejected');
+    const repeats = driver.list('attempt.start').length - 40;
+    // Half of 0.2 a request and of a 32nd of the allowance of 100.
+    expect(repeats).toBeGreaterThan(0);
+    expect(repeats).toBeLessThanOrEqual(0.5 * (0.2 * 40 + 100 / 32));
+  });
+});
+
+describe('an entry VM that is told to stop', () => {
+  it('serves what still comes for a while, then closes and refuses, and ends when it is idle', () => {
+    const driver = startDriver('e1');
+    driver.dispatch({ kind: 'drainRequested' });
+    expect(driver.list('readiness').at(-1)?.ready).toBe(false);
+    const early = driver.request('/chat/');
+    expect(driver.findAttempt(early)).toBeDefined();
+    driver.advance(3_000);
+    expect(driver.list('callers.close')).toHaveLength(1);
+    expect(driver.findRefusal(driver.request('/chat/'))?.reason).toBe('notReady');
+    expect(driver.list('drained')).toHaveLength(0);
+    const { attemptId } = driver.findAttempt(early)!;
+    driver.dispatch({ kind: 'attempt.ended', attemptId });
+    expect(driver.list('drained')).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/packages/decisions/test/gateway/placement.test.ts
@@ -0,0 +1,109 @@
+import { describe, expect, it } from 'vitest';
+import { createWork, startDriver, type GatewayDriver } from '../fixtures/gateway-driver.js';
+
+const findEngines = (driver: GatewayDriver, ids: readonly string[]): (string | undefined)[] =>
+  ids.map((id) => driver.findAttempt(id)?.endpoint.id);
+
+describe('short prompts', () => {
+  it('share engines, so that others stay calm for long ones', () => {
+    const driver = startDriver('e1', 'e2', 'e3');
+    const ids = [driver.request('/chat/'), driver.request('/chat/')];
+    expect(new Set(findEngines(driver, ids)).size).toBe(1);
+  });
+
+  it('do not all meet in one pass of an engine, whose streams would pause too long', () => {
+    const driver = startDriver('e1', 'e2', 'e3');
+    const ids = Array.from({ length: 8 }, () => driver.request('/chat/'));
+    const engines = findEngines(driver, ids);
+    expect(new Set(engines).size).toBe(3);
+    // A pass of 44 ms and 34 ms of reading for each must stay under the pause of 250 ms.
+    engines.forEach((engine) =>
+      expect(44 + 34 * engines.filter((other) => other === engine).length).toBeLessThan(250),
+    );
+  });
+
+  it('go to no engine that reads a long prompt of a peer', () => {
+    const driver = startDriver('e1', 'e2');
+    driver.hearPeer(1, [createWork('e1', { readers: 1, readMs: 1_200 })]);
+    expect(driver.findAttempt(driver.request('/chat/'))?.endpoint.id).toBe('e2');
+  });
+
+  it('are refused before their callers leave, where all engines stay full', () => {
+    const driver = startDriver('e1');
+    driver.hearPeer(1, [createWork('e1', { writers: 11, tightWriters: 11, tightGapMs: 250 })]);
+    const id = driver.request('/chat/');
+    for (let step = 2; step < 14; step += 1) {
+      driver.advance(200);
+      driver.hearPeer(step, [createWork('e1', { writers: 11, tightWriters: 11, tightGapMs: 250 })]);
+    }
+    expect(driver.list('attempt.start')).toHaveLength(0);
+    expect(driver.findRefusal(id)?.reason).toBe('noRoom');
+  });
+});
+
+describe('long prompts', () => {
+  const REVIEW = { promptTokens: 180_000, waitsMs: 15_000 };
+
+  it('are read by as many engines as bring the first event in time', () => {
+    const driver = startDriver('e1', 'e2', 'e3', 'e4', 'e5');
+    const attempt = driver.findAttempt(driver.request('/review/', REVIEW));
+    expect(attempt?.helpers.length).toBeGreaterThanOrEqual(2);
+  });
+
+  it('spoil no stream that a peer has on an engine', () => {
+    const driver = startDriver('e1', 'e2', 'e3', 'e4', 'e5');
+    driver.hearPeer(1, [createWork('e1', { writers: 4, tightWriters: 4, tightGapMs: 250 })]);
+    const attempt = driver.findAttempt(driver.request('/review/', REVIEW))!;
+    expect(attempt.endpoint.id).not.toBe('e1');
+    expect(attempt.helpers).toHaveLength(3);
+  });
+
+  it('wait in the entry VM rather than behind the reading of others', () => {
+    const driver = startDriver('e1', 'e2');
+    const busy = ['e1', 'e2'].map((id) => createWork(id, { readers: 1, readMs: 2_000 }));
+    driver.hearPeer(1, busy);
+    const id = driver.request('/review/', REVIEW);
+    expect(driver.findAttempt(id)).toBeUndefined();
+    driver.hearPeer(2, []);
+    expect(driver.findAttempt(id)).toBeDefined();
+  });
+});
+
+describe('prompts over the memory of one engine', () => {
+  const HUGE = { promptTokens: 700_000, waitsMs: 15_000 };
+
+  const answer = (driver: GatewayDriver, outcome: 'reserved' | 'refused'): void => {
+    const { reservationId } = driver.list('reservation.ask').at(-1)!;
+    driver.dispatch({ kind: 'reservation.answered', reservationId, outcome });
+  };
+
+  it('reserve memory on other engines before they are sent, and free it at their end', () => {
+    const driver = startDriver('e1', 'e2', 'e3', 'e4');
+    const id = driver.request('/review/', HUGE);
+    expect(driver.findAttempt(id)).toBeUndefined();
+    answer(driver, 'reserved');
+    const attempt = driver.findAttempt(id)!;
+    const reserved = attempt.helpers.filter(({ reservationId }) => reservationId !== undefined);
+    expect(reserved).toHaveLength(1);
+    driver.dispatch({ kind: 'attempt.ended', attemptId: attempt.attemptId });
+    expect(driver.list('reservation.release')).toHaveLength(1);
+  });
+
+  it('hold nothing where one engine refuses', () => {
+    const driver = startDriver('e1', 'e2', 'e3', 'e4');
+    const id = driver.request('/review/', HUGE);
+    answer(driver, 'refused');
+    expect(driver.list('reservation.release')).toHaveLength(1);
+    expect(driver.findAttempt(id)).toBeUndefined();
+  });
+
+  it('renew what they hold well before it lapses', () => {
+    const driver = startDriver('e1', 'e2', 'e3', 'e4');
+    driver.request('/review/', HUGE);
+    answer(driver, 'reserved');
+    const { holdMs } = driver.list('reservation.ask')[0]!;
+    expect(holdMs).toBeLessThan(4_000);
+    driver.advance(holdMs);
+    expect(driver.list('reservation.ask').length).toBeGreaterThanOrEqual(3);
+  });
+});
--- /dev/null
+++ b/packages/decisions/test/gateway/registrations.test.ts
@@ -0,0 +1,65 @@
+import { describe, expect, it } from 'vitest';
+import { createConfiguration, createEndpoint, startDriver } from '../fixtures/gateway-driver.js';
+
+describe('registrations of endpoints', () => {
+  it('give no new work to an endpoint from the moment at which it is leaving', () => {
+    const driver = startDriver('e1');
+    const endpoint = createEndpoint('e1', { state: 'leaving' });
+    driver.dispatch({ kind: 'endpoints.changed', changes: [{ id: 'e1', endpoint }] });
+    expect(driver.findRefusal(driver.request('/chat/'))?.reason).toBe('noEndpoint');
+  });
+
+  it('are kept while the store is away, as they lapse then', () => {
+    const driver = startDriver('e1');
+    driver.dispatch({ kind: 'store.failed', detail: 'test' });
+    driver.dispatch({ kind: 'endpoints.read', endpoints: [] });
+    expect(driver.findAttempt(driver.request('/chat/'))?.endpoint.id).toBe('e1');
+  });
+
+  it('that are missing a while after the return of the store are gone, whenever they vanished', () => {
+    const driver = startDriver('e1');
+    driver.dispatch({ kind: 'store.failed', detail: 'test' });
+    driver.confirm();
+    driver.advance(2_000);
+    driver.dispatch({ kind: 'endpoints.changed', changes: [{ id: 'e1', endpoint: undefined }] });
+    expect(driver.findAttempt(driver.request('/chat/'))?.endpoint.id).toBe('e1');
+    driver.advance(400);
+    expect(driver.findRefusal(driver.request('/chat/'))?.reason).toBe('noEndpoint');
+  });
+
+  it('end at once where the store is well', () => {
+    const driver = startDriver('e1');
+    driver.advance(100);
+    driver.dispatch({ kind: 'endpoints.changed', changes: [{ id: 'e1', endpoint: undefined }] });
+    expect(driver.list('endpoint.forgotten')).toHaveLength(1);
+    expect(driver.findRefusal(driver.request('/chat/'))?.reason).toBe('noEndpoint');
+  });
+});
+
+describe('the configuration', () => {
+  it('never goes back to an older version', () => {
+    const driver = startDriver('e1');
+    driver.confirm(createConfiguration({ version: 3 }));
+    driver.confirm(createConfiguration({ version: 2, routes: [] }));
+    expect(driver.findAttempt(driver.request('/chat/'))).toBeDefined();
+  });
+
+  it('counts for credentials only as long as the store has confirmed it', () => {
+    const driver = startDriver('e1');
+    const credential = 'secret';
+    expect(driver.findAttempt(driver.request('/private/', { credential }))?.team).toBe('counter');
+    driver.advance(4_800);
+    const refusal = driver.findRefusal(driver.request('/private/', { credential }));
+    expect(refusal?.reason).toBe('credentialsStale');
+    expect(refusal?.retryAfterMs).toBeGreaterThan(0);
+    driver.confirm();
+    expect(driver.findAttempt(driver.request('/private/', { credential }))?.team).toBe('counter');
+  });
+
+  it('refuses unknown credentials and routes for good', () => {
+    const driver = startDriver('e1');
+    const refusal = driver.findRefusal(driver.request('/private/', { credential: 'wrong' }));
+    expect(refusal).toEqual({ reason: 'wrongCredential', retryAfterMs: undefined });
+    expect(driver.findRefusal(driver.request('/nowhere/'))?.reason).toBe('noRoute');
+  });
+});
--- a/packages/entry/src/gateway/callers/front-server.ts
+++ b/packages/entry/src/gateway/callers/front-server.ts
@@ -82,11 +82,22 @@
   }
 
   /** Takes no more connections and ends those that are idle. */
-  stop(onClosed: () => void): void {
-    this.server.close(() => onClosed());
+  close(): void {
+    this.server.close();
     this.server.closeIdleConnections();
   }
 
+  /** As `close`, also where it was called before; connections in use end with their answers. */
+  stop(): void {
+    if (this.server.listening) this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  /** Ends all connections, also those in use. */
+  destroyConnections(): void {
+    this.server.closeAllConnections();
+  }
+
   private accept(incoming: IncomingMessage, outgoing: ServerResponse): void {
     if (this.stopping) outgoing.shouldKeepAlive = false;
     if (countHeadBytes(incoming.rawHeaders) > this.limits.maxHeaderBytes) {
--- a/packages/entry/src/gateway/endpoints/answer-relay.ts
+++ b/packages/entry/src/gateway/endpoints/answer-relay.ts
@@ -1,8 +1,16 @@
 import type { IncomingMessage } from 'node:http';
 import type { CallerExchange } from '../callers/caller-exchange.js';
 import type { AnswerFacts, DispatchGatewayEvent } from '../types.js';
+import { wasReset } from './connection-pools.js';
 import { EventSplitter, type StreamEvent } from './event-splitter.js';
 
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+const isFramed = ({ headers, statusCode }: IncomingMessage): boolean =>
+  headers['content-length'] !== undefined ||
+  headers['transfer-encoding'] !== undefined ||
+  BODILESS_STATUSES.has(statusCode ?? 0);
+
 /** An answer that is longer is passed on as it comes, in bytes. */
 const MAX_HELD_BYTES = 262_144;
 
@@ -41,7 +49,9 @@
     answer.on('data', (chunk: Buffer) => this.acceptChunk(chunk));
     answer.on('end', () => this.acceptEnd());
     answer.on('error', (fault) => this.fail('broken', fault.message));
-    answer.on('close', () => this.fail('broken', 'connection ended before the answer'));
+    answer.on('close', () => {
+      if (!answer.complete) this.fail('broken', 'connection ended before the answer');
+    });
   }
 
   /** The decisions take this answer: its head goes to the caller, and what was held. */
@@ -102,15 +112,27 @@
   }
 
   private acceptEnd(): void {
-    const { answer, attemptId, dispatch } = this.options;
+    const { answer } = this.options;
     if (this.ended) return;
     if (!answer.complete || this.splitter?.hasRest === true) {
       this.fail('broken', 'answer ended early');
       return;
     }
+    if (isFramed(answer)) this.complete();
+    else setImmediate(() => this.completeUnlessReset());
+  }
+
+  /** An answer without a length ends with its connection; a reset is no end. */
+  private completeUnlessReset(): void {
+    if (wasReset(this.options.answer.socket)) this.fail('broken', 'connection was reset');
+    else this.complete();
+  }
+
+  private complete(): void {
     this.reportHead();
     if (this.ended) return;
     this.ended = true;
+    const { attemptId, dispatch } = this.options;
     dispatch({ kind: 'attempt.ended', attemptId });
   }
 
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -20,6 +20,9 @@
 /** Time before the platform kills the process at which it ends by itself, in milliseconds. */
 const STOP_MARGIN_MS = 400;
 
+/** Time for final answers to leave the process, in milliseconds. */
+const LAST_WRITES_MS = 100;
+
 /** Pause before the registration of this entry VM is tried again, in milliseconds. */
 const REGISTER_AGAIN_MS = 500;
 
@@ -93,6 +96,15 @@
     setTimeout(() => this.stop(), stopGraceMs - STOP_MARGIN_MS).unref();
   }
 
+  /** Ends without waiting for anything. */
+  stopAtOnce(): void {
+    if (this.stopped) return;
+    this.stopped = true;
+    this.watches.forEach((watch) => watch.stop());
+    this.front.stop();
+    this.end();
+  }
+
   private createWatches(): TableWatch[] {
     const { rows, tables } = this.adapter;
     const waitMs = Math.floor(this.settings.contract.credentialFreshnessMs / WAITS_PER_FRESHNESS);
@@ -231,6 +243,7 @@
       'callerLimits.changed': ({ limits }) => this.front.changeLimits(limits),
       'endpoint.forgotten': ({ endpoint }) => this.pools.forget(endpoint),
       readiness: ({ ready }) => this.readiness.setReady(ready),
+      'callers.close': () => this.front.close(),
       drained: () => this.stop(),
       log: ({ event, fields }) => this.log.write(event, fields),
     };
@@ -240,10 +253,13 @@
     if (this.stopped) return;
     this.stopped = true;
     this.watches.forEach((watch) => watch.stop());
-    this.front.stop(() => this.end());
+    this.front.stop();
+    // Final answers that were just written leave first.
+    setTimeout(() => this.end(), LAST_WRITES_MS);
   }
 
   private end(): void {
+    this.front.destroyConnections();
     this.runner.stop();
     this.pools.stop();
     this.adapter.tables.stop();
--- /dev/null
+++ b/packages/entry/test/gateway/answer-ends.test.ts
@@ -0,0 +1,95 @@
+import { request, type IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+import { startRawServer, startTestGateway, type TestGateway } from '../fixtures/test-gateway.js';
+
+const HEAD = 'HTTP/1.1 200 OK\r\nX-Receipt: r\r\n';
+
+let gateway: TestGateway | undefined;
+let closeEndpoint = (): void => {};
+
+afterEach(() => {
+  gateway?.process.stopAtOnce();
+  closeEndpoint();
+});
+
+interface Outcome {
+  readonly status: number;
+  readonly body: string;
+  /** Whether the answer looked complete to its caller. */
+  readonly isComplete: boolean;
+}
+
+const readOutcome = (answer: IncomingMessage): Promise<Outcome> =>
+  new Promise((resolve) => {
+    let body = '';
+    answer.on('data', (chunk: Buffer) => {
+      body += chunk.toString();
+    });
+    answer.on('error', () => {});
+    answer.on('close', () =>
+      resolve({ status: answer.statusCode ?? 0, body, isComplete: answer.complete }),
+    );
+  });
+
+const callGateway = async (script: (socket: Socket) => void): Promise<Outcome> => {
+  const endpoint = await startRawServer((socket) => socket.once('data', () => script(socket)));
+  closeEndpoint = endpoint.close;
+  gateway = await startTestGateway([endpoint.port]);
+  const { port } = gateway;
+  return new Promise((resolve, reject) => {
+    const headers = { Host: 'shop.example', 'X-Try': '1' };
+    request({ host: '127.0.0.1', port, path: '/a', headers }, (answer) =>
+      resolve(readOutcome(answer)),
+    )
+      .on('error', reject)
+      .end();
+  });
+};
+
+describe('the end of an answer', () => {
+  it('is taken for whole where an answer without a length ends with its connection', async () => {
+    const outcome = await callGateway((socket) => socket.end(`${HEAD}\r\nwhole`));
+    expect(outcome).toEqual({ status: 200, body: 'whole', isComplete: true });
+  });
+
+  it('is not taken for whole where the connection is reset', async () => {
+    const outcome = await callGateway((socket) =>
+      socket.write(`${HEAD}\r\nhalf`, () => socket.resetAndDestroy()),
+    );
+    expect(outcome.status).toBe(502);
+  });
+
+  it('is not taken for whole where bytes of the length are missing', async () => {
+    const outcome = await callGateway((socket) =>
+      socket.end(`${HEAD}Content-Length: 9\r\n\r\nhalf`),
+    );
+    expect(outcome.status).toBe(502);
+  });
+
+  it('is not taken where the answer has no receipt', async () => {
+    const outcome = await callGateway((socket) =>
+      socket.end('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'),
+    );
+    expect(outcome.status).toBe(502);
+  });
+
+  it('is not taken where the answer belongs to another request', async () => {
+    const outcome = await callGateway((socket) =>
+      socket.end(`${HEAD}X-Try: 2\r\nContent-Length: 2\r\n\r\nok`),
+    );
+    expect(outcome.status).toBe(502);
+  });
+
+  it('is not taken where the bytes are no answer', async () => {
+    const outcome = await callGateway((socket) => socket.end('what is this\r\n\r\n'));
+    expect(outcome.status).toBe(502);
+  });
+
+  it('of a rejected request is a refusal that tells when to come back', async () => {
+    const outcome = await callGateway((socket) =>
+      socket.end('HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n'),
+    );
+    expect(outcome.status).toBe(503);
+  });
+});
