Keep late long prompts from taking engines that others need

Cause (late audits): prompts that were late took all calm engines with 3 to 19 s of reading and made the next ones late; they now need a quarter of the engines to stay idle, and few readers.

--- a/packages/decisions/src/gateway/consts.ts
+++ b/packages/decisions/src/gateway/consts.ts
@@ -35,7 +35,7 @@
 export const MEMORY_HEADROOM = 0.95;
 
 /** A request that waits for an engine is tried again after this time at the latest. */
-export const PLACE_AGAIN_MS = 20;
+export const PLACE_AGAIN_MS = 15;
 
 /** Engines that one request may list as helpers (contract of the engines). */
 export const MAX_HELPERS = 16;
--- a/packages/decisions/src/gateway/engine-placement.ts
+++ b/packages/decisions/src/gateway/engine-placement.ts
@@ -10,6 +10,8 @@
   readonly memoryTokens: number;
   /** Time left until the first event is late; negative where it is late already. */
   readonly aimLeftMs: number;
+  /** More engines read a long prompt until the estimate of its first event is under this time. */
+  readonly spreadMs: number;
   /** Whether reading this prompt alone would spoil the tightest pauses of the service. */
   readonly isLong: boolean;
   /** Whether a long prompt may queue behind the reading of others; else it waits for calm engines. */
@@ -40,6 +42,8 @@
   readonly firstEventMs: number;
   /** Whether the first engine is filled as far as it should be while others are free. */
   readonly isPacked: boolean;
+  /** Share of all engines that have no work and that this placement leaves free. */
+  readonly spareShare: number;
 }
 
 export interface EngineCandidate {
@@ -56,9 +60,6 @@
 /** Part of its aim that a first event may use by the estimate; the rest is for work not yet known. */
 export const AIM_HEADROOM = { short: 0.65, long: 0.75 };
 
-/** Part of its aim up to which more engines read a long prompt. */
-const SPREAD_HEADROOM = 0.45;
-
 /** Share of the slots up to which engines are filled while others are free; entry VMs may race. */
 const PACKED_SHARE = 0.75;
 
@@ -67,6 +68,9 @@
 
 const countRequests = (load: EngineLoad): number => load.writers + load.readers;
 
+/** Growth of the number of readers from one try to the next. */
+const READERS_STEP = 0.35;
+
 /** Reading that is queued on an engine that may take a long prompt: the rest of a pass or two. */
 const CALM_READ_MS = 120;
 
@@ -141,9 +145,23 @@
     isLate: all.some(({ isLate }) => isLate),
     firstEventMs: Math.max(...all.map(({ firstEventMs }) => firstEventMs)),
     isPacked: isPacked(first),
+    spareShare: 0,
   };
 };
 
+const isIdle = ({ load }: EngineCandidate): boolean => countRequests(load) === 0;
+
+const countSpareShare = (placement: Placement, candidates: readonly EngineCandidate[]): number => {
+  const used = new Set([
+    placement.endpoint.id,
+    ...placement.helpers.map(({ endpoint }) => endpoint.id),
+  ]);
+  const spare = candidates.filter(
+    (candidate) => isIdle(candidate) && !used.has(candidate.endpoint.id),
+  );
+  return spare.length / candidates.length;
+};
+
 const placeShort = (
   ask: PlacementAsk,
   candidates: readonly EngineCandidate[],
@@ -219,6 +237,19 @@
 const isBetter = (a: Placement, b: Placement): boolean =>
   a.harmed < b.harmed || (a.harmed === b.harmed && a.firstEventMs < b.firstEventMs);
 
+/** Numbers of readers to try: from the fewest that might do, in growing steps. */
+const listReaderCounts = (ask: PlacementAsk, engines: number, traits: EngineTraits): number[] => {
+  const most = Math.min(MAX_HELPERS + 1, engines);
+  const idleMs = PASSES_TO_FIRST_EVENT * estimatePassMs(traits, 1, 0);
+  const partMs = ask.spreadMs - idleMs;
+  const fewest = partMs > 0 ? Math.min(most, Math.ceil(ask.readMs / partMs)) : 1;
+  const counts: number[] = [];
+  for (let count = fewest; count < most; count += Math.ceil(count * READERS_STEP)) {
+    counts.push(count);
+  }
+  return most > 0 ? [...counts, most] : [];
+};
+
 /** Takes as few readers as bring the first event in time without spoiling other streams. */
 const placeLong = (
   ask: PlacementAsk,
@@ -226,14 +257,13 @@
   traits: EngineTraits,
 ): Placement | undefined => {
   const usable = ask.mayQueue ? candidates : candidates.filter(isCalm);
-  const most = Math.min(MAX_HELPERS + 1, usable.length);
   let best: Placement | undefined;
-  for (let readers = 1; readers <= most; readers += 1) {
+  for (const readers of listReaderCounts(ask, usable.length, traits)) {
     const placement = placeWithReaders(ask, usable, traits, readers);
     if (placement !== undefined && (best === undefined || isBetter(placement, best))) {
       best = placement;
     }
-    if (best?.harmed === 0 && best.firstEventMs <= SPREAD_HEADROOM * ask.aimLeftMs) return best;
+    if (best?.harmed === 0 && best.firstEventMs <= ask.spreadMs) return best;
   }
   return best;
 };
@@ -249,5 +279,9 @@
   ask: PlacementAsk,
   candidates: readonly EngineCandidate[],
   traits: EngineTraits,
-): Placement | undefined =>
-  ask.isLong ? placeLong(ask, candidates, traits) : placeShort(ask, candidates, traits);
+): Placement | undefined => {
+  const place = ask.isLong ? placeLong : placeShort;
+  const placement = place(ask, candidates, traits);
+  if (placement === undefined) return undefined;
+  return { ...placement, spareShare: countSpareShare(placement, candidates) };
+};
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -145,12 +145,10 @@
       'endpoints.read': ({ endpoints }) => {
         this.acceptStoreAnswer();
         this.table.replaceAll(endpoints, this.context.nowMs);
-        this.requests.placeWaiting();
       },
       'endpoints.changed': ({ changes }) => {
         this.acceptStoreAnswer();
         this.table.apply(changes, this.context.nowMs);
-        this.requests.placeWaiting();
       },
       'store.failed': ({ detail }) => this.acceptStoreFailure(detail),
       'peers.read': ({ peers }) => {
@@ -159,8 +157,7 @@
         this.armSnapshotTimer(0);
       },
       'peer.received': ({ snapshot }) => {
-        if (!this.picture.acceptSnapshot(snapshot, this.context.nowMs)) return;
-        requests.placeWaiting();
+        this.picture.acceptSnapshot(snapshot, this.context.nowMs);
       },
       'request.arrived': ({ request }) => this.acceptRequest(request),
       'request.abandoned': ({ requestId }) => requests.abandon(requestId),
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -76,6 +76,11 @@
 const mayRepeat = ({ route, runs, sends, unsent }: GatewayRecord): boolean =>
   runs < route.maxAttempts && sends - unsent < route.maxAttempts + MAX_EXTRA_ATTEMPTS;
 
+const releaseReservations = (record: GatewayRecord): void => {
+  record.reservations?.release();
+  record.reservations = undefined;
+};
+
 const recordEvent = (times: EventTimes, nowMs: number): void => {
   times.firstAtMs ??= nowMs;
   times.longestGapMs = Math.max(times.longestGapMs, nowMs - (times.lastAtMs ?? nowMs));
@@ -119,13 +124,6 @@
     this.close(record);
   }
 
-  /** Tries again to place what waits; called whenever work has ended somewhere. */
-  placeWaiting(): void {
-    this.waiting.listInOrder(this.options.context.nowMs).forEach((record) => {
-      if (this.waiting.has(record)) this.place(record);
-    });
-  }
-
   acceptHead(attemptId: string, head: GatewayAnswerHead): void {
     const record = this.attempts.find(attemptId);
     const attempt = record?.attempt;
@@ -176,7 +174,7 @@
     });
     health.reportFailure(attempt.endpoint.id, context.nowMs);
     this.attempts.detach(record);
-    this.releaseReservations(record);
+    releaseReservations(record);
     record.avoided.add(attempt.endpoint.id);
     this.repeatOrGiveUp(record, failure);
   }
@@ -187,7 +185,7 @@
     if (!budget.takeRepeat(record.service.name, context.nowMs)) return;
     health.reportFailure(attempt.endpoint.id, context.nowMs);
     this.attempts.cancel(record);
-    this.releaseReservations(record);
+    releaseReservations(record);
     record.avoided.add(attempt.endpoint.id);
     record.runs += 1;
     this.logRepeat(record, 'silent');
@@ -271,13 +269,15 @@
     });
   }
 
-  private stopWaiting(record: GatewayRecord): void {
-    this.waiting.remove(record);
+  /** Tries again to place what waits. Work that ends at a peer is seen with the next try. */
+  private placeWaiting(): void {
+    this.waiting.listInOrder(this.options.context.nowMs).forEach((record) => {
+      if (this.waiting.has(record)) this.place(record);
+    });
   }
 
-  private releaseReservations(record: GatewayRecord): void {
-    record.reservations?.release();
-    record.reservations = undefined;
+  private stopWaiting(record: GatewayRecord): void {
+    this.waiting.remove(record);
   }
 
   private estimatePatienceMs({ kind, targetLatencyMs, maxEventGapMs }: Route): number {
@@ -388,7 +388,7 @@
     this.stopWaiting(record);
     record.deadlineTimer.cancel();
     this.attempts.detach(record);
-    this.releaseReservations(record);
+    releaseReservations(record);
     this.records.delete(record.request.requestId);
     if (this.records.size === 0) this.options.onIdle();
   }
--- a/packages/decisions/src/gateway/placement-desk.ts
+++ b/packages/decisions/src/gateway/placement-desk.ts
@@ -48,6 +48,15 @@
 /** Tokens of a prompt that weigh as much as one stream whose pauses it spoils. */
 const TOKENS_PER_SPOILT_STREAM = 10_000;
 
+/** Part of its aim up to which more engines read a long prompt. */
+const SPREAD_HEADROOM = 0.45;
+
+/** Part of its caller's patience up to which more engines read a long prompt that is late. */
+const LATE_SPREAD_HEADROOM = 0.5;
+
+/** Share of engines that must stay idle where a long prompt that is late is read: others may come. */
+const SPARE_SHARE = 0.25;
+
 /** What a prompt weighs once it is late, as a share of what it weighs in time. */
 const LATE_WEIGHT = 0.25;
 
@@ -63,6 +72,8 @@
   estimateMs: Math.round(placement.firstEventMs),
 });
 
+const hasSpare = ({ spareShare }: Placement): boolean => spareShare >= SPARE_SHARE;
+
 /** Shortest time to the first event, on engines that do nothing else, in milliseconds. */
 export const estimateLeastMs = (
   { service, isLong, readMs }: GatewayRecord,
@@ -73,6 +84,13 @@
   return readMs / readers + PASSES_TO_FIRST_EVENT * estimatePassMs(service.engine, 1, 0);
 };
 
+/** Time from the first event to the last one, in milliseconds. */
+const estimateWriteMs = ({ service, request }: GatewayRecord): number => {
+  if (service.engine === undefined) return 0;
+  const passes = request.maxOutputTokens / service.engine.stepsPerPass;
+  return passes * estimatePassMs(service.engine, 1, request.promptTokens);
+};
+
 /** Chooses endpoints by the registrations, what was seen of them, and the work of all entry VMs. */
 export class PlacementDesk {
   constructor(
@@ -105,7 +123,8 @@
     const aimLeftMs = record.arrivedAtMs + record.route.targetLatencyMs - nowMs;
     const { readMs, memoryTokens, isLong } = record;
     const mayQueue = nowMs + LAST_MOMENT_MS + readMs >= record.patienceEndMs;
-    const ask = { readMs, memoryTokens, aimLeftMs, isLong, mayQueue };
+    const spreadMs = this.estimateSpreadMs(record, aimLeftMs, candidates.length);
+    const ask = { readMs, memoryTokens, aimLeftMs, spreadMs, isLong, mayQueue };
     const placement = placeGeneration(ask, candidates, record.service.engine!);
     if (
       placement === undefined ||
@@ -118,6 +137,13 @@
     return { kind: 'place', endpoint, helpers, partMs, memoryTokens: ownTokens, basis };
   }
 
+  /** A long prompt that can't be in time any more is read by few engines, within the patience. */
+  private estimateSpreadMs(record: GatewayRecord, aimLeftMs: number, engines: number): number {
+    const mayBeInTime = estimateLeastMs(record, engines) <= AIM_HEADROOM.long * aimLeftMs;
+    if (mayBeInTime) return SPREAD_HEADROOM * aimLeftMs;
+    return LATE_SPREAD_HEADROOM * (record.patienceEndMs - this.context.nowMs);
+  }
+
   /**
    * Under more load than the engines bear, requests that can still be in time go first: one that is
    * late takes no place that they could need until its caller is about to leave.
@@ -131,15 +157,18 @@
     const { harmed, isLate, firstEventMs } = placement;
     if (harmed === 0 && !isLate) return true;
     const { nowMs } = this.context;
-    // The caller would leave before its first event.
-    if (nowMs + firstEventMs >= record.patienceEndMs) return false;
+    // The caller would leave before its first event, or before the last one.
+    const endMs = nowMs + firstEventMs + estimateWriteMs(record);
+    if (nowMs + firstEventMs >= record.patienceEndMs || endMs >= record.deadlineMs) return false;
     const headroom = AIM_HEADROOM[record.isLong ? 'long' : 'short'];
     const slackMs = headroom * aimLeftMs - estimateLeastMs(record, engines);
     if (slackMs > LAST_MOMENT_MS) return false;
     const weight = record.memoryTokens / TOKENS_PER_SPOILT_STREAM;
     if (!isLate) return harmed <= weight;
-    if (harmed === 0 && !placement.isPacked) return true;
-    const isLastMoment = nowMs + firstEventMs + LAST_MOMENT_MS >= record.patienceEndMs;
+    if (harmed === 0 && (record.isLong ? hasSpare(placement) : !placement.isPacked)) return true;
+    const isLastMoment =
+      nowMs + firstEventMs + LAST_MOMENT_MS >= record.patienceEndMs ||
+      endMs + LAST_MOMENT_MS >= record.deadlineMs;
     return isLastMoment && harmed <= LATE_WEIGHT * weight;
   }
 
--- a/packages/decisions/test/gateway/placement.test.ts
+++ b/packages/decisions/test/gateway/placement.test.ts
@@ -65,6 +65,7 @@
     const id = driver.request('/review/', REVIEW);
     expect(driver.findAttempt(id)).toBeUndefined();
     driver.hearPeer(2, []);
+    driver.advance(50);
     expect(driver.findAttempt(id)).toBeDefined();
   });
 });
--- a/packages/entry/src/gateway/endpoints/answer-relay.ts
+++ b/packages/entry/src/gateway/endpoints/answer-relay.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage } from 'node:http';
 import type { CallerExchange } from '../callers/caller-exchange.js';
 import type { AnswerFacts, DispatchGatewayEvent } from '../types.js';
-import { wasReset } from './connection-pools.js';
 import { EventSplitter, type StreamEvent } from './event-splitter.js';
+import { wasReset } from './probing-agent.js';
 
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
--- a/packages/entry/src/gateway/endpoints/connection-pools.ts
+++ b/packages/entry/src/gateway/endpoints/connection-pools.ts
@@ -1,6 +1,7 @@
-import { Agent } from 'node:http';
-import { connect, type Socket, type TcpNetConnectOpts } from 'node:net';
+import type { Agent } from 'node:http';
+import type { Socket } from 'node:net';
 import type { EndpointId } from '@savorywind/model';
+import { ProbingAgent } from './probing-agent.js';
 
 /** Kept connections to one endpoint that may lie idle. */
 const MAX_IDLE_CONNECTIONS = 6;
@@ -13,33 +14,6 @@
 
 const idleSince = new WeakMap<Socket, number>();
 
-const resetSockets = new WeakSet<Socket>();
-
-/** An empty line, which a server that still listens passes over (RFC 9112, section 2.2). */
-const PROBE = '\r\n';
-
-/**
- * Whether the peer has reset a connection that looks ended. Where the last bytes and the reset come
- * together, the runtime reports the end only; a write tells the difference.
- */
-export const wasReset = (socket: Socket): boolean => resetSockets.has(socket);
-
-/** Probes each connection that the peer ends, before whoever reads it hears of the end. */
-class ProbingAgent extends Agent {
-  // eslint-disable-next-line class-methods-use-this
-  override createConnection(options: TcpNetConnectOpts): Socket {
-    const socket = connect({ ...options, allowHalfOpen: true });
-    socket.once('error', () => resetSockets.add(socket));
-    socket.once('end', () => {
-      socket.write(PROBE, (fault) => {
-        if (fault) resetSockets.add(socket);
-      });
-      setImmediate(() => socket.end());
-    });
-    return socket;
-  }
-}
-
 /** Kept connections, by endpoint: an endpoint that takes an old address starts with none. */
 export class ConnectionPools {
   private readonly agents = new Map<EndpointId, Agent>();
