--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -13,19 +13,25 @@
   ]),
 );
 
-await build({
-  absWorkingDir: root,
-  entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/savorywind-entry.mjs',
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'esm',
-  alias,
-  // Its CommonJS entry loads its parts by computed names, which a bundle can't follow.
-  external: ['ts-results'],
-  banner: {
-    js: "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);",
-  },
-  logLevel: 'warning',
-});
+const bundle = (entryPoint, outfile) =>
+  build({
+    absWorkingDir: root,
+    entryPoints: [entryPoint],
+    outfile,
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'esm',
+    alias,
+    // Its CommonJS entry loads its parts by computed names, which a bundle can't follow.
+    external: ['ts-results'],
+    banner: {
+      js: "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);",
+    },
+    logLevel: 'warning',
+  });
+
+await bundle('platform/src/main.ts', 'target/savorywind-entry.mjs');
+if (process.argv.includes('--demo')) {
+  await bundle('platform/test/demo.ts', 'target/platform-demo.mjs');
+}
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,6 +1,10 @@
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 import eslintConfigPrettier from 'eslint-config-prettier';
 
+/** Names of the users' platform; only its adapter knows them. */
+const PLATFORM_NAMES =
+  '/Server-Seal|Request-Attempt-Id|Expect-Instance|Not-Executed|Prompt-Prefix|rows-feed|rows-tx|SAVORYWIND_CONFIG|revoke_ms|stream_resume|kv_capacity/i';
+
 const IO_MODULES = ['node:*', 'ws', 'js-csp', 'msgpackr', 'tslog', 'yargs', '@savorywind/entry'];
 
 export default [
@@ -44,10 +48,33 @@
       'no-await-in-loop': 'off',
     },
   },
+  {
+    files: ['packages/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        'ForInStatement',
+        'LabeledStatement',
+        'WithStatement',
+        {
+          selector: `Literal[value=${PLATFORM_NAMES}], TemplateElement[value.raw=${PLATFORM_NAMES}]`,
+          message: 'Names of the platform stand in platform/ only.',
+        },
+        {
+          selector: `Identifier[name=${PLATFORM_NAMES}]`,
+          message: 'Names of the platform stand in platform/ only.',
+        },
+      ],
+      'no-restricted-imports': [
+        'error',
+        { patterns: ['@savorywind/platform', '**/platform/src/*'] },
+      ],
+    },
+  },
   {
     files: ['packages/decisions/src/**/*.ts', 'packages/model/src/**/*.ts'],
     rules: {
-      'no-restricted-imports': ['error', { patterns: IO_MODULES }],
+      'no-restricted-imports': ['error', { patterns: [...IO_MODULES, '@savorywind/platform'] }],
       'no-restricted-globals': [
         'error',
         'process',
--- a/packages/decisions/src/gateway/engine-placement.ts
+++ b/packages/decisions/src/gateway/engine-placement.ts
@@ -42,6 +42,8 @@
   readonly firstEventMs: number;
   /** Whether the first engine is filled as far as it should be while others are free. */
   readonly isPacked: boolean;
+  /** Share of all engines that have no work. */
+  readonly idleShare: number;
   /** Share of all engines that have no work and that this placement leaves free. */
   readonly spareShare: number;
 }
@@ -145,21 +147,20 @@
     isLate: all.some(({ isLate }) => isLate),
     firstEventMs: Math.max(...all.map(({ firstEventMs }) => firstEventMs)),
     isPacked: isPacked(first),
+    idleShare: 0,
     spareShare: 0,
   };
 };
 
 const isIdle = ({ load }: EngineCandidate): boolean => countRequests(load) === 0;
 
-const countSpareShare = (placement: Placement, candidates: readonly EngineCandidate[]): number => {
-  const used = new Set([
-    placement.endpoint.id,
-    ...placement.helpers.map(({ endpoint }) => endpoint.id),
-  ]);
-  const spare = candidates.filter(
-    (candidate) => isIdle(candidate) && !used.has(candidate.endpoint.id),
-  );
-  return spare.length / candidates.length;
+const listIdle = (candidates: readonly EngineCandidate[]): string[] =>
+  candidates.filter(isIdle).map(({ endpoint }) => endpoint.id);
+
+const countSpareShare = (idle: readonly string[], placement: Placement, total: number): number => {
+  const helpers = placement.helpers.map(({ endpoint }) => endpoint.id);
+  const used = new Set([placement.endpoint.id, ...helpers]);
+  return idle.filter((id) => !used.has(id)).length / total;
 };
 
 const placeShort = (
@@ -283,5 +284,10 @@
   const place = ask.isLong ? placeLong : placeShort;
   const placement = place(ask, candidates, traits);
   if (placement === undefined) return undefined;
-  return { ...placement, spareShare: countSpareShare(placement, candidates) };
+  const idle = listIdle(candidates);
+  return {
+    ...placement,
+    idleShare: idle.length / candidates.length,
+    spareShare: countSpareShare(idle, placement, candidates.length),
+  };
 };
--- a/packages/decisions/src/gateway/placement-desk.ts
+++ b/packages/decisions/src/gateway/placement-desk.ts
@@ -57,6 +57,9 @@
 /** Share of engines that must stay idle where a long prompt that is late is read: others may come. */
 const SPARE_SHARE = 0.25;
 
+/** Share of engines without work from which on there is little else that they could be needed for. */
+const MOSTLY_IDLE_SHARE = 0.7;
+
 /** What a prompt weighs once it is late, as a share of what it weighs in time. */
 const LATE_WEIGHT = 0.25;
 
@@ -72,7 +75,8 @@
   estimateMs: Math.round(placement.firstEventMs),
 });
 
-const hasSpare = ({ spareShare }: Placement): boolean => spareShare >= SPARE_SHARE;
+const hasSpare = ({ idleShare, spareShare }: Placement): boolean =>
+  idleShare >= MOSTLY_IDLE_SHARE || spareShare >= SPARE_SHARE;
 
 /** Shortest time to the first event, on engines that do nothing else, in milliseconds. */
 export const estimateLeastMs = (
--- a/packages/entry/src/gateway/endpoints/answer-relay.ts
+++ b/packages/entry/src/gateway/endpoints/answer-relay.ts
@@ -2,7 +2,7 @@
 import type { CallerExchange } from '../callers/caller-exchange.js';
 import type { AnswerFacts, DispatchGatewayEvent } from '../types.js';
 import { EventSplitter, type StreamEvent } from './event-splitter.js';
-import { wasReset } from './probing-agent.js';
+import { hasBeenReset } from './probing-agent.js';
 
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -124,7 +124,7 @@
 
   /** An answer without a length ends with its connection; a reset is no end. */
   private completeUnlessReset(): void {
-    if (wasReset(this.options.answer.socket)) this.fail('broken', 'connection was reset');
+    if (hasBeenReset(this.options.answer.socket)) this.fail('broken', 'connection was reset');
     else this.complete();
   }
 
--- a/packages/entry/src/gateway/endpoints/probing-agent.ts
+++ b/packages/entry/src/gateway/endpoints/probing-agent.ts
@@ -10,7 +10,7 @@
  * Whether the peer has reset a connection that looks ended. Where the last bytes and the reset come
  * together, the runtime reports the end only; a write tells the difference.
  */
-export const wasReset = (socket: Socket): boolean => resetSockets.has(socket);
+export const hasBeenReset = (socket: Socket): boolean => resetSockets.has(socket);
 
 /** Probes each connection that the peer ends, before whoever reads it hears of the end. */
 export class ProbingAgent extends Agent {
--- a/packages/model/test/verbs.test.ts
+++ b/packages/model/test/verbs.test.ts
@@ -13,8 +13,10 @@
 };
 
 const listSources = (): string[] =>
-  readdirSync(`${root}packages`, { recursive: true, encoding: 'utf8' }).filter((file) =>
-    /^[^/]+\/src\/.*\.ts$/.test(file),
+  ['packages', 'platform'].flatMap((folder) =>
+    readdirSync(`${root}${folder}`, { recursive: true, encoding: 'utf8' })
+      .map((file) => `${folder}/${file}`)
+      .filter((file) => /^(packages\/[^/]+|platform)\/src\/.*\.ts$/.test(file)),
   );
 
 const listFunctions = (text: string): string[] => {
@@ -26,7 +28,7 @@
   it('begin with a verb of docs/verbs.md', () => {
     const verbs = readVerbs();
     const strangers = listSources().flatMap((file) =>
-      listFunctions(readFileSync(`${root}packages/${file}`, 'utf8'))
+      listFunctions(readFileSync(`${root}${file}`, 'utf8'))
         .filter((name) => !verbs.has(/^[a-z]+/.exec(name)?.[0] ?? ''))
         .map((name) => `${file}: ${name}`),
     );
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -8,7 +8,13 @@
   type ServedPlacement,
 } from './engine/engine-orders.js';
 export { startEngine, type EngineSettings } from './engine/engine-stand-in.js';
-export type { RunningServer } from './http/route-server.js';
+export {
+  readBody,
+  sendJson,
+  startRouteServer,
+  type RouteHandler,
+  type RunningServer,
+} from './http/route-server.js';
 export { startPlatform, type PlatformSettings } from './platform/platform-stand-in.js';
 export { TableStore } from './platform/table-store.js';
 export { startService, type ServiceSettings } from './service/service-stand-in.js';
