--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 
 /** Names of the users' platform; only its adapter knows them. */
 const PLATFORM_NAMES =
-  '/Server-Seal|Request-Attempt-Id|Expect-Instance|Not-Executed|Prompt-Prefix|rows-feed|rows-tx|SAVORYWIND_CONFIG|revoke_ms|stream_resume|kv_capacity/i';
+  '/Server-Seal|Request-Attempt-Id|Expect-Instance|Not-Executed|Prompt-Prefix|rows-feed|rows-tx|SAVORYWIND_CONFIG\\b|revoke_ms|stream_resume|kv_capacity/i';
 
 const IO_MODULES = ['node:*', 'ws', 'js-csp', 'msgpackr', 'tslog', 'yargs', '@savorywind/entry'];
 
--- a/packages/decisions/src/gateway/credential-lease.ts
+++ b/packages/decisions/src/gateway/credential-lease.ts
@@ -8,7 +8,11 @@
 export class CredentialLease {
   private confirmedAtMs: MonotonicMs | undefined;
 
-  constructor(private readonly durationMs: number) {}
+  constructor(private durationMs: number) {}
+
+  changeDuration(durationMs: number): void {
+    this.durationMs = durationMs;
+  }
 
   renew(askedAtMs: MonotonicMs): void {
     if (this.confirmedAtMs === undefined || askedAtMs > this.confirmedAtMs) {
--- a/packages/decisions/src/gateway/fleet-retry-budget.ts
+++ b/packages/decisions/src/gateway/fleet-retry-budget.ts
@@ -29,7 +29,11 @@
 
   private vms: number | undefined;
 
-  constructor(private readonly options: FleetRetryBudgetOptions) {}
+  constructor(private options: FleetRetryBudgetOptions) {}
+
+  changeOptions(options: FleetRetryBudgetOptions): void {
+    this.options = options;
+  }
 
   /** Takes how many entry VMs there are; the largest number counts. */
   setVmCount(count: number): void {
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -14,7 +14,7 @@
 import { EndpointHealth } from './endpoint-health.js';
 import { EndpointTable } from './endpoint-table.js';
 import { FleetPicture } from './fleet-picture.js';
-import { FleetRetryBudget } from './fleet-retry-budget.js';
+import { FleetRetryBudget, type FleetRetryBudgetOptions } from './fleet-retry-budget.js';
 import { GatewayContext } from './gateway-context.js';
 import { GatewayRequests, type ResolvedRoute } from './gateway-requests.js';
 import { MemoryReservations } from './memory-reservations.js';
@@ -45,6 +45,15 @@
 /** Callers that are turned away because nothing is known yet come back after this time. */
 const NOT_READY_RETRY_MS = 500;
 
+const estimateLeaseMs = ({ credentialFreshnessMs }: GatewayContract): number =>
+  credentialFreshnessMs - LEASE_MARGIN_MS;
+
+const createBudgetOptions = (contract: GatewayContract): FleetRetryBudgetOptions => ({
+  ratio: contract.retryRatio,
+  allowance: contract.retryAllowance,
+  windowMs: contract.retryWindowMs,
+});
+
 /**
  * All decisions of one entry VM that serves routes: an event in, effects out. Holds no socket and
  * reads no clock.
@@ -88,14 +97,10 @@
   constructor(options: GatewayNodeOptions) {
     const { self, incarnation, contract } = options;
     this.context = new GatewayContext(`${self.id}.${incarnation}`, options.seed);
-    this.lease = new CredentialLease(contract.credentialFreshnessMs - LEASE_MARGIN_MS);
+    this.lease = new CredentialLease(estimateLeaseMs(contract));
     this.table = new EndpointTable(contract.reregistrationMs, (id) => this.forgetEndpoint(id));
     this.picture = new FleetPicture(self, incarnation);
-    this.budget = new FleetRetryBudget({
-      ratio: contract.retryRatio,
-      allowance: contract.retryAllowance,
-      windowMs: contract.retryWindowMs,
-    });
+    this.budget = new FleetRetryBudget(createBudgetOptions(contract));
     this.reservations = new MemoryReservations(this.context, contract);
     this.requests = this.createRequests(self, contract.patience);
     this.handlers = this.createHandlers();
@@ -137,6 +142,11 @@
     return {
       woken: () => {},
       drainRequested: () => this.startStopping(),
+      'contract.changed': ({ contract }) => {
+        this.lease.changeDuration(estimateLeaseMs(contract));
+        this.budget.changeOptions(createBudgetOptions(contract));
+        this.context.log(logEvents.contractChanged);
+      },
       'configuration.confirmed': (event) => {
         if (event.configuration !== undefined) this.adopt(event.configuration);
         if (this.index !== undefined) this.lease.renew(event.askedAtMs);
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -3,6 +3,7 @@
   CallerLimits,
   EndpointId,
   GatewayConfiguration,
+  GatewayContract,
   GatewayEndpoint,
   GatewayPeer,
   LogEvent,
@@ -61,6 +62,8 @@
 export type GatewayEvent =
   | { readonly kind: 'woken' }
   | { readonly kind: 'drainRequested' }
+  /** The deployment's limits were read again. */
+  | { readonly kind: 'contract.changed'; readonly contract: GatewayContract }
   /**
    * The store answered what the configuration is. `askedAtMs`: when the question left;
    * `configuration`: undefined where it has not changed since the last answer.
--- a/packages/decisions/test/gateway/registrations.test.ts
+++ b/packages/decisions/test/gateway/registrations.test.ts
@@ -1,5 +1,10 @@
 import { describe, expect, it } from 'vitest';
-import { createConfiguration, createEndpoint, startDriver } from '../fixtures/gateway-driver.js';
+import {
+  createConfiguration,
+  createContract,
+  createEndpoint,
+  startDriver,
+} from '../fixtures/gateway-driver.js';
 
 describe('registrations of endpoints', () => {
   it('give no new work to an endpoint from the moment at which it is leaving', () => {
@@ -56,6 +61,15 @@
     expect(driver.findAttempt(driver.request('/private/', { credential }))?.team).toBe('counter');
   });
 
+  it('is trusted for another time where the deployment’s limits change', () => {
+    const driver = startDriver('e1');
+    const contract = { ...createContract(), credentialFreshnessMs: 2_000 };
+    driver.dispatch({ kind: 'contract.changed', contract });
+    driver.advance(1_800);
+    const refusal = driver.findRefusal(driver.request('/private/', { credential: 'secret' }));
+    expect(refusal?.reason).toBe('credentialsStale');
+  });
+
   it('refuses unknown credentials and routes for good', () => {
     const driver = startDriver('e1');
     const refusal = driver.findRefusal(driver.request('/private/', { credential: 'wrong' }));
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -105,6 +105,16 @@
     this.end();
   }
 
+  /** Takes the deployment's limits anew; addresses stay until the next start. */
+  reload({ contract }: GatewaySettings): void {
+    this.runner.dispatch({ kind: 'contract.changed', contract });
+  }
+
+  /** Says that settings were read again and are not valid; those in force stay. */
+  rejectSettings(detail: string): void {
+    this.log.write(logEvents.gatewaySettingsInvalid, { detail });
+  }
+
   private createWatches(): TableWatch[] {
     const { rows, tables } = this.adapter;
     const waitMs = Math.floor(this.settings.contract.credentialFreshnessMs / WAITS_PER_FRESHNESS);
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -13,6 +13,7 @@
   endpointExcluded: [809, 'info', 'an endpoint gets no new work for a while'],
   endpointForgotten: [810, 'info', 'an endpoint is registered no more'],
   gatewaySettingsInvalid: [811, 'error', 'settings are not valid'],
+  contractChanged: [812, 'info', 'the limits of the deployment were read again'],
   requestPlaced: [820, 'debug', 'a request was given to an endpoint'],
   requestRepeated: [821, 'info', 'a request is given to another endpoint'],
   requestTurnedAway: [822, 'info', 'a request got an answer of the gateway itself'],
