--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -180,8 +180,10 @@
   }
 
   private acceptSilence(record: GatewayRecord, attempt: GatewayAttempt): void {
-    if (record.attempt !== attempt || !mayRepeat(record)) return;
+    if (record.attempt !== attempt) return;
     const { context, health, budget } = this.options;
+    // The silent engine may have run it as well.
+    if (!mayRepeat({ ...record, runs: record.runs + 1 })) return;
     if (!budget.takeRepeat(record.service.name, context.nowMs)) return;
     health.reportFailure(attempt.endpoint.id, context.nowMs);
     this.attempts.cancel(record);
@@ -228,6 +230,7 @@
   private place(record: GatewayRecord): void {
     const { context, desk } = this.options;
     this.stopWaiting(record);
+    releaseReservations(record);
     const leastMs = Math.max(MIN_ATTEMPT_MS, estimateLeastMs(record, MAX_HELPERS + 1));
     const endMs = record.headPassed ? record.deadlineMs : record.patienceEndMs;
     if (context.nowMs + leastMs >= endMs) {
@@ -255,12 +258,23 @@
       if (reserved === undefined) {
         record.reservations = undefined;
         this.wait(record);
-      } else {
+      } else if (this.areServing(plan)) {
         this.attempts.start(record, plan);
+      } else {
+        releaseReservations(record);
+        this.wait(record);
       }
     });
   }
 
+  /** Engines may have left while memory was being reserved. */
+  private areServing({ endpoint, helpers }: AttemptPlan): boolean {
+    const { table } = this.options;
+    return [endpoint, ...helpers.map((helper) => helper.endpoint)].every(({ id }) =>
+      table.isServing(id),
+    );
+  }
+
   private wait(record: GatewayRecord): void {
     this.waiting.add(record);
     this.waitingTimer ??= this.options.context.schedule(PLACE_AGAIN_MS, () => {
