Weigh the streams that a long prompt would spoil by their tokens, and disturb a few at once

Cause: a prompt that needs most engines never found all of them free, so it waited until it was late. Now a quarter of its weight may be spoilt at once, all of it at the last moment.

--- a/packages/decisions/src/gateway/engine-placement.ts
+++ b/packages/decisions/src/gateway/engine-placement.ts
@@ -35,7 +35,7 @@
   readonly partMs: number;
   /** Memory at the first engine. */
   readonly memoryTokens: number;
-  /** Streams whose pauses become too long. */
+  /** Weight of the streams whose pauses become too long. */
   readonly harmed: number;
   readonly isLate: boolean;
   /** Estimate of the time to the first event. */
@@ -73,6 +73,9 @@
 /** Growth of the number of readers from one try to the next. */
 const READERS_STEP = 0.35;
 
+/** Tokens of a prompt that weigh as much as one short stream. */
+export const TOKENS_PER_WEIGHT = 10_000;
+
 /** Reading that is queued on an engine that may take a long prompt: the rest of a pass or two. */
 const CALM_READ_MS = 120;
 
@@ -81,6 +84,10 @@
 const isPacked = ({ endpoint, load }: EngineCandidate): boolean =>
   countRequests(load) >= Math.floor(PACKED_SHARE * endpoint.slots);
 
+/** What the streams on an engine weigh: each at least one, long ones by their tokens. */
+const countWeight = ({ tightWriters, memoryTokens }: EngineLoad): number =>
+  Math.max(tightWriters, memoryTokens / TOKENS_PER_WEIGHT);
+
 const hasSlot = ({ endpoint, load }: EngineCandidate, traits: EngineTraits): boolean =>
   countRequests(load) < Math.min(traits.slots, endpoint.slots);
 
@@ -103,7 +110,7 @@
   const firstEventMs = PASSES_TO_FIRST_EVENT * passMs + load.readMs + partMs;
   return {
     ...candidate,
-    harmed: spoils ? load.tightWriters : 0,
+    harmed: spoils ? countWeight(load) : 0,
     firstEventMs,
     isLate: firstEventMs > AIM_HEADROOM[ask.isLong ? 'long' : 'short'] * ask.aimLeftMs,
   };
--- a/packages/decisions/src/gateway/placement-desk.ts
+++ b/packages/decisions/src/gateway/placement-desk.ts
@@ -6,6 +6,7 @@
 import {
   AIM_HEADROOM,
   PASSES_TO_FIRST_EVENT,
+  TOKENS_PER_WEIGHT,
   placeGeneration,
   type EngineCandidate,
   type PlacedHelper,
@@ -45,9 +46,6 @@
 /** A request that may still find a better place waits for it until so much of its time is left. */
 const LAST_MOMENT_MS = 100;
 
-/** Tokens of a prompt that weigh as much as one stream whose pauses it spoils. */
-const TOKENS_PER_SPOILT_STREAM = 10_000;
-
 /** Part of its aim up to which more engines read a long prompt. */
 const SPREAD_HEADROOM = 0.45;
 
@@ -60,6 +58,9 @@
 /** Share of engines without work from which on there is little else that they could be needed for. */
 const MOSTLY_IDLE_SHARE = 0.7;
 
+/** Share of its weight up to which a prompt disturbs others at once, rather than wait. */
+const CHEAP_HARM = 0.25;
+
 /** What a prompt weighs once it is late, as a share of what it weighs in time. */
 const LATE_WEIGHT = 0.25;
 
@@ -166,9 +167,10 @@
     if (nowMs + firstEventMs >= record.patienceEndMs || endMs >= record.deadlineMs) return false;
     const headroom = AIM_HEADROOM[record.isLong ? 'long' : 'short'];
     const slackMs = headroom * aimLeftMs - estimateLeastMs(record, engines);
-    if (slackMs > LAST_MOMENT_MS) return false;
-    const weight = record.memoryTokens / TOKENS_PER_SPOILT_STREAM;
-    if (!isLate) return harmed <= weight;
+    const weight = record.memoryTokens / TOKENS_PER_WEIGHT;
+    const mayWait = slackMs > LAST_MOMENT_MS;
+    if (!isLate) return harmed <= (mayWait ? CHEAP_HARM * weight : weight);
+    if (mayWait) return false;
     if (harmed === 0 && (record.isLong ? hasSpare(placement) : !placement.isPacked)) return true;
     const isLastMoment =
       nowMs + firstEventMs + LAST_MOMENT_MS >= record.patienceEndMs ||
