Take an engine for calm only when no long prompt waits for its first event there

Cause: a part that took longer than its estimate was counted with 0.15 of it, little enough for the next long prompt, whose part is then read ahead of it (0.9 s estimated, 3.4 s taken).

--- a/packages/decisions/src/gateway/engine-placement.ts
+++ b/packages/decisions/src/gateway/engine-placement.ts
@@ -79,7 +79,9 @@
 /** Reading that is queued on an engine that may take a long prompt: the rest of a pass or two. */
 const CALM_READ_MS = 120;
 
-const isCalm = ({ load }: EngineCandidate): boolean => load.readMs <= CALM_READ_MS;
+/** A long prompt is being read until its first event is there, whatever the estimate says. */
+const isCalm = ({ load }: EngineCandidate): boolean =>
+  load.longReaders === 0 && load.readMs <= CALM_READ_MS;
 
 const isPacked = ({ endpoint, load }: EngineCandidate): boolean =>
   countRequests(load) >= Math.floor(PACKED_SHARE * endpoint.slots);
--- a/packages/decisions/src/gateway/fleet-picture.ts
+++ b/packages/decisions/src/gateway/fleet-picture.ts
@@ -28,6 +28,7 @@
   tightWriters: number;
   tightGapMs: number;
   readers: number;
+  longReaders: number;
   readMs: number;
   memoryTokens: number;
 }
@@ -52,6 +53,7 @@
   tightWriters: 0,
   tightGapMs: 0,
   readers: 0,
+  longReaders: 0,
   readMs: 0,
   memoryTokens: 0,
 });
@@ -66,6 +68,7 @@
   load.tightWriters += work.tightWriters;
   load.tightGapMs = pickTighterGap(load.tightGapMs, work.tightGapMs);
   load.readers += work.readers;
+  load.longReaders += work.longReaders;
   load.readMs += readMs;
   load.memoryTokens += work.memoryTokens;
 };
@@ -86,6 +89,7 @@
     tightWriters: tight ? 1 : 0,
     tightGapMs: tight ? (work.gapMs ?? 0) : 0,
     readers: work.state === 'reading' ? 1 : 0,
+    longReaders: work.state === 'reading' && work.isLong ? 1 : 0,
     readMs: estimateRemainingReadMs(work, nowMs),
     memoryTokens: work.memoryTokens,
   };
--- a/packages/decisions/src/gateway/placement-desk.ts
+++ b/packages/decisions/src/gateway/placement-desk.ts
@@ -39,6 +39,7 @@
   tightWriters: 0,
   tightGapMs: 0,
   readers: 0,
+  longReaders: 0,
   readMs: 0,
   memoryTokens: 0,
 };
--- a/packages/decisions/test/gateway/placement.test.ts
+++ b/packages/decisions/test/gateway/placement.test.ts
@@ -58,6 +58,18 @@
     expect(attempt.helpers).toHaveLength(3);
   });
 
+  it('wait until the one before has its first event, also where that takes longer', () => {
+    const driver = startDriver('e1');
+    const first = driver.request('/review/', { promptTokens: 50_000, waitsMs: 15_000 });
+    const second = driver.request('/review/', { promptTokens: 50_000, waitsMs: 15_000 });
+    // The estimate is 0.53 s.
+    driver.advance(700);
+    expect(driver.findAttempt(second)).toBeUndefined();
+    driver.passEvent(first, '1');
+    driver.advance(50);
+    expect(driver.findAttempt(second)).toBeDefined();
+  });
+
   it('wait in the entry VM rather than behind the reading of others', () => {
     const driver = startDriver('e1', 'e2');
     const busy = ['e1', 'e2'].map((id) => createWork(id, { readers: 1, readMs: 2_000 }));
--- a/packages/entry/src/gateway/peer-socket.ts
+++ b/packages/entry/src/gateway/peer-socket.ts
@@ -22,6 +22,7 @@
         tightWriters: amount,
         tightGapMs: amount,
         readers: amount,
+        longReaders: amount,
         readMs: amount,
         memoryTokens: amount,
       }),
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -168,6 +168,8 @@
   readonly tightGapMs: number;
   /** Requests whose prompt is still being read. */
   readonly readers: number;
+  /** Those of them whose prompts are long, also where only a part is read here. */
+  readonly longReaders: number;
   /** Time that reading their rest takes on an engine that does nothing else. */
   readonly readMs: number;
   /** Tokens of memory held. */
