Read late long prompts only where half of the engines stay idle

Late prompts of up to 18 s of reading took four engines in a phase in which those in time needed them.

--- a/packages/decisions/src/gateway/placement-desk.ts
+++ b/packages/decisions/src/gateway/placement-desk.ts
@@ -54,10 +54,10 @@
 const LATE_SPREAD_HEADROOM = 0.5;
 
 /** Share of engines that must stay idle where a long prompt that is late is read: others may come. */
-const SPARE_SHARE = 0.25;
+const SPARE_SHARE = 0.5;
 
 /** Share of engines without work from which on there is little else that they could be needed for. */
-const MOSTLY_IDLE_SHARE = 0.7;
+const MOSTLY_IDLE_SHARE = 0.85;
 
 /** Share of its weight up to which a prompt disturbs others at once, rather than wait. */
 const CHEAP_HARM = 0.25;
