--- a/packages/decisions/src/gateway/consts.ts
+++ b/packages/decisions/src/gateway/consts.ts
@@ -2,7 +2,7 @@
 export const LEASE_MARGIN_MS = 300;
 
 /** Peers hear of changed work this long after it changed, so that changes travel together. */
-export const SNAPSHOT_DELAY_MS = 5;
+export const SNAPSHOT_DELAY_MS = 1;
 
 /** A snapshot is repeated after this time, as datagrams get lost. */
 export const SNAPSHOT_REPEAT_MS = 250;
--- a/packages/decisions/src/gateway/engine-placement.ts
+++ b/packages/decisions/src/gateway/engine-placement.ts
@@ -16,6 +16,8 @@
   readonly isLong: boolean;
   /** Whether a long prompt may queue behind the reading of others; else it waits for calm engines. */
   readonly mayQueue: boolean;
+  /** From 0 to 1, drawn for each try: entry VMs that choose at the same moment choose differently. */
+  readonly lot: number;
 }
 
 /** An engine that reads a part of the prompt, and keeps some of its memory if it must. */
@@ -76,6 +78,12 @@
 /** Tokens of a prompt that weigh as much as one short stream. */
 export const TOKENS_PER_WEIGHT = 10_000;
 
+/** Engines among which a short prompt's is drawn: as good as one, and half as many collisions. */
+const MAX_ALIKE = 2;
+
+/** Difference in requests up to which two engines are filled alike. */
+const ALIKE_REQUESTS = 3;
+
 /** Reading that is queued on an engine that may take a long prompt: the rest of a pass or two. */
 const CALM_READ_MS = 120;
 
@@ -83,6 +91,8 @@
 const isCalm = ({ load }: EngineCandidate): boolean =>
   load.longReaders === 0 && load.readMs <= CALM_READ_MS;
 
+const isIdle = ({ load }: EngineCandidate): boolean => countRequests(load) === 0;
+
 const isPacked = ({ endpoint, load }: EngineCandidate): boolean =>
   countRequests(load) >= Math.floor(PACKED_SHARE * endpoint.slots);
 
@@ -161,8 +171,6 @@
   };
 };
 
-const isIdle = ({ load }: EngineCandidate): boolean => countRequests(load) === 0;
-
 const listIdle = (candidates: readonly EngineCandidate[]): string[] =>
   candidates.filter(isIdle).map(({ endpoint }) => endpoint.id);
 
@@ -172,6 +180,21 @@
   return idle.filter((id) => !used.has(id)).length / total;
 };
 
+/** How many of the first engines are about as good as the best one. */
+const countAlike = (estimates: readonly Estimate[]): number => {
+  const [best] = estimates;
+  if (best === undefined || best.isLate || best.harmed > 0 || isPacked(best)) return 1;
+  const end = estimates.findIndex(
+    (other) =>
+      other.isLate ||
+      other.harmed > 0 ||
+      isPacked(other) ||
+      (isIdle(other) && !isIdle(best)) ||
+      countRequests(best.load) - countRequests(other.load) > ALIKE_REQUESTS,
+  );
+  return Math.min(MAX_ALIKE, end < 0 ? estimates.length : end);
+};
+
 const placeShort = (
   ask: PlacementAsk,
   candidates: readonly EngineCandidate[],
@@ -180,7 +203,9 @@
   const estimates = candidates
     .filter((candidate) => hasRoom(candidate, ask.memoryTokens, traits))
     .map((candidate) => estimateOn(candidate, ask.readMs, ask, traits));
-  const [best] = estimates.sort(compareForShort);
+  estimates.sort(compareForShort);
+  const alike = countAlike(estimates);
+  const best = estimates[Math.floor(ask.lot * alike)];
   return best === undefined ? undefined : buildPlacement(best, [], ask.readMs, ask.memoryTokens);
 };
 
--- a/packages/decisions/src/gateway/placement-desk.ts
+++ b/packages/decisions/src/gateway/placement-desk.ts
@@ -130,7 +130,8 @@
     const { readMs, memoryTokens, isLong } = record;
     const mayQueue = nowMs + LAST_MOMENT_MS + readMs >= record.patienceEndMs;
     const spreadMs = this.estimateSpreadMs(record, aimLeftMs, candidates.length);
-    const ask = { readMs, memoryTokens, aimLeftMs, spreadMs, isLong, mayQueue };
+    const lot = this.context.drawRandom();
+    const ask = { readMs, memoryTokens, aimLeftMs, spreadMs, isLong, mayQueue, lot };
     const placement = placeGeneration(ask, candidates, record.service.engine!);
     if (
       placement === undefined ||
