Part the life of requests into small modules; leave hanging calls in time; resume broken streams at once

Cause: a call with a time of 1 s was taken to hang after 1 s; it is now after two aims. A broken stream counted as late and waited for a place that nobody in time could need, while its caller has the patience of one event. Both have a test that fails without the change.

--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -10,6 +10,9 @@
 /** Shortest silence after which an endpoint is taken to hang, in milliseconds. */
 const MIN_SILENCE_MS = 1_000;
 
+/** Silence of a call without events, in aims, after which the endpoint is taken to hang. */
+const SILENCE_PER_CALL_AIM = 2;
+
 /** Silence before the first event, in aims, after which the endpoint is taken to hang. */
 const SILENCE_PER_AIM = 4;
 
@@ -149,6 +152,7 @@
 
   // eslint-disable-next-line class-methods-use-this
   private estimateSilenceMs({ route }: GatewayRecord, partMs: number): number {
+    if (route.kind !== 'streaming') return SILENCE_PER_CALL_AIM * route.targetLatencyMs;
     return Math.max(MIN_SILENCE_MS, SILENCE_PER_AIM * route.targetLatencyMs, 2 * partMs);
   }
 
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -16,7 +16,8 @@
 import { FleetPicture } from './fleet-picture.js';
 import { FleetRetryBudget, type FleetRetryBudgetOptions } from './fleet-retry-budget.js';
 import { GatewayContext } from './gateway-context.js';
-import { GatewayRequests, type ResolvedRoute } from './gateway-requests.js';
+import type { ResolvedRoute } from './create-record.js';
+import { GatewayRequests } from './gateway-requests.js';
 import { MemoryReservations } from './memory-reservations.js';
 import { PlacementDesk } from './placement-desk.js';
 import { RouteIndex } from './route-index.js';
@@ -90,6 +91,8 @@
 
   private snapshotTimer: Timer | undefined;
 
+  private repeatTimer: Timer | undefined;
+
   private expiryTimer: Timer | undefined;
 
   private storeAway = false;
@@ -260,8 +263,6 @@
     this.repeatTimer?.cancel();
   }
 
-  private repeatTimer: Timer | undefined;
-
   private sendSnapshot(): void {
     const { context, picture } = this;
     this.snapshotTimer = undefined;
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -1,35 +1,25 @@
-import {
-  logEvents,
-  type CallerPatience,
-  type GatewayTeam,
-  type Route,
-  type RoutedService,
-} from '@savorywind/model';
+import { logEvents, type CallerPatience } from '@savorywind/model';
+import type { Timer } from '../timers/timer-queue.js';
 import { MAX_HELPERS, MIN_ATTEMPT_MS, PLACE_AGAIN_MS } from './consts.js';
+import { createGatewayRecord, type ResolvedRoute } from './create-record.js';
+import { createRefusal } from './create-refusal.js';
 import type { EndpointHealth } from './endpoint-health.js';
 import type { EndpointTable } from './endpoint-table.js';
-import { estimateReadMs } from './engine-costs.js';
+import { logIfLate, recordEvent } from './event-times.js';
 import type { FleetPicture } from './fleet-picture.js';
 import type { FleetRetryBudget } from './fleet-retry-budget.js';
-import type { Timer } from '../timers/timer-queue.js';
 import { GatewayAttempts, type AttemptPlan } from './gateway-attempts.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { MemoryReservations } from './memory-reservations.js';
 import { estimateLeastMs, type PlacementDesk } from './placement-desk.js';
-import {
-  mayRunAgain,
-  type EventTimes,
-  type GatewayAttempt,
-  type GatewayRecord,
-} from './request-record.js';
-import { WaitingLine } from './waiting-line.js';
+import { mayRunAgain, type GatewayAttempt, type GatewayRecord } from './request-record.js';
 import type {
   GatewayAnswerHead,
   GatewayAttemptFailure,
-  GatewayRefusal,
   GatewayRefusalReason,
   GatewayRequest,
 } from './types.js';
+import { WaitingLine } from './waiting-line.js';
 
 export interface GatewayRequestsOptions {
   readonly context: GatewayContext;
@@ -44,30 +34,9 @@
   readonly onIdle: () => void;
 }
 
-/** What a request was resolved to in the configuration in force. */
-export interface ResolvedRoute {
-  readonly route: Route;
-  readonly service: RoutedService;
-  readonly team: GatewayTeam | undefined;
-  /** Shortest permitted pause of streams of the service, in milliseconds. */
-  readonly tightestGapMs: number | undefined;
-}
-
-/** Part of the tightest pause that reading a short prompt may take. */
-const SHORT_SHARE_OF_GAP = 0.6;
-
-/** Longest time that a caller waits where it does not say how long, in milliseconds. */
-const DEFAULT_WAIT_MS = 30_000;
-
 /** Attempts that endpoints rejected or that never left, beyond those that may have run. */
 const MAX_EXTRA_ATTEMPTS = 3;
 
-/** When a caller whose request was rejected comes back, in milliseconds; spread by chance. */
-const COME_BACK_MS = 250;
-
-/** When a caller whose request found no room comes back: streams end within such a time. */
-const ROOM_AGAIN_MS = 1_000;
-
 /** Statuses that promise that the request has not run. */
 const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -81,12 +50,6 @@
   record.reservations = undefined;
 };
 
-const recordEvent = (times: EventTimes, nowMs: number): void => {
-  times.firstAtMs ??= nowMs;
-  times.longestGapMs = Math.max(times.longestGapMs, nowMs - (times.lastAtMs ?? nowMs));
-  times.lastAtMs = nowMs;
-};
-
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 /** The life of requests from arrival to their final answer. */
@@ -111,9 +74,12 @@
   }
 
   admit(request: GatewayRequest, resolved: ResolvedRoute): void {
-    const record = this.createRecord(request, resolved);
+    const { context, patience } = this.options;
+    const record = createGatewayRecord(request, resolved, context.nowMs, patience);
+    const waitMs = record.deadlineMs - context.nowMs;
+    record.deadlineTimer = context.schedule(waitMs, () => this.expire(request.requestId));
     this.records.set(request.requestId, record);
-    this.options.budget.recordRequest(record.service.name, this.options.context.nowMs);
+    this.options.budget.recordRequest(record.service.name, context.nowMs);
     this.place(record);
   }
 
@@ -155,7 +121,7 @@
   acceptEnd(attemptId: string): void {
     const record = this.attempts.find(attemptId);
     if (record === undefined) return;
-    this.logIfLate(record, record.attempt?.endpoint.id);
+    logIfLate(this.options.context, record);
     this.attempts.detach(record);
     this.options.context.emit({ kind: 'caller.finish', requestId: record.request.requestId });
     this.close(record);
@@ -186,6 +152,8 @@
     if (!mayRepeat({ ...record, runs: record.runs + 1 })) return;
     if (!budget.takeRepeat(record.service.name, context.nowMs)) return;
     health.reportFailure(attempt.endpoint.id, context.nowMs);
+    // Connections to it may have fallen silent for good.
+    context.emit({ kind: 'endpoint.forgotten', endpoint: attempt.endpoint.id });
     this.attempts.cancel(record);
     releaseReservations(record);
     record.avoided.add(attempt.endpoint.id);
@@ -194,39 +162,6 @@
     this.place(record);
   }
 
-  private createRecord(request: GatewayRequest, resolved: ResolvedRoute): GatewayRecord {
-    const { context } = this.options;
-    const { route, service, team } = resolved;
-    const waitMs = Math.min(request.waitsMs ?? DEFAULT_WAIT_MS, route.timeoutMs);
-    const traits = service.engine;
-    const readMs = traits === undefined ? 0 : estimateReadMs(traits, request.promptTokens);
-    const gapMs = resolved.tightestGapMs ?? Number.POSITIVE_INFINITY;
-    return {
-      request,
-      route,
-      service,
-      team,
-      priority: team?.priority ?? route.priority,
-      arrivedAtMs: context.nowMs,
-      deadlineMs: context.nowMs + waitMs,
-      patienceEndMs: context.nowMs + Math.min(waitMs, this.estimatePatienceMs(route)),
-      readMs,
-      memoryTokens: request.promptTokens + request.maxOutputTokens,
-      isLong: readMs > SHORT_SHARE_OF_GAP * gapMs,
-      deadlineTimer: context.schedule(waitMs, () => this.expire(request.requestId)),
-      reservations: undefined,
-      attempt: undefined,
-      sends: 0,
-      runs: 0,
-      unsent: 0,
-      avoided: new Set(),
-      headPassed: false,
-      lastEventId: request.lastEventId,
-      times: { firstAtMs: undefined, lastAtMs: undefined, longestGapMs: 0 },
-      basis: {},
-    };
-  }
-
   private place(record: GatewayRecord): void {
     const { context, desk } = this.options;
     this.stopWaiting(record);
@@ -294,12 +229,6 @@
     this.waiting.remove(record);
   }
 
-  private estimatePatienceMs({ kind, targetLatencyMs, maxEventGapMs }: Route): number {
-    if (kind !== 'streaming') return Number.POSITIVE_INFINITY;
-    const { leastMs, perTarget, perGap } = this.options.patience;
-    return Math.max(leastMs, perTarget * targetLatencyMs, perGap * (maxEventGapMs ?? 0));
-  }
-
   private relay(record: GatewayRecord, attempt: GatewayAttempt): void {
     const { requestId } = record.request;
     record.headPassed = true;
@@ -349,22 +278,6 @@
     this.options.context.log(logEvents.requestRepeated, { request: callerAttempt, cause });
   }
 
-  private logIfLate(record: GatewayRecord, endpoint: string | undefined): void {
-    const { context } = this.options;
-    const { arrivedAtMs, route, times, basis, request, readMs } = record;
-    const tookMs = (times.firstAtMs ?? context.nowMs) - arrivedAtMs;
-    const hasLongGap = times.longestGapMs > (route.maxEventGapMs ?? Number.POSITIVE_INFINITY);
-    if (tookMs <= route.targetLatencyMs && !hasLongGap) return;
-    context.log(logEvents.answerLate, {
-      request: request.callerAttempt,
-      endpoint,
-      tookMs: Math.round(tookMs),
-      longestGapMs: Math.round(times.longestGapMs),
-      promptReadMs: Math.round(readMs),
-      ...basis,
-    });
-  }
-
   private expire(requestId: string): void {
     const record = this.records.get(requestId);
     if (record === undefined) return;
@@ -381,26 +294,16 @@
       context.log(logEvents.requestBrokenOff, { request: callerAttempt, reason });
       context.emit({ kind: 'caller.breakOff', requestId });
     } else {
-      const refusal = this.createRefusal(record, reason);
+      const refusal = createRefusal(record, reason, context.drawRandom());
       context.log(logEvents.requestTurnedAway, { request: callerAttempt, reason });
       context.emit({ kind: 'caller.refuse', requestId, refusal });
     }
     this.close(record);
   }
 
-  private createRefusal(record: GatewayRecord, reason: GatewayRefusalReason): GatewayRefusal {
-    const hasRun = record.runs > 0;
-    if (hasRun)
-      return { reason: reason === 'timeout' ? 'timeout' : 'broken', retryAfterMs: undefined };
-    const spread = 1 + this.options.context.drawRandom();
-    const isFull = reason === 'noRoom' || reason === 'timeout';
-    const retryAfterMs = (isFull ? ROOM_AGAIN_MS : COME_BACK_MS) * spread;
-    return { reason: reason === 'timeout' ? 'noRoom' : reason, retryAfterMs };
-  }
-
   private close(record: GatewayRecord): void {
     this.stopWaiting(record);
-    record.deadlineTimer.cancel();
+    record.deadlineTimer?.cancel();
     this.attempts.detach(record);
     releaseReservations(record);
     this.records.delete(record.request.requestId);
--- a/packages/decisions/src/gateway/placement-desk.ts
+++ b/packages/decisions/src/gateway/placement-desk.ts
@@ -163,6 +163,8 @@
   ): boolean {
     const { harmed, isLate, firstEventMs } = placement;
     if (harmed === 0 && !isLate) return true;
+    // A stream that broke: its caller has a part and waits no longer than for any event.
+    if (harmed === 0 && record.headPassed) return true;
     const { nowMs } = this.context;
     // The caller would leave before its first event, or before the last one.
     const endMs = nowMs + firstEventMs + estimateWriteMs(record);
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -46,7 +46,7 @@
   readonly readMs: number;
   readonly memoryTokens: number;
   readonly isLong: boolean;
-  readonly deadlineTimer: Timer;
+  deadlineTimer: Timer | undefined;
   /** Memory that is being reserved, or is held, on other engines. */
   reservations: ReservationSet | undefined;
   attempt: GatewayAttempt | undefined;
--- a/packages/decisions/test/gateway/attempts.test.ts
+++ b/packages/decisions/test/gateway/attempts.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { startDriver } from '../fixtures/gateway-driver.js';
+import { createEndpoint, createWork, startDriver } from '../fixtures/gateway-driver.js';
 
 describe('a call that must not run twice', () => {
   it('is not sent again after bytes have left, and the answer promises nothing', () => {
@@ -39,6 +39,22 @@
   });
 });
 
+describe('an idempotent call', () => {
+  it('leaves an endpoint that hangs while its caller still waits', () => {
+    const driver = startDriver('e1');
+    const second = createEndpoint('booking-2', { service: 'booking', slots: 6 });
+    driver.dispatch({
+      kind: 'endpoints.changed',
+      changes: [{ id: 'booking-2', endpoint: second }],
+    });
+    const id = driver.request('/balance/', { waitsMs: 1_000, promptTokens: 0 });
+    const first = driver.findAttempt(id)!;
+    driver.advance(400);
+    expect(driver.list('attempt.cancel')).toHaveLength(1);
+    expect(driver.findAttempt(id)?.endpoint.id).not.toBe(first.endpoint.id);
+  });
+});
+
 describe('a stream that may be resumed', () => {
   it('goes on at another engine after the last event that the caller has', () => {
     const driver = startDriver('e1', 'e2');
@@ -61,6 +77,18 @@
     expect(driver.list('caller.breakOff')).toHaveLength(1);
   });
 
+  it('goes on at once though it is late, where that disturbs nobody', () => {
+    const driver = startDriver('e1', 'e2');
+    const id = driver.request('/chat/');
+    driver.passEvent(id, '7');
+    const { endpoint } = driver.findAttempt(id)!;
+    const other = endpoint.id === 'e1' ? 'e2' : 'e1';
+    driver.advance(500);
+    driver.hearPeer(1, [createWork(other, { writers: 9, tightWriters: 9, tightGapMs: 250 })]);
+    driver.fail(id, 'broken');
+    expect(driver.findAttempt(id)?.endpoint.id).toBe(other);
+  });
+
   it('leaves an engine that falls silent', () => {
     const driver = startDriver('e1', 'e2');
     const id = driver.request('/chat/');
