--- a/packages/cli/src/run-command.ts
+++ b/packages/cli/src/run-command.ts
@@ -5,6 +5,7 @@
 import { checkDeclarations } from './commands/check.js';
 import { describePlan } from './commands/plan.js';
 import { changePreset } from './commands/change-preset.js';
+import { explainRequest } from './commands/explain.js';
 import { applyVersion } from './commands/apply-version.js';
 import { drainEntryVm, listHistory, listRequests, describeStatus } from './commands/describe.js';
 import type { CommandResult } from './commands/types.js';
@@ -175,6 +176,25 @@
         addRemote(command).example('$0 drain --entry http://10.0.0.7:9300', 'exactly one'),
       (options) => callEntryVms(options, drainEntryVm),
     )
+    .command(
+      'explain <request> [logs..]',
+      'tell the story of one request from the logs of entry VMs',
+      (command) =>
+        command
+          .positional('request', {
+            type: 'string',
+            demandOption: true,
+            describe: 'the id that the caller gave',
+          })
+          .positional('logs', {
+            type: 'string',
+            array: true,
+            default: ['-'],
+            describe: 'log files; - for standard input',
+          })
+          .example('$0 explain 9c41d07be2a35f68 entry-1.log entry-2.log', 'in order of time'),
+      (options) => report(options, explainRequest(options.request, options.logs)),
+    )
     .demandCommand(1)
     .strict()
     .fail((message, fault, parser) => {
