--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -295,7 +295,14 @@
       context.emit({ kind: 'caller.breakOff', requestId });
     } else {
       const refusal = createRefusal(record, reason, context.drawRandom());
-      context.log(logEvents.requestTurnedAway, { request: callerAttempt, reason });
+      context.log(logEvents.requestTurnedAway, {
+        request: callerAttempt,
+        reason,
+        waitedMs: Math.round(context.nowMs - record.arrivedAtMs),
+        promptReadMs: Math.round(record.readMs),
+        sends: record.sends,
+        runs: record.runs,
+      });
       context.emit({ kind: 'caller.refuse', requestId, refusal });
     }
     this.close(record);
--- a/packages/entry/src/gateway/callers/front-server.ts
+++ b/packages/entry/src/gateway/callers/front-server.ts
@@ -144,16 +144,17 @@
     incoming.resume();
   }
 
-  /** Answers bytes that are no request, unless an earlier request still waits for its answer. */
+  /**
+   * Answers bytes that are no request, or break the one that is being read; not where an earlier
+   * request still waits for its answer, which would be taken for this one.
+   */
   // eslint-disable-next-line class-methods-use-this
   private acceptBadInput(socket: Socket): void {
     const { _httpMessage: unanswered } = socket as Socket & {
       _httpMessage?: ServerResponse | null;
     };
-    if (socket.writable && (unanswered === undefined || unanswered === null)) {
-      socket.end(BAD_REQUEST);
-    } else {
-      socket.destroy();
-    }
+    const isEarlier = unanswered?.req.complete === true || unanswered?.headersSent === true;
+    if (socket.writable && !isEarlier) socket.end(BAD_REQUEST);
+    else socket.destroy();
   }
 }
--- a/packages/entry/src/gateway/peer-socket.ts
+++ b/packages/entry/src/gateway/peer-socket.ts
@@ -1,34 +1,43 @@
 import { createSocket } from 'node:dgram';
 import { Packr } from 'msgpackr';
-import type { NetworkAddress, WorkSnapshot } from '@savorywind/model';
-import { z } from 'zod';
+import type { EngineWork, GatewayPeer, NetworkAddress, WorkSnapshot } from '@savorywind/model';
 
-const text = z.string().max(256);
-const amount = z.number().nonnegative();
+/** Engines that one snapshot may name; a larger fleet needs another message. */
+const MAX_ENGINES = 4_096;
 
-const snapshotSchema = z.object({
-  from: z.object({
-    id: text,
-    failureDomain: text,
-    address: z.object({ host: text, port: z.int().min(1).max(65_535) }),
-  }),
-  incarnation: amount,
-  sequence: amount,
-  work: z
-    .array(
-      z.object({
-        endpoint: text,
-        writers: amount,
-        tightWriters: amount,
-        tightGapMs: amount,
-        readers: amount,
-        longReaders: amount,
-        readMs: amount,
-        memoryTokens: amount,
-      }),
-    )
-    .max(4_096),
-});
+const isText = (value: unknown): value is string => typeof value === 'string' && value.length < 256;
+
+const isAmount = (value: unknown): value is number =>
+  typeof value === 'number' && Number.isFinite(value) && value >= 0;
+
+const isPeer = (value: Partial<GatewayPeer> | undefined): boolean =>
+  isText(value?.id) &&
+  isText(value.failureDomain) &&
+  isText(value.address?.host) &&
+  isAmount(value.address.port);
+
+const isWork = (value: Partial<EngineWork> | undefined): boolean =>
+  isText(value?.endpoint) &&
+  isAmount(value.writers) &&
+  isAmount(value.tightWriters) &&
+  isAmount(value.tightGapMs) &&
+  isAmount(value.readers) &&
+  isAmount(value.longReaders) &&
+  isAmount(value.readMs) &&
+  isAmount(value.memoryTokens);
+
+/** Hundreds of snapshots come in a second, so that a schema library would cost more than placing. */
+const isSnapshot = (value: unknown): value is WorkSnapshot => {
+  const snapshot = value as Partial<WorkSnapshot> | undefined;
+  return (
+    isPeer(snapshot?.from) &&
+    isAmount(snapshot?.incarnation) &&
+    isAmount(snapshot?.sequence) &&
+    Array.isArray(snapshot?.work) &&
+    snapshot.work.length <= MAX_ENGINES &&
+    snapshot.work.every(isWork)
+  );
+};
 
 export interface PeerSocketOptions {
   readonly address: NetworkAddress;
@@ -70,9 +79,9 @@
 
   private accept(bytes: Buffer): void {
     try {
-      const parsed = snapshotSchema.safeParse(this.packr.unpack(bytes));
-      if (parsed.success) this.options.onSnapshot(parsed.data);
-      else this.options.onUnreadable(parsed.error.message);
+      const value: unknown = this.packr.unpack(bytes);
+      if (isSnapshot(value)) this.options.onSnapshot(value);
+      else this.options.onUnreadable('not a snapshot');
     } catch (fault) {
       this.options.onUnreadable((fault as Error).message);
     }
--- /dev/null
+++ b/packages/entry/test/gateway/peer-socket.test.ts
@@ -0,0 +1,81 @@
+import { createSocket } from 'node:dgram';
+import { Packr } from 'msgpackr';
+import type { WorkSnapshot } from '@savorywind/model';
+import { afterEach, describe, expect, it } from 'vitest';
+import { PeerSocket } from '../../src/gateway/peer-socket.js';
+import { startRawServer } from '../fixtures/test-gateway.js';
+
+const HOST = '127.0.0.1';
+const packr = new Packr({ useRecords: false });
+
+const createSnapshot = (): WorkSnapshot => ({
+  from: { id: 'vm-2', failureDomain: 'b', address: { host: HOST, port: 7_000 } },
+  incarnation: 1,
+  sequence: 1,
+  work: [
+    {
+      endpoint: 'e1',
+      writers: 1,
+      tightWriters: 1,
+      tightGapMs: 250,
+      readers: 0,
+      longReaders: 0,
+      readMs: 0,
+      memoryTokens: 5_000,
+    },
+  ],
+});
+
+let stop = (): void => {};
+
+afterEach(() => stop());
+
+/** Sends datagrams to a socket, and tells what it made of each. */
+const receive = async (...datagrams: readonly Uint8Array[]): Promise<(WorkSnapshot | string)[]> => {
+  const { port, close } = await startRawServer(() => {});
+  close();
+  const received: (WorkSnapshot | string)[] = [];
+  let report = (): void => {};
+  const take = (value: WorkSnapshot | string): void => {
+    received.push(value);
+    if (received.length === datagrams.length) report();
+  };
+  const socket = new PeerSocket({
+    address: { host: HOST, port },
+    onSnapshot: take,
+    onUnreadable: take,
+  });
+  await socket.start();
+  const sender = createSocket('udp4');
+  stop = () => {
+    socket.stop();
+    sender.close();
+  };
+  const all = new Promise<void>((resolve) => {
+    report = resolve;
+  });
+  datagrams.forEach((bytes) => sender.send(bytes, port, HOST));
+  await all;
+  return received;
+};
+
+describe('datagrams of peers', () => {
+  it('are taken as snapshots', async () => {
+    expect(await receive(packr.pack(createSnapshot()))).toEqual([createSnapshot()]);
+  });
+
+  it.each([
+    ['bytes of something else', Buffer.from('hello')],
+    ['nothing', Buffer.alloc(0)],
+    ['a snapshot without a sender', packr.pack({ ...createSnapshot(), from: undefined })],
+    ['work that is no list', packr.pack({ ...createSnapshot(), work: { length: 1 } })],
+    [
+      'work that is negative',
+      packr.pack({ ...createSnapshot(), work: [{ endpoint: 'e', readMs: -1 }] }),
+    ],
+    ['null', packr.pack(null)],
+  ])('that can’t be read are passed over: %s', async (_name, bytes) => {
+    const [unreadable] = await receive(bytes);
+    expect(typeof unreadable).toBe('string');
+  });
+});
