--- a/packages/decisions/src/gateway/placement-desk.ts
+++ b/packages/decisions/src/gateway/placement-desk.ts
@@ -1,4 +1,4 @@
-import type { FailureDomainId, GatewayEndpoint, LogFields } from '@savorywind/model';
+import type { FailureDomainId, GatewayEndpoint, LogFields, MonotonicMs } from '@savorywind/model';
 import { MAX_HELPERS } from './consts.js';
 import type { EndpointHealth } from './endpoint-health.js';
 import type { EndpointTable } from './endpoint-table.js';
@@ -62,8 +62,8 @@
 /** Share of its weight up to which a prompt disturbs others at once, rather than wait. */
 const CHEAP_HARM = 0.25;
 
-/** What a prompt weighs once it is late, as a share of what it weighs in time. */
-const LATE_WEIGHT = 0.25;
+/** Last part of its caller's patience, in which a late prompt takes any place that disturbs none. */
+const LAST_PART = 0.35;
 
 const describeBasis = (placement: Placement, aimLeftMs: number): LogFields => ({
   helpers: placement.helpers.length,
@@ -77,6 +77,9 @@
   estimateMs: Math.round(placement.firstEventMs),
 });
 
+const isInLastPart = (record: GatewayRecord, nowMs: MonotonicMs): boolean =>
+  record.patienceEndMs - nowMs <= LAST_PART * (record.patienceEndMs - record.arrivedAtMs);
+
 const hasSpare = ({ idleShare, spareShare }: Placement): boolean =>
   idleShare >= MOSTLY_IDLE_SHARE || spareShare >= SPARE_SHARE;
 
@@ -176,10 +179,8 @@
     if (!isLate) return harmed <= (mayWait ? CHEAP_HARM * weight : weight);
     if (mayWait) return false;
     if (harmed === 0 && (record.isLong ? hasSpare(placement) : !placement.isPacked)) return true;
-    const isLastMoment =
-      nowMs + firstEventMs + LAST_MOMENT_MS >= record.patienceEndMs ||
-      endMs + LAST_MOMENT_MS >= record.deadlineMs;
-    return isLastMoment && harmed <= LATE_WEIGHT * weight;
+    if (record.isLong) return harmed === 0 && isInLastPart(record, nowMs);
+    return harmed === 0 && nowMs + firstEventMs + LAST_MOMENT_MS >= record.patienceEndMs;
   }
 
   /** Endpoints that may get the request; those in trouble only where there is no other. */
