Read a late long prompt by the engines that disturb nobody, also if that is slow

Cause (found by a new test): in the last third of its caller's patience only numbers of readers were tried that reach half of the rest, so a prompt with two idle engines was refused where three were wanted.

--- a/packages/decisions/src/gateway/engine-placement.ts
+++ b/packages/decisions/src/gateway/engine-placement.ts
@@ -277,7 +277,9 @@
   const most = Math.min(MAX_HELPERS + 1, engines);
   const idleMs = PASSES_TO_FIRST_EVENT * estimatePassMs(traits, 1, 0);
   const partMs = ask.spreadMs - idleMs;
-  const fewest = partMs > 0 ? Math.min(most, Math.ceil(ask.readMs / partMs)) : 1;
+  // One that is late may also be read more slowly, where more engines would disturb others.
+  const mayBeSlow = partMs <= 0 || ask.aimLeftMs <= 0;
+  const fewest = mayBeSlow ? 1 : Math.min(most, Math.ceil(ask.readMs / partMs));
   const counts: number[] = [];
   for (let count = fewest; count < most; count += Math.ceil(count * READERS_STEP)) {
     counts.push(count);
--- a/packages/decisions/test/gateway/placement.test.ts
+++ b/packages/decisions/test/gateway/placement.test.ts
@@ -82,6 +82,32 @@
   });
 });
 
+describe('a long prompt that can’t be in time', () => {
+  const LATE = { promptTokens: 200_000, waitsMs: 15_000 };
+
+  /** Two of four engines write short streams; only the others could read. */
+  const advance = (driver: GatewayDriver, ms: number): void => {
+    const busy = ['e1', 'e2'].map((id) =>
+      createWork(id, { writers: 11, tightWriters: 11, tightGapMs: 250 }),
+    );
+    for (let passedMs = 0; passedMs < ms; passedMs += 200) {
+      driver.hearPeer(driver.nowMs, busy);
+      driver.advance(200);
+    }
+  };
+
+  it('leaves idle engines to others at first, and takes them before its caller leaves', () => {
+    const driver = startDriver('e1', 'e2', 'e3', 'e4');
+    advance(driver, 200);
+    const id = driver.request('/review/', LATE);
+    advance(driver, 5_000);
+    expect(driver.findAttempt(id)).toBeUndefined();
+    // The caller's patience is 12 s.
+    advance(driver, 4_000);
+    expect(driver.findAttempt(id)?.endpoint.id).toMatch(/e3|e4/);
+  });
+});
+
 describe('prompts over the memory of one engine', () => {
   const HUGE = { promptTokens: 700_000, waitsMs: 15_000 };
 
