--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -87,7 +87,7 @@
  * @param request the id that the caller gave
  * @param files logs; - for standard input
  */
-export const explainRequest = (request: string, files: readonly string[]): CommandResult => {
+export const describeRequest = (request: string, files: readonly string[]): CommandResult => {
   const lines: LogLine[] = [];
   for (const file of files) {
     const text = readText(file);
--- a/packages/cli/src/run-command.ts
+++ b/packages/cli/src/run-command.ts
@@ -5,7 +5,7 @@
 import { checkDeclarations } from './commands/check.js';
 import { describePlan } from './commands/plan.js';
 import { changePreset } from './commands/change-preset.js';
-import { explainRequest } from './commands/explain.js';
+import { describeRequest } from './commands/explain.js';
 import { applyVersion } from './commands/apply-version.js';
 import { drainEntryVm, listHistory, listRequests, describeStatus } from './commands/describe.js';
 import type { CommandResult } from './commands/types.js';
@@ -193,7 +193,7 @@
             describe: 'log files; - for standard input',
           })
           .example('$0 explain 9c41d07be2a35f68 entry-1.log entry-2.log', 'in order of time'),
-      (options) => report(options, explainRequest(options.request, options.logs)),
+      (options) => report(options, describeRequest(options.request, options.logs)),
     )
     .demandCommand(1)
     .strict()
