--- /dev/null
+++ b/packages/entry/test/gateway/table-watch.test.ts
@@ -0,0 +1,81 @@
+import { Err, Ok, type Result } from '@savorywind/model';
+import { afterEach, describe, expect, it } from 'vitest';
+import { TableWatch, type TableUpdate } from '../../src/gateway/store/table-watch.js';
+import type { TableClient, TableFailure, TableRows } from '../../src/gateway/store/types.js';
+
+type Answer = Result<TableRows, TableFailure>;
+
+const createRows = (version: number, ...keys: readonly string[]): Answer =>
+  Ok({ version, rows: keys.map((key) => ({ key, value: new Uint8Array(), removed: false })) });
+
+const createFailure = (kind: TableFailure['kind']): Answer => Err({ kind, detail: 'test' });
+
+let watch: TableWatch | undefined;
+
+afterEach(() => watch?.stop());
+
+interface Watched {
+  readonly updates: readonly TableUpdate[];
+  /** What the watch asked, in order. */
+  readonly calls: readonly string[];
+}
+
+/** Lets a watch ask until the answers are used up. */
+const runWatch = (answers: readonly Answer[]): Promise<Watched> =>
+  new Promise((resolve) => {
+    const updates: TableUpdate[] = [];
+    const calls: string[] = [];
+    let nextAnswer = 0;
+    const answer = (call: string): Promise<Answer> => {
+      const given = answers[nextAnswer];
+      nextAnswer += 1;
+      if (given === undefined) {
+        resolve({ updates, calls });
+        return new Promise(() => {});
+      }
+      calls.push(call);
+      return Promise.resolve(given);
+    };
+    const tables: TableClient = {
+      readAll: () => answer('all'),
+      readChanges: (_table, since) => answer(`changes since ${since}`),
+      putRow: () => Promise.resolve(Ok(undefined)),
+      removeRow: () => Promise.resolve(Ok(undefined)),
+      stop: () => {},
+    };
+    watch = new TableWatch({
+      tables,
+      table: 'endpoints',
+      waitMs: 1_000,
+      readClockMs: () => performance.now(),
+      onUpdate: (update) => updates.push(update),
+    });
+    watch.start();
+  });
+
+describe('a watch of a table', () => {
+  it('reads it whole, then what changed since', async () => {
+    const { updates, calls } = await runWatch([createRows(3, 'a'), createRows(5, 'b')]);
+    expect(calls).toEqual(['all', 'changes since 3']);
+    expect(updates.map(({ kind }) => kind)).toEqual(['whole', 'changes']);
+  });
+
+  it('reads it whole again where the store has forgotten its history', async () => {
+    const answers = [createRows(3, 'a'), createFailure('historyLost'), createRows(9, 'b')];
+    const { updates, calls } = await runWatch(answers);
+    expect(calls).toEqual(['all', 'changes since 3', 'all']);
+    expect(updates.map(({ kind }) => kind)).toEqual(['whole', 'whole']);
+  });
+
+  it('goes on from where it was after failures, and tells of each', async () => {
+    const answers = [
+      createRows(3, 'a'),
+      createFailure('unanswered'),
+      createFailure('refused'),
+      createRows(4, 'b'),
+    ];
+    const { updates, calls } = await runWatch(answers);
+    expect(calls).toEqual(['all', ...Array<string>(3).fill('changes since 3')]);
+    expect(updates.map(({ kind }) => kind)).toEqual(['whole', 'failed', 'failed', 'changes']);
+  });
+});
