Take what came before what is due, and let steps of the time of day age credentials only

Two faults: due timers now come after the event in hand, and requests go by the steady clock; lost time is told to the decisions as an event and shortens the lease on credentials alone.

--- a/packages/decisions/src/gateway/credential-lease.ts
+++ b/packages/decisions/src/gateway/credential-lease.ts
@@ -3,7 +3,7 @@
 /**
  * For how long credentials may be trusted without asking the store again. A credential counts only
  * while an answer whose question left less than the freshness ago has confirmed the configuration.
- * Times are those of a clock that also counts while the process is frozen.
+ * Time in which the process was frozen is taken off.
  */
 export class CredentialLease {
   private confirmedAtMs: MonotonicMs | undefined;
@@ -20,6 +20,11 @@
     }
   }
 
+  /** Takes time off that nobody counted. */
+  reduce(lostMs: number): void {
+    if (this.confirmedAtMs !== undefined) this.confirmedAtMs -= lostMs;
+  }
+
   isValid(nowMs: MonotonicMs): boolean {
     return this.confirmedAtMs !== undefined && nowMs - this.confirmedAtMs < this.durationMs;
   }
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -111,9 +111,10 @@
 
   handle(event: GatewayEvent, nowMs: MonotonicMs): GatewayEffect[] {
     this.context.nowMs = nowMs;
-    this.context.runDueTimers();
     const handler = this.handlers[event.kind] as (event: GatewayEvent) => void;
     handler(event);
+    // What has come counts before what is due: after a pause of the process both are there at once.
+    this.context.runDueTimers();
     this.armExpiryTimer();
     this.updateReadiness();
     return this.context.takeEffects();
@@ -145,6 +146,7 @@
     return {
       woken: () => {},
       drainRequested: () => this.startStopping(),
+      'time.lost': ({ lostMs }) => this.lease.reduce(lostMs),
       'contract.changed': ({ contract }) => {
         this.lease.changeDuration(estimateLeaseMs(contract));
         this.budget.changeOptions(createBudgetOptions(contract));
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -62,6 +62,11 @@
 export type GatewayEvent =
   | { readonly kind: 'woken' }
   | { readonly kind: 'drainRequested' }
+  /**
+   * Time passed that the clock of the decisions did not count: the process was frozen, or the time of
+   * day was set forward, which looks the same.
+   */
+  | { readonly kind: 'time.lost'; readonly lostMs: number }
   /** The deployment's limits were read again. */
   | { readonly kind: 'contract.changed'; readonly contract: GatewayContract }
   /**
--- a/packages/decisions/test/gateway/attempts.test.ts
+++ b/packages/decisions/test/gateway/attempts.test.ts
@@ -89,6 +89,18 @@
     expect(driver.findAttempt(id)?.endpoint.id).toBe(other);
   });
 
+  it('is not resumed before an event that came with the end of a pause of the process', () => {
+    const driver = startDriver('e1', 'e2');
+    const id = driver.request('/chat/');
+    driver.passEvent(id, '7');
+    const { attemptId } = driver.findAttempt(id)!;
+    driver.nowMs += 1_500;
+    driver.dispatch({ kind: 'attempt.eventPassed', attemptId, eventId: '8' });
+    expect(driver.list('attempt.start')).toHaveLength(1);
+    driver.fail(id, 'broken');
+    expect(driver.findAttempt(id)?.lastEventId).toBe('8');
+  });
+
   it('leaves an engine that falls silent', () => {
     const driver = startDriver('e1', 'e2');
     const id = driver.request('/chat/');
--- a/packages/decisions/test/gateway/registrations.test.ts
+++ b/packages/decisions/test/gateway/registrations.test.ts
@@ -61,6 +61,18 @@
     expect(driver.findAttempt(driver.request('/private/', { credential }))?.team).toBe('counter');
   });
 
+  it('is trusted for less where the process was frozen, while requests go on', () => {
+    const driver = startDriver('e1');
+    const credential = 'secret';
+    const id = driver.request('/private/', { credential });
+    driver.dispatch({ kind: 'time.lost', lostMs: 60_000 });
+    const refusal = driver.findRefusal(driver.request('/private/', { credential }));
+    expect(refusal?.reason).toBe('credentialsStale');
+    driver.passEvent(id, '1');
+    expect(driver.list('attempt.cancel')).toHaveLength(0);
+    expect(driver.findRefusal(id)).toBeUndefined();
+  });
+
   it('is trusted for another time where the deployment’s limits change', () => {
     const driver = startDriver('e1');
     const contract = { ...createContract(), credentialFreshnessMs: 2_000 };
--- a/packages/entry/src/gateway/elapsed-clock.ts
+++ b/packages/entry/src/gateway/elapsed-clock.ts
@@ -14,6 +14,8 @@
 export class ElapsedClock {
   private frozenMs = 0;
 
+  private reportedMs = 0;
+
   private steadyMs = performance.now();
 
   private timeOfDayMs = Date.now();
@@ -27,4 +29,12 @@
     this.timeOfDayMs = timeOfDayMs;
     return steadyMs + this.frozenMs;
   }
+
+  /** Time that the steady clock has not counted since this was last asked, in milliseconds. */
+  takeLostMs(): number {
+    this.readMs();
+    const lostMs = this.frozenMs - this.reportedMs;
+    this.reportedMs = this.frozenMs;
+    return lostMs;
+  }
 }
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -64,7 +64,7 @@
     const { wire } = adapter;
     this.log = createEventLogger(self.id, 'info', this.logSink);
     this.node = new GatewayNode({ self, incarnation, seed: incarnation, contract });
-    this.runner = new NodeRunner(this.node, this.createHandlers(), () => this.clock.readMs());
+    this.runner = new NodeRunner(this.node, this.createHandlers());
     this.front = new FrontServer({
       address: settings.callers,
       wire,
@@ -74,7 +74,7 @@
     this.readiness = new ReadinessServer(settings.readiness, wire.readinessPath);
     this.peers = new PeerSocket({
       address: self.address,
-      onSnapshot: (snapshot) => this.runner.dispatch({ kind: 'peer.received', snapshot }),
+      onSnapshot: (snapshot) => this.dispatch({ kind: 'peer.received', snapshot }),
       onUnreadable: (detail) => this.log.write(logEvents.peerUnreadable, { detail }),
     });
     this.watches = this.createWatches();
@@ -91,7 +91,7 @@
   drain(): void {
     this.readiness.setReady(false);
     this.front.announceStop();
-    this.runner.dispatch({ kind: 'drainRequested' });
+    this.dispatch({ kind: 'drainRequested' });
     const { stopGraceMs } = this.settings.contract;
     setTimeout(() => this.stop(), stopGraceMs - STOP_MARGIN_MS).unref();
   }
@@ -107,7 +107,7 @@
 
   /** Takes the deployment's limits anew; addresses stay until the next start. */
   reload({ contract }: GatewaySettings): void {
-    this.runner.dispatch({ kind: 'contract.changed', contract });
+    this.dispatch({ kind: 'contract.changed', contract });
   }
 
   /** Says that settings were read again and are not valid; those in force stay. */
@@ -115,6 +115,16 @@
     this.log.write(logEvents.gatewaySettingsInvalid, { detail });
   }
 
+  /**
+   * Hands an event to the decisions, after the time that their clock did not count. Requests go by the
+   * steady clock: a time of day that is set forward ends none of them.
+   */
+  private dispatch(event: GatewayEvent): void {
+    const lostMs = this.clock.takeLostMs();
+    if (lostMs > 0) this.runner.dispatch({ kind: 'time.lost', lostMs });
+    this.runner.dispatch(event);
+  }
+
   private createWatches(): TableWatch[] {
     const { rows, tables } = this.adapter;
     const waitMs = Math.floor(this.settings.contract.credentialFreshnessMs / WAITS_PER_FRESHNESS);
@@ -129,7 +139,7 @@
 
   private acceptConfiguration(update: TableUpdate): void {
     if (update.kind === 'failed') {
-      this.runner.dispatch({ kind: 'store.failed', detail: update.detail });
+      this.dispatch({ kind: 'store.failed', detail: update.detail });
       return;
     }
     const { rows } = this.adapter;
@@ -138,25 +148,25 @@
     );
     const configuration = row === undefined ? undefined : rows.decodeConfiguration(row);
     if (row !== undefined && configuration === undefined) this.logUnreadable(row);
-    this.runner.dispatch({
+    this.dispatch({
       kind: 'configuration.confirmed',
-      askedAtMs: update.askedAtMs,
+      askedAtMs: performance.now() - (this.clock.readMs() - update.askedAtMs),
       configuration,
     });
   }
 
   private acceptEndpoints(update: TableUpdate): void {
     if (update.kind === 'failed') {
-      this.runner.dispatch({ kind: 'store.failed', detail: update.detail });
+      this.dispatch({ kind: 'store.failed', detail: update.detail });
       return;
     }
     const changes = update.rows.map((row) => ({ id: row.key, endpoint: this.decodeEndpoint(row) }));
     if (update.kind === 'changes') {
-      this.runner.dispatch({ kind: 'endpoints.changed', changes });
+      this.dispatch({ kind: 'endpoints.changed', changes });
       return;
     }
     const endpoints = changes.flatMap(({ endpoint }) => endpoint ?? []);
-    this.runner.dispatch({ kind: 'endpoints.read', endpoints });
+    this.dispatch({ kind: 'endpoints.read', endpoints });
   }
 
   private decodeEndpoint(row: TableRow): GatewayEndpoint | undefined {
@@ -184,7 +194,7 @@
     const peers = read.val.rows
       .filter(({ removed }) => !removed)
       .flatMap((row) => rows.decodePeer(row) ?? []);
-    this.runner.dispatch({ kind: 'peers.read', peers });
+    this.dispatch({ kind: 'peers.read', peers });
   }
 
   private open(exchange: CallerExchange, path: string, host: string): void {
@@ -194,7 +204,7 @@
       return;
     }
     this.exchanges.set(requestId, exchange);
-    this.runner.dispatch({
+    this.dispatch({
       kind: 'request.arrived',
       request: { requestId, host, path, ...facts },
     });
@@ -202,7 +212,7 @@
 
   private abandon(requestId: string): void {
     if (!this.exchanges.delete(requestId)) return;
-    this.runner.dispatch({ kind: 'request.abandoned', requestId });
+    this.dispatch({ kind: 'request.abandoned', requestId });
   }
 
   private takeExchange(requestId: string): CallerExchange | undefined {
@@ -215,13 +225,19 @@
     const exchange = this.exchanges.get(start.requestId);
     if (exchange === undefined) return;
     const { wire } = this.adapter;
-    const dispatch = (event: GatewayEvent): void => {
+    const dispatchAttempt = (event: GatewayEvent): void => {
       if (event.kind === 'attempt.ended' || event.kind === 'attempt.failed') {
         this.attempts.delete(start.attemptId);
       }
-      this.runner.dispatch(event);
+      this.dispatch(event);
     };
-    const attempt = new EndpointAttempt({ start, exchange, pools: this.pools, wire, dispatch });
+    const attempt = new EndpointAttempt({
+      start,
+      exchange,
+      pools: this.pools,
+      wire,
+      dispatch: dispatchAttempt,
+    });
     this.attempts.set(start.attemptId, attempt);
   }
 
@@ -229,7 +245,7 @@
     const { reservationId, endpoint } = ask;
     const agent = this.pools.find(endpoint.id, 'kept');
     this.adapter.orders.reserve(ask, agent).then((outcome) => {
-      this.runner.dispatch({ kind: 'reservation.answered', reservationId, outcome });
+      this.dispatch({ kind: 'reservation.answered', reservationId, outcome });
     });
   }
 
--- a/packages/entry/test/gateway/elapsed-clock.test.ts
+++ b/packages/entry/test/gateway/elapsed-clock.test.ts
@@ -41,6 +41,14 @@
     expect(clock.readMs() - startMs).toBe(1_000);
   });
 
+  it('tells once what the steady clock has not counted', () => {
+    const clock = new ElapsedClock();
+    vi.advanceTimersByTime(1_000);
+    stepTimeOfDay(4_000);
+    expect(clock.takeLostMs()).toBe(4_000);
+    expect(clock.takeLostMs()).toBe(0);
+  });
+
   it('takes a time of day that drifts a little for no freeze', () => {
     const clock = new ElapsedClock();
     const startMs = clock.readMs();
