--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,7 +13,7 @@
       '**/dist/**',
       'target/**',
       'journal/**',
-      'deploy/build.mjs',
+      'deploy/*',
       '**/node_modules/**',
       'docs/**',
       'eslint.config.js',
--- a/packages/entry/src/callers/models/chat-body.ts
+++ b/packages/entry/src/callers/models/chat-body.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { Ok, type Refusal, type Result } from '@savorywind/model';
 import { estimateTokens } from '../prompt-size.js';
 import {
--- a/packages/entry/src/callers/models/common-fields.ts
+++ b/packages/entry/src/callers/models/common-fields.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { Err, resultCodes, type Refusal, type Result } from '@savorywind/model';
 
 const MAX_OUTPUT_TOKENS = 100_000_000;
--- a/packages/entry/src/endpoints/engine-replies.ts
+++ b/packages/entry/src/endpoints/engine-replies.ts
@@ -1,5 +1,5 @@
 import type { EngineCall, EngineReply } from '@savorywind/decisions';
-import { z } from 'zod';
+import * as z from 'zod';
 import { parseReply } from '../replies/parse-reply.js';
 
 const amount = z.number().nonnegative();
--- a/packages/entry/src/links/frame-codec.ts
+++ b/packages/entry/src/links/frame-codec.ts
@@ -1,6 +1,6 @@
 import { Packr, Unpackr } from 'msgpackr';
 import { Err, Ok, type LinkMessage, type Result } from '@savorywind/model';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { LinkHello } from './types.js';
 
 const helloSchema = z.object({
--- a/packages/entry/src/platform/platform-replies.ts
+++ b/packages/entry/src/platform/platform-replies.ts
@@ -1,5 +1,5 @@
 import type { MembershipEntry, TableOutcome } from '@savorywind/model';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const outcomeSchema = z.looseObject({ kind: z.enum(['row', 'rows', 'written', 'conflict']) });
 
--- a/packages/entry/src/settings/schema.ts
+++ b/packages/entry/src/settings/schema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const address = z.strictObject({
   host: z.string().min(1),
--- a/packages/model/src/configuration/build-declarations-schema.ts
+++ b/packages/model/src/configuration/build-declarations-schema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { declarationsSchema } from './schema.js';
 
 /**
--- a/packages/model/src/configuration/head-row.ts
+++ b/packages/model/src/configuration/head-row.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Configuration, ConfigurationHead } from './schema.js';
 
 /** Names one committed version. */
--- a/packages/model/src/configuration/schema.ts
+++ b/packages/model/src/configuration/schema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const identifier = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/);
 const address = z.strictObject({
--- a/packages/model/src/messages/membership-messages.ts
+++ b/packages/model/src/messages/membership-messages.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const id = z.string().min(1).max(256);
 const state = z.enum(['live', 'leaving']);
