Give no work to a failure domain whose entry VMs and endpoints are silent

The silence of VMs that may be gone for good (20 s) says nothing. Ruled out: load (engines in reach had free slots), and peers alone as the sign, since a kill of a domain's VMs would take its engines away from the others.

Test: domain-reach.test.ts; with the silence set to 625 s its first test fails.

--- a/packages/decisions/src/gateway/consts.ts
+++ b/packages/decisions/src/gateway/consts.ts
@@ -11,7 +11,13 @@
 export const PEER_SILENCE_MS = 6 * SNAPSHOT_REPEAT_MS;
 
 /** A silent peer gets one snapshot in this time, to find out whether it is back. */
-export const SILENT_PEER_REPEAT_MS = 2_000;
+export const SILENT_PEER_REPEAT_MS = 2 * SNAPSHOT_REPEAT_MS;
+
+/** Silence of all entry VMs of a failure domain after which it counts as cut off: two repeats lost. */
+export const DOMAIN_SILENCE_MS = 2.5 * SNAPSHOT_REPEAT_MS;
+
+/** Entry VMs that are silent for so long may be gone for good; a restart takes some seconds. */
+export const PEERS_GONE_MS = 20_000;
 
 /** An endpoint that failed an attempt gets no new work for this time, doubled at each failure. */
 export const FIRST_EXCLUSION_MS = 250;
--- a/packages/decisions/src/gateway/fleet-picture.ts
+++ b/packages/decisions/src/gateway/fleet-picture.ts
@@ -2,6 +2,7 @@
   EndpointId,
   EngineWork,
   EntryVmId,
+  FailureDomainId,
   GatewayPeer,
   MonotonicMs,
   NetworkAddress,
@@ -158,6 +159,14 @@
     return this.peers.size + 1;
   }
 
+  /** When an entry VM of a failure domain was heard last; undefined where none was. */
+  findHeardAtMs(domain: FailureDomainId): MonotonicMs | undefined {
+    const times = [...this.peers.values()]
+      .filter(({ peer }) => peer.failureDomain === domain)
+      .flatMap(({ heardAtMs }) => heardAtMs ?? []);
+    return times.length === 0 ? undefined : Math.max(...times);
+  }
+
   /** Load of every engine that has any. */
   sumLoads(nowMs: MonotonicMs): EngineLoads {
     if (this.summed?.atMs !== nowMs) this.summed = { atMs: nowMs, loads: this.sumAll(nowMs) };
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -11,6 +11,7 @@
 import type { Timer } from '../timers/timer-queue.js';
 import { LEASE_MARGIN_MS, SNAPSHOT_DELAY_MS, SNAPSHOT_REPEAT_MS } from './consts.js';
 import { CredentialLease } from './credential-lease.js';
+import { DomainReach } from './domain-reach.js';
 import { EndpointHealth } from './endpoint-health.js';
 import { EndpointTable } from './endpoint-table.js';
 import { FleetPicture } from './fleet-picture.js';
@@ -126,11 +127,14 @@
 
   private createRequests(self: GatewayPeer, patience: CallerPatience): GatewayRequests {
     const { context, table, health, picture, budget, reservations } = this;
-    const desk = new PlacementDesk(context, table, health, picture, self.failureDomain);
+    const { failureDomain } = self;
+    const reach = new DomainReach(picture);
+    const desk = new PlacementDesk({ context, table, health, picture, reach, failureDomain });
     return new GatewayRequests({
       context,
       table,
       health,
+      reach,
       picture,
       budget,
       desk,
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -3,6 +3,7 @@
 import { MAX_HELPERS, MIN_ATTEMPT_MS, PLACE_AGAIN_MS } from './consts.js';
 import { createGatewayRecord, type ResolvedRoute } from './create-record.js';
 import { createRefusal } from './create-refusal.js';
+import type { DomainReach } from './domain-reach.js';
 import type { EndpointHealth } from './endpoint-health.js';
 import type { EndpointTable } from './endpoint-table.js';
 import { logIfLate, recordEvent } from './event-times.js';
@@ -25,6 +26,7 @@
   readonly context: GatewayContext;
   readonly table: EndpointTable;
   readonly health: EndpointHealth;
+  readonly reach: DomainReach;
   readonly picture: FleetPicture;
   readonly desk: PlacementDesk;
   readonly budget: FleetRetryBudget;
@@ -96,6 +98,7 @@
     if (record === undefined || attempt === undefined) return;
     attempt.hasHead = true;
     this.options.health.reportAnswer(attempt.endpoint.id);
+    this.reportSign(attempt);
     if (isSuccess(head.status) && !head.hasReceipt) {
       this.attempts.cancel(record);
       this.repeatOrGiveUp(record, 'invalid');
@@ -115,6 +118,7 @@
     if (record?.attempt === undefined) return;
     if (eventId !== undefined) record.lastEventId = eventId;
     recordEvent(record.times, this.options.context.nowMs);
+    this.reportSign(record.attempt);
     this.attempts.acceptEvent(record, record.attempt);
   }
 
@@ -145,6 +149,12 @@
     this.repeatOrGiveUp(record, failure);
   }
 
+  /** Something came from the endpoint: its failure domain can be reached. */
+  private reportSign({ endpoint }: GatewayAttempt): void {
+    const { reach, context } = this.options;
+    reach.reportAnswer(endpoint.failureDomain, context.nowMs);
+  }
+
   private acceptSilence(record: GatewayRecord, attempt: GatewayAttempt): void {
     if (record.attempt !== attempt) return;
     const { context, health, budget } = this.options;
--- a/packages/decisions/src/gateway/placement-desk.ts
+++ b/packages/decisions/src/gateway/placement-desk.ts
@@ -1,6 +1,7 @@
 import type { FailureDomainId, GatewayEndpoint, LogFields, MonotonicMs } from '@savorywind/model';
 import { MAX_HELPERS } from './consts.js';
 import type { EndpointHealth } from './endpoint-health.js';
+import type { DomainReach } from './domain-reach.js';
 import type { EndpointTable } from './endpoint-table.js';
 import { estimatePassMs } from './engine-costs.js';
 import {
@@ -100,15 +101,19 @@
   return passes * estimatePassMs(service.engine, 1, request.promptTokens);
 };
 
+export interface PlacementDeskOptions {
+  readonly context: GatewayContext;
+  readonly table: EndpointTable;
+  readonly health: EndpointHealth;
+  readonly picture: FleetPicture;
+  readonly reach: DomainReach;
+  /** That of this entry VM. */
+  readonly failureDomain: FailureDomainId;
+}
+
 /** Chooses endpoints by the registrations, what was seen of them, and the work of all entry VMs. */
 export class PlacementDesk {
-  constructor(
-    private readonly context: GatewayContext,
-    private readonly table: EndpointTable,
-    private readonly health: EndpointHealth,
-    private readonly picture: FleetPicture,
-    private readonly failureDomain: FailureDomainId,
-  ) {}
+  constructor(private readonly options: PlacementDeskOptions) {}
 
   decide(record: GatewayRecord): PlacementDecision {
     const candidates = this.listCandidates(record);
@@ -118,7 +123,7 @@
   }
 
   private decideReplica(candidates: readonly EngineCandidate[]): PlacementDecision {
-    const { context, failureDomain } = this;
+    const { context, failureDomain } = this.options;
     const endpoint = pickReplica(candidates, failureDomain, () => context.drawRandom());
     if (endpoint === undefined) return { kind: 'noEndpoint' };
     return { kind: 'place', endpoint, helpers: [], partMs: 0, memoryTokens: 0, basis: {} };
@@ -128,12 +133,12 @@
     record: GatewayRecord,
     candidates: readonly EngineCandidate[],
   ): PlacementDecision {
-    const { nowMs } = this.context;
+    const { nowMs } = this.options.context;
     const aimLeftMs = record.arrivedAtMs + record.route.targetLatencyMs - nowMs;
     const { readMs, memoryTokens, isLong } = record;
     const mayQueue = nowMs + LAST_MOMENT_MS + readMs >= record.patienceEndMs;
     const spreadMs = this.estimateSpreadMs(record, aimLeftMs, candidates.length);
-    const lot = this.context.drawRandom();
+    const lot = this.options.context.drawRandom();
     const ask = { readMs, memoryTokens, aimLeftMs, spreadMs, isLong, mayQueue, lot };
     const placement = placeGeneration(ask, candidates, record.service.engine!);
     if (
@@ -151,7 +156,7 @@
   private estimateSpreadMs(record: GatewayRecord, aimLeftMs: number, engines: number): number {
     const mayBeInTime = estimateLeastMs(record, engines) <= AIM_HEADROOM.long * aimLeftMs;
     if (mayBeInTime) return SPREAD_HEADROOM * aimLeftMs;
-    return LATE_SPREAD_HEADROOM * (record.patienceEndMs - this.context.nowMs);
+    return LATE_SPREAD_HEADROOM * (record.patienceEndMs - this.options.context.nowMs);
   }
 
   /**
@@ -168,7 +173,7 @@
     if (harmed === 0 && !isLate) return true;
     // A stream that broke: its caller has a part and waits no longer than for any event.
     if (harmed === 0 && record.headPassed) return true;
-    const { nowMs } = this.context;
+    const { nowMs } = this.options.context;
     // The caller would leave before its first event, or before the last one.
     const endMs = nowMs + firstEventMs + estimateWriteMs(record);
     if (nowMs + firstEventMs >= record.patienceEndMs || endMs >= record.deadlineMs) return false;
@@ -185,15 +190,25 @@
 
   /** Endpoints that may get the request; those in trouble only where there is no other. */
   private listCandidates(record: GatewayRecord): EngineCandidate[] {
-    const { nowMs } = this.context;
-    const loads = this.picture.sumLoads(nowMs);
-    const serving = this.table.listServing(record.service.name);
+    const { nowMs } = this.options.context;
+    const loads = this.options.picture.sumLoads(nowMs);
+    const serving = this.options.table.listServing(record.service.name);
     const untried = serving.filter(({ id }) => !record.avoided.has(id));
-    const sound = untried.filter(({ id }) => !this.health.isExcluded(id, nowMs));
+    const cutOff = this.listCutOff(untried);
+    const sound = untried.filter(
+      ({ id, failureDomain }) =>
+        !this.options.health.isExcluded(id, nowMs) && !cutOff.has(failureDomain),
+    );
     const fallback = untried.length > 0 ? untried : serving;
     return (sound.length > 0 ? sound : fallback).map((endpoint) => ({
       endpoint,
       load: loads.get(endpoint.id) ?? NO_LOAD,
     }));
   }
+
+  private listCutOff(endpoints: readonly GatewayEndpoint[]): ReadonlySet<FailureDomainId> {
+    const domains = new Set(endpoints.map(({ failureDomain }) => failureDomain));
+    const { nowMs } = this.options.context;
+    return new Set([...domains].filter((domain) => this.options.reach.isCutOff(domain, nowMs)));
+  }
 }
--- /dev/null
+++ b/packages/decisions/test/gateway/domain-reach.test.ts
@@ -0,0 +1,57 @@
+import { describe, expect, it } from 'vitest';
+import { createEndpoint, GatewayDriver } from '../fixtures/gateway-driver.js';
+
+/** Engines of both domains; the peer that is heard is in domain `b`. */
+const startWithDomains = (): GatewayDriver => {
+  const driver = new GatewayDriver();
+  const ids = ['b1', 'b2', 'b3', 'a1', 'a2'];
+  driver.start(ids.map((id) => createEndpoint(id, { failureDomain: id.slice(0, 1) })));
+  driver.hearPeer(1, []);
+  return driver;
+};
+
+const listDomains = (driver: GatewayDriver, ids: readonly string[]): (string | undefined)[] =>
+  ids.map((id) => driver.findAttempt(id)?.endpoint.failureDomain);
+
+const requestAll = (driver: GatewayDriver): string[] =>
+  Array.from({ length: 4 }, () => driver.request('/chat/'));
+
+describe('a failure domain', () => {
+  it('gets no work once its entry VMs have fallen silent', () => {
+    const driver = startWithDomains();
+    driver.advance(700);
+    expect(listDomains(driver, requestAll(driver))).toEqual(['a', 'a', 'a', 'a']);
+  });
+
+  it('gets work again with the first word of its entry VMs', () => {
+    const driver = startWithDomains();
+    driver.advance(700);
+    driver.hearPeer(2, []);
+    expect(listDomains(driver, requestAll(driver))).toContain('b');
+  });
+
+  it('goes on where its endpoints answer, although its entry VMs are silent', () => {
+    const driver = startWithDomains();
+    const id = driver.request('/chat/');
+    expect(driver.findAttempt(id)?.endpoint.failureDomain).toBe('b');
+    driver.advance(600);
+    driver.passEvent(id, '1');
+    driver.advance(200);
+    expect(listDomains(driver, requestAll(driver))).toContain('b');
+  });
+
+  it('is tried again where its entry VMs may be gone for good', () => {
+    const driver = startWithDomains();
+    driver.advance(21_000);
+    driver.confirm();
+    expect(listDomains(driver, requestAll(driver))).toContain('b');
+  });
+
+  it('is used where there is no other', () => {
+    const driver = new GatewayDriver();
+    driver.start([createEndpoint('b1', { failureDomain: 'b' })]);
+    driver.hearPeer(1, []);
+    driver.advance(700);
+    expect(driver.findAttempt(driver.request('/chat/'))?.endpoint.id).toBe('b1');
+  });
+});
