--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -59,6 +59,7 @@
     const attempt: GatewayAttempt = {
       attemptId: this.context.createName(),
       endpoint: plan.endpoint,
+      helpers: plan.helpers.map(({ endpoint }) => endpoint),
       work: this.addWork(record, plan),
       startedAtMs: this.context.nowMs,
       silenceTimer: undefined,
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -183,8 +183,7 @@
       'attempt.headReceived': ({ attemptId, head }) => requests.acceptHead(attemptId, head),
       'attempt.eventPassed': ({ attemptId, eventId }) => requests.acceptEvent(attemptId, eventId),
       'attempt.ended': ({ attemptId }) => requests.acceptEnd(attemptId),
-      'attempt.failed': ({ attemptId, failure, detail }) =>
-        requests.acceptFailure(attemptId, failure, detail),
+      'attempt.failed': (event) => requests.acceptFailure(event),
       'reservation.answered': ({ reservationId, outcome }) =>
         this.reservations.acceptOutcome(reservationId, outcome),
     };
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -1,4 +1,9 @@
-import { logEvents, type CallerPatience } from '@savorywind/model';
+import {
+  logEvents,
+  type CallerPatience,
+  type GatewayEndpoint,
+  type NetworkAddress,
+} from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
 import { MAX_HELPERS, MIN_ATTEMPT_MS, PLACE_AGAIN_MS } from './consts.js';
 import { createGatewayRecord, type ResolvedRoute } from './create-record.js';
@@ -17,6 +22,7 @@
 import type {
   GatewayAnswerHead,
   GatewayAttemptFailure,
+  GatewayEvent,
   GatewayRefusalReason,
   GatewayRequest,
 } from './types.js';
@@ -36,6 +42,8 @@
   readonly onIdle: () => void;
 }
 
+type AttemptFailed = Extract<GatewayEvent, { readonly kind: 'attempt.failed' }>;
+
 /** Attempts that endpoints rejected or that never left, beyond those that may have run. */
 const MAX_EXTRA_ATTEMPTS = 3;
 
@@ -52,6 +60,17 @@
   record.reservations = undefined;
 };
 
+/** The endpoint that an attempt failed at: a helper where the answer names it. */
+const findFailed = (
+  { endpoint, helpers }: GatewayAttempt,
+  atFault: NetworkAddress | undefined,
+): GatewayEndpoint => {
+  const named = helpers.find(
+    ({ address }) => address.host === atFault?.host && address.port === atFault.port,
+  );
+  return named ?? endpoint;
+};
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 /** The life of requests from arrival to their final answer. */
@@ -131,21 +150,23 @@
     this.close(record);
   }
 
-  acceptFailure(attemptId: string, failure: GatewayAttemptFailure, detail: string): void {
+  acceptFailure({ attemptId, failure, detail, atFault }: AttemptFailed): void {
     const record = this.attempts.find(attemptId);
     const attempt = record?.attempt;
     if (record === undefined || attempt === undefined) return;
     const { context, health } = this.options;
+    const { id: failedId } = findFailed(attempt, atFault);
     context.log(logEvents.attemptFailed, {
       request: record.request.callerAttempt,
       endpoint: attempt.endpoint.id,
+      failed: failedId,
       failure,
       detail,
     });
-    health.reportFailure(attempt.endpoint.id, context.nowMs);
+    health.reportFailure(failedId, context.nowMs);
     this.attempts.detach(record);
     releaseReservations(record);
-    record.avoided.add(attempt.endpoint.id);
+    record.avoided.add(failedId);
     this.repeatOrGiveUp(record, failure);
   }
 
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -17,6 +17,8 @@
 export interface GatewayAttempt {
   readonly attemptId: AttemptId;
   readonly endpoint: GatewayEndpoint;
+  /** Engines that read a part of the prompt. */
+  readonly helpers: readonly GatewayEndpoint[];
   /** What the attempt weighs on the first endpoint and its helpers. */
   readonly work: readonly OwnWork[];
   readonly startedAtMs: MonotonicMs;
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -104,6 +104,8 @@
       readonly attemptId: AttemptId;
       readonly failure: GatewayAttemptFailure;
       readonly detail: string;
+      /** Which of the endpoints that took part failed, where the answer says so. */
+      readonly atFault?: NetworkAddress | undefined;
     }
   | {
       readonly kind: 'reservation.answered';
--- a/packages/decisions/test/gateway/placement.test.ts
+++ b/packages/decisions/test/gateway/placement.test.ts
@@ -1,5 +1,10 @@
 import { describe, expect, it } from 'vitest';
-import { createWork, startDriver, type GatewayDriver } from '../fixtures/gateway-driver.js';
+import {
+  createEndpoint,
+  createWork,
+  GatewayDriver,
+  startDriver,
+} from '../fixtures/gateway-driver.js';
 
 const findEngines = (driver: GatewayDriver, ids: readonly string[]): (string | undefined)[] =>
   ids.map((id) => driver.findAttempt(id)?.endpoint.id);
@@ -108,6 +113,27 @@
   });
 });
 
+describe('a joint reading that fails', () => {
+  it('is begun again without the helper that the answer names, whose first engine is sound', () => {
+    const driver = new GatewayDriver();
+    driver.start(
+      ['e1', 'e2', 'e3', 'e4', 'e5'].map((id, index) =>
+        createEndpoint(id, { address: { host: '10.0.0.1', port: 8_000 + index } }),
+      ),
+    );
+    const id = driver.request('/review/', { promptTokens: 180_000, waitsMs: 15_000 });
+    const { attemptId, endpoint, helpers } = driver.findAttempt(id)!;
+    const { address: atFault } = helpers[0]!;
+    const failure = { failure: 'rejected', detail: 'test', atFault } as const;
+    driver.dispatch({ kind: 'attempt.failed', attemptId, ...failure });
+    const again = driver.findAttempt(id)!;
+    expect(again.attemptId).not.toBe(attemptId);
+    const addresses = [again.endpoint.address, ...again.helpers.map(({ address }) => address)];
+    expect(addresses).not.toContainEqual(atFault);
+    expect(addresses).toContainEqual(endpoint.address);
+  });
+});
+
 describe('prompts over the memory of one engine', () => {
   const HUGE = { promptTokens: 700_000, waitsMs: 15_000 };
 
--- a/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
@@ -1,7 +1,8 @@
 import { request, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import type { NetworkAddress } from '@savorywind/model';
 import type { CallerExchange } from '../callers/caller-exchange.js';
-import type { DispatchGatewayEvent, GatewayWire, StartAttempt } from '../types.js';
+import type { AnswerFacts, DispatchGatewayEvent, GatewayWire, StartAttempt } from '../types.js';
 import { AnswerRelay } from './answer-relay.js';
 import type { ConnectionPools } from './connection-pools.js';
 
@@ -92,7 +93,7 @@
     if (!isOwn || answer.headers['content-encoding'] !== undefined) {
       this.drop(answer, 'invalid', 'answer of another request, or encoded');
     } else if (facts.outcome !== 'answered') {
-      this.acceptRejection(answer, facts.outcome, status);
+      this.acceptRejection(answer, facts.outcome, facts);
     } else {
       const type = answer.headers['content-type'] ?? '';
       const deliversEvents =
@@ -109,11 +110,11 @@
   private acceptRejection(
     answer: IncomingMessage,
     outcome: 'rejected' | 'otherEndpoint',
-    status: number,
+    { status, atFault }: AnswerFacts,
   ): void {
     answer.on('error', () => {});
     answer.resume();
-    this.fail(outcome, `status ${status}`);
+    this.fail(outcome, `status ${status}`, atFault);
   }
 
   private drop(answer: IncomingMessage, failure: Failure, detail: string): void {
@@ -131,11 +132,11 @@
     else this.fail(isNoAnswer ? 'invalid' : 'broken', fault.message);
   }
 
-  private fail(failure: Failure, detail: string): void {
+  private fail(failure: Failure, detail: string, atFault?: NetworkAddress): void {
     if (this.ended) return;
     this.ended = true;
     clearTimeout(this.connectTimer);
     const { attemptId } = this.options.start;
-    this.options.dispatch({ kind: 'attempt.failed', attemptId, failure, detail });
+    this.options.dispatch({ kind: 'attempt.failed', attemptId, failure, detail, atFault });
   }
 }
--- a/packages/entry/src/gateway/types.ts
+++ b/packages/entry/src/gateway/types.ts
@@ -41,6 +41,8 @@
 export interface AnswerFacts extends GatewayAnswerHead {
   /** `rejected` and `otherEndpoint`: the endpoint did not run the request. */
   readonly outcome: 'answered' | 'rejected' | 'otherEndpoint';
+  /** Which of the endpoints that took part failed; undefined where the answer does not say. */
+  readonly atFault: NetworkAddress | undefined;
   /** The caller's try that the answer names; undefined where it names none. */
   readonly callerAttempt: string | undefined;
 }
