--- a/packages/cli/src/run-command.ts
+++ b/packages/cli/src/run-command.ts
@@ -2,6 +2,7 @@
 import yargs, { type Argv } from 'yargs';
 import { createEntryClient, type CommandFailure, type EntryClient } from './client/entry-client.js';
 import { applyDeclarations } from './commands/apply.js';
+import { checkAdapterSettings } from './commands/check-settings.js';
 import { checkDeclarations } from './commands/check.js';
 import { describePlan } from './commands/plan.js';
 import { changePreset } from './commands/change-preset.js';
@@ -92,8 +93,22 @@
       (command) =>
         command
           .positional('declarations', DECLARATIONS)
-          .example('$0 check examples/stuhlwerk', 'name each fault with file, path and remedy'),
-      (options) => report(options, checkDeclarations(options.declarations)),
+          .option('adapter', {
+            type: 'string',
+            describe: 'module of a platform whose settings file is checked instead',
+          })
+          .example('$0 check examples/stuhlwerk', 'name each fault with file, path and remedy')
+          .example(
+            '$0 check settings.toml --adapter @savorywind/platform',
+            'a settings file in the format of a platform',
+          ),
+      async ({ declarations, adapter, json }) => {
+        const result =
+          adapter === undefined
+            ? checkDeclarations(declarations)
+            : await checkAdapterSettings(declarations, adapter);
+        report({ json }, result);
+      },
     )
     .command(
       'schema',
--- /dev/null
+++ b/packages/cli/test/check-settings.test.ts
@@ -0,0 +1,50 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { exitCodes, runCommand } from '../src/index.js';
+import { createIo } from './fixtures/create-io.js';
+
+const ADAPTER = `export const checkSettings = (text) =>
+  text.includes('right') ? [] : ['wait_ms is "soon": give milliseconds'];`;
+
+describe('savorywind check of an adapter’s settings', () => {
+  let folder: string;
+
+  const write = (name: string, text: string): string => {
+    const path = join(folder, name);
+    writeFileSync(path, text);
+    return path;
+  };
+
+  beforeEach(() => {
+    folder = mkdtempSync(join(tmpdir(), 'savorywind-check-'));
+  });
+
+  afterEach(() => rmSync(folder, { recursive: true }));
+
+  it('says that a file is valid', async () => {
+    const io = createIo({});
+    const args = ['check', write('a.toml', 'right'), '--adapter', write('adapter.mjs', ADAPTER)];
+    expect(await runCommand(args, io)).toBe(exitCodes.done);
+    expect(io.lines.join('\n')).toContain('valid');
+  });
+
+  it('names each fault and the file', async () => {
+    const io = createIo({});
+    const args = ['check', write('a.toml', 'x'), '--adapter', write('adapter.mjs', ADAPTER)];
+    expect(await runCommand(args, io)).toBe(exitCodes.invalidDeclarations);
+  });
+
+  it('names a module that checks nothing, or is not there', async () => {
+    const file = write('a.toml', 'x');
+    const other = write('other.mjs', 'export const something = 1;');
+    const missing = join(folder, 'missing.mjs');
+    expect(await runCommand(['check', file, '--adapter', other], createIo({}))).toBe(
+      exitCodes.usage,
+    );
+    expect(await runCommand(['check', file, '--adapter', missing], createIo({}))).toBe(
+      exitCodes.usage,
+    );
+  });
+});
