Bound what waits in an entry VM, and take no slow reader for a silent engine

A caller that read its stream slowly made the gateway hold the engine's answer back; after a second the engine counted as silent, was excluded, and the request ran once more elsewhere.

Bounds: 256 requests wait in one entry VM, the next is refused at once; bodies held for all requests take 64 MB, the next gets 503; a body that comes more slowly than its caller waits gets 408. All three promise that nothing has run. Tests: placement, body-reader, bad-callers.

--- a/packages/decisions/src/gateway/consts.ts
+++ b/packages/decisions/src/gateway/consts.ts
@@ -43,5 +43,8 @@
 /** A request that waits for an engine is tried again after this time at the latest. */
 export const PLACE_AGAIN_MS = 15;
 
+/** Requests that wait in one entry VM; trying to place them all takes about one `PLACE_AGAIN_MS`. */
+export const MAX_WAITING = 256;
+
 /** Engines that one request may list as helpers (contract of the engines). */
 export const MAX_HELPERS = 16;
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -64,6 +64,7 @@
       startedAtMs: this.context.nowMs,
       silenceTimer: undefined,
       hasHead: false,
+      isHeld: false,
     };
     record.attempt = attempt;
     record.sends += 1;
@@ -82,8 +83,13 @@
       helpers.forEach((work) => this.finishReading(work));
       this.onWorkChanged();
     }
-    const gapMs = record.route.maxEventGapMs ?? 0;
-    this.armSilenceTimer(record, attempt, Math.max(MIN_SILENCE_MS, SILENCE_PER_GAP * gapMs));
+    this.armGapTimer(record, attempt);
+  }
+
+  /** An endpoint whose answer is held back for a slow reader is not silent. */
+  acceptFlow(record: GatewayRecord, attempt: GatewayAttempt, flow: 'held' | 'flowing'): void {
+    attempt.isHeld = flow === 'held';
+    this.armGapTimer(record, attempt);
   }
 
   /** Forgets an attempt that has ended; what comes of it later reaches no caller. */
@@ -157,9 +163,14 @@
     return Math.max(MIN_SILENCE_MS, SILENCE_PER_AIM * route.targetLatencyMs, 2 * partMs);
   }
 
+  private armGapTimer(record: GatewayRecord, attempt: GatewayAttempt): void {
+    const gapMs = record.route.maxEventGapMs ?? 0;
+    this.armSilenceTimer(record, attempt, Math.max(MIN_SILENCE_MS, SILENCE_PER_GAP * gapMs));
+  }
+
   private armSilenceTimer(record: GatewayRecord, attempt: GatewayAttempt, delayMs: number): void {
     attempt.silenceTimer?.cancel();
-    if (!mayRunAgain(record)) return;
+    if (attempt.isHeld || !mayRunAgain(record)) return;
     attempt.silenceTimer = this.context.schedule(delayMs, () => this.onSilent(record, attempt));
   }
 }
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -182,6 +182,7 @@
       'request.abandoned': ({ requestId }) => requests.abandon(requestId),
       'attempt.headReceived': ({ attemptId, head }) => requests.acceptHead(attemptId, head),
       'attempt.eventPassed': ({ attemptId, eventId }) => requests.acceptEvent(attemptId, eventId),
+      'attempt.flowChanged': ({ attemptId, flow }) => requests.acceptFlow(attemptId, flow),
       'attempt.ended': ({ attemptId }) => requests.acceptEnd(attemptId),
       'attempt.failed': (event) => requests.acceptFailure(event),
       'reservation.answered': ({ reservationId, outcome }) =>
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -141,6 +141,12 @@
     this.attempts.acceptEvent(record, record.attempt);
   }
 
+  acceptFlow(attemptId: string, flow: 'held' | 'flowing'): void {
+    const record = this.attempts.find(attemptId);
+    if (record?.attempt === undefined) return;
+    this.attempts.acceptFlow(record, record.attempt, flow);
+  }
+
   acceptEnd(attemptId: string): void {
     const record = this.attempts.find(attemptId);
     if (record === undefined) return;
@@ -242,7 +248,10 @@
   }
 
   private wait(record: GatewayRecord): void {
-    this.waiting.add(record);
+    if (!this.waiting.add(record)) {
+      this.giveUp(record, 'noRoom');
+      return;
+    }
     this.waitingTimer ??= this.options.context.schedule(PLACE_AGAIN_MS, () => {
       this.waitingTimer = undefined;
       this.placeWaiting();
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -24,6 +24,8 @@
   readonly startedAtMs: MonotonicMs;
   silenceTimer: Timer | undefined;
   hasHead: boolean;
+  /** Whether its answer waits for the caller to read. */
+  isHeld: boolean;
 }
 
 /** When events of a stream were passed on. */
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -97,6 +97,12 @@
       readonly attemptId: AttemptId;
       readonly eventId: string | undefined;
     }
+  /** The caller reads more slowly than the answer comes, or reads on. */
+  | {
+      readonly kind: 'attempt.flowChanged';
+      readonly attemptId: AttemptId;
+      readonly flow: 'held' | 'flowing';
+    }
   /** The endpoint's whole answer is here; where it was held back, it has not been passed on. */
   | { readonly kind: 'attempt.ended'; readonly attemptId: AttemptId }
   | {
--- a/packages/decisions/src/gateway/waiting-line.ts
+++ b/packages/decisions/src/gateway/waiting-line.ts
@@ -1,4 +1,5 @@
 import type { MonotonicMs } from '@savorywind/model';
+import { MAX_WAITING } from './consts.js';
 import type { GatewayRecord } from './request-record.js';
 
 const isLate = ({ arrivedAtMs, route }: GatewayRecord, nowMs: MonotonicMs): boolean =>
@@ -11,8 +12,11 @@
 export class WaitingLine {
   private readonly records = new Set<GatewayRecord>();
 
-  add(record: GatewayRecord): void {
+  /** @returns whether there was room */
+  add(record: GatewayRecord): boolean {
+    if (this.records.size >= MAX_WAITING) return false;
     this.records.add(record);
+    return true;
   }
 
   remove(record: GatewayRecord): void {
--- a/packages/decisions/test/gateway/attempts.test.ts
+++ b/packages/decisions/test/gateway/attempts.test.ts
@@ -101,6 +101,20 @@
     expect(driver.findAttempt(id)?.lastEventId).toBe('8');
   });
 
+  it('stays with an engine whose answer waits for a slow reader', () => {
+    const driver = startDriver('e1', 'e2');
+    const id = driver.request('/chat/');
+    driver.passEvent(id, '7');
+    const { attemptId } = driver.findAttempt(id)!;
+    driver.dispatch({ kind: 'attempt.flowChanged', attemptId, flow: 'held' });
+    driver.dispatch({ kind: 'attempt.eventPassed', attemptId, eventId: '8' });
+    driver.advance(5_000);
+    expect(driver.list('attempt.start')).toHaveLength(1);
+    driver.dispatch({ kind: 'attempt.flowChanged', attemptId, flow: 'flowing' });
+    driver.advance(1_500);
+    expect(driver.list('attempt.start')).toHaveLength(2);
+  });
+
   it('leaves an engine that falls silent', () => {
     const driver = startDriver('e1', 'e2');
     const id = driver.request('/chat/');
--- a/packages/decisions/test/gateway/placement.test.ts
+++ b/packages/decisions/test/gateway/placement.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { MAX_WAITING } from '../../src/gateway/consts.js';
 import {
   createEndpoint,
   createWork,
@@ -33,6 +34,14 @@
     expect(driver.findAttempt(driver.request('/chat/'))?.endpoint.id).toBe('e2');
   });
 
+  it('are refused at once where too many wait already', () => {
+    const driver = startDriver('e1');
+    driver.hearPeer(1, [createWork('e1', { writers: 11, tightWriters: 11, tightGapMs: 250 })]);
+    const ids = Array.from({ length: MAX_WAITING + 1 }, () => driver.request('/chat/'));
+    expect(driver.findRefusal(ids[MAX_WAITING - 1]!)).toBeUndefined();
+    expect(driver.findRefusal(ids[MAX_WAITING]!)).toMatchObject({ reason: 'noRoom' });
+  });
+
   it('are refused before their callers leave, where all engines stay full', () => {
     const driver = startDriver('e1');
     driver.hearPeer(1, [createWork('e1', { writers: 11, tightWriters: 11, tightGapMs: 250 })]);
--- a/packages/entry/src/gateway/callers/front-server.ts
+++ b/packages/entry/src/gateway/callers/front-server.ts
@@ -1,7 +1,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { CallerLimits, NetworkAddress } from '@savorywind/model';
-import type { GatewayWire } from '../types.js';
+import type { GatewayWire, RequestFacts } from '../types.js';
+import { BodyReader, type BodyFailure } from './body-reader.js';
+import { BodyStore } from './body-store.js';
 import { CallerExchange } from './caller-exchange.js';
 
 /** Bytes of a head that the parser takes; the declared limit is checked on top. */
@@ -21,8 +23,25 @@
   idleTimeoutMs: 15_000,
 };
 
-const PAYLOAD_TOO_LARGE = 413;
+/** Longest time for a body of a caller that does not say how long it waits, in milliseconds. */
+const MAX_BODY_MS = 30_000;
+
+/** Bytes of bodies that are held for all requests: a quarter of the smallest VM's 250 MB. */
+const MAX_HELD_BYTES = 64_000_000;
+
+/** 408 and 503 promise that the request has not run. */
+const BODY_FAILURE_STATUS: Readonly<Record<BodyFailure, number>> = {
+  tooLarge: 413,
+  tooSlow: 408,
+  noRoom: 503,
+};
+
 const HEADERS_TOO_LARGE = 431;
+const UNAVAILABLE = 503;
+
+/** When a caller for whose body there is no room comes back: bodies are held for seconds. */
+const COME_BACK_S = '1';
+
 const BAD_REQUEST = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 
 export interface FrontServerOptions {
@@ -46,6 +65,8 @@
 
   private nextRequest = 1;
 
+  private readonly bodies = new BodyStore(MAX_HELD_BYTES);
+
   constructor(private readonly options: FrontServerOptions) {
     this.server = createServer(
       {
@@ -108,26 +129,29 @@
   }
 
   private readBody(incoming: IncomingMessage, outgoing: ServerResponse): void {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    incoming.on('data', (chunk: Buffer) => {
-      chunks.push(chunk);
-      bytes += chunk.length;
-      if (bytes <= this.limits.maxBodyBytes || outgoing.headersSent) return;
-      chunks.length = 0;
-      this.reject(incoming, outgoing, PAYLOAD_TOO_LARGE);
+    const facts = this.options.wire.readRequest(incoming.headers);
+    const reader = new BodyReader({
+      incoming,
+      store: this.bodies,
+      maxBytes: this.limits.maxBodyBytes,
+      timeoutMs: Math.min(facts.waitsMs ?? MAX_BODY_MS, MAX_BODY_MS),
+      onFailed: (failure) => this.reject(incoming, outgoing, BODY_FAILURE_STATUS[failure]),
+      onRead: (body) => this.open(incoming, outgoing, facts, body),
     });
+    // An answer that ends, whole or not, needs the body no more.
+    outgoing.on('close', () => reader.release());
     incoming.on('error', () => outgoing.destroy());
-    incoming.on('end', () => {
-      if (!outgoing.headersSent) this.open(incoming, outgoing, Buffer.concat(chunks, bytes));
-    });
   }
 
-  private open(incoming: IncomingMessage, outgoing: ServerResponse, body: Buffer): void {
-    const { wire, onRequest, onGone } = this.options;
+  private open(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    facts: RequestFacts,
+    body: Buffer,
+  ): void {
+    const { onRequest, onGone } = this.options;
     const requestId = String(this.nextRequest);
     this.nextRequest += 1;
-    const facts = wire.readRequest(incoming.headers);
     const exchange = new CallerExchange(requestId, facts, body, incoming, outgoing);
     outgoing.on('error', () => {});
     outgoing.on('close', () => {
@@ -139,7 +163,8 @@
 
   // eslint-disable-next-line class-methods-use-this
   private reject(incoming: IncomingMessage, outgoing: ServerResponse, status: number): void {
-    outgoing.writeHead(status, { Connection: 'close', 'Content-Length': '0' });
+    const comeBack = status === UNAVAILABLE ? { 'Retry-After': COME_BACK_S } : {};
+    outgoing.writeHead(status, { Connection: 'close', 'Content-Length': '0', ...comeBack });
     outgoing.end();
     incoming.resume();
   }
--- a/packages/entry/src/gateway/endpoints/answer-relay.ts
+++ b/packages/entry/src/gateway/endpoints/answer-relay.ts
@@ -40,6 +40,9 @@
 
   private ended = false;
 
+  /** Whether the answer waits for its caller to read. */
+  private isHeld = false;
+
   constructor(
     private readonly options: AnswerRelayOptions,
     deliversEvents: boolean,
@@ -138,9 +141,21 @@
 
   private send(chunk: Buffer): void {
     const { exchange, answer } = this.options;
-    if (exchange.send(chunk)) return;
+    if (exchange.send(chunk) || this.isHeld) return;
+    this.isHeld = true;
     answer.pause();
-    exchange.onceWritable(() => answer.resume());
+    this.reportFlow('held');
+    exchange.onceWritable(() => {
+      this.isHeld = false;
+      answer.resume();
+      this.reportFlow('flowing');
+    });
+  }
+
+  private reportFlow(flow: 'held' | 'flowing'): void {
+    if (this.ended) return;
+    const { attemptId, dispatch } = this.options;
+    dispatch({ kind: 'attempt.flowChanged', attemptId, flow });
   }
 
   /** The answer ends here, incomplete. */
--- a/packages/entry/test/gateway/bad-callers.test.ts
+++ b/packages/entry/test/gateway/bad-callers.test.ts
@@ -93,6 +93,14 @@
   });
 });
 
+describe('a caller that sends its body slowly', () => {
+  it('is told that nothing has run once the time that it waits is over', async () => {
+    const head = `${HEAD}X-Waits: 100\r\nContent-Length: 4\r\n\r\nab`;
+    expect(await exchange(head)).toMatch(/^HTTP\/1\.1 408/);
+    expect(runs).toEqual([]);
+  });
+});
+
 describe('a request that is smuggled inside another', () => {
   it('stays part of the body', async () => {
     const inner = 'GET /inner HTTP/1.1\r\nHost: shop.example\r\n\r\n';
--- /dev/null
+++ b/packages/entry/test/gateway/body-reader.test.ts
@@ -0,0 +1,53 @@
+import type { IncomingMessage } from 'node:http';
+import { PassThrough } from 'node:stream';
+import { describe, expect, it } from 'vitest';
+import { BodyReader, BodyStore, type BodyFailure } from '../../src/gateway/callers/body-reader.js';
+import { BodyStore } from '../../src/gateway/callers/body-store.js';
+
+interface Reading {
+  readonly reader: BodyReader;
+  readonly body: PassThrough;
+  /** What came of it: the body's text, or why there is none. */
+  readonly outcome: Promise<string | BodyFailure>;
+}
+
+const startReading = (store: BodyStore, maxBytes = 100): Reading => {
+  const body = new PassThrough();
+  let reader: BodyReader | undefined;
+  const outcome = new Promise<string>((resolve) => {
+    reader = new BodyReader({
+      incoming: body as unknown as IncomingMessage,
+      store,
+      maxBytes,
+      timeoutMs: 10_000,
+      onFailed: resolve,
+      onRead: (bytes) => resolve(bytes.toString()),
+    });
+  });
+  return { reader: reader!, body, outcome };
+};
+
+describe('bodies of callers', () => {
+  it('share one bound: what is over it is refused, and fits once another is done', async () => {
+    const store = new BodyStore(10);
+    const first = startReading(store);
+    first.body.end('12345678');
+    expect(await first.outcome).toBe('12345678');
+    const second = startReading(store);
+    second.body.end('abcd');
+    expect(await second.outcome).toBe('noRoom');
+    first.reader.release();
+    const third = startReading(store);
+    third.body.end('abcd');
+    expect(await third.outcome).toBe('abcd');
+  });
+
+  it('are refused over the limit of one, and give their room back', async () => {
+    const store = new BodyStore(10);
+    const long = startReading(store, 5);
+    long.body.write('1234');
+    long.body.end('5678');
+    expect(await long.outcome).toBe('tooLarge');
+    expect(store.add(10)).toBe(true);
+  });
+});
