--- a/packages/decisions/src/gateway/create-record.ts
+++ b/packages/decisions/src/gateway/create-record.ts
@@ -66,6 +66,7 @@
     runs: 0,
     unsent: 0,
     avoided: new Set(),
+    lostEndpoint: false,
     headPassed: false,
     lastEventId: request.lastEventId,
     times: { firstAtMs: undefined, lastAtMs: undefined, longestGapMs: 0 },
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -47,6 +47,9 @@
 /** Attempts that endpoints rejected or that never left, beyond those that may have run. */
 const MAX_EXTRA_ATTEMPTS = 3;
 
+/** Failures that may be due to the way to the endpoint. */
+const CONNECTION_FAILURES: ReadonlySet<GatewayAttemptFailure> = new Set(['notSent', 'broken']);
+
 /** Statuses that promise that the request has not run. */
 const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -170,6 +173,7 @@
       detail,
     });
     health.reportFailure(failedId, context.nowMs);
+    if (CONNECTION_FAILURES.has(failure)) this.reportLoss(record, attempt);
     this.attempts.detach(record);
     releaseReservations(record);
     record.avoided.add(failedId);
@@ -182,6 +186,12 @@
     reach.reportAnswer(endpoint.failureDomain, context.nowMs);
   }
 
+  private reportLoss(record: GatewayRecord, { endpoint }: GatewayAttempt): void {
+    const { reach, context } = this.options;
+    record.lostEndpoint = true;
+    reach.reportLoss(endpoint.failureDomain, endpoint.id, context.nowMs);
+  }
+
   private acceptSilence(record: GatewayRecord, attempt: GatewayAttempt): void {
     if (record.attempt !== attempt) return;
     const { context, health, budget } = this.options;
@@ -189,6 +199,7 @@
     if (!mayRepeat({ ...record, runs: record.runs + 1 })) return;
     if (!budget.takeRepeat(record.service.name, context.nowMs)) return;
     health.reportFailure(attempt.endpoint.id, context.nowMs);
+    this.reportLoss(record, attempt);
     // Connections to it may have fallen silent for good.
     context.emit({ kind: 'endpoint.forgotten', endpoint: attempt.endpoint.id });
     this.attempts.cancel(record);
--- a/packages/decisions/src/gateway/placement-desk.ts
+++ b/packages/decisions/src/gateway/placement-desk.ts
@@ -118,6 +118,21 @@
   decide(record: GatewayRecord): PlacementDecision {
     const candidates = this.listCandidates(record);
     if (candidates.length === 0) return { kind: 'noEndpoint' };
+    const near = record.lostEndpoint ? this.filterOwnDomain(candidates) : [];
+    const nearby = near.length > 0 ? this.decideAmong(record, near) : undefined;
+    return nearby?.kind === 'place' ? nearby : this.decideAmong(record, candidates);
+  }
+
+  /** What lost one endpoint may lose all of other domains: the way to those of the own is short. */
+  private filterOwnDomain(candidates: readonly EngineCandidate[]): EngineCandidate[] {
+    const { failureDomain } = this.options;
+    return candidates.filter(({ endpoint }) => endpoint.failureDomain === failureDomain);
+  }
+
+  private decideAmong(
+    record: GatewayRecord,
+    candidates: readonly EngineCandidate[],
+  ): PlacementDecision {
     if (record.service.engine === undefined) return this.decideReplica(candidates);
     return this.decideEngine(record, candidates);
   }
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -61,6 +61,8 @@
   /** Attempts that never left this process. */
   unsent: number;
   readonly avoided: Set<EndpointId>;
+  /** Whether an endpoint was lost on the way, by its connection or its silence. */
+  lostEndpoint: boolean;
   /** Whether the caller has the head of an answer. */
   headPassed: boolean;
   lastEventId: string | undefined;
--- a/packages/decisions/test/gateway/domain-reach.test.ts
+++ b/packages/decisions/test/gateway/domain-reach.test.ts
@@ -40,6 +40,28 @@
     expect(listDomains(driver, requestAll(driver))).toContain('b');
   });
 
+  it('gets no work as soon as two of its endpoints are lost without a sign of it in between', () => {
+    const driver = startWithDomains();
+    driver.advance(100);
+    const first = driver.request('/chat/');
+    const second = driver.request('/chat/', { promptTokens: 20_000 });
+    expect(new Set(listDomains(driver, [first, second]))).toEqual(new Set(['b']));
+    const ids = [first, second].map((id) => driver.findAttempt(id)!.endpoint.id);
+    expect(new Set(ids).size).toBe(2);
+    [first, second].forEach((id) => driver.fail(id, 'broken'));
+    expect(listDomains(driver, requestAll(driver))).toEqual(['a', 'a', 'a', 'a']);
+    driver.hearPeer(2, []);
+    expect(listDomains(driver, requestAll(driver))).toContain('b');
+  });
+
+  it('is left by a request that lost an endpoint, for the entry VM’s own domain', () => {
+    const driver = startWithDomains();
+    const id = driver.request('/chat/');
+    expect(listDomains(driver, [id])).toEqual(['b']);
+    driver.fail(id, 'broken');
+    expect(listDomains(driver, [id])).toEqual(['a']);
+  });
+
   it('is tried again where its entry VMs may be gone for good', () => {
     const driver = startWithDomains();
     driver.advance(21_000);
