--- a/packages/entry/test/gateway/body-reader.test.ts
+++ b/packages/entry/test/gateway/body-reader.test.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import { PassThrough } from 'node:stream';
 import { describe, expect, it } from 'vitest';
-import { BodyReader, BodyStore, type BodyFailure } from '../../src/gateway/callers/body-reader.js';
+import { BodyReader, type BodyFailure } from '../../src/gateway/callers/body-reader.js';
 import { BodyStore } from '../../src/gateway/callers/body-store.js';
 
 interface Reading {
