--- a/packages/decisions/src/gateway/fleet-picture.ts
+++ b/packages/decisions/src/gateway/fleet-picture.ts
@@ -49,7 +49,8 @@
 /** A prompt counts with this share of its reading time until its first event, however late that is. */
 const LEAST_READING_SHARE = 0.15;
 
-const createLoad = (): EngineLoad => ({
+/** An engine without any work. */
+export const createLoad = (): EngineLoad => ({
   writers: 0,
   tightWriters: 0,
   tightGapMs: 0,
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -1,6 +1,6 @@
 import { logEvents, type GatewayEndpoint } from '@savorywind/model';
 import { CONNECT_TIMEOUT_MS } from './consts.js';
-import type { PlacedHelper } from './engine-placement.js';
+import type { PlacedHelper } from './placement-estimates.js';
 import type { FleetPicture, OwnWork } from './fleet-picture.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { MemoryReservation } from './memory-reservations.js';
--- a/packages/decisions/src/gateway/placement-desk.ts
+++ b/packages/decisions/src/gateway/placement-desk.ts
@@ -4,18 +4,18 @@
 import type { DomainReach } from './domain-reach.js';
 import type { EndpointTable } from './endpoint-table.js';
 import { estimatePassMs } from './engine-costs.js';
+import { placeGeneration } from './engine-placement.js';
+import { createLoad, type FleetPicture } from './fleet-picture.js';
+import type { GatewayContext } from './gateway-context.js';
+import { pickReplica } from './replica-placement.js';
 import {
   AIM_HEADROOM,
   PASSES_TO_FIRST_EVENT,
   TOKENS_PER_WEIGHT,
-  placeGeneration,
   type EngineCandidate,
   type PlacedHelper,
   type Placement,
-} from './engine-placement.js';
-import type { EngineLoad, FleetPicture } from './fleet-picture.js';
-import type { GatewayContext } from './gateway-context.js';
-import { pickReplica } from './replica-placement.js';
+} from './placement-estimates.js';
 import type { GatewayRecord } from './request-record.js';
 
 /** Where a request goes, or why it can't go anywhere now. */
@@ -35,15 +35,7 @@
   /** No endpoint is there that could take it. */
   | { readonly kind: 'noEndpoint' };
 
-const NO_LOAD: EngineLoad = {
-  writers: 0,
-  tightWriters: 0,
-  tightGapMs: 0,
-  readers: 0,
-  longReaders: 0,
-  readMs: 0,
-  memoryTokens: 0,
-};
+const NO_LOAD = createLoad();
 
 /** A request that may still find a better place waits for it until so much of its time is left. */
 const LAST_MOMENT_MS = 100;
--- a/packages/decisions/src/gateway/replica-placement.ts
+++ b/packages/decisions/src/gateway/replica-placement.ts
@@ -1,5 +1,5 @@
 import type { FailureDomainId, GatewayEndpoint } from '@savorywind/model';
-import type { EngineCandidate } from './engine-placement.js';
+import type { EngineCandidate } from './placement-estimates.js';
 
 const countRequests = ({ load }: EngineCandidate): number => load.readers + load.writers;
 
