Show metrics of the gateway, and say in the log how many lines were left out

Counters by outcome and histograms of queueing, first event and total time by team, route and length of the prompt, on the second internal port under /metrics (metrics of the deploy file), with the library and the bound of 256 series that the other interface has. Lines that the log's reader was too slow for are named in the next line that is written (827).

Test: gateway-metrics.test.ts.

--- a/packages/decisions/src/gateway/create-record.ts
+++ b/packages/decisions/src/gateway/create-record.ts
@@ -62,6 +62,7 @@
     deadlineTimer: undefined,
     reservations: undefined,
     attempt: undefined,
+    firstPlacedAtMs: undefined,
     sends: 0,
     runs: 0,
     unsent: 0,
--- a/packages/decisions/src/gateway/event-times.ts
+++ b/packages/decisions/src/gateway/event-times.ts
@@ -8,12 +8,16 @@
   times.lastAtMs = nowMs;
 };
 
-/** Logs an answer that came later than its route aims at, with what its placement was based on. */
-export const logIfLate = (context: GatewayContext, record: GatewayRecord): void => {
+/**
+ * Logs an answer that came later than its route aims at, with what its placement was based on.
+ *
+ * @returns whether it was late
+ */
+export const logIfLate = (context: GatewayContext, record: GatewayRecord): boolean => {
   const { arrivedAtMs, route, times, basis, request, readMs, attempt } = record;
   const tookMs = (times.firstAtMs ?? context.nowMs) - arrivedAtMs;
   const hasLongGap = times.longestGapMs > (route.maxEventGapMs ?? Number.POSITIVE_INFINITY);
-  if (tookMs <= route.targetLatencyMs && !hasLongGap) return;
+  if (tookMs <= route.targetLatencyMs && !hasLongGap) return false;
   context.log(logEvents.answerLate, {
     request: request.callerAttempt,
     endpoint: attempt?.endpoint.id,
@@ -22,4 +26,5 @@
     promptReadMs: Math.round(readMs),
     ...basis,
   });
+  return true;
 };
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -67,6 +67,7 @@
       isHeld: false,
     };
     record.attempt = attempt;
+    record.firstPlacedAtMs ??= this.context.nowMs;
     record.sends += 1;
     this.records.set(attempt.attemptId, record);
     this.emitStart(record, attempt, plan);
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -19,6 +19,7 @@
 import { GatewayContext } from './gateway-context.js';
 import type { ResolvedRoute } from './create-record.js';
 import { GatewayRequests } from './gateway-requests.js';
+import { measureRefused } from './measure-request.js';
 import { MemoryReservations } from './memory-reservations.js';
 import { PlacementDesk } from './placement-desk.js';
 import { RouteIndex } from './route-index.js';
@@ -250,6 +251,7 @@
     const isFinal = reason === 'noRoute' || reason === 'wrongCredential';
     const retryAfterMs = isFinal ? undefined : NOT_READY_RETRY_MS;
     this.context.log(logEvents.requestTurnedAway, { request: request.callerAttempt, reason });
+    this.context.emit({ kind: 'request.measured', measured: measureRefused(request, reason) });
     this.context.emit({
       kind: 'caller.refuse',
       requestId: request.requestId,
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -16,6 +16,7 @@
 import type { FleetRetryBudget } from './fleet-retry-budget.js';
 import { GatewayAttempts, type AttemptPlan } from './gateway-attempts.js';
 import type { GatewayContext } from './gateway-context.js';
+import { measureRequest } from './measure-request.js';
 import type { MemoryReservations } from './memory-reservations.js';
 import { estimateLeastMs, type PlacementDesk } from './placement-desk.js';
 import { mayRunAgain, type GatewayAttempt, type GatewayRecord } from './request-record.js';
@@ -25,6 +26,7 @@
   GatewayEvent,
   GatewayRefusalReason,
   GatewayRequest,
+  RequestOutcome,
 } from './types.js';
 import { WaitingLine } from './waiting-line.js';
 
@@ -111,7 +113,7 @@
     const record = this.records.get(requestId);
     if (record === undefined) return;
     this.attempts.cancel(record);
-    this.close(record);
+    this.close(record, 'abandoned');
   }
 
   acceptHead(attemptId: string, head: GatewayAnswerHead): void {
@@ -153,10 +155,10 @@
   acceptEnd(attemptId: string): void {
     const record = this.attempts.find(attemptId);
     if (record === undefined) return;
-    logIfLate(this.options.context, record);
+    const isLate = logIfLate(this.options.context, record);
     this.attempts.detach(record);
     this.options.context.emit({ kind: 'caller.finish', requestId: record.request.requestId });
-    this.close(record);
+    this.close(record, isLate ? 'late' : 'served');
   }
 
   acceptFailure({ attemptId, failure, detail, atFault }: AttemptFailed): void {
@@ -344,27 +346,31 @@
     if (record.headPassed) {
       context.log(logEvents.requestBrokenOff, { request: callerAttempt, reason });
       context.emit({ kind: 'caller.breakOff', requestId });
-    } else {
-      const refusal = createRefusal(record, reason, context.drawRandom());
-      context.log(logEvents.requestTurnedAway, {
-        request: callerAttempt,
-        reason,
-        waitedMs: Math.round(context.nowMs - record.arrivedAtMs),
-        promptReadMs: Math.round(record.readMs),
-        sends: record.sends,
-        runs: record.runs,
-      });
-      context.emit({ kind: 'caller.refuse', requestId, refusal });
+      this.close(record, 'brokenOff');
+      return;
     }
-    this.close(record);
+    const refusal = createRefusal(record, reason, context.drawRandom());
+    context.log(logEvents.requestTurnedAway, {
+      request: callerAttempt,
+      reason,
+      waitedMs: Math.round(context.nowMs - record.arrivedAtMs),
+      promptReadMs: Math.round(record.readMs),
+      sends: record.sends,
+      runs: record.runs,
+    });
+    context.emit({ kind: 'caller.refuse', requestId, refusal });
+    this.close(record, refusal.reason);
   }
 
-  private close(record: GatewayRecord): void {
+  private close(record: GatewayRecord, outcome: RequestOutcome): void {
+    const { context } = this.options;
     this.stopWaiting(record);
     record.deadlineTimer?.cancel();
     this.attempts.detach(record);
     releaseReservations(record);
     this.records.delete(record.request.requestId);
+    const measured = measureRequest(record, outcome, context.nowMs);
+    context.emit({ kind: 'request.measured', measured });
     if (this.records.size === 0) this.options.onIdle();
   }
 }
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -54,6 +54,8 @@
   /** Memory that is being reserved, or is held, on other engines. */
   reservations: ReservationSet | undefined;
   attempt: GatewayAttempt | undefined;
+  /** When it was first given to an endpoint. */
+  firstPlacedAtMs: MonotonicMs | undefined;
   /** Attempts of which bytes have left. */
   sends: number;
   /** Attempts that an endpoint may have begun to work on. */
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -147,6 +147,30 @@
   readonly retryAfterMs: number | undefined;
 }
 
+/** How a request ended, for metrics. */
+export type RequestOutcome =
+  | 'served'
+  /** Served, later than its route aims at or with too long a pause. */
+  | 'late'
+  | 'brokenOff'
+  | 'abandoned'
+  | GatewayRefusalReason;
+
+/** One request after its end. Times count from its arrival, in milliseconds. */
+export interface RequestMeasured {
+  /** `none` where no team was found or asked for. */
+  readonly team: string;
+  /** `none` where no route was found. */
+  readonly route: string;
+  readonly promptTokens: number;
+  readonly outcome: RequestOutcome;
+  /** Until it was first given to an endpoint; undefined where it never was. */
+  readonly queuedMs: number | undefined;
+  /** Until the first event of a stream was passed on. */
+  readonly firstEventMs: number | undefined;
+  readonly totalMs: number;
+}
+
 export type GatewayEffect =
   | {
       readonly kind: 'attempt.start';
@@ -205,6 +229,7 @@
   /** Kept connections to this endpoint are of no more use. */
   | { readonly kind: 'endpoint.forgotten'; readonly endpoint: EndpointId }
   | { readonly kind: 'readiness'; readonly ready: boolean }
+  | { readonly kind: 'request.measured'; readonly measured: RequestMeasured }
   /** Takes no more connections; those in use go on. */
   | { readonly kind: 'callers.close' }
   /** Nothing is in flight any more, and the process may end. */
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -1,5 +1,6 @@
 import { GatewayNode, type GatewayEffect, type GatewayEvent } from '@savorywind/decisions';
-import { logEvents, type GatewayEndpoint } from '@savorywind/model';
+import process from 'node:process';
+import { logEvents, type GatewayEndpoint, type LogEvent, type LogFields } from '@savorywind/model';
 import { createStdoutSink } from '../observe/log-sink.js';
 import { createEventLogger } from '../observe/logger.js';
 import { NodeRunner, type HandlersOf } from '../runtime/node-runner.js';
@@ -8,6 +9,8 @@
 import { ElapsedClock } from './elapsed-clock.js';
 import { ConnectionPools } from './endpoints/connection-pools.js';
 import { EndpointAttempt } from './endpoints/endpoint-attempt.js';
+import { GatewayMetrics } from './metrics/gateway-metrics.js';
+import { MetricsServer } from './metrics/metrics-server.js';
 import { PeerSocket } from './peer-socket.js';
 import { ReadinessServer } from './readiness-server.js';
 import { TableWatch, type TableUpdate } from './store/table-watch.js';
@@ -53,6 +56,12 @@
 
   private readonly logSink = createStdoutSink();
 
+  private readonly metrics = new GatewayMetrics();
+
+  private readonly metricsServer: MetricsServer | undefined;
+
+  private reportedDrops = 0;
+
   private readonly log;
 
   private stopped = false;
@@ -80,11 +89,15 @@
       onSnapshot: (snapshot) => this.dispatch({ kind: 'peer.received', snapshot }),
       onUnreadable: (detail) => this.log.write(logEvents.peerUnreadable, { detail }),
     });
+    if (settings.metrics !== undefined) {
+      this.metricsServer = new MetricsServer(settings.metrics, () => this.renderMetrics());
+    }
     this.watches = this.createWatches();
   }
 
   async start(): Promise<void> {
-    await Promise.all([this.front.start(), this.readiness.start(), this.peers.start()]);
+    const servers = [this.front, this.readiness, this.peers, this.metricsServer];
+    await Promise.all(servers.map((server) => server?.start()));
     this.log.write(logEvents.gatewayStarted, { callers: this.settings.callers.port });
     this.watches.forEach((watch) => watch.start());
     await this.register();
@@ -288,10 +301,40 @@
       readiness: ({ ready }) => this.readiness.setReady(ready),
       'callers.close': () => this.front.close(),
       drained: () => this.stop(),
-      log: ({ event, fields }) => this.log.write(event, fields),
+      'request.measured': ({ measured }) => this.metrics.record(measured),
+      log: ({ event, fields }) => this.writeLog(event, fields),
     };
   }
 
+  private writeLog(event: LogEvent, fields: LogFields): void {
+    const { droppedLines } = this.logSink;
+    if (droppedLines > this.reportedDrops) {
+      this.log.write(logEvents.logLinesDropped, { lines: droppedLines - this.reportedDrops });
+      this.reportedDrops = droppedLines;
+    }
+    this.log.write(event, fields);
+  }
+
+  private renderMetrics(): string {
+    return this.metrics.render([
+      {
+        metric: 'savorywind_requests_in_flight',
+        help: 'Requests that have no final answer yet.',
+        value: this.exchanges.size,
+      },
+      {
+        metric: 'savorywind_log_lines_dropped',
+        help: 'Log lines dropped because the reader of the log was too slow.',
+        value: this.logSink.droppedLines,
+      },
+      {
+        metric: 'savorywind_resident_memory_bytes',
+        help: 'Resident memory of this process.',
+        value: process.memoryUsage.rss(),
+      },
+    ]);
+  }
+
   private stop(): void {
     if (this.stopped) return;
     this.stopped = true;
@@ -308,6 +351,7 @@
     this.adapter.tables.stop();
     this.peers.stop();
     this.readiness.stop();
+    this.metricsServer?.stop();
     this.log.write(logEvents.gatewayStopped, {});
     this.logSink.flush();
     this.onStopped();
--- a/packages/entry/src/gateway/types.ts
+++ b/packages/entry/src/gateway/types.ts
@@ -22,6 +22,8 @@
   readonly callers: NetworkAddress;
   /** Where the balancer asks whether requests are taken. */
   readonly readiness: NetworkAddress;
+  /** Where metrics are shown; undefined where they are not. */
+  readonly metrics: NetworkAddress | undefined;
   readonly contract: GatewayContract;
 }
 
--- /dev/null
+++ b/packages/entry/test/gateway/gateway-metrics.test.ts
@@ -0,0 +1,46 @@
+import { request } from 'node:http';
+import { afterEach, describe, expect, it } from 'vitest';
+import { startRawServer, startTestGateway, type TestGateway } from '../fixtures/test-gateway.js';
+
+const ANSWER = 'HTTP/1.1 200 OK\r\nX-Receipt: r\r\nContent-Length: 4\r\n\r\ndone';
+
+let gateway: TestGateway;
+let closeEndpoint = (): void => {};
+
+afterEach(() => {
+  gateway.process.stopAtOnce();
+  closeEndpoint();
+});
+
+const readText = (port: number, path: string, host = 'shop.example'): Promise<string> =>
+  new Promise((resolve, reject) => {
+    request({ host: '127.0.0.1', port, path, headers: { Host: host }, agent: false }, (answer) => {
+      let text = '';
+      answer.on('data', (chunk: Buffer) => {
+        text += chunk.toString();
+      });
+      answer.on('end', () => resolve(text));
+    })
+      .on('error', reject)
+      .end();
+  });
+
+describe('metrics of the gateway', () => {
+  it('count requests by team, route, prompt length and outcome, with their times', async () => {
+    const endpoint = await startRawServer((socket) =>
+      socket.on('data', () => socket.write(ANSWER)),
+    );
+    closeEndpoint = endpoint.close;
+    gateway = await startTestGateway([endpoint.port]);
+    expect(await readText(gateway.port, '/a')).toBe('done');
+    await readText(gateway.port, '/a');
+    await readText(gateway.port, '/a', 'unknown.example');
+    const text = await readText(gateway.metricsPort, '/metrics');
+    const orders = '{team="none",class="orders",band="none"';
+    expect(text).toContain(`savorywind_requests_total${orders},outcome="served"} 2`);
+    expect(text).toContain(`savorywind_queueing_seconds_count${orders}} 2`);
+    expect(text).toContain(`savorywind_total_seconds_bucket${orders},le="+Inf"} 2`);
+    expect(text).toMatch(/class="none",band="none",outcome="noRoute"} 1/);
+    expect(text).toMatch(/^savorywind_requests_in_flight 0$/m);
+  });
+});
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -20,5 +20,6 @@
   requestBrokenOff: [823, 'warn', 'an answer was ended incomplete'],
   attemptFailed: [824, 'info', 'an attempt at an endpoint failed'],
   answerLate: [826, 'info', 'an answer came later than its route aims at'],
+  logLinesDropped: [827, 'warn', 'the reader of the log was too slow: lines were left out'],
   peerUnreadable: [825, 'warn', 'a datagram of a peer cannot be read'],
 });
