Keep the whole story of failed requests in the log, and serve without metrics

Requests served in time still leave none.

Tests: attempts.test.ts (the log of a request), gateway-metrics.test.ts.

--- a/packages/decisions/src/gateway/create-record.ts
+++ b/packages/decisions/src/gateway/create-record.ts
@@ -72,5 +72,6 @@
     lastEventId: request.lastEventId,
     times: { firstAtMs: undefined, lastAtMs: undefined, longestGapMs: 0 },
     basis: {},
+    trail: [],
   };
 };
--- a/packages/decisions/src/gateway/event-times.ts
+++ b/packages/decisions/src/gateway/event-times.ts
@@ -1,5 +1,6 @@
 import { logEvents, type MonotonicMs } from '@savorywind/model';
 import type { GatewayContext } from './gateway-context.js';
+import { logTrail } from './log-trail.js';
 import type { EventTimes, GatewayRecord } from './request-record.js';
 
 export const recordEvent = (times: EventTimes, nowMs: MonotonicMs): void => {
@@ -18,6 +19,7 @@
   const tookMs = (times.firstAtMs ?? context.nowMs) - arrivedAtMs;
   const hasLongGap = times.longestGapMs > (route.maxEventGapMs ?? Number.POSITIVE_INFINITY);
   if (tookMs <= route.targetLatencyMs && !hasLongGap) return false;
+  logTrail(context, record);
   context.log(logEvents.answerLate, {
     request: request.callerAttempt,
     endpoint: attempt?.endpoint.id,
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -1,4 +1,4 @@
-import { logEvents, type GatewayEndpoint } from '@savorywind/model';
+import type { GatewayEndpoint } from '@savorywind/model';
 import { CONNECT_TIMEOUT_MS } from './consts.js';
 import type { PlacedHelper } from './placement-estimates.js';
 import type { FleetPicture, OwnWork } from './fleet-picture.js';
@@ -150,11 +150,15 @@
       connection: mayRunAgain(record) ? 'kept' : 'recent',
       delivery: route.kind === 'streaming' ? 'events' : 'whole',
     });
-    this.context.log(logEvents.requestPlaced, {
-      request: request.callerAttempt,
-      endpoint: endpoint.id,
-      helpers: plan.helpers.length,
-      waitedMs: Math.round(this.context.nowMs - record.arrivedAtMs),
+    record.trail.push({
+      atMs: this.context.nowMs,
+      fields: {
+        request: request.callerAttempt,
+        endpoint: endpoint.id,
+        waitedMs: Math.round(this.context.nowMs - record.arrivedAtMs),
+        ...record.basis,
+        helpers: plan.helpers.map((helper) => helper.endpoint.id).join(' '),
+      },
     });
   }
 
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -16,6 +16,7 @@
 import type { FleetRetryBudget } from './fleet-retry-budget.js';
 import { GatewayAttempts, type AttemptPlan } from './gateway-attempts.js';
 import type { GatewayContext } from './gateway-context.js';
+import { logTrail } from './log-trail.js';
 import { measureRequest } from './measure-request.js';
 import type { MemoryReservations } from './memory-reservations.js';
 import { estimateLeastMs, type PlacementDesk } from './placement-desk.js';
@@ -112,10 +113,25 @@
   abandon(requestId: string): void {
     const record = this.records.get(requestId);
     if (record === undefined) return;
+    this.logAbandoned(record);
     this.attempts.cancel(record);
     this.close(record, 'abandoned');
   }
 
+  private logAbandoned(record: GatewayRecord): void {
+    const { context } = this.options;
+    logTrail(context, record);
+    context.log(logEvents.callerLeft, {
+      request: record.request.callerAttempt,
+      endpoint: record.attempt?.endpoint.id,
+      waitedMs: Math.round(context.nowMs - record.arrivedAtMs),
+      promptReadMs: Math.round(record.readMs),
+      hasHead: record.headPassed,
+      longestGapMs: Math.round(record.times.longestGapMs),
+      sends: record.sends,
+    });
+  }
+
   acceptHead(attemptId: string, head: GatewayAnswerHead): void {
     const record = this.attempts.find(attemptId);
     const attempt = record?.attempt;
@@ -167,6 +183,7 @@
     if (record === undefined || attempt === undefined) return;
     const { context, health } = this.options;
     const { id: failedId } = findFailed(attempt, atFault);
+    logTrail(context, record);
     context.log(logEvents.attemptFailed, {
       request: record.request.callerAttempt,
       endpoint: attempt.endpoint.id,
@@ -343,6 +360,7 @@
   private giveUp(record: GatewayRecord, reason: GatewayRefusalReason): void {
     const { context } = this.options;
     const { requestId, callerAttempt } = record.request;
+    logTrail(context, record);
     if (record.headPassed) {
       context.log(logEvents.requestBrokenOff, { request: callerAttempt, reason });
       context.emit({ kind: 'caller.breakOff', requestId });
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -35,6 +35,12 @@
   longestGapMs: number;
 }
 
+/** One line of the log that is not written yet. */
+export interface PlacementNote {
+  readonly atMs: MonotonicMs;
+  readonly fields: LogFields;
+}
+
 /** A request from its arrival to its final answer. */
 export interface GatewayRecord {
   readonly request: GatewayRequest;
@@ -71,6 +77,8 @@
   readonly times: EventTimes;
   /** What the last placement was based on, for the log. */
   basis: LogFields;
+  /** Where it was given to endpoints; written to the log only if the request fails or is late. */
+  readonly trail: PlacementNote[];
 }
 
 /** Whether the request may be given to another endpoint although one may have run it. */
--- a/packages/decisions/test/gateway/attempts.test.ts
+++ b/packages/decisions/test/gateway/attempts.test.ts
@@ -1,5 +1,10 @@
 import { describe, expect, it } from 'vitest';
-import { createEndpoint, createWork, startDriver } from '../fixtures/gateway-driver.js';
+import {
+  createEndpoint,
+  createWork,
+  startDriver,
+  type GatewayDriver,
+} from '../fixtures/gateway-driver.js';
 
 describe('a call that must not run twice', () => {
   it('is not sent again after bytes have left, and the answer promises nothing', () => {
@@ -125,6 +130,35 @@
   });
 });
 
+describe('the log of a request', () => {
+  const listEvents = (driver: GatewayDriver): string[] =>
+    driver.list('log').flatMap(({ event, fields }) => ('request' in fields ? event.name : []));
+
+  it('has no line where it was served in time', () => {
+    const driver = startDriver('e1');
+    const id = driver.request('/chat/');
+    driver.passEvent(id, '1');
+    const { attemptId } = driver.findAttempt(id)!;
+    driver.dispatch({ kind: 'attempt.ended', attemptId });
+    expect(listEvents(driver)).toEqual([]);
+  });
+
+  it('tells where it was sent once it fails, and when its caller leaves', () => {
+    const driver = startDriver('e1', 'e2');
+    const id = driver.request('/chat/');
+    driver.fail(id, 'rejected');
+    driver.advance(100);
+    driver.dispatch({ kind: 'request.abandoned', requestId: id });
+    expect(listEvents(driver)).toEqual([
+      'requestPlaced',
+      'attemptFailed',
+      'requestRepeated',
+      'requestPlaced',
+      'callerLeft',
+    ]);
+  });
+});
+
 describe('repeats', () => {
   it('stay within this entry VM’s part of the budget of all', () => {
     const driver = startDriver('e1', 'e2');
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -96,13 +96,20 @@
   }
 
   async start(): Promise<void> {
-    const servers = [this.front, this.readiness, this.peers, this.metricsServer];
-    await Promise.all(servers.map((server) => server?.start()));
+    await Promise.all([this.front.start(), this.readiness.start(), this.peers.start()]);
+    this.startMetrics();
     this.log.write(logEvents.gatewayStarted, { callers: this.settings.callers.port });
     this.watches.forEach((watch) => watch.start());
     await this.register();
   }
 
+  /** Requests are served also where metrics can't be shown. */
+  private startMetrics(): void {
+    this.metricsServer?.start().catch((fault: Error) => {
+      this.log.write(logEvents.metricsNotShown, { detail: fault.message });
+    });
+  }
+
   /** Says at once that no requests are taken, and ends when those that still come are answered. */
   drain(): void {
     this.readiness.setReady(false);
--- a/packages/entry/test/gateway/gateway-metrics.test.ts
+++ b/packages/entry/test/gateway/gateway-metrics.test.ts
@@ -43,4 +43,13 @@
     expect(text).toMatch(/class="none",band="none",outcome="noRoute"} 1/);
     expect(text).toMatch(/^savorywind_requests_in_flight 0$/m);
   });
+
+  it('that can’t be shown, as their port is taken, hold no request up', async () => {
+    const endpoint = await startRawServer((socket) =>
+      socket.on('data', () => socket.write(ANSWER)),
+    );
+    closeEndpoint = endpoint.close;
+    gateway = await startTestGateway([endpoint.port], {}, endpoint.port);
+    expect(await readText(gateway.port, '/a')).toBe('done');
+  });
 });
