Name endpoints that answered with an error in the log

Found while looking for the causes of ten failed requests by their ids: a balance look-up that two replicas answered with 500 left no line at all. Each such answer is now a line (824, failure serverError), also where it is passed on, and a repeat for it another (821). What the log says of a request stands in one module.

Test: attempts.test.ts, names endpoints that answered with an error.

--- a/packages/decisions/src/gateway/event-times.ts
+++ b/packages/decisions/src/gateway/event-times.ts
@@ -1,6 +1,6 @@
 import { logEvents, type MonotonicMs } from '@savorywind/model';
 import type { GatewayContext } from './gateway-context.js';
-import { logTrail } from './log-trail.js';
+import { logTrail } from './request-log.js';
 import type { EventTimes, GatewayRecord } from './request-record.js';
 
 export const recordEvent = (times: EventTimes, nowMs: MonotonicMs): void => {
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -1,9 +1,4 @@
-import {
-  logEvents,
-  type CallerPatience,
-  type GatewayEndpoint,
-  type NetworkAddress,
-} from '@savorywind/model';
+import type { CallerPatience, GatewayEndpoint, NetworkAddress } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
 import { MAX_HELPERS, MIN_ATTEMPT_MS, PLACE_AGAIN_MS } from './consts.js';
 import { createGatewayRecord, type ResolvedRoute } from './create-record.js';
@@ -16,7 +11,6 @@
 import type { FleetRetryBudget } from './fleet-retry-budget.js';
 import { GatewayAttempts, type AttemptPlan } from './gateway-attempts.js';
 import type { GatewayContext } from './gateway-context.js';
-import { logTrail } from './log-trail.js';
 import { measureRequest } from './measure-request.js';
 import type { MemoryReservations } from './memory-reservations.js';
 import { estimateLeastMs, type PlacementDesk } from './placement-desk.js';
@@ -29,6 +23,14 @@
   GatewayRequest,
   RequestOutcome,
 } from './types.js';
+import {
+  logAbandoned,
+  logBrokenOff,
+  logFailure,
+  logRefusal,
+  logRepeat,
+  logServerError,
+} from './request-log.js';
 import { WaitingLine } from './waiting-line.js';
 
 export interface GatewayRequestsOptions {
@@ -113,25 +115,11 @@
   abandon(requestId: string): void {
     const record = this.records.get(requestId);
     if (record === undefined) return;
-    this.logAbandoned(record);
+    logAbandoned(this.options.context, record);
     this.attempts.cancel(record);
     this.close(record, 'abandoned');
   }
 
-  private logAbandoned(record: GatewayRecord): void {
-    const { context } = this.options;
-    logTrail(context, record);
-    context.log(logEvents.callerLeft, {
-      request: record.request.callerAttempt,
-      endpoint: record.attempt?.endpoint.id,
-      waitedMs: Math.round(context.nowMs - record.arrivedAtMs),
-      promptReadMs: Math.round(record.readMs),
-      hasHead: record.headPassed,
-      longestGapMs: Math.round(record.times.longestGapMs),
-      sends: record.sends,
-    });
-  }
-
   acceptHead(attemptId: string, head: GatewayAnswerHead): void {
     const record = this.attempts.find(attemptId);
     const attempt = record?.attempt;
@@ -139,10 +127,13 @@
     attempt.hasHead = true;
     this.options.health.reportAnswer(attempt.endpoint.id);
     this.reportSign(attempt);
+    if (head.status >= FIRST_SERVER_ERROR)
+      logServerError(this.options.context, record, head.status);
     if (isSuccess(head.status) && !head.hasReceipt) {
       this.attempts.cancel(record);
       this.repeatOrGiveUp(record, 'invalid');
     } else if (this.isWorthRepeating(record, head)) {
+      logRepeat(this.options.context, record, 'serverError');
       this.attempts.cancel(record);
       this.place(record);
     } else if (!mayRunAgain(record) && PROMISING_STATUSES.has(head.status)) {
@@ -183,14 +174,7 @@
     if (record === undefined || attempt === undefined) return;
     const { context, health } = this.options;
     const { id: failedId } = findFailed(attempt, atFault);
-    logTrail(context, record);
-    context.log(logEvents.attemptFailed, {
-      request: record.request.callerAttempt,
-      endpoint: attempt.endpoint.id,
-      failed: failedId,
-      failure,
-      detail,
-    });
+    logFailure(context, record, { failed: failedId, failure, detail });
     health.reportFailure(failedId, context.nowMs);
     if (CONNECTION_FAILURES.has(failure)) this.reportLoss(record, attempt);
     this.attempts.detach(record);
@@ -225,7 +209,7 @@
     releaseReservations(record);
     record.avoided.add(attempt.endpoint.id);
     record.runs += 1;
-    this.logRepeat(record, 'silent');
+    logRepeat(this.options.context, record, 'silent');
     this.place(record);
   }
 
@@ -329,7 +313,7 @@
     if (hasRun && !mayRunAgain(record)) {
       this.giveUp(record, 'broken');
     } else if (mayRepeat(record) && this.takeBudget(record, failure)) {
-      this.logRepeat(record, failure);
+      logRepeat(this.options.context, record, failure);
       this.place(record);
     } else {
       this.giveUp(record, hasRun ? 'broken' : 'rejected');
@@ -343,11 +327,6 @@
     return budget.takeRepeat(record.service.name, context.nowMs);
   }
 
-  private logRepeat(record: GatewayRecord, cause: string): void {
-    const { callerAttempt } = record.request;
-    this.options.context.log(logEvents.requestRepeated, { request: callerAttempt, cause });
-  }
-
   private expire(requestId: string): void {
     const record = this.records.get(requestId);
     if (record === undefined) return;
@@ -359,23 +338,15 @@
   /** The final answer of a request that can't be served. */
   private giveUp(record: GatewayRecord, reason: GatewayRefusalReason): void {
     const { context } = this.options;
-    const { requestId, callerAttempt } = record.request;
-    logTrail(context, record);
+    const { requestId } = record.request;
     if (record.headPassed) {
-      context.log(logEvents.requestBrokenOff, { request: callerAttempt, reason });
+      logBrokenOff(context, record, reason);
       context.emit({ kind: 'caller.breakOff', requestId });
       this.close(record, 'brokenOff');
       return;
     }
     const refusal = createRefusal(record, reason, context.drawRandom());
-    context.log(logEvents.requestTurnedAway, {
-      request: callerAttempt,
-      reason,
-      waitedMs: Math.round(context.nowMs - record.arrivedAtMs),
-      promptReadMs: Math.round(record.readMs),
-      sends: record.sends,
-      runs: record.runs,
-    });
+    logRefusal(context, record, reason);
     context.emit({ kind: 'caller.refuse', requestId, refusal });
     this.close(record, refusal.reason);
   }
--- a/packages/decisions/test/gateway/attempts.test.ts
+++ b/packages/decisions/test/gateway/attempts.test.ts
@@ -143,6 +143,16 @@
     expect(listEvents(driver)).toEqual([]);
   });
 
+  it('names endpoints that answered with an error, also where that is passed on', () => {
+    const driver = startDriver('e1');
+    const id = driver.request('/booking/');
+    const { attemptId } = driver.findAttempt(id)!;
+    const head = { status: 500, hasReceipt: true };
+    driver.dispatch({ kind: 'attempt.headReceived', attemptId, head });
+    expect(driver.list('caller.relay')).toHaveLength(1);
+    expect(listEvents(driver)).toEqual(['requestPlaced', 'attemptFailed']);
+  });
+
   it('tells where it was sent once it fails, and when its caller leaves', () => {
     const driver = startDriver('e1', 'e2');
     const id = driver.request('/chat/');
