Say in the log how long a caller waits that is refused or leaves

Found with the ten failed requests: a review refused at once (noRoom after 0 ms) and one whose caller left after 559 ms could not be told from a fault, as the log did not say that they came with so little time left. Test: attempts.test.ts.

--- a/packages/decisions/src/gateway/request-log.ts
+++ b/packages/decisions/src/gateway/request-log.ts
@@ -52,12 +52,13 @@
 ): void => context.log(logEvents.requestRepeated, { request: request.callerAttempt, cause });
 
 export const logAbandoned = (context: GatewayContext, record: GatewayRecord): void => {
-  const { request, attempt, arrivedAtMs, readMs, headPassed, times, sends } = record;
+  const { request, attempt, arrivedAtMs, deadlineMs, readMs, headPassed, times, sends } = record;
   logTrail(context, record);
   context.log(logEvents.callerLeft, {
     request: request.callerAttempt,
     endpoint: attempt?.endpoint.id,
     waitedMs: Math.round(context.nowMs - arrivedAtMs),
+    limitMs: Math.round(deadlineMs - arrivedAtMs),
     promptReadMs: Math.round(readMs),
     hasHead: headPassed,
     longestGapMs: Math.round(times.longestGapMs),
@@ -80,12 +81,14 @@
   record: GatewayRecord,
   reason: GatewayRefusalReason,
 ): void => {
-  const { request, arrivedAtMs, readMs, sends, runs } = record;
+  const { request, arrivedAtMs, deadlineMs, readMs, sends, runs } = record;
   logTrail(context, record);
   context.log(logEvents.requestTurnedAway, {
     request: request.callerAttempt,
     reason,
     waitedMs: Math.round(context.nowMs - arrivedAtMs),
+    // The time that the caller waits, or its route gives it.
+    limitMs: Math.round(deadlineMs - arrivedAtMs),
     promptReadMs: Math.round(readMs),
     sends,
     runs,
--- a/packages/decisions/test/gateway/attempts.test.ts
+++ b/packages/decisions/test/gateway/attempts.test.ts
@@ -153,6 +153,14 @@
     expect(listEvents(driver)).toEqual(['requestPlaced', 'attemptFailed']);
   });
 
+  it('says how long its caller waits where it is refused for that', () => {
+    const driver = startDriver('e1');
+    driver.request('/review/', { promptTokens: 200_000, waitsMs: 100 });
+    const { event, fields } = driver.list('log').at(-1)!;
+    expect(event.name).toBe('requestTurnedAway');
+    expect(fields).toMatchObject({ reason: 'noRoom', waitedMs: 0, limitMs: 100 });
+  });
+
   it('tells where it was sent once it fails, and when its caller leaves', () => {
     const driver = startDriver('e1', 'e2');
     const id = driver.request('/chat/');
