--- a/packages/entry/src/gateway/callers/body-reader.ts
+++ b/packages/entry/src/gateway/callers/body-reader.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import type { BodyStore } from './body-store.js';
+import type { BodyBudget } from '../../callers/body-budget.js';
 
 /** Why a body was not read to its end; nothing of the request has run. */
 export type BodyFailure =
@@ -11,7 +11,7 @@
 
 export interface BodyReaderOptions {
   readonly incoming: IncomingMessage;
-  readonly store: BodyStore;
+  readonly budget: BodyBudget;
   readonly maxBytes: number;
   readonly timeoutMs: number;
   /** Called at most once, and never after `onRead`. */
@@ -40,17 +40,17 @@
   release(): void {
     this.ended = true;
     clearTimeout(this.timer);
-    this.options.store.remove(this.bytes);
+    this.options.budget.release(this.bytes);
     this.bytes = 0;
     this.chunks = [];
   }
 
   private acceptChunk(chunk: Buffer): void {
     if (this.ended) return;
-    const { store, maxBytes } = this.options;
+    const { budget, maxBytes } = this.options;
     if (this.bytes + chunk.length > maxBytes) {
       this.fail('tooLarge');
-    } else if (store.add(chunk.length)) {
+    } else if (budget.take(chunk.length)) {
       this.bytes += chunk.length;
       this.chunks.push(chunk);
     } else {
--- a/packages/entry/src/gateway/callers/front-server.ts
+++ b/packages/entry/src/gateway/callers/front-server.ts
@@ -1,9 +1,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { CallerLimits, NetworkAddress } from '@savorywind/model';
+import { BodyBudget } from '../../callers/body-budget.js';
 import type { GatewayWire, RequestFacts } from '../types.js';
 import { BodyReader, type BodyFailure } from './body-reader.js';
-import { BodyStore } from './body-store.js';
 import { CallerExchange } from './caller-exchange.js';
 
 /** Bytes of a head that the parser takes; the declared limit is checked on top. */
@@ -65,7 +65,7 @@
 
   private nextRequest = 1;
 
-  private readonly bodies = new BodyStore(MAX_HELD_BYTES);
+  private readonly bodies = new BodyBudget(MAX_HELD_BYTES);
 
   constructor(private readonly options: FrontServerOptions) {
     this.server = createServer(
@@ -132,7 +132,7 @@
     const facts = this.options.wire.readRequest(incoming.headers);
     const reader = new BodyReader({
       incoming,
-      store: this.bodies,
+      budget: this.bodies,
       maxBytes: this.limits.maxBodyBytes,
       timeoutMs: Math.min(facts.waitsMs ?? MAX_BODY_MS, MAX_BODY_MS),
       onFailed: (failure) => this.reject(incoming, outgoing, BODY_FAILURE_STATUS[failure]),
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -1,8 +1,8 @@
 import { GatewayNode, type GatewayEffect, type GatewayEvent } from '@savorywind/decisions';
-import process from 'node:process';
 import { logEvents, type GatewayEndpoint, type LogEvent, type LogFields } from '@savorywind/model';
 import { createStdoutSink } from '../observe/log-sink.js';
 import { createEventLogger } from '../observe/logger.js';
+import { listProcessGauges } from '../observe/process-gauges.js';
 import { NodeRunner, type HandlersOf } from '../runtime/node-runner.js';
 import type { CallerExchange } from './callers/caller-exchange.js';
 import { FrontServer } from './callers/front-server.js';
@@ -329,16 +329,7 @@
         help: 'Requests that have no final answer yet.',
         value: this.exchanges.size,
       },
-      {
-        metric: 'savorywind_log_lines_dropped',
-        help: 'Log lines dropped because the reader of the log was too slow.',
-        value: this.logSink.droppedLines,
-      },
-      {
-        metric: 'savorywind_resident_memory_bytes',
-        help: 'Resident memory of this process.',
-        value: process.memoryUsage.rss(),
-      },
+      ...listProcessGauges(this.logSink.droppedLines),
     ]);
   }
 
--- a/packages/entry/src/runtime/entry-process.ts
+++ b/packages/entry/src/runtime/entry-process.ts
@@ -9,6 +9,7 @@
 import { createEventLogger } from '../observe/logger.js';
 import { OperatorDesk } from '../operators/operator-desk.js';
 import { startOperatorServer } from '../operators/operator-server.js';
+import { listProcessGauges } from '../observe/process-gauges.js';
 import { renderMetricsText, type Gauge } from '../observe/render-metrics.js';
 import { RequestMeasure } from '../observe/request-measure.js';
 import { RequestMetrics } from '../observe/request-metrics.js';
@@ -133,16 +134,7 @@
         help: 'Version of the configuration in force.',
         value: this.configurationVersion,
       },
-      {
-        metric: 'savorywind_log_lines_dropped',
-        help: 'Log lines dropped because the reader of the log was too slow.',
-        value: this.logSink.droppedLines,
-      },
-      {
-        metric: 'savorywind_resident_memory_bytes',
-        help: 'Resident memory of this process.',
-        value: process.memoryUsage.rss(),
-      },
+      ...listProcessGauges(this.logSink.droppedLines),
     ];
   }
 
--- a/packages/entry/test/gateway/body-reader.test.ts
+++ b/packages/entry/test/gateway/body-reader.test.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage } from 'node:http';
 import { PassThrough } from 'node:stream';
 import { describe, expect, it } from 'vitest';
+import { BodyBudget } from '../../src/callers/body-budget.js';
 import { BodyReader, type BodyFailure } from '../../src/gateway/callers/body-reader.js';
-import { BodyStore } from '../../src/gateway/callers/body-store.js';
 
 interface Reading {
   readonly reader: BodyReader;
@@ -11,13 +11,13 @@
   readonly outcome: Promise<string | BodyFailure>;
 }
 
-const startReading = (store: BodyStore, maxBytes = 100): Reading => {
+const startReading = (budget: BodyBudget, maxBytes = 100): Reading => {
   const body = new PassThrough();
   let reader: BodyReader | undefined;
   const outcome = new Promise<string>((resolve) => {
     reader = new BodyReader({
       incoming: body as unknown as IncomingMessage,
-      store,
+      budget,
       maxBytes,
       timeoutMs: 10_000,
       onFailed: resolve,
@@ -29,25 +29,25 @@
 
 describe('bodies of callers', () => {
   it('share one bound: what is over it is refused, and fits once another is done', async () => {
-    const store = new BodyStore(10);
-    const first = startReading(store);
+    const budget = new BodyBudget(10);
+    const first = startReading(budget);
     first.body.end('12345678');
     expect(await first.outcome).toBe('12345678');
-    const second = startReading(store);
+    const second = startReading(budget);
     second.body.end('abcd');
     expect(await second.outcome).toBe('noRoom');
     first.reader.release();
-    const third = startReading(store);
+    const third = startReading(budget);
     third.body.end('abcd');
     expect(await third.outcome).toBe('abcd');
   });
 
   it('are refused over the limit of one, and give their room back', async () => {
-    const store = new BodyStore(10);
-    const long = startReading(store, 5);
+    const budget = new BodyBudget(10);
+    const long = startReading(budget, 5);
     long.body.write('1234');
     long.body.end('5678');
     expect(await long.outcome).toBe('tooLarge');
-    expect(store.add(10)).toBe(true);
+    expect(budget.take(10)).toBe(true);
   });
 });
