--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -9,6 +9,7 @@
 import { ElapsedClock } from './elapsed-clock.js';
 import { ConnectionPools } from './endpoints/connection-pools.js';
 import { EndpointAttempt } from './endpoints/endpoint-attempt.js';
+import { listControlGauges } from './metrics/control-gauges.js';
 import { GatewayMetrics } from './metrics/gateway-metrics.js';
 import { MetricsServer } from './metrics/metrics-server.js';
 import { PeerSocket } from './peer-socket.js';
@@ -353,6 +354,11 @@
         help: 'Requests that have no final answer yet.',
         value: this.exchanges.size,
       },
+      ...listControlGauges({
+        traffic: this.peerSocket.trafficBytes,
+        linkBytesPerMs: this.settings.contract.linkBytesPerMs,
+        longestTimerDelayMs: this.runner.takeLongestTimerDelayMs(),
+      }),
       ...listProcessGauges(this.logSink.droppedLines),
     ]);
   }
--- /dev/null
+++ b/packages/entry/src/gateway/metrics/control-gauges.ts
@@ -0,0 +1,40 @@
+import type { Gauge } from '../../observe/render-metrics.js';
+import type { PeerTraffic } from '../peer-socket.js';
+
+const MS_PER_S = 1_000;
+
+export interface ControlLoad {
+  readonly traffic: Readonly<PeerTraffic>;
+  readonly linkBytesPerMs: number;
+  /** By how much a timer was late at most since the last reading, in milliseconds. */
+  readonly longestTimerDelayMs: number;
+}
+
+/**
+ * Lists what shows whether control work delays requests: the traffic with peers beside the rate of the
+ * link, and how long events wait for the process.
+ */
+export const listControlGauges = (load: ControlLoad): Gauge[] => [
+  {
+    metric: 'savorywind_peer_bytes_sent_total',
+    help: 'Bytes of datagrams sent to other entry VMs, without network headers.',
+    type: 'counter',
+    value: load.traffic.sentBytes,
+  },
+  {
+    metric: 'savorywind_peer_bytes_received_total',
+    help: 'Bytes of datagrams received from other entry VMs, without network headers.',
+    type: 'counter',
+    value: load.traffic.receivedBytes,
+  },
+  {
+    metric: 'savorywind_link_bytes_per_second',
+    help: 'Rate of the network link of this VM in each direction, from the settings.',
+    value: load.linkBytesPerMs * MS_PER_S,
+  },
+  {
+    metric: 'savorywind_longest_timer_delay_seconds',
+    help: 'Longest time by which a timer was late since the last reading of the metrics.',
+    value: load.longestTimerDelayMs / MS_PER_S,
+  },
+];
--- a/packages/entry/src/gateway/peer-socket.ts
+++ b/packages/entry/src/gateway/peer-socket.ts
@@ -43,6 +43,12 @@
   );
 };
 
+/** Bytes of datagrams sent to and received from peers. */
+export interface PeerTraffic {
+  sentBytes: number;
+  receivedBytes: number;
+}
+
 export interface PeerSocketOptions {
   readonly address: NetworkAddress;
   readonly onSnapshotReceived: (snapshot: WorkSnapshot) => void;
@@ -59,11 +65,18 @@
 
   private readonly packr = new Packr({ useRecords: false });
 
+  private readonly traffic: PeerTraffic = { sentBytes: 0, receivedBytes: 0 };
+
   constructor(private readonly options: PeerSocketOptions) {
     this.socket.on('message', (bytes) => this.handleDatagram(bytes));
     this.socket.on('error', (error) => options.onFailed(error.message));
   }
 
+  /** Bytes of all datagrams since the start, without the headers of the network. */
+  get trafficBytes(): Readonly<PeerTraffic> {
+    return this.traffic;
+  }
+
   start(): Promise<void> {
     const { host, port } = this.options.address;
     return new Promise((resolve, reject) => {
@@ -74,6 +87,7 @@
 
   send(snapshot: WorkSnapshot, peers: readonly NetworkAddress[]): void {
     const bytes = this.packr.pack(snapshot);
+    this.traffic.sentBytes += bytes.length * peers.length;
     // Errors are ignored: the next snapshot replaces this one.
     peers.forEach(({ host, port }) => this.socket.send(bytes, port, host, () => {}));
   }
@@ -83,6 +97,7 @@
   }
 
   private handleDatagram(bytes: Buffer): void {
+    this.traffic.receivedBytes += bytes.length;
     try {
       const value: unknown = this.packr.unpack(bytes);
       if (isSnapshot(value)) this.options.onSnapshotReceived(value);
--- a/packages/entry/src/observe/render-metrics.ts
+++ b/packages/entry/src/observe/render-metrics.ts
@@ -2,11 +2,13 @@
 import { METRICS, type MeasureName } from './metric-names.js';
 import type { RequestMetrics, Series, SeriesLabels } from './request-metrics.js';
 
-/** A current value of the process, without labels. */
+/** A value of the process, without labels. */
 export interface Gauge {
   readonly metric: string;
   readonly help: string;
   readonly value: number;
+  /** `counter` if the value never decreases while the process runs; `gauge` if not given. */
+  readonly type?: 'gauge' | 'counter';
 }
 
 const formatLabelValue = (value: string): string =>
@@ -94,8 +96,8 @@
     ...formatHead(METRICS[name].metric, METRICS[name].help, 'histogram'),
     ...series.flatMap((item) => formatHistogram(name, item)),
   ]);
-  const gaugeLines = gauges.flatMap(({ metric, help, value }) => [
-    ...formatHead(metric, help, 'gauge'),
+  const gaugeLines = gauges.flatMap(({ metric, help, value, type }) => [
+    ...formatHead(metric, help, type ?? 'gauge'),
     `${metric} ${value}`,
   ]);
   const counters = [...formatOutcomes(series), ...formatRejections(metrics.rejections)];
--- a/packages/entry/src/runtime/state-machine-runner.ts
+++ b/packages/entry/src/runtime/state-machine-runner.ts
@@ -36,6 +36,8 @@
   /** When the timer is due. It may be earlier than the state machine needs, but never later. */
   private timerDueMs = Number.POSITIVE_INFINITY;
 
+  private longestTimerDelayMs = 0;
+
   private stopped = false;
 
   constructor(
@@ -58,6 +60,16 @@
     this.armTimer();
   }
 
+  /**
+   * Returns by how much a timer was late at most since the last call, in milliseconds: how long events
+   * wait while the process is busy or gets no processor time.
+   */
+  takeLongestTimerDelayMs(): number {
+    const delayMs = this.longestTimerDelayMs;
+    this.longestTimerDelayMs = 0;
+    return delayMs;
+  }
+
   stop(): void {
     this.stopped = true;
     clearTimeout(this.timer);
@@ -87,6 +99,8 @@
     this.timerDueMs = wakeMs;
     const delayMs = Math.min(Math.max(0, wakeMs - this.readClockMs()), MAX_TIMER_MS);
     this.timer = setTimeout(() => {
+      const lateMs = this.readClockMs() - this.timerDueMs;
+      this.longestTimerDelayMs = Math.max(this.longestTimerDelayMs, lateMs);
       this.timerDueMs = Number.POSITIVE_INFINITY;
       this.dispatch({ kind: 'woken' });
     }, Math.ceil(delayMs));
--- a/packages/entry/test/gateway/gateway-metrics.test.ts
+++ b/packages/entry/test/gateway/gateway-metrics.test.ts
@@ -47,6 +47,16 @@
     expect(text).toMatch(/^savorywind_requests_in_flight 0$/m);
   });
 
+  it('show the traffic with peers beside the rate of the link, and how far the process is behind', async () => {
+    gateway = await startTestGateway([]);
+    const text = await readText(gateway.metricsPort, '/metrics');
+    expect(text).toMatch(/^savorywind_peer_bytes_sent_total 0$/m);
+    expect(text).toMatch(/^savorywind_peer_bytes_received_total 0$/m);
+    expect(text).toMatch(/^savorywind_link_bytes_per_second 125000000$/m);
+    expect(text).toMatch(/^savorywind_longest_timer_delay_seconds \d/m);
+    expect(text).toContain('# TYPE savorywind_peer_bytes_sent_total counter');
+  });
+
   it('do not prevent requests from being served if their port is in use', async () => {
     const endpoint = await startRawServer((socket) =>
       socket.on('data', () => socket.write(RESPONSE)),
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -150,6 +150,8 @@
   /** Time after which memory that no request uses must be free again. */
   readonly reservationReleaseMs: number;
   readonly callerWait: CallerWaitLimits;
+  /** Rate of this VM's network link in each direction, in bytes per millisecond. */
+  readonly linkBytesPerMs: number;
 }
 
 /**
