--- a/packages/decisions/src/gateway/consts.ts
+++ b/packages/decisions/src/gateway/consts.ts
@@ -10,8 +10,29 @@
 /** Interval at which an unchanged snapshot is sent again, because datagrams can be lost. */
 export const SNAPSHOT_INTERVAL_MS = 250;
 
-/** A peer is inactive, and its work is not counted, after this time without a snapshot. */
-export const PEER_TIMEOUT_MS = 6 * SNAPSHOT_INTERVAL_MS;
+/**
+ * Fleets of up to this many peers send each change to all of them; about as many entry VMs stand in one
+ * failure domain of the largest planned fleet.
+ */
+export const MAX_FREQUENT_PEERS = 24;
+
+/**
+ * Most peers that get a periodic snapshot in one {@link SNAPSHOT_INTERVAL_MS}. In larger fleets each of
+ * them gets one less often.
+ */
+export const MAX_PERIODIC_RECIPIENTS = 36;
+
+/**
+ * A peer is inactive, and its work is not counted, after this many of its snapshot intervals without a
+ * snapshot.
+ */
+export const PEER_TIMEOUT_INTERVALS = 6;
+
+/** Upper bound for a datagram with a snapshot of an idle VM, network headers included, in bytes. */
+export const SNAPSHOT_HEADER_BYTES = 160;
+
+/** Upper bound for the bytes that the work on one engine adds to a datagram. */
+export const ENGINE_WORK_BYTES = 120;
 
 /**
  * Interval of the snapshots to an inactive peer, so that both detect when they can reach each other
@@ -20,10 +41,10 @@
 export const INACTIVE_PEER_SNAPSHOT_INTERVAL_MS = 2 * SNAPSHOT_INTERVAL_MS;
 
 /**
- * A failure domain counts as unreachable after this time without a snapshot or a response from it:
- * two consecutive snapshots were lost.
+ * A failure domain counts as unreachable after this many of its snapshot intervals without a snapshot
+ * or a response from it: two consecutive snapshots were lost.
  */
-export const DOMAIN_TIMEOUT_MS = 2.5 * SNAPSHOT_INTERVAL_MS;
+export const DOMAIN_TIMEOUT_INTERVALS = 2.5;
 
 /**
  * After this time without a snapshot, the entry VMs of a domain may have been removed for good, and
--- a/packages/decisions/src/gateway/domain-reachability.ts
+++ b/packages/decisions/src/gateway/domain-reachability.ts
@@ -1,6 +1,6 @@
 import type { EndpointId, FailureDomainId, MonotonicMs } from '@savorywind/model';
-import { DOMAIN_TIMEOUT_MS, MAX_PEER_ABSENCE_MS } from './consts.js';
-import type { FleetLoadTracker } from './fleet-load-tracker.js';
+import { DOMAIN_TIMEOUT_INTERVALS, MAX_PEER_ABSENCE_MS } from './consts.js';
+import type { PeerTable } from './peer-table.js';
 
 /** Observations of the endpoints of one failure domain. */
 interface DomainObservations {
@@ -18,8 +18,8 @@
 /**
  * Detects failure domains that this entry VM can't reach, so that a network partition does not cost
  * one late request per endpoint of the domain. A domain is unreachable when neither its entry VMs
- * nor its endpoints have sent anything for {@link DOMAIN_TIMEOUT_MS}, or as soon as several of its
- * endpoints were lost since the last contact.
+ * nor its endpoints have sent anything for {@link DOMAIN_TIMEOUT_INTERVALS} of its snapshot intervals,
+ * or as soon as several of its endpoints were lost since the last contact.
  *
  * @example
  * reachability.reportResponse(endpoint.failureDomain, nowMs);
@@ -28,7 +28,7 @@
 export class DomainReachability {
   private readonly domains = new Map<FailureDomainId, DomainObservations>();
 
-  constructor(private readonly fleetLoad: FleetLoadTracker) {}
+  constructor(private readonly peers: PeerTable) {}
 
   /** Records that an endpoint of the domain sent data. */
   reportResponse(domain: FailureDomainId, nowMs: MonotonicMs): void {
@@ -43,13 +43,14 @@
   }
 
   isUnreachable(domain: FailureDomainId, nowMs: MonotonicMs): boolean {
-    const receivedAtMs = this.fleetLoad.findLastReceivedAtMs(domain);
+    const receivedAtMs = this.peers.findLastReceivedAtMs(domain);
     // Missing snapshots prove nothing if the domain has no entry VMs, or if these may have been
     // removed for good.
     if (receivedAtMs === undefined || nowMs - receivedAtMs > MAX_PEER_ABSENCE_MS) return false;
     const { respondedAtMs, lostAtMs } = this.findObservations(domain);
     const lastContactMs = Math.max(receivedAtMs, respondedAtMs ?? receivedAtMs);
-    if (nowMs - lastContactMs >= DOMAIN_TIMEOUT_MS) return true;
+    const timeoutMs = DOMAIN_TIMEOUT_INTERVALS * this.peers.estimateDomainIntervalMs(domain);
+    if (nowMs - lastContactMs >= timeoutMs) return true;
     const lost = [...lostAtMs.values()].filter((atMs) => atMs > lastContactMs);
     return lost.length >= MIN_LOST_ENDPOINTS;
   }
--- a/packages/decisions/src/gateway/fleet-load-tracker.ts
+++ b/packages/decisions/src/gateway/fleet-load-tracker.ts
@@ -1,14 +1,11 @@
 import type {
   EndpointId,
   EngineWork,
-  EntryVmId,
-  FailureDomainId,
   GatewayPeer,
   MonotonicMs,
-  NetworkAddress,
   WorkSnapshot,
 } from '@savorywind/model';
-import { PEER_TIMEOUT_MS, INACTIVE_PEER_SNAPSHOT_INTERVAL_MS } from './consts.js';
+import { PeerTable } from './peer-table.js';
 
 /** Work of one request of this entry VM on one engine, counted from the moment it is sent there. */
 export interface LocalWork {
@@ -38,16 +35,6 @@
 /** Loads by engine; engines without any work are missing. */
 export type EngineLoads = ReadonlyMap<EndpointId, EngineLoad>;
 
-interface PeerState {
-  readonly peer: GatewayPeer;
-  incarnation: number;
-  sequence: number;
-  /** When its last snapshot was received; undefined before the first one. */
-  receivedAtMs: MonotonicMs | undefined;
-  sentAtMs: MonotonicMs;
-  work: readonly EngineWork[];
-}
-
 /**
  * The remaining prefill time of a long prompt counts as at least this fraction of its estimate
  * until its first event, even if that event is overdue. The same minimum applies to the prefill
@@ -110,13 +97,13 @@
 
 /**
  * Tracks the work of all entry VMs on each engine. Each entry VM sends its work as snapshots, and
- * each snapshot replaces the previous one. The work of a peer that sends no snapshot for
- * {@link PEER_TIMEOUT_MS} is not counted.
+ * each snapshot replaces the previous one. The work of a peer that is inactive is not counted; see
+ * {@link PeerTable}.
  */
 export class FleetLoadTracker {
   private readonly localWork = new Set<LocalWork>();
 
-  private readonly peers = new Map<EntryVmId, PeerState>();
+  readonly peers: PeerTable;
 
   private sequence = 0;
 
@@ -126,7 +113,9 @@
   constructor(
     private readonly self: GatewayPeer,
     private readonly incarnation: number,
-  ) {}
+  ) {
+    this.peers = new PeerTable(self);
+  }
 
   addLocalWork(work: LocalWork): void {
     this.localWork.add(work);
@@ -138,31 +127,9 @@
     this.cache = undefined;
   }
 
-  addPeer(peer: GatewayPeer): void {
-    if (peer.id === this.self.id || this.peers.has(peer.id)) return;
-    this.peers.set(peer.id, {
-      peer,
-      incarnation: 0,
-      sequence: 0,
-      receivedAtMs: undefined,
-      sentAtMs: -INACTIVE_PEER_SNAPSHOT_INTERVAL_MS,
-      work: [],
-    });
-  }
-
   /** @returns whether the snapshot was newer than the previous one of the peer and was applied */
   applySnapshot(snapshot: WorkSnapshot, nowMs: MonotonicMs): boolean {
-    if (snapshot.from.id === this.self.id) return false;
-    this.addPeer(snapshot.from);
-    const state = this.peers.get(snapshot.from.id)!;
-    const isStale =
-      snapshot.incarnation < state.incarnation ||
-      (snapshot.incarnation === state.incarnation && snapshot.sequence <= state.sequence);
-    if (isStale) return false;
-    state.incarnation = snapshot.incarnation;
-    state.sequence = snapshot.sequence;
-    state.receivedAtMs = nowMs;
-    state.work = snapshot.work;
+    if (!this.peers.applySnapshot(snapshot, nowMs)) return false;
     this.cache = undefined;
     return true;
   }
@@ -172,14 +139,6 @@
     return this.peers.size + 1;
   }
 
-  /** Time of the last snapshot from any entry VM of a failure domain; undefined if none came. */
-  findLastReceivedAtMs(domain: FailureDomainId): MonotonicMs | undefined {
-    const times = [...this.peers.values()]
-      .filter(({ peer }) => peer.failureDomain === domain)
-      .flatMap(({ receivedAtMs }) => receivedAtMs ?? []);
-    return times.length === 0 ? undefined : Math.max(...times);
-  }
-
   /** Sums the load of each engine that has any work. */
   sumLoads(nowMs: MonotonicMs): EngineLoads {
     if (this.cache?.atMs !== nowMs) this.cache = { atMs: nowMs, loads: this.sumAll(nowMs) };
@@ -197,8 +156,7 @@
       const engineWork = describeLocalWork(work, nowMs);
       addWork(findLoad(work.endpoint), engineWork, engineWork.readMs);
     });
-    this.peers.forEach((peer) => {
-      if (!this.isActive(peer, nowMs)) return;
+    this.peers.listActive(nowMs).forEach((peer) => {
       const ageMs = nowMs - peer.receivedAtMs!;
       peer.work.forEach((work) =>
         addWork(
@@ -227,24 +185,4 @@
     }));
     return { from: this.self, incarnation: this.incarnation, sequence: this.sequence, work };
   }
-
-  /**
-   * Lists the peers that get the next snapshot and records it as sent: the active ones, and each
-   * inactive one every {@link INACTIVE_PEER_SNAPSHOT_INTERVAL_MS}.
-   */
-  takeRecipients(nowMs: MonotonicMs): NetworkAddress[] {
-    const recipients = [...this.peers.values()].filter(
-      (peer) =>
-        this.isActive(peer, nowMs) || nowMs - peer.sentAtMs >= INACTIVE_PEER_SNAPSHOT_INTERVAL_MS,
-    );
-    recipients.forEach((peer) => {
-      peer.sentAtMs = nowMs;
-    });
-    return recipients.map(({ peer }) => peer.address);
-  }
-
-  // eslint-disable-next-line class-methods-use-this
-  private isActive({ receivedAtMs }: PeerState, nowMs: MonotonicMs): boolean {
-    return receivedAtMs !== undefined && nowMs - receivedAtMs < PEER_TIMEOUT_MS;
-  }
 }
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -9,7 +9,7 @@
   type Route,
 } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
-import { LEASE_MARGIN_MS, SNAPSHOT_DELAY_MS, SNAPSHOT_INTERVAL_MS } from './consts.js';
+import { LEASE_MARGIN_MS } from './consts.js';
 import { CredentialLease } from './credential-lease.js';
 import { DomainReachability } from './domain-reachability.js';
 import { EndpointHealth } from './endpoint-health.js';
@@ -23,6 +23,7 @@
 import { MemoryReservations } from './memory-reservations.js';
 import { PlacementPolicy } from './placement-policy.js';
 import { RouteIndex } from './route-index.js';
+import { SnapshotSender } from './snapshot-sender.js';
 import type { GatewayEffect, GatewayEvent, GatewayRefusalReason, GatewayRequest } from './types.js';
 
 export interface GatewayNodeOptions {
@@ -86,6 +87,8 @@
 
   private readonly reservations: MemoryReservations;
 
+  private readonly snapshots: SnapshotSender;
+
   private readonly requests: GatewayRequests;
 
   private readonly handlers: EventHandlers;
@@ -96,10 +99,6 @@
 
   private drainingSinceMs: MonotonicMs | undefined;
 
-  private snapshotTimer: Timer | undefined;
-
-  private resendTimer: Timer | undefined;
-
   private expiryTimer: Timer | undefined;
 
   private isStoreUnavailable = false;
@@ -112,6 +111,7 @@
     this.fleetLoad = new FleetLoadTracker(self, incarnation);
     this.budget = new FleetRetryBudget(createBudgetOptions(contract));
     this.reservations = new MemoryReservations(this.context, contract);
+    this.snapshots = new SnapshotSender(this.context, this.fleetLoad, contract.linkBytesPerMs);
     this.requests = this.createRequests(self, contract.callerWait);
     this.handlers = this.createHandlers();
   }
@@ -135,7 +135,7 @@
   private createRequests(self: GatewayPeer, callerWait: CallerWaitLimits): GatewayRequests {
     const { context, table, health, fleetLoad, budget, reservations } = this;
     const { failureDomain } = self;
-    const reachability = new DomainReachability(fleetLoad);
+    const reachability = new DomainReachability(fleetLoad.peers);
     const placementPolicy = new PlacementPolicy({
       context,
       table,
@@ -154,7 +154,7 @@
       placementPolicy,
       reservations,
       callerWait,
-      onWorkChanged: () => this.armSnapshotTimer(SNAPSHOT_DELAY_MS),
+      onWorkChanged: () => this.snapshots.handleWorkChanged(),
       onIdle: () => this.finishDrainIfIdle(),
     });
   }
@@ -168,6 +168,7 @@
       'contract.changed': ({ contract }) => {
         this.lease.changeDuration(estimateLeaseMs(contract));
         this.budget.changeOptions(createBudgetOptions(contract));
+        this.snapshots.changeLink(contract.linkBytesPerMs);
         this.context.log(logEvents.contractChanged);
       },
       'configuration.confirmed': (event) => {
@@ -185,9 +186,9 @@
       },
       'store.failed': ({ detail }) => this.handleStoreFailure(detail),
       'peers.read': ({ peers }) => {
-        peers.forEach((peer) => this.fleetLoad.addPeer(peer));
+        peers.forEach((peer) => this.fleetLoad.peers.add(peer));
         this.budget.setEntryVmCount(this.fleetLoad.entryVmCount);
-        this.armSnapshotTimer(0);
+        this.snapshots.handlePeersAdded();
       },
       'peer.received': ({ snapshot }) => {
         this.fleetLoad.applySnapshot(snapshot, this.context.nowMs);
@@ -278,22 +279,6 @@
     this.context.emit({ kind: 'endpoint.forgotten', endpoint });
   }
 
-  private armSnapshotTimer(delayMs: number): void {
-    if (this.snapshotTimer !== undefined) return;
-    this.snapshotTimer = this.context.schedule(delayMs, () => this.sendSnapshot());
-    this.resendTimer?.cancel();
-  }
-
-  private sendSnapshot(): void {
-    const { context, fleetLoad } = this;
-    this.snapshotTimer = undefined;
-    this.resendTimer?.cancel();
-    this.resendTimer = context.schedule(SNAPSHOT_INTERVAL_MS, () => this.sendSnapshot());
-    const peers = fleetLoad.takeRecipients(context.nowMs);
-    if (peers.length === 0) return;
-    context.emit({ kind: 'peers.send', snapshot: fleetLoad.createSnapshot(context.nowMs), peers });
-  }
-
   private armExpiryTimer(): void {
     const { nextExpiryMs } = this.table;
     this.expiryTimer?.cancel();
--- /dev/null
+++ b/packages/decisions/src/gateway/peer-table.ts
@@ -0,0 +1,157 @@
+import type {
+  EngineWork,
+  EntryVmId,
+  FailureDomainId,
+  GatewayPeer,
+  MonotonicMs,
+  NetworkAddress,
+  WorkSnapshot,
+} from '@savorywind/model';
+import {
+  INACTIVE_PEER_SNAPSHOT_INTERVAL_MS,
+  MAX_FREQUENT_PEERS,
+  MAX_PERIODIC_RECIPIENTS,
+  PEER_TIMEOUT_INTERVALS,
+  SNAPSHOT_INTERVAL_MS,
+} from './consts.js';
+
+/** Another entry VM, and the last snapshot of its work. */
+export interface PeerState {
+  readonly peer: GatewayPeer;
+  incarnation: number;
+  sequence: number;
+  /** When its last snapshot was received; undefined before the first one. */
+  receivedAtMs: MonotonicMs | undefined;
+  /** When the last snapshot was sent to it. */
+  sentAtMs: MonotonicMs;
+  work: readonly EngineWork[];
+}
+
+/**
+ * How often a peer gets snapshots. `frequent`: at each change, as it places work on the same engines.
+ * `periodic`: at intervals.
+ */
+export type SnapshotFrequency = 'frequent' | 'periodic';
+
+/** Peers of one failure domain. */
+interface DomainPeers {
+  count: number;
+  receivedAtMs: MonotonicMs | undefined;
+}
+
+/**
+ * Other entry VMs, and who of them gets snapshots how often. In a fleet of up to
+ * {@link MAX_FREQUENT_PEERS} peers all get each change; in a larger one only those of the own failure
+ * domain, so that what an entry VM sends does not grow with the fleet.
+ */
+export class PeerTable {
+  private readonly peers = new Map<EntryVmId, PeerState>();
+
+  private readonly domains = new Map<FailureDomainId, DomainPeers>();
+
+  constructor(private readonly self: GatewayPeer) {}
+
+  get size(): number {
+    return this.peers.size;
+  }
+
+  add(peer: GatewayPeer): void {
+    if (peer.id === this.self.id || this.peers.has(peer.id)) return;
+    this.peers.set(peer.id, {
+      peer,
+      incarnation: 0,
+      sequence: 0,
+      receivedAtMs: undefined,
+      sentAtMs: Number.NEGATIVE_INFINITY,
+      work: [],
+    });
+    const domain = this.domains.get(peer.failureDomain) ?? { count: 0, receivedAtMs: undefined };
+    domain.count += 1;
+    this.domains.set(peer.failureDomain, domain);
+  }
+
+  /** @returns whether the snapshot was newer than the previous one of the peer and was applied */
+  applySnapshot(snapshot: WorkSnapshot, nowMs: MonotonicMs): boolean {
+    if (snapshot.from.id === this.self.id) return false;
+    this.add(snapshot.from);
+    const state = this.peers.get(snapshot.from.id)!;
+    const isStale =
+      snapshot.incarnation < state.incarnation ||
+      (snapshot.incarnation === state.incarnation && snapshot.sequence <= state.sequence);
+    if (isStale) return false;
+    state.incarnation = snapshot.incarnation;
+    state.sequence = snapshot.sequence;
+    state.receivedAtMs = nowMs;
+    state.work = snapshot.work;
+    this.domains.get(state.peer.failureDomain)!.receivedAtMs = nowMs;
+    return true;
+  }
+
+  /** Lists the peers whose last snapshot is recent enough to be counted. */
+  listActive(nowMs: MonotonicMs): PeerState[] {
+    return [...this.peers.values()].filter((state) => this.isActive(state, nowMs));
+  }
+
+  /** Time of the last snapshot from any entry VM of a failure domain; undefined if none came. */
+  findLastReceivedAtMs(domain: FailureDomainId): MonotonicMs | undefined {
+    return this.domains.get(domain)?.receivedAtMs;
+  }
+
+  /** Estimates the longest time between two snapshots from a failure domain, in milliseconds. */
+  estimateDomainIntervalMs(domain: FailureDomainId): number {
+    if (this.findDomainFrequency(domain) === 'frequent') return SNAPSHOT_INTERVAL_MS;
+    const count = this.domains.get(domain)?.count ?? 1;
+    return Math.max(SNAPSHOT_INTERVAL_MS, this.estimatePeriodicIntervalMs() / count);
+  }
+
+  /** Whether some peers only get snapshots periodically. */
+  get hasPeriodicPeers(): boolean {
+    return this.countPeriodic() > 0;
+  }
+
+  /** Lists the peers that get the next snapshot and records it as sent. */
+  takeRecipients(frequency: SnapshotFrequency, nowMs: MonotonicMs): NetworkAddress[] {
+    const due = [...this.peers.values()].filter(
+      (state) =>
+        this.findDomainFrequency(state.peer.failureDomain) === frequency &&
+        this.isDue(state, frequency, nowMs),
+    );
+    const recipients =
+      frequency === 'frequent'
+        ? due
+        : due.sort((a, b) => a.sentAtMs - b.sentAtMs).slice(0, MAX_PERIODIC_RECIPIENTS);
+    recipients.forEach((state) => {
+      state.sentAtMs = nowMs;
+    });
+    return recipients.map(({ peer }) => peer.address);
+  }
+
+  /** Inactive peers also get snapshots, so that both detect when they can reach each other again. */
+  private isDue(state: PeerState, frequency: SnapshotFrequency, nowMs: MonotonicMs): boolean {
+    const elapsedMs = nowMs - state.sentAtMs;
+    if (frequency === 'periodic') return elapsedMs >= this.estimatePeriodicIntervalMs();
+    return this.isActive(state, nowMs) || elapsedMs >= INACTIVE_PEER_SNAPSHOT_INTERVAL_MS;
+  }
+
+  private isActive({ peer, receivedAtMs }: PeerState, nowMs: MonotonicMs): boolean {
+    const isFrequent = this.findDomainFrequency(peer.failureDomain) === 'frequent';
+    const intervalMs = isFrequent ? SNAPSHOT_INTERVAL_MS : this.estimatePeriodicIntervalMs();
+    return receivedAtMs !== undefined && nowMs - receivedAtMs < PEER_TIMEOUT_INTERVALS * intervalMs;
+  }
+
+  private findDomainFrequency(domain: FailureDomainId): SnapshotFrequency {
+    const isFrequent = this.size <= MAX_FREQUENT_PEERS || domain === this.self.failureDomain;
+    return isFrequent ? 'frequent' : 'periodic';
+  }
+
+  private countPeriodic(): number {
+    if (this.size <= MAX_FREQUENT_PEERS) return 0;
+    return this.size - (this.domains.get(this.self.failureDomain)?.count ?? 0);
+  }
+
+  /** Estimates the time in which each periodic peer gets one snapshot, in milliseconds. */
+  private estimatePeriodicIntervalMs(): number {
+    const rounds = Math.ceil(this.countPeriodic() / MAX_PERIODIC_RECIPIENTS);
+    return rounds * SNAPSHOT_INTERVAL_MS;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/gateway/snapshot-sender.ts
@@ -0,0 +1,106 @@
+import type { WorkSnapshot } from '@savorywind/model';
+import type { Timer } from '../timers/timer-queue.js';
+import {
+  ENGINE_WORK_BYTES,
+  SNAPSHOT_DELAY_MS,
+  SNAPSHOT_HEADER_BYTES,
+  SNAPSHOT_INTERVAL_MS,
+} from './consts.js';
+import type { FleetLoadTracker } from './fleet-load-tracker.js';
+import type { GatewayContext } from './gateway-context.js';
+import type { SnapshotFrequency } from './peer-table.js';
+import { TrafficBudget } from './traffic-budget.js';
+
+/**
+ * Fraction of the VM's link that snapshots may use, for the frequent and for the periodic recipients
+ * each. The rest is for requests: attempts and their ends must reach engines well within half a second
+ * after a caller has disconnected, and a round of snapshots takes the link for a few ten milliseconds.
+ */
+const LINK_FRACTION = 0.1;
+
+const estimateDatagramBytes = ({ work }: WorkSnapshot): number =>
+  SNAPSHOT_HEADER_BYTES + work.length * ENGINE_WORK_BYTES;
+
+/**
+ * Sends the work of this entry VM to its peers: to some after each change, to the others at intervals,
+ * and to all within a fraction of the VM's link. A delayed snapshot carries the changes up to its
+ * sending.
+ */
+export class SnapshotSender {
+  private readonly budgets: Readonly<Record<SnapshotFrequency, TrafficBudget>>;
+
+  private frequentTimer: Timer | undefined;
+
+  /** Whether the timer was armed for a change, and not only to send the same work again. */
+  private hasPendingChange = false;
+
+  private periodicTimer: Timer | undefined;
+
+  /** @param linkBytesPerMs rate of this VM's link, in bytes per millisecond */
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly fleetLoad: FleetLoadTracker,
+    linkBytesPerMs: number,
+  ) {
+    const bytesPerMs = LINK_FRACTION * linkBytesPerMs;
+    this.budgets = {
+      frequent: new TrafficBudget(bytesPerMs),
+      periodic: new TrafficBudget(bytesPerMs),
+    };
+  }
+
+  changeLink(linkBytesPerMs: number): void {
+    Object.values(this.budgets).forEach((budget) =>
+      budget.changeRate(LINK_FRACTION * linkBytesPerMs),
+    );
+  }
+
+  /** Sends a snapshot soon, so that it carries several changes. */
+  handleWorkChanged(): void {
+    this.armForChange(SNAPSHOT_DELAY_MS);
+  }
+
+  /** Introduces this entry VM to peers that have just become known. */
+  handlePeersAdded(): void {
+    this.armForChange(0);
+  }
+
+  private armForChange(delayMs: number): void {
+    if (this.hasPendingChange) return;
+    this.hasPendingChange = true;
+    this.armFrequentTimer(delayMs);
+  }
+
+  private armFrequentTimer(delayMs: number): void {
+    this.frequentTimer?.cancel();
+    const budgetDelayMs = this.budgets.frequent.availableAtMs - this.context.nowMs;
+    this.frequentTimer = this.context.schedule(Math.max(delayMs, budgetDelayMs), () =>
+      this.sendFrequent(),
+    );
+  }
+
+  private sendFrequent(): void {
+    this.hasPendingChange = false;
+    this.send('frequent');
+    this.armFrequentTimer(SNAPSHOT_INTERVAL_MS);
+    if (this.fleetLoad.peers.hasPeriodicPeers) this.periodicTimer ??= this.armPeriodicTimer();
+  }
+
+  private armPeriodicTimer(): Timer {
+    return this.context.schedule(SNAPSHOT_INTERVAL_MS, () => this.sendPeriodic());
+  }
+
+  private sendPeriodic(): void {
+    this.periodicTimer = this.armPeriodicTimer();
+    if (this.budgets.periodic.availableAtMs <= this.context.nowMs) this.send('periodic');
+  }
+
+  private send(frequency: SnapshotFrequency): void {
+    const { context, fleetLoad } = this;
+    const peers = fleetLoad.peers.takeRecipients(frequency, context.nowMs);
+    if (peers.length === 0) return;
+    const snapshot = fleetLoad.createSnapshot(context.nowMs);
+    this.budgets[frequency].take(peers.length * estimateDatagramBytes(snapshot), context.nowMs);
+    context.emit({ kind: 'peers.send', snapshot, peers });
+  }
+}
--- /dev/null
+++ b/packages/decisions/test/gateway/snapshot-sender.test.ts
@@ -0,0 +1,150 @@
+import type { GatewayPeer } from '@savorywind/model';
+import { describe, expect, it } from 'vitest';
+import { createContract, createEndpoint, GatewayDriver } from '../fixtures/gateway-driver.js';
+
+/** Creates peers `vm-2` and so on in a failure domain. The driver's own domain is `a`. */
+const createPeers = (domain: string, count: number): GatewayPeer[] =>
+  Array.from({ length: count }, (_, index) => ({
+    id: `${domain}-${index}`,
+    failureDomain: domain,
+    address: { host: `${domain}.${index}`, port: 7_000 },
+  }));
+
+const LARGE_FLEET = ['a', 'b', 'c', 'd'].flatMap((domain) => createPeers(domain, 21));
+
+class FleetDriver extends GatewayDriver {
+  private sequence = 0;
+
+  private seenEffects = 0;
+
+  constructor(
+    private readonly peers: readonly GatewayPeer[],
+    linkBytesPerMs = 125_000,
+  ) {
+    super(createContract({ linkBytesPerMs }));
+    const ids = Array.from({ length: 40 }, (_, index) => `e${index}`);
+    this.start(ids.map((id) => createEndpoint(id, { failureDomain: id.length > 2 ? 'a' : 'b' })));
+    this.dispatch({ kind: 'peers.read', peers });
+    this.receiveAll();
+    this.advance(1_000);
+    this.receiveAll();
+    this.takeDatagrams();
+  }
+
+  /** Delivers a snapshot of each peer, or of those of one failure domain. */
+  receiveAll(domain?: string): void {
+    this.sequence += 1;
+    const { sequence } = this;
+    const senders = this.peers.filter(
+      ({ failureDomain }) => domain === undefined || domain === failureDomain,
+    );
+    senders.forEach((from) => {
+      const snapshot = { from, incarnation: 1, sequence, work: [] };
+      this.dispatch({ kind: 'peer.received', snapshot });
+    });
+  }
+
+  /** Counts the datagrams since the last call, by failure domain of their recipients. */
+  takeDatagrams(): Record<string, number> {
+    const sent = this.effects.slice(this.seenEffects);
+    this.seenEffects = this.effects.length;
+    const counts: Record<string, number> = {};
+    sent.forEach((effect) => {
+      if (effect.kind !== 'peers.send') return;
+      effect.peers.forEach(({ host }) => {
+        const domain = host.slice(0, 1);
+        counts[domain] = (counts[domain] ?? 0) + 1;
+      });
+    });
+    return counts;
+  }
+}
+
+describe('snapshots of the work of an entry VM', () => {
+  it('go to all peers of a small fleet after each change', () => {
+    const driver = new FleetDriver(['a', 'b', 'c'].flatMap((domain) => createPeers(domain, 3)));
+    driver.request('/chat/');
+    driver.advance(1);
+    expect(driver.takeDatagrams()).toEqual({ a: 3, b: 3, c: 3 });
+  });
+
+  it('go only to peers of the own failure domain after a change in a large fleet', () => {
+    const driver = new FleetDriver(LARGE_FLEET);
+    driver.request('/chat/');
+    driver.advance(1);
+    expect(driver.takeDatagrams()).toEqual({ a: 21 });
+  });
+
+  it('reach each peer of other failure domains of a large fleet every 500 ms', () => {
+    const driver = new FleetDriver(LARGE_FLEET);
+    driver.advance(500);
+    const { b, c, d } = driver.takeDatagrams();
+    expect([b, c, d]).toEqual([21, 21, 21]);
+  });
+
+  it('to other failure domains do not grow in number with the fleet', () => {
+    const fleet = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'].flatMap((name) => createPeers(name, 24));
+    const driver = new FleetDriver(fleet);
+    driver.advance(1_000);
+    const { a: own = 0, ...others } = driver.takeDatagrams();
+    const sum = Object.values(others).reduce((total, count) => total + count, 0);
+    expect(own).toBeGreaterThan(0);
+    expect(sum).toBeLessThanOrEqual(4 * 36);
+  });
+
+  it('take no more than a fifth of a slow link, although work changes all the time', () => {
+    const linkBytesPerMs = 200;
+    const driver = new FleetDriver(LARGE_FLEET, linkBytesPerMs);
+    for (let count = 0; count < 200; count += 1) {
+      driver.request('/chat/');
+      driver.advance(10);
+      if (count % 50 === 0) driver.receiveAll();
+    }
+    const counts = driver.takeDatagrams();
+    const datagrams = Object.values(counts).reduce((total, count) => total + count, 0);
+    const smallestDatagramBytes = 100;
+    expect(datagrams).toBeGreaterThan(0);
+    expect(datagrams * smallestDatagramBytes).toBeLessThan(0.2 * linkBytesPerMs * 2_000);
+  });
+
+  it('use the rate of the link from reloaded settings', () => {
+    const driver = new FleetDriver(LARGE_FLEET, 1);
+    driver.request('/chat/');
+    driver.advance(10);
+    expect(driver.takeDatagrams()).toEqual({});
+    driver.dispatch({
+      kind: 'contract.changed',
+      contract: createContract({ linkBytesPerMs: 125_000 }),
+    });
+    driver.advance(60_000);
+    driver.receiveAll();
+    driver.takeDatagrams();
+    driver.request('/chat/');
+    driver.advance(1);
+    expect(driver.takeDatagrams()).toEqual({ a: 21 });
+  });
+});
+
+describe('a failure domain of a large fleet with a single entry VM', () => {
+  it('counts as reachable between the periodic snapshots of that VM', () => {
+    const fleet = [
+      ...['a', 'b', 'c', 'd'].flatMap((name) => createPeers(name, 24)),
+      ...createPeers('z', 1),
+    ];
+    const driver = new FleetDriver(fleet);
+    driver.dispatch({
+      kind: 'endpoints.read',
+      endpoints: [createEndpoint('only', { failureDomain: 'z' }), createEndpoint('a1')],
+    });
+    driver.dispatch({ kind: 'endpoints.changed', changes: [{ id: 'a1', endpoint: undefined }] });
+    driver.dispatch({
+      kind: 'endpoints.changed',
+      changes: [{ id: 'a2', endpoint: createEndpoint('a2') }],
+    });
+    driver.advance(700);
+    driver.receiveAll('a');
+    const ids = Array.from({ length: 8 }, () => driver.request('/chat/'));
+    const domains = ids.map((id) => driver.findAttempt(id)?.endpoint.failureDomain);
+    expect(domains).toContain('z');
+  });
+});
