In a large fleet, prefer engines of the own failure domain, whose load is known at once

Fleets of up to 24 peers place as before.

The limits, routes and figures of engines that tests and experiments use move to the stand-ins, so that they are written once.

--- a/packages/decisions/src/gateway/placement-policy.ts
+++ b/packages/decisions/src/gateway/placement-policy.ts
@@ -18,19 +18,24 @@
 } from './placement-estimates.js';
 import type { GatewayRecord } from './request-record.js';
 
+/** Where a request is placed. */
+interface PlacedDecision {
+  readonly kind: 'place';
+  /** Whether the estimate meets the target and the placement disrupts no stream. */
+  readonly isOnTime: boolean;
+  readonly endpoint: GatewayEndpoint;
+  readonly helpers: readonly PlacedHelper[];
+  /** Prefill time of each engine's part, in milliseconds. */
+  readonly partMs: number;
+  /** KV cache used at `endpoint`, in tokens. */
+  readonly memoryTokens: number;
+  /** Estimates behind the choice, as log fields. */
+  readonly placementFields: LogFields;
+}
+
 /** Where a request is placed, or why it can't be placed now. */
 export type PlacementDecision =
-  | {
-      readonly kind: 'place';
-      readonly endpoint: GatewayEndpoint;
-      readonly helpers: readonly PlacedHelper[];
-      /** Prefill time of each engine's part, in milliseconds. */
-      readonly partMs: number;
-      /** KV cache used at `endpoint`, in tokens. */
-      readonly memoryTokens: number;
-      /** Estimates behind the choice, as log fields. */
-      readonly placementFields: LogFields;
-    }
+  | PlacedDecision
   /** Stays queued: every engine is full, or waiting avoids disrupting other streams. */
   | { readonly kind: 'wait' }
   /** No endpoint of the service is registered and serving. */
@@ -137,15 +142,25 @@
   decide(record: GatewayRecord): PlacementDecision {
     const candidates = this.listCandidates(record);
     if (candidates.length === 0) return { kind: 'noEndpoint' };
-    const local = record.hasLostEndpoint ? this.listLocal(candidates) : [];
+    const local = this.prefersLocal(record) ? this.listLocal(candidates) : [];
     const localDecision = local.length > 0 ? this.decideFrom(record, local) : undefined;
-    return localDecision?.kind === 'place' ? localDecision : this.decideFrom(record, candidates);
+    const isTaken =
+      localDecision?.kind === 'place' && (record.hasLostEndpoint || localDecision.isOnTime);
+    return isTaken ? localDecision : this.decideFrom(record, candidates);
   }
 
   /**
-   * Lists the candidates in this failure domain. Used after the loss of an endpoint, because a
-   * network partition may make every endpoint of another domain unreachable.
+   * Whether endpoints of the own failure domain are tried first. After the loss of an endpoint a
+   * network partition may make every endpoint of another domain unreachable. In a large fleet the load
+   * on engines of other domains is known with a delay, so that many entry VMs would choose the same.
    */
+  private prefersLocal({ hasLostEndpoint, service }: GatewayRecord): boolean {
+    return (
+      hasLostEndpoint ||
+      (service.engine !== undefined && this.options.fleetLoad.peers.hasPeriodicPeers)
+    );
+  }
+
   private listLocal(candidates: readonly EngineCandidate[]): EngineCandidate[] {
     const { failureDomain } = this.options;
     return candidates.filter(({ endpoint }) => endpoint.failureDomain === failureDomain);
@@ -165,6 +180,7 @@
     if (endpoint === undefined) return { kind: 'noEndpoint' };
     return {
       kind: 'place',
+      isOnTime: true,
       endpoint,
       helpers: [],
       partMs: 0,
@@ -203,6 +219,7 @@
     const placementFields = describePlacement(placement, targetLeftMs);
     return {
       kind: 'place',
+      isOnTime: !placement.isLate && placement.disruption === 0,
       endpoint,
       helpers,
       partMs,
--- a/packages/decisions/test/gateway/abandoned-requests-on-a-full-link.test.ts
+++ b/packages/decisions/test/gateway/abandoned-requests-on-a-full-link.test.ts
@@ -1,8 +1,9 @@
 import { SnapshotCodec } from '@savorywind/entry';
 import type { GatewayPeer } from '@savorywind/model';
+import { createGatewayContract } from '@savorywind/stand-ins';
 import { beforeEach, describe, expect, it } from 'vitest';
 import type { GatewayEffect } from '../../src/gateway/types.js';
-import { createContract, createEndpoint, GatewayDriver } from '../fixtures/gateway-driver.js';
+import { createEndpoint, GatewayDriver } from '../fixtures/gateway-driver.js';
 import { DATAGRAM_HEADER_BYTES, Uplink } from '../fixtures/uplink.js';
 
 /** The smallest VMs of a fleet of 87 in four failure domains have links of 14 Mbit/s. */
@@ -45,7 +46,7 @@
   readonly delaysMs: number[] = [];
 
   private readonly driver = new GatewayDriver(
-    createContract({ linkBytesPerMs: LINK_BYTES_PER_MS }),
+    createGatewayContract({ linkBytesPerMs: LINK_BYTES_PER_MS }),
   );
 
   private readonly codec = new SnapshotCodec();
--- a/packages/decisions/test/gateway/registrations.test.ts
+++ b/packages/decisions/test/gateway/registrations.test.ts
@@ -1,10 +1,6 @@
+import { createGatewayContract } from '@savorywind/stand-ins';
 import { describe, expect, it } from 'vitest';
-import {
-  createConfiguration,
-  createContract,
-  createEndpoint,
-  startDriver,
-} from '../fixtures/gateway-driver.js';
+import { createConfiguration, createEndpoint, startDriver } from '../fixtures/gateway-driver.js';
 
 describe('registrations of endpoints', () => {
   it('give no new work to an endpoint that is leaving', () => {
@@ -75,7 +71,7 @@
 
   it('expires after the new freshness time where the deployment’s limits change', () => {
     const driver = startDriver('e1');
-    const contract = { ...createContract(), credentialFreshnessMs: 2_000 };
+    const contract = { ...createGatewayContract(), credentialFreshnessMs: 2_000 };
     driver.dispatch({ kind: 'contract.changed', contract });
     driver.advance(1_800);
     const refusal = driver.findRefusal(driver.request('/private/', { credential: 'secret' }));
--- a/packages/decisions/test/gateway/snapshot-sender.test.ts
+++ b/packages/decisions/test/gateway/snapshot-sender.test.ts
@@ -1,64 +1,7 @@
-import type { GatewayPeer } from '@savorywind/model';
+import { createGatewayContract } from '@savorywind/stand-ins';
 import { describe, expect, it } from 'vitest';
-import { createContract, createEndpoint, GatewayDriver } from '../fixtures/gateway-driver.js';
-
-/** Creates peers `vm-2` and so on in a failure domain. The driver's own domain is `a`. */
-const createPeers = (domain: string, count: number): GatewayPeer[] =>
-  Array.from({ length: count }, (_, index) => ({
-    id: `${domain}-${index}`,
-    failureDomain: domain,
-    address: { host: `${domain}.${index}`, port: 7_000 },
-  }));
-
-const LARGE_FLEET = ['a', 'b', 'c', 'd'].flatMap((domain) => createPeers(domain, 21));
-
-class FleetDriver extends GatewayDriver {
-  private sequence = 0;
-
-  private seenEffects = 0;
-
-  constructor(
-    private readonly peers: readonly GatewayPeer[],
-    linkBytesPerMs = 125_000,
-  ) {
-    super(createContract({ linkBytesPerMs }));
-    const ids = Array.from({ length: 40 }, (_, index) => `e${index}`);
-    this.start(ids.map((id) => createEndpoint(id, { failureDomain: id.length > 2 ? 'a' : 'b' })));
-    this.dispatch({ kind: 'peers.read', peers });
-    this.receiveAll();
-    this.advance(1_000);
-    this.receiveAll();
-    this.takeDatagrams();
-  }
-
-  /** Delivers a snapshot of each peer, or of those of one failure domain. */
-  receiveAll(domain?: string): void {
-    this.sequence += 1;
-    const { sequence } = this;
-    const senders = this.peers.filter(
-      ({ failureDomain }) => domain === undefined || domain === failureDomain,
-    );
-    senders.forEach((from) => {
-      const snapshot = { from, incarnation: 1, sequence, work: [] };
-      this.dispatch({ kind: 'peer.received', snapshot });
-    });
-  }
-
-  /** Counts the datagrams since the last call, by failure domain of their recipients. */
-  takeDatagrams(): Record<string, number> {
-    const sent = this.effects.slice(this.seenEffects);
-    this.seenEffects = this.effects.length;
-    const counts: Record<string, number> = {};
-    sent.forEach((effect) => {
-      if (effect.kind !== 'peers.send') return;
-      effect.peers.forEach(({ host }) => {
-        const domain = host.slice(0, 1);
-        counts[domain] = (counts[domain] ?? 0) + 1;
-      });
-    });
-    return counts;
-  }
-}
+import { createPeers, FleetDriver, LARGE_FLEET } from '../fixtures/fleet-driver.js';
+import { createEndpoint } from '../fixtures/gateway-driver.js';
 
 describe('snapshots of the work of an entry VM', () => {
   it('go to all peers of a small fleet after each change', () => {
@@ -114,7 +57,7 @@
     expect(driver.takeDatagrams()).toEqual({});
     driver.dispatch({
       kind: 'contract.changed',
-      contract: createContract({ linkBytesPerMs: 125_000 }),
+      contract: createGatewayContract({ linkBytesPerMs: 125_000 }),
     });
     driver.advance(60_000);
     driver.receiveAll();
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -8,6 +8,12 @@
   type ServedPlacement,
 } from './engine/placement-order-handler.js';
 export { startEngine, type EngineSettings } from './engine/engine-stand-in.js';
+export {
+  createCallerLimits,
+  createEngineTraits,
+  createGatewayContract,
+  createStreamRoute,
+} from './gateway/gateway-fixtures.js';
 export {
   readBody,
   sendJson,
