--- a/packages/decisions/src/gateway/consts.ts
+++ b/packages/decisions/src/gateway/consts.ts
@@ -28,11 +28,17 @@
  */
 export const PEER_TIMEOUT_INTERVALS = 6;
 
-/** Upper bound for a datagram with a snapshot of an idle VM, network headers included, in bytes. */
-export const SNAPSHOT_HEADER_BYTES = 160;
+/** Headers of IPv4 and UDP, in bytes. */
+export const DATAGRAM_HEADER_BYTES = 28;
 
-/** Upper bound for the bytes that the work on one engine adds to a datagram. */
-export const ENGINE_WORK_BYTES = 120;
+/**
+ * Size of the snapshot of an idle VM, in bytes: upper bound for the compact form and names of up to 24
+ * characters.
+ */
+export const IDLE_SNAPSHOT_BYTES = 100;
+
+/** Bytes that the work on one engine adds to a snapshot: upper bound as above. */
+export const ENGINE_WORK_BYTES = 45;
 
 /**
  * Interval of the snapshots to an inactive peer, so that both detect when they can reach each other
--- a/packages/decisions/src/gateway/snapshot-sender.ts
+++ b/packages/decisions/src/gateway/snapshot-sender.ts
@@ -1,9 +1,10 @@
 import type { WorkSnapshot } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
 import {
+  DATAGRAM_HEADER_BYTES,
   ENGINE_WORK_BYTES,
+  IDLE_SNAPSHOT_BYTES,
   SNAPSHOT_DELAY_MS,
-  SNAPSHOT_HEADER_BYTES,
   SNAPSHOT_INTERVAL_MS,
 } from './consts.js';
 import type { FleetLoadTracker } from './fleet-load-tracker.js';
@@ -18,8 +19,15 @@
  */
 const LINK_FRACTION = 0.1;
 
-const estimateDatagramBytes = ({ work }: WorkSnapshot): number =>
-  SNAPSHOT_HEADER_BYTES + work.length * ENGINE_WORK_BYTES;
+/**
+ * Estimates the size of the datagram with a snapshot, network headers included, in bytes. Peers of
+ * earlier builds get the snapshot in a longer form, which is not taken into account.
+ *
+ * @example
+ * estimateDatagramBytes(snapshot); // 578 for work on ten engines
+ */
+export const estimateDatagramBytes = ({ work }: WorkSnapshot): number =>
+  DATAGRAM_HEADER_BYTES + IDLE_SNAPSHOT_BYTES + work.length * ENGINE_WORK_BYTES;
 
 /**
  * Sends the work of this entry VM to its peers: to some after each change, to the others at intervals,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -18,4 +18,6 @@
 export { formatStreamId, parseStreamId, type StreamOwner } from './recovery/stream-id.js';
 export type * from './recovery/types.js';
 export { GatewayNode, type GatewayNodeOptions } from './gateway/gateway-node.js';
+export { DATAGRAM_HEADER_BYTES } from './gateway/consts.js';
+export { estimateDatagramBytes } from './gateway/snapshot-sender.js';
 export type * from './gateway/types.js';
--- a/packages/decisions/test/gateway/abandoned-requests-on-a-full-link.test.ts
+++ b/packages/decisions/test/gateway/abandoned-requests-on-a-full-link.test.ts
@@ -4,7 +4,8 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import type { GatewayEffect } from '../../src/gateway/types.js';
 import { createEndpoint, GatewayDriver } from '../fixtures/gateway-driver.js';
-import { DATAGRAM_HEADER_BYTES, Uplink } from '../fixtures/uplink.js';
+import { DATAGRAM_HEADER_BYTES } from '../../src/gateway/consts.js';
+import { Uplink } from '../fixtures/uplink.js';
 
 /** The smallest VMs of a fleet of 87 in four failure domains have links of 14 Mbit/s. */
 const LINK_BYTES_PER_MS = 1_750;
@@ -130,7 +131,7 @@
   private handleEffect(effect: GatewayEffect): void {
     const { nowMs } = this.driver;
     if (effect.kind === 'peers.send') {
-      const bytes = this.codec.encode(effect.snapshot).length + DATAGRAM_HEADER_BYTES;
+      const bytes = this.codec.encode(effect.snapshot, 'named').length + DATAGRAM_HEADER_BYTES;
       effect.peers.forEach(() => this.uplink.send(bytes, nowMs));
     } else if (effect.kind === 'attempt.start' || effect.kind === 'attempt.cancel') {
       this.delaysMs.push(this.uplink.measureDelayMs(nowMs));
--- /dev/null
+++ b/packages/entry/src/gateway/compact-snapshot.ts
@@ -0,0 +1,83 @@
+import type { EngineWork, WorkSnapshot } from '@savorywind/model';
+
+/**
+ * A snapshot as an array without field names, a quarter as long as a map: version, id, failure domain,
+ * host and port of the sender, incarnation, sequence, and the work, {@link VALUES_PER_ENGINE} values an
+ * engine.
+ */
+export type CompactSnapshot = readonly [
+  version: number,
+  id: string,
+  failureDomain: string,
+  host: string,
+  port: number,
+  incarnation: number,
+  sequence: number,
+  work: readonly (string | number)[],
+];
+
+/** First element of a compact snapshot. */
+export const COMPACT_VERSION = 2;
+
+const VALUES_PER_ENGINE = 8;
+
+const listWorkValues = (work: EngineWork): (string | number)[] => [
+  work.endpoint,
+  work.writers,
+  work.tightWriters,
+  work.tightGapMs,
+  work.readers,
+  work.longReaders,
+  work.readMs,
+  work.memoryTokens,
+];
+
+/**
+ * Converts a snapshot to its compact form.
+ *
+ * @example
+ * packr.pack(encodeCompactSnapshot(snapshot));
+ */
+export const encodeCompactSnapshot = (snapshot: WorkSnapshot): CompactSnapshot => {
+  const { from, incarnation, sequence, work } = snapshot;
+  const { host, port } = from.address;
+  return [
+    COMPACT_VERSION,
+    from.id,
+    from.failureDomain,
+    host,
+    port,
+    incarnation,
+    sequence,
+    work.flatMap(listWorkValues),
+  ];
+};
+
+const decodeWork = (values: readonly unknown[]): unknown[] => {
+  const work: unknown[] = [];
+  for (let index = 0; index < values.length; index += VALUES_PER_ENGINE) {
+    work.push({
+      endpoint: values[index],
+      writers: values[index + 1],
+      tightWriters: values[index + 2],
+      tightGapMs: values[index + 3],
+      readers: values[index + 4],
+      longReaders: values[index + 5],
+      readMs: values[index + 6],
+      memoryTokens: values[index + 7],
+    });
+  }
+  return work;
+};
+
+/**
+ * Converts a received array to the fields of a snapshot, which the caller checks.
+ *
+ * @returns undefined if the array is not a compact snapshot
+ */
+export const decodeCompactSnapshot = (datagram: readonly unknown[]): unknown => {
+  const [version, id, failureDomain, host, port, incarnation, sequence, work] = datagram;
+  if (version !== COMPACT_VERSION || !Array.isArray(work)) return undefined;
+  const from = { id, failureDomain, address: { host, port } };
+  return { from, incarnation, sequence, work: decodeWork(work) };
+};
--- a/packages/entry/src/gateway/peer-socket.ts
+++ b/packages/entry/src/gateway/peer-socket.ts
@@ -1,6 +1,8 @@
 import { createSocket } from 'node:dgram';
 import type { NetworkAddress, WorkSnapshot } from '@savorywind/model';
-import { SnapshotCodec } from './snapshot-codec.js';
+import { SnapshotCodec, type SnapshotFormat } from './snapshot-codec.js';
+
+const formatAddress = ({ host, port }: NetworkAddress): string => `${host}:${port}`;
 
 /** Bytes of datagrams sent to and received from peers. */
 export interface PeerTraffic {
@@ -24,6 +26,9 @@
 
   private readonly codec = new SnapshotCodec();
 
+  /** Addresses of peers that are known to read the compact form. */
+  private readonly compactReaders = new Set<string>();
+
   private readonly traffic: PeerTraffic = { sentBytes: 0, receivedBytes: 0 };
 
   constructor(private readonly options: PeerSocketOptions) {
@@ -45,20 +50,43 @@
   }
 
   send(snapshot: WorkSnapshot, peers: readonly NetworkAddress[]): void {
-    const bytes = this.codec.encode(snapshot);
-    this.traffic.sentBytes += bytes.length * peers.length;
-    // Errors are ignored: the next snapshot replaces this one.
-    peers.forEach(({ host, port }) => this.socket.send(bytes, port, host, () => {}));
+    const compact = peers.filter((peer) => this.compactReaders.has(formatAddress(peer)));
+    const named = peers.filter((peer) => !this.compactReaders.has(formatAddress(peer)));
+    this.sendAs('compact', snapshot, compact);
+    this.sendAs('named', snapshot, named);
   }
 
   stop(): void {
     this.socket.close();
   }
 
+  private sendAs(
+    format: SnapshotFormat,
+    snapshot: WorkSnapshot,
+    peers: readonly NetworkAddress[],
+  ): void {
+    if (peers.length === 0) return;
+    const bytes = this.codec.encode(snapshot, format);
+    this.traffic.sentBytes += bytes.length * peers.length;
+    // Errors are ignored: the next snapshot replaces this one.
+    peers.forEach(({ host, port }) => this.socket.send(bytes, port, host, () => {}));
+  }
+
   private handleDatagram(bytes: Buffer): void {
     this.traffic.receivedBytes += bytes.length;
     const decoded = this.codec.decode(bytes);
-    if (decoded.ok) this.options.onSnapshotReceived(decoded.val);
-    else this.options.onFailed(decoded.val);
+    if (decoded.err) {
+      this.options.onFailed(decoded.val);
+      return;
+    }
+    const { snapshot, readsCompact } = decoded.val;
+    this.recordFormat(snapshot.from.address, readsCompact);
+    this.options.onSnapshotReceived(snapshot);
+  }
+
+  /** A peer that is replaced by an earlier build reads only the named form again. */
+  private recordFormat(peer: NetworkAddress, readsCompact: boolean): void {
+    if (readsCompact) this.compactReaders.add(formatAddress(peer));
+    else this.compactReaders.delete(formatAddress(peer));
   }
 }
--- a/packages/entry/src/gateway/snapshot-codec.ts
+++ b/packages/entry/src/gateway/snapshot-codec.ts
@@ -7,6 +7,30 @@
   type Result,
   type WorkSnapshot,
 } from '@savorywind/model';
+import {
+  COMPACT_VERSION,
+  decodeCompactSnapshot,
+  encodeCompactSnapshot,
+} from './compact-snapshot.js';
+
+/**
+ * Form of a datagram. `named`: a map with the names of all fields, which every build reads. `compact`: an
+ * array without names, a quarter as long, for peers that are known to read it.
+ */
+export type SnapshotFormat = 'named' | 'compact';
+
+/** A decoded datagram. */
+export interface DecodedSnapshot {
+  readonly snapshot: WorkSnapshot;
+  /** Whether the sender reads the compact form, too. */
+  readonly readsCompact: boolean;
+}
+
+/** The named form; builds that only know this form send no `format`. */
+interface NamedSnapshot extends WorkSnapshot {
+  /** Version of the compact form that the sender reads. */
+  readonly format?: number;
+}
 
 /** Engines that one snapshot may list; a larger fleet needs another message format. */
 const MAX_ENGINES = 4_096;
@@ -53,20 +77,30 @@
  * Converts work snapshots to and from datagrams.
  *
  * @example
- * const bytes = codec.encode(snapshot);
- * codec.decode(bytes); // Ok(snapshot), or Err with what is wrong
+ * const bytes = codec.encode(snapshot, 'compact');
+ * codec.decode(bytes); // Ok({ snapshot, readsCompact: true }), or Err with what is wrong
  */
 export class SnapshotCodec {
   private readonly packr = new Packr({ useRecords: false });
 
-  encode(snapshot: WorkSnapshot): Uint8Array {
-    return this.packr.pack(snapshot);
+  encode(snapshot: WorkSnapshot, format: SnapshotFormat): Uint8Array {
+    if (format === 'compact') return this.packr.pack(encodeCompactSnapshot(snapshot));
+    return this.packr.pack({ ...snapshot, format: COMPACT_VERSION });
+  }
+
+  decode(bytes: Uint8Array): Result<DecodedSnapshot, string> {
+    const unpacked = this.unpack(bytes);
+    if (unpacked.err) return unpacked;
+    const isCompact = Array.isArray(unpacked.val);
+    const snapshot = isCompact ? decodeCompactSnapshot(unpacked.val as unknown[]) : unpacked.val;
+    if (!isSnapshot(snapshot)) return Err('datagram is not a work snapshot');
+    const { format } = snapshot as NamedSnapshot;
+    return Ok({ snapshot, readsCompact: isCompact || format === COMPACT_VERSION });
   }
 
-  decode(bytes: Uint8Array): Result<WorkSnapshot, string> {
+  private unpack(bytes: Uint8Array): Result<unknown, string> {
     try {
-      const value: unknown = this.packr.unpack(bytes);
-      return isSnapshot(value) ? Ok(value) : Err('datagram is not a work snapshot');
+      return Ok<unknown>(this.packr.unpack(bytes));
     } catch (error) {
       return Err((error as Error).message);
     }
--- a/packages/entry/test/gateway/peer-socket.test.ts
+++ b/packages/entry/test/gateway/peer-socket.test.ts
@@ -71,6 +71,9 @@
     ['work that is not an array', packr.pack({ ...createSnapshot(), work: { length: 1 } })],
     ['negative work', packr.pack({ ...createSnapshot(), work: [{ endpoint: 'e', readMs: -1 }] })],
     ['null', packr.pack(null)],
+    ['an array that is no snapshot', packr.pack([2, 'vm-2'])],
+    ['a compact snapshot of another version', packr.pack([3, 'vm-2', 'b', HOST, 7_000, 1, 1, []])],
+    ['compact work that is cut off', packr.pack([2, 'vm-2', 'b', HOST, 7_000, 1, 1, ['e1', 1]])],
   ])('reports and ignores an invalid datagram: %s', async (_name, bytes) => {
     const [failure] = await receive(bytes);
     expect(typeof failure).toBe('string');
--- /dev/null
+++ b/packages/entry/test/gateway/snapshot-codec.test.ts
@@ -0,0 +1,118 @@
+import { createSocket, type Socket } from 'node:dgram';
+import { once } from 'node:events';
+import { Packr } from 'msgpackr';
+import { DATAGRAM_HEADER_BYTES, estimateDatagramBytes } from '@savorywind/decisions';
+import type { WorkSnapshot } from '@savorywind/model';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { PeerSocket } from '../../src/gateway/peer-socket.js';
+import { SnapshotCodec, type SnapshotFormat } from '../../src/gateway/snapshot-codec.js';
+import { startRawServer } from '../fixtures/test-gateway.js';
+
+const HOST = '127.0.0.1';
+
+const createSnapshot = (engines: number, port = 7_000): WorkSnapshot => ({
+  from: { id: 'front-hafnar-15', failureDomain: 'hafnar', address: { host: HOST, port } },
+  incarnation: 1_764_820_800_000,
+  sequence: 123_456,
+  work: Array.from({ length: engines }, (_, index) => ({
+    endpoint: `i-${String(10_000_000 + index)}`,
+    writers: 3,
+    tightWriters: 4,
+    tightGapMs: 250,
+    readers: 1,
+    longReaders: 1,
+    readMs: 3_000,
+    memoryTokens: 340_000,
+  })),
+});
+
+describe('a snapshot', () => {
+  const codec = new SnapshotCodec();
+
+  it.each<SnapshotFormat>(['named', 'compact'])('is the same after decoding, %s', (format) => {
+    const decoded = codec.decode(codec.encode(createSnapshot(3), format)).unwrap();
+    expect(decoded.snapshot).toMatchObject(createSnapshot(3));
+    expect(decoded.readsCompact).toBe(true);
+  });
+
+  it('in the compact form takes a third of the bytes of the named form, or less', () => {
+    const named = codec.encode(createSnapshot(30), 'named').length;
+    const compact = codec.encode(createSnapshot(30), 'compact').length;
+    expect(compact).toBeLessThan(named / 3);
+  });
+});
+
+describe('the size of a compact snapshot', () => {
+  it.each([0, 1, 78])(
+    'is within what the limit of its traffic assumes, for %i engines',
+    (engines) => {
+      const name = 'n'.repeat(24);
+      const { work, ...others } = createSnapshot(engines);
+      const snapshot = {
+        ...others,
+        from: {
+          id: name,
+          failureDomain: name,
+          address: { host: '255.255.255.255', port: 65_535 },
+        },
+        work: work.map((item) => ({ ...item, endpoint: name, readMs: 65_535 })),
+      };
+      const bytes = new SnapshotCodec().encode(snapshot, 'compact').length + DATAGRAM_HEADER_BYTES;
+      expect(bytes).toBeLessThanOrEqual(estimateDatagramBytes(snapshot));
+    },
+  );
+});
+
+describe('the form of a snapshot', () => {
+  const codec = new SnapshotCodec();
+  const packr = new Packr({ useRecords: false });
+  let peer: Socket;
+  let peerPort: number;
+  let socket: PeerSocket;
+  let socketPort: number;
+  let onReceived = (): void => {};
+
+  beforeEach(async () => {
+    peer = createSocket('udp4').bind(0, HOST);
+    await once(peer, 'listening');
+    peerPort = peer.address().port;
+    const { port, close } = await startRawServer(() => {});
+    close();
+    socketPort = port;
+    socket = new PeerSocket({
+      address: { host: HOST, port },
+      onSnapshotReceived: () => onReceived(),
+      onFailed: () => {},
+    });
+    await socket.start();
+  });
+
+  afterEach(() => {
+    peer.close();
+    socket.stop();
+  });
+
+  /** Delivers a datagram of the peer, and returns in which form the peer then gets a snapshot. */
+  const exchange = async (datagram: Uint8Array): Promise<SnapshotFormat> => {
+    const received = new Promise<void>((resolve) => {
+      onReceived = resolve;
+    });
+    peer.send(datagram, socketPort, HOST);
+    await received;
+    socket.send(createSnapshot(1), [{ host: HOST, port: peerPort }]);
+    const [bytes] = (await once(peer, 'message')) as [Buffer];
+    return Array.isArray(packr.unpack(bytes)) ? 'compact' : 'named';
+  };
+
+  it('is named for a build that does not read the compact one, also after a newer build', async () => {
+    const snapshot = createSnapshot(1, peerPort);
+    expect(await exchange(packr.pack(snapshot))).toBe('named');
+    expect(await exchange(codec.encode(snapshot, 'compact'))).toBe('compact');
+    expect(await exchange(packr.pack(snapshot))).toBe('named');
+  });
+
+  it('is compact for a build that says that it reads it', async () => {
+    const snapshot = createSnapshot(1, peerPort);
+    expect(await exchange(codec.encode(snapshot, 'named'))).toBe('compact');
+  });
+});
