--- a/packages/bench/src/experiments/index.ts
+++ b/packages/bench/src/experiments/index.ts
@@ -4,6 +4,7 @@
 import { runPolicies } from './policies.js';
 import { runPresets } from './presets.js';
 import { runScale } from './scale.js';
+import { runSnapshotTraffic } from './snapshot-traffic/run-snapshot-traffic.js';
 import type { RunExperiment } from './types.js';
 
 /** Experiments that run without separate processes, by their command-line name. */
@@ -14,4 +15,5 @@
   flood: runTeamOverload,
   scale: runScale,
   'node-costs': runNodeCosts,
+  'snapshot-traffic': runSnapshotTraffic,
 };
