--- a/packages/decisions/test/gateway/randomised.test.ts
+++ b/packages/decisions/test/gateway/randomised.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { LARGE_FLEET } from '../fixtures/fleet-driver.js';
 import { GatewaySimulation } from '../fixtures/gateway-simulation.js';
 
 const SEEDS = Array.from({ length: 20 }, (_, index) => index + 1);
@@ -10,4 +11,10 @@
     simulation.run(STEPS);
     expect(simulation.violations).toEqual([]);
   });
+
+  it.each(SEEDS)('keep every guarantee in a large fleet with slow links, seed %i', (seed) => {
+    const simulation = new GatewaySimulation(seed, LARGE_FLEET);
+    simulation.run(STEPS);
+    expect(simulation.violations).toEqual([]);
+  });
 });
