Read the limits that engines name, and show them in logs and metrics

Callers see no change: no decision uses the limit yet.

The header is decoded in the adapter. A limit is in force from the first response that names it until a response without it to an attempt that started later: responses on other connections may overtake each other, so one to an earlier attempt proves nothing. Log events 830 to 832 report the start, the end and an unreadable field; metrics count limited endpoints and attempts started at them.

--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -1,6 +1,7 @@
 import type { GatewayEndpoint } from '@savorywind/model';
 import { CONNECT_TIMEOUT_MS } from './consts.js';
 import type { PlacedHelper } from './placement-estimates.js';
+import type { EndpointLimits } from './endpoint-limits.js';
 import type { FleetLoadTracker, LocalWork } from './fleet-load-tracker.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { MemoryReservation } from './memory-reservations.js';
@@ -41,6 +42,15 @@
     reservationId: held.find((item) => item.endpoint.id === endpoint.id)?.reservationId,
   }));
 
+export interface GatewayAttemptsOptions {
+  readonly context: GatewayContext;
+  readonly fleetLoad: FleetLoadTracker;
+  readonly limits: EndpointLimits;
+  /** Called when an attempt starts, gets its first event or ends. */
+  readonly onWorkChanged: () => void;
+  readonly onStalled: (record: GatewayRecord, attempt: GatewayAttempt) => void;
+}
+
 /**
  * Starts and cancels attempts at endpoints, detects stalled ones, and records the work of each
  * attempt in the fleet load.
@@ -48,12 +58,7 @@
 export class GatewayAttempts {
   private readonly records = new Map<string, GatewayRecord>();
 
-  constructor(
-    private readonly context: GatewayContext,
-    private readonly fleetLoad: FleetLoadTracker,
-    private readonly onWorkChanged: () => void,
-    private readonly onStalled: (record: GatewayRecord, attempt: GatewayAttempt) => void,
-  ) {}
+  constructor(private readonly options: GatewayAttemptsOptions) {}
 
   /** Finds the request whose current attempt has this id. */
   find(attemptId: string): GatewayRecord | undefined {
@@ -62,22 +67,23 @@
 
   start(record: GatewayRecord, plan: AttemptPlan): void {
     const attempt: GatewayAttempt = {
-      attemptId: this.context.createId(),
+      attemptId: this.options.context.createId(),
       endpoint: plan.endpoint,
       helpers: plan.helpers.map(({ endpoint }) => endpoint),
       work: this.addWork(record, plan),
-      startedAtMs: this.context.nowMs,
+      startedAtMs: this.options.context.nowMs,
       stallTimer: undefined,
       hasHead: false,
       isPaused: false,
     };
     record.attempt = attempt;
-    record.firstPlacedAtMs ??= this.context.nowMs;
+    record.firstPlacedAtMs ??= this.options.context.nowMs;
     record.sends += 1;
+    this.options.limits.recordAttempt(plan.endpoint.id);
     this.records.set(attempt.attemptId, record);
     this.emitStart(record, attempt, plan);
     this.armStallTimer(record, attempt, this.estimateStallTimeoutMs(record, plan.partMs));
-    this.onWorkChanged();
+    this.options.onWorkChanged();
   }
 
   /** Handles an event of the stream; the first one ends the prefill. */
@@ -88,7 +94,7 @@
       // The helpers' prefill is finished; memory that they hold for the primary engine still
       // counts.
       helpers.forEach((work) => this.finishPrefill(work));
-      this.onWorkChanged();
+      this.options.onWorkChanged();
     }
     this.armGapTimer(record, attempt);
   }
@@ -104,26 +110,26 @@
     const { attempt } = record;
     if (attempt === undefined) return;
     attempt.stallTimer?.cancel();
-    attempt.work.forEach((work) => this.fleetLoad.removeLocalWork(work));
+    attempt.work.forEach((work) => this.options.fleetLoad.removeLocalWork(work));
     this.records.delete(attempt.attemptId);
     record.attempt = undefined;
-    this.onWorkChanged();
+    this.options.onWorkChanged();
   }
 
   cancel(record: GatewayRecord): void {
     const { attempt } = record;
     if (attempt === undefined) return;
-    this.context.emit({ kind: 'attempt.cancel', attemptId: attempt.attemptId });
+    this.options.context.emit({ kind: 'attempt.cancel', attemptId: attempt.attemptId });
     this.detach(record);
   }
 
   private finishPrefill(work: LocalWork): void {
     if (work.memoryTokens > 0) work.state = 'decode';
-    else this.fleetLoad.removeLocalWork(work);
+    else this.options.fleetLoad.removeLocalWork(work);
   }
 
   private addWork({ route, isLong }: GatewayRecord, plan: AttemptPlan): LocalWork[] {
-    const { nowMs: startedAtMs } = this.context;
+    const { nowMs: startedAtMs } = this.options.context;
     const { endpoint, helpers, partMs, memoryTokens } = plan;
     const shared = { startedAtMs, prefillMs: partMs, isLong, state: 'prefill' as const };
     const primary = { ...shared, endpoint: endpoint.id, memoryTokens, gapMs: route.maxEventGapMs };
@@ -134,15 +140,15 @@
       gapMs: undefined,
     }));
     const work: LocalWork[] = [primary, ...others];
-    work.forEach((item) => this.fleetLoad.addLocalWork(item));
+    work.forEach((item) => this.options.fleetLoad.addLocalWork(item));
     return work;
   }
 
   private emitStart(record: GatewayRecord, attempt: GatewayAttempt, plan: AttemptPlan): void {
     const { request, route, team, reservations } = record;
     const { attemptId, endpoint } = attempt;
-    const timeoutMs = Math.max(1, Math.floor(record.deadlineMs - this.context.nowMs));
-    this.context.emit({
+    const timeoutMs = Math.max(1, Math.floor(record.deadlineMs - this.options.context.nowMs));
+    this.options.context.emit({
       kind: 'attempt.start',
       attemptId,
       requestId: request.requestId,
@@ -157,11 +163,11 @@
       delivery: route.kind === 'streaming' ? 'events' : 'whole',
     });
     record.placements.push({
-      atMs: this.context.nowMs,
+      atMs: this.options.context.nowMs,
       fields: {
         request: request.callerAttempt,
         endpoint: endpoint.id,
-        waitedMs: Math.round(this.context.nowMs - record.arrivedAtMs),
+        waitedMs: Math.round(this.options.context.nowMs - record.arrivedAtMs),
         ...record.placementFields,
         helpers: plan.helpers.map((helper) => helper.endpoint.id).join(' '),
       },
@@ -190,6 +196,8 @@
   private armStallTimer(record: GatewayRecord, attempt: GatewayAttempt, delayMs: number): void {
     attempt.stallTimer?.cancel();
     if (attempt.isPaused || !mayRerun(record)) return;
-    attempt.stallTimer = this.context.schedule(delayMs, () => this.onStalled(record, attempt));
+    attempt.stallTimer = this.options.context.schedule(delayMs, () =>
+      this.options.onStalled(record, attempt),
+    );
   }
 }
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -12,6 +12,7 @@
 import { LEASE_MARGIN_MS } from './consts.js';
 import { CredentialLease } from './credential-lease.js';
 import { DomainReachability } from './domain-reachability.js';
+import { EndpointLimits, type LimitUsage } from './endpoint-limits.js';
 import { EndpointHealth } from './endpoint-health.js';
 import { EndpointTable } from './endpoint-table.js';
 import { FleetLoadTracker } from './fleet-load-tracker.js';
@@ -81,6 +82,8 @@
 
   private readonly health = new EndpointHealth();
 
+  private readonly limits: EndpointLimits;
+
   private readonly fleetLoad: FleetLoadTracker;
 
   private readonly budget: FleetRetryBudget;
@@ -106,6 +109,7 @@
   constructor(options: GatewayNodeOptions) {
     const { self, incarnation, contract } = options;
     this.context = new GatewayContext(`${self.id}.${incarnation}`, options.seed);
+    this.limits = new EndpointLimits(this.context);
     this.lease = new CredentialLease(estimateLeaseMs(contract));
     this.table = new EndpointTable(contract.reregistrationMs, (id) => this.removeEndpoint(id));
     this.fleetLoad = new FleetLoadTracker(self, incarnation);
@@ -132,8 +136,13 @@
     return this.context.nextWakeMs();
   }
 
+  /** What metrics show of the limits that endpoints have named. */
+  get limitUsage(): LimitUsage {
+    return this.limits.usage;
+  }
+
   private createRequests(self: GatewayPeer, callerWait: CallerWaitLimits): GatewayRequests {
-    const { context, table, health, fleetLoad, budget, reservations } = this;
+    const { context, table, health, limits, fleetLoad, budget, reservations } = this;
     const { failureDomain } = self;
     const reachability = new DomainReachability(fleetLoad.peers);
     const placementPolicy = new PlacementPolicy({
@@ -148,6 +157,7 @@
       context,
       table,
       health,
+      limits,
       reachability,
       fleetLoad,
       budget,
@@ -195,6 +205,7 @@
       },
       'request.arrived': ({ request }) => this.handleRequest(request),
       'request.abandoned': ({ requestId }) => requests.abandon(requestId),
+      'attempt.limitReported': ({ attemptId, limit }) => requests.handleLimit(attemptId, limit),
       'attempt.headReceived': ({ attemptId, head }) => requests.handleHead(attemptId, head),
       'attempt.eventPassed': ({ attemptId, eventId }) => requests.handleEvent(attemptId, eventId),
       'attempt.flowChanged': ({ attemptId, flow }) => requests.handleFlow(attemptId, flow),
@@ -275,6 +286,7 @@
 
   private removeEndpoint(endpoint: EndpointId): void {
     this.health.remove(endpoint);
+    this.limits.remove(endpoint);
     this.context.log(logEvents.endpointForgotten, { endpoint });
     this.context.emit({ kind: 'endpoint.forgotten', endpoint });
   }
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -4,6 +4,7 @@
 import { createGatewayRecord, type ResolvedRoute } from './create-gateway-record.js';
 import { createRefusal } from './create-refusal.js';
 import type { DomainReachability } from './domain-reachability.js';
+import type { EndpointLimits } from './endpoint-limits.js';
 import type { EndpointHealth } from './endpoint-health.js';
 import type { EndpointTable } from './endpoint-table.js';
 import { logIfLate, recordEvent } from './event-times.js';
@@ -21,6 +22,7 @@
   GatewayEvent,
   GatewayRefusalReason,
   GatewayRequest,
+  RequestLimitReport,
   RequestOutcome,
 } from './types.js';
 import {
@@ -37,6 +39,7 @@
   readonly context: GatewayContext;
   readonly table: EndpointTable;
   readonly health: EndpointHealth;
+  readonly limits: EndpointLimits;
   readonly reachability: DomainReachability;
   readonly fleetLoad: FleetLoadTracker;
   readonly placementPolicy: PlacementPolicy;
@@ -105,10 +108,14 @@
   private readonly attempts: GatewayAttempts;
 
   constructor(private readonly options: GatewayRequestsOptions) {
-    const { context, fleetLoad, onWorkChanged } = options;
-    this.attempts = new GatewayAttempts(context, fleetLoad, onWorkChanged, (record, attempt) =>
-      this.handleStall(record, attempt),
-    );
+    const { context, fleetLoad, limits, onWorkChanged } = options;
+    this.attempts = new GatewayAttempts({
+      context,
+      fleetLoad,
+      limits,
+      onWorkChanged,
+      onStalled: (record, attempt) => this.handleStall(record, attempt),
+    });
   }
 
   get inFlight(): number {
@@ -133,6 +140,12 @@
     this.close(record, 'abandoned');
   }
 
+  handleLimit(attemptId: string, limit: RequestLimitReport): void {
+    const attempt = this.attempts.find(attemptId)?.attempt;
+    if (attempt === undefined) return;
+    this.options.limits.report(attempt.endpoint.id, limit, attempt.startedAtMs);
+  }
+
   handleHead(attemptId: string, head: GatewayResponseHead): void {
     const record = this.attempts.find(attemptId);
     const attempt = record?.attempt;
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -55,6 +55,12 @@
   readonly hasReceipt: boolean;
 }
 
+/**
+ * What the head of a response says of the requests per second that its endpoint takes from all entry VMs
+ * together: the number, `none` if it names none, or `unreadable` if the field can't be decoded.
+ */
+export type RequestLimitReport = number | 'none' | 'unreadable';
+
 /** A changed registration; `endpoint` is undefined if the registration was removed. */
 export interface EndpointChange {
   readonly id: EndpointId;
@@ -89,6 +95,12 @@
   | { readonly kind: 'peer.received'; readonly snapshot: WorkSnapshot }
   | { readonly kind: 'request.arrived'; readonly request: GatewayRequest }
   | { readonly kind: 'request.abandoned'; readonly requestId: RequestId }
+  /** The head of the endpoint's response, or of its rejection, has arrived; comes before other events. */
+  | {
+      readonly kind: 'attempt.limitReported';
+      readonly attemptId: AttemptId;
+      readonly limit: RequestLimitReport;
+    }
   | {
       readonly kind: 'attempt.headReceived';
       readonly attemptId: AttemptId;
--- a/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
@@ -107,7 +107,10 @@
         'invalid',
         'response belongs to another request or has a content encoding',
       );
-    } else if (metadata.outcome !== 'answered') {
+      return;
+    }
+    this.reportLimit(metadata);
+    if (metadata.outcome !== 'answered') {
       this.handleRejection(response, metadata.outcome, metadata);
     } else {
       const type = response.headers['content-type'] ?? '';
@@ -121,6 +124,13 @@
     }
   }
 
+  /** A response of another endpoint at the same address says nothing of this one. */
+  private reportLimit({ outcome, requestLimit }: ResponseMetadata): void {
+    if (this.isEnded || outcome === 'otherEndpoint') return;
+    const { start, dispatch } = this.options;
+    dispatch({ kind: 'attempt.limitReported', attemptId: start.attemptId, limit: requestLimit });
+  }
+
   /** Fails the attempt, and reads the body to its end, so that the connection can be reused. */
   private handleRejection(
     response: IncomingMessage,
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -357,6 +357,7 @@
       ...listControlGauges({
         traffic: this.peerSocket.trafficBytes,
         linkBytesPerMs: this.settings.contract.linkBytesPerMs,
+        limits: this.node.limitUsage,
         longestTimerDelayMs: this.runner.takeLongestTimerDelayMs(),
       }),
       ...listProcessGauges(this.logSink.droppedLines),
--- a/packages/entry/src/gateway/metrics/control-gauges.ts
+++ b/packages/entry/src/gateway/metrics/control-gauges.ts
@@ -1,3 +1,4 @@
+import type { LimitUsage } from '@savorywind/decisions';
 import type { Gauge } from '../../observe/render-metrics.js';
 import type { PeerTraffic } from '../peer-socket.js';
 
@@ -6,13 +7,14 @@
 export interface ControlLoad {
   readonly traffic: Readonly<PeerTraffic>;
   readonly linkBytesPerMs: number;
+  readonly limits: LimitUsage;
   /** By how much a timer was late at most since the last reading, in milliseconds. */
   readonly longestTimerDelayMs: number;
 }
 
 /**
  * Lists what shows whether control work delays requests: the traffic with peers beside the rate of the
- * link, and how long events wait for the process.
+ * link, the limits of endpoints, and how long events wait for the process.
  */
 export const listControlGauges = (load: ControlLoad): Gauge[] => [
   {
@@ -32,6 +34,17 @@
     help: 'Rate of the network link of this VM in each direction, from the settings.',
     value: load.linkBytesPerMs * MS_PER_S,
   },
+  {
+    metric: 'savorywind_limited_endpoints',
+    help: 'Endpoints that have named a limit of requests per second.',
+    value: load.limits.limitedEndpoints,
+  },
+  {
+    metric: 'savorywind_attempts_at_limited_endpoints_total',
+    help: 'Attempts that this VM has started at endpoints while they had a limit.',
+    type: 'counter',
+    value: load.limits.attempts,
+  },
   {
     metric: 'savorywind_longest_timer_delay_seconds',
     help: 'Longest time by which a timer was late since the last reading of the metrics.',
--- a/packages/entry/src/gateway/types.ts
+++ b/packages/entry/src/gateway/types.ts
@@ -4,6 +4,7 @@
   GatewayEffect,
   GatewayEvent,
   GatewayRequest,
+  RequestLimitReport,
   ReservationOutcome,
 } from '@savorywind/decisions';
 import type {
@@ -46,6 +47,7 @@
    * now and did not run it.
    */
   readonly outcome: 'answered' | 'rejected' | 'otherEndpoint';
+  readonly requestLimit: RequestLimitReport;
   /** Address of the participating endpoint that failed; undefined if the response names none. */
   readonly atFault: NetworkAddress | undefined;
   /** Id of the caller's attempt that the response belongs to; undefined if it names none. */
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -30,6 +30,13 @@
     'an answer exceeded the target latency or the permitted pause between events of its route',
   ],
   metricsNotShown: [829, 'warn', 'metrics cannot be served at their address'],
+  endpointLimited: [830, 'info', 'an endpoint has named a limit of requests per second'],
+  endpointLimitEnded: [831, 'info', 'an endpoint no longer names a limit of requests per second'],
+  endpointLimitUnreadable: [
+    832,
+    'warn',
+    'the limit of requests per second in the response of an endpoint cannot be decoded and is ignored',
+  ],
   logLinesDropped: [827, 'warn', 'log lines were dropped because the log reader was too slow'],
   peerUnreadable: [
     825,
