Keep to the limits of requests that endpoints name, for all entry VMs together

Packing of short prompts makes it worse: the fullest engine gets 2 to 8 requests a second while others are idle.

Weighed and not taken: an equal part of the limit for each entry VM (nine parts of a small limit allow nine requests at once, and a VM without callers wastes its part), sums of what peers report (late by a round, so that several VMs take the same place), senders fixed by hashing (a VM may get no engine at all).

Change: an endpoint with a limit gets a request only with a permit of its coordinator, an entry VM of the endpoint's failure domain chosen by rendezvous hashing. The coordinator spaces permits evenly and grants each for the next free time, to the VMs whose requests wait. It grants only the fraction of the limit that corresponds to the VMs of its group that it hears, so coordinators on both sides of a partition keep to the limit together. Permits last one second, so 5 s of permits can arrive in 4 s: 1.25 times the limit, 1.5 are tolerated. Where every permit comes too late, a request is refused at once.

--- a/packages/decisions/src/gateway/consts.ts
+++ b/packages/decisions/src/gateway/consts.ts
@@ -37,6 +37,9 @@
  */
 export const IDLE_SNAPSHOT_BYTES = 100;
 
+/** Bytes that one observed limit adds to a snapshot: upper bound as for the work on an engine. */
+export const LIMIT_OBSERVATION_BYTES = 48;
+
 /** Bytes that the work on one engine adds to a snapshot: upper bound as above. */
 export const ENGINE_WORK_BYTES = 45;
 
--- a/packages/decisions/src/gateway/fleet-load-tracker.ts
+++ b/packages/decisions/src/gateway/fleet-load-tracker.ts
@@ -2,6 +2,7 @@
   EndpointId,
   EngineWork,
   GatewayPeer,
+  LimitObservation,
   MonotonicMs,
   WorkSnapshot,
 } from '@savorywind/model';
@@ -169,7 +170,7 @@
     return loads;
   }
 
-  createSnapshot(nowMs: MonotonicMs): WorkSnapshot {
+  createSnapshot(limits: readonly LimitObservation[], nowMs: MonotonicMs): WorkSnapshot {
     this.sequence += 1;
     const byEngine = new Map<EndpointId, EngineLoad>();
     this.localWork.forEach((work) => {
@@ -183,6 +184,7 @@
       ...load,
       readMs: Math.round(load.readMs),
     }));
-    return { from: this.self, incarnation: this.incarnation, sequence: this.sequence, work };
+    const { self: from, incarnation, sequence } = this;
+    return { from, incarnation, sequence, work, limits };
   }
 }
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -1,7 +1,7 @@
 import type { GatewayEndpoint } from '@savorywind/model';
 import { CONNECT_TIMEOUT_MS } from './consts.js';
 import type { PlacedHelper } from './placement-estimates.js';
-import type { EndpointLimits } from './endpoint-limits.js';
+import type { EndpointLimits } from './permits/endpoint-limits.js';
 import type { FleetLoadTracker, LocalWork } from './fleet-load-tracker.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { MemoryReservation } from './memory-reservations.js';
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -5,6 +5,7 @@
   type GatewayConfiguration,
   type GatewayContract,
   type GatewayPeer,
+  type LimitObservation,
   type MonotonicMs,
   type Route,
 } from '@savorywind/model';
@@ -12,7 +13,7 @@
 import { LEASE_MARGIN_MS } from './consts.js';
 import { CredentialLease } from './credential-lease.js';
 import { DomainReachability } from './domain-reachability.js';
-import { EndpointLimits, type LimitUsage } from './endpoint-limits.js';
+import { EndpointLimits, type LimitUsage } from './permits/endpoint-limits.js';
 import { EndpointHealth } from './endpoint-health.js';
 import { EndpointTable } from './endpoint-table.js';
 import { FleetLoadTracker } from './fleet-load-tracker.js';
@@ -22,6 +23,9 @@
 import { GatewayRequests } from './gateway-requests.js';
 import { measureRefused } from './measure-request.js';
 import { MemoryReservations } from './memory-reservations.js';
+import { PermitCoordinator } from './permits/permit-coordinator.js';
+import { PermitHolder } from './permits/permit-holder.js';
+import { PermittedPlacement } from './permits/permitted-placement.js';
 import { PlacementPolicy } from './placement-policy.js';
 import { RouteIndex } from './route-index.js';
 import { SnapshotSender } from './snapshot-sender.js';
@@ -84,6 +88,10 @@
 
   private readonly limits: EndpointLimits;
 
+  private readonly coordinator: PermitCoordinator;
+
+  private readonly permits: PermitHolder;
+
   private readonly fleetLoad: FleetLoadTracker;
 
   private readonly budget: FleetRetryBudget;
@@ -109,13 +117,20 @@
   constructor(options: GatewayNodeOptions) {
     const { self, incarnation, contract } = options;
     this.context = new GatewayContext(`${self.id}.${incarnation}`, options.seed);
-    this.limits = new EndpointLimits(this.context);
     this.lease = new CredentialLease(estimateLeaseMs(contract));
     this.table = new EndpointTable(contract.reregistrationMs, (id) => this.removeEndpoint(id));
     this.fleetLoad = new FleetLoadTracker(self, incarnation);
     this.budget = new FleetRetryBudget(createBudgetOptions(contract));
     this.reservations = new MemoryReservations(this.context, contract);
-    this.snapshots = new SnapshotSender(this.context, this.fleetLoad, contract.linkBytesPerMs);
+    this.limits = new EndpointLimits(this.context, () => this.snapshots.handleWorkChanged());
+    this.snapshots = new SnapshotSender(
+      this.context,
+      this.fleetLoad,
+      this.limits,
+      contract.linkBytesPerMs,
+    );
+    this.coordinator = this.createCoordinator(self);
+    this.permits = this.createPermits(self);
     this.requests = this.createRequests(self, contract.callerWait);
     this.handlers = this.createHandlers();
   }
@@ -141,8 +156,19 @@
     return this.limits.usage;
   }
 
+  private createCoordinator(self: GatewayPeer): PermitCoordinator {
+    const { context, table, limits, fleetLoad } = this;
+    return new PermitCoordinator({ context, self, peers: fleetLoad.peers, table, limits });
+  }
+
+  private createPermits(self: GatewayPeer): PermitHolder {
+    const { context, limits, coordinator } = this;
+    const onGranted = (): void => this.requests.handlePermit();
+    return new PermitHolder({ context, self, limits, coordinator, onGranted });
+  }
+
   private createRequests(self: GatewayPeer, callerWait: CallerWaitLimits): GatewayRequests {
-    const { context, table, health, limits, fleetLoad, budget, reservations } = this;
+    const { context, table, health, limits, permits, fleetLoad, budget, reservations } = this;
     const { failureDomain } = self;
     const reachability = new DomainReachability(fleetLoad.peers);
     const placementPolicy = new PlacementPolicy({
@@ -151,6 +177,8 @@
       health,
       fleetLoad,
       reachability,
+      limits,
+      permits,
       failureDomain,
     });
     return new GatewayRequests({
@@ -161,7 +189,7 @@
       reachability,
       fleetLoad,
       budget,
-      placementPolicy,
+      placement: new PermittedPlacement({ context, placementPolicy, permits }),
       reservations,
       callerWait,
       onWorkChanged: () => this.snapshots.handleWorkChanged(),
@@ -174,7 +202,10 @@
     return {
       woken: () => {},
       drainRequested: () => this.startDrain(),
-      'time.lost': ({ lostMs }) => this.lease.addLostTime(lostMs),
+      'time.lost': ({ lostMs }) => {
+        this.lease.addLostTime(lostMs);
+        this.permits.clear();
+      },
       'contract.changed': ({ contract }) => {
         this.lease.changeDuration(estimateLeaseMs(contract));
         this.budget.changeOptions(createBudgetOptions(contract));
@@ -196,13 +227,16 @@
       },
       'store.failed': ({ detail }) => this.handleStoreFailure(detail),
       'peers.read': ({ peers }) => {
-        peers.forEach((peer) => this.fleetLoad.peers.add(peer));
+        peers.forEach((peer) => this.fleetLoad.peers.add(peer, this.context.nowMs));
         this.budget.setEntryVmCount(this.fleetLoad.entryVmCount);
         this.snapshots.handlePeersAdded();
       },
       'peer.received': ({ snapshot }) => {
-        this.fleetLoad.applySnapshot(snapshot, this.context.nowMs);
+        if (this.fleetLoad.applySnapshot(snapshot, this.context.nowMs))
+          this.applyObservations(snapshot.limits ?? []);
       },
+      'permit.requested': ({ request }) => this.coordinator.handleRequest(request),
+      'permit.answered': ({ answer }) => this.permits.handleAnswer(answer),
       'request.arrived': ({ request }) => this.handleRequest(request),
       'request.abandoned': ({ requestId }) => requests.abandon(requestId),
       'attempt.limitReported': ({ attemptId, limit }) => requests.handleLimit(attemptId, limit),
@@ -216,6 +250,12 @@
     };
   }
 
+  private applyObservations(observations: readonly LimitObservation[]): void {
+    observations
+      .filter(({ endpoint }) => this.table.find(endpoint) !== undefined)
+      .forEach((observation) => this.limits.applyObservation(observation));
+  }
+
   private applyConfiguration(configuration: GatewayConfiguration): void {
     if (this.routeIndex !== undefined && configuration.version <= this.routeIndex.version) return;
     this.routeIndex = new RouteIndex(configuration);
@@ -287,6 +327,8 @@
   private removeEndpoint(endpoint: EndpointId): void {
     this.health.remove(endpoint);
     this.limits.remove(endpoint);
+    this.permits.remove(endpoint);
+    this.coordinator.remove(endpoint);
     this.context.log(logEvents.endpointForgotten, { endpoint });
     this.context.emit({ kind: 'endpoint.forgotten', endpoint });
   }
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -4,7 +4,7 @@
 import { createGatewayRecord, type ResolvedRoute } from './create-gateway-record.js';
 import { createRefusal } from './create-refusal.js';
 import type { DomainReachability } from './domain-reachability.js';
-import type { EndpointLimits } from './endpoint-limits.js';
+import type { EndpointLimits } from './permits/endpoint-limits.js';
 import type { EndpointHealth } from './endpoint-health.js';
 import type { EndpointTable } from './endpoint-table.js';
 import { logIfLate, recordEvent } from './event-times.js';
@@ -14,7 +14,8 @@
 import type { GatewayContext } from './gateway-context.js';
 import { measureRequest } from './measure-request.js';
 import type { MemoryReservations } from './memory-reservations.js';
-import { estimateMinFirstEventMs, type PlacementPolicy } from './placement-policy.js';
+import type { PermittedPlacement } from './permits/permitted-placement.js';
+import { estimateMinFirstEventMs } from './placement-policy.js';
 import { mayRerun, type GatewayAttempt, type GatewayRecord } from './request-record.js';
 import type {
   GatewayResponseHead,
@@ -42,7 +43,7 @@
   readonly limits: EndpointLimits;
   readonly reachability: DomainReachability;
   readonly fleetLoad: FleetLoadTracker;
-  readonly placementPolicy: PlacementPolicy;
+  readonly placement: PermittedPlacement;
   readonly budget: FleetRetryBudget;
   readonly reservations: MemoryReservations;
   readonly callerWait: CallerWaitLimits;
@@ -240,7 +241,7 @@
   }
 
   private place(record: GatewayRecord): void {
-    const { context, placementPolicy } = this.options;
+    const { context, placement } = this.options;
     this.removeFromQueue(record);
     releaseReservations(record);
     const minFirstEventMs = Math.max(
@@ -252,14 +253,19 @@
       this.fail(record, 'noRoom');
       return;
     }
-    const decision = placementPolicy.decide(record);
+    const latestMs = endMs - minFirstEventMs;
+    const queued = this.queue.count(record.service.name);
+    const decision = placement.decide(record, latestMs, queued);
     if (decision.kind === 'noEndpoint') {
       this.fail(record, 'noEndpoint');
-    } else if (decision.kind === 'wait') {
-      this.queueRequest(record);
-    } else {
+    } else if (decision.kind === 'place') {
       record.placementFields = decision.placementFields;
+      placement.usePermits(decision);
       this.reserveAndStart(record, decision);
+    } else if (decision.permitMs !== undefined && decision.permitMs >= latestMs) {
+      this.fail(record, 'noRoom');
+    } else {
+      this.queueRequest(record);
     }
   }
 
@@ -304,6 +310,11 @@
     });
   }
 
+  /** Places queued requests that may use a permit that was just granted. */
+  handlePermit(): void {
+    this.placeQueued();
+  }
+
   /**
    * Tries to place each queued request. Runs on a timer, because a try at each snapshot of a peer
    * would use too much processor time. Work that has ended at a peer is noticed at the next try.
--- a/packages/decisions/src/gateway/peer-table.ts
+++ b/packages/decisions/src/gateway/peer-table.ts
@@ -10,6 +10,7 @@
 import {
   INACTIVE_PEER_SNAPSHOT_INTERVAL_MS,
   MAX_FREQUENT_PEERS,
+  MAX_PEER_ABSENCE_MS,
   MAX_PERIODIC_RECIPIENTS,
   PEER_TIMEOUT_INTERVALS,
   SNAPSHOT_INTERVAL_MS,
@@ -20,6 +21,10 @@
   readonly peer: GatewayPeer;
   incarnation: number;
   sequence: number;
+  /** When this entry VM first knew of it. */
+  readonly addedAtMs: MonotonicMs;
+  /** Whether its build answers requests for permits. */
+  answersPermits: boolean;
   /** When its last snapshot was received; undefined before the first one. */
   receivedAtMs: MonotonicMs | undefined;
   /** When the last snapshot was sent to it. */
@@ -55,10 +60,12 @@
     return this.peers.size;
   }
 
-  add(peer: GatewayPeer): void {
+  add(peer: GatewayPeer, nowMs: MonotonicMs): void {
     if (peer.id === this.self.id || this.peers.has(peer.id)) return;
     this.peers.set(peer.id, {
       peer,
+      addedAtMs: nowMs,
+      answersPermits: false,
       incarnation: 0,
       sequence: 0,
       receivedAtMs: undefined,
@@ -73,7 +80,7 @@
   /** @returns whether the snapshot was newer than the previous one of the peer and was applied */
   applySnapshot(snapshot: WorkSnapshot, nowMs: MonotonicMs): boolean {
     if (snapshot.from.id === this.self.id) return false;
-    this.add(snapshot.from);
+    this.add(snapshot.from, nowMs);
     const state = this.peers.get(snapshot.from.id)!;
     const isStale =
       snapshot.incarnation < state.incarnation ||
@@ -83,6 +90,7 @@
     state.sequence = snapshot.sequence;
     state.receivedAtMs = nowMs;
     state.work = snapshot.work;
+    state.answersPermits = snapshot.limits !== undefined;
     this.domains.get(state.peer.failureDomain)!.receivedAtMs = nowMs;
     return true;
   }
@@ -92,6 +100,13 @@
     return [...this.peers.values()].filter((state) => this.isActive(state, nowMs));
   }
 
+  /** Lists the peers that were heard, or added, recently enough not to count as removed for good. */
+  listPresent(nowMs: MonotonicMs): PeerState[] {
+    return [...this.peers.values()].filter(
+      ({ receivedAtMs, addedAtMs }) => nowMs - (receivedAtMs ?? addedAtMs) <= MAX_PEER_ABSENCE_MS,
+    );
+  }
+
   /** Time of the last snapshot from any entry VM of a failure domain; undefined if none came. */
   findLastReceivedAtMs(domain: FailureDomainId): MonotonicMs | undefined {
     return this.domains.get(domain)?.receivedAtMs;
@@ -133,7 +148,8 @@
     return this.isActive(state, nowMs) || elapsedMs >= INACTIVE_PEER_SNAPSHOT_INTERVAL_MS;
   }
 
-  private isActive({ peer, receivedAtMs }: PeerState, nowMs: MonotonicMs): boolean {
+  /** Whether the last snapshot of a peer is recent enough to be counted. */
+  isActive({ peer, receivedAtMs }: PeerState, nowMs: MonotonicMs): boolean {
     const isFrequent = this.findDomainFrequency(peer.failureDomain) === 'frequent';
     const intervalMs = isFrequent ? SNAPSHOT_INTERVAL_MS : this.estimatePeriodicIntervalMs();
     return receivedAtMs !== undefined && nowMs - receivedAtMs < PEER_TIMEOUT_INTERVALS * intervalMs;
--- /dev/null
+++ b/packages/decisions/src/gateway/permits/endpoint-limits.ts
@@ -0,0 +1,145 @@
+import {
+  logEvents,
+  type EndpointId,
+  type LimitObservation,
+  type MonotonicMs,
+} from '@savorywind/model';
+import type { GatewayContext } from '../gateway-context.js';
+import type { RequestLimitReport } from '../types.js';
+
+/** What is known of an endpoint's limit. */
+interface KnownLimit {
+  /** Requests per second from all entry VMs together; undefined once the limit has ended. */
+  readonly perSecond: number | undefined;
+  /** Time of the observation; for an end, the start of the attempt whose response named no limit. */
+  readonly observedAtMs: MonotonicMs;
+  /** Until when an end is reported to peers. */
+  reportedUntilMs: MonotonicMs;
+}
+
+/** What metrics show of the limits of endpoints. */
+export interface LimitUsage {
+  readonly limitedEndpoints: number;
+  /** Attempts that this entry VM has started at endpoints while they had a limit. */
+  readonly attempts: number;
+}
+
+/**
+ * Time for which the end of a limit is reported to peers. Each of them gets several snapshots in it, also
+ * in a large fleet.
+ */
+const END_REPORT_MS = 10_000;
+
+/**
+ * The limits of requests per second that endpoints name in their responses. A limit is in force from the
+ * first response that names it until a response without it to an attempt that started later. What peers
+ * observed counts the same; of two observations that differ, the newer one counts.
+ *
+ * @example
+ * limits.report('engine-1', 1.5, startedAtMs);
+ * limits.find('engine-1'); // 1.5
+ */
+export class EndpointLimits {
+  private readonly known = new Map<EndpointId, KnownLimit>();
+
+  private attempts = 0;
+
+  constructor(
+    private readonly context: GatewayContext,
+    /** Called when a response of an endpoint starts, changes or ends its limit. */
+    private readonly onChanged: () => void,
+  ) {}
+
+  get usage(): LimitUsage {
+    const current = [...this.known.values()];
+    const limitedEndpoints = current.filter(({ perSecond }) => perSecond !== undefined).length;
+    return { limitedEndpoints, attempts: this.attempts };
+  }
+
+  /** Whether any endpoint has had a limit. */
+  get isEmpty(): boolean {
+    return this.known.size === 0;
+  }
+
+  /**
+   * Records what a response says.
+   *
+   * @param startedAtMs start of the attempt that got the response
+   */
+  report(endpoint: EndpointId, report: RequestLimitReport, startedAtMs: MonotonicMs): void {
+    if (report === 'unreadable') {
+      this.context.log(logEvents.endpointLimitUnreadable, { endpoint });
+      return;
+    }
+    const hasChanged =
+      report === 'none'
+        ? this.end(endpoint, startedAtMs)
+        : this.set(endpoint, report, this.context.nowMs);
+    if (hasChanged) this.onChanged();
+  }
+
+  /** Applies what a peer knows of an endpoint that is registered. */
+  applyObservation({ endpoint, perSecond, ageMs }: LimitObservation): void {
+    const observedAtMs = this.context.nowMs - ageMs;
+    const previous = this.known.get(endpoint);
+    // The time of the same observation is not renewed: it would become later on each way back and forth.
+    if (previous === undefined ? perSecond === undefined : previous.perSecond === perSecond) return;
+    if (previous === undefined || observedAtMs > previous.observedAtMs)
+      this.set(endpoint, perSecond, observedAtMs);
+    else previous.reportedUntilMs = this.context.nowMs + END_REPORT_MS;
+  }
+
+  /** Finds the requests per second that an endpoint takes; undefined if it has no limit. */
+  find(endpoint: EndpointId): number | undefined {
+    return this.known.get(endpoint)?.perSecond;
+  }
+
+  /** Describes what is known of an endpoint's limit, for a peer. */
+  describe(endpoint: EndpointId): LimitObservation {
+    const { perSecond, observedAtMs } = this.known.get(endpoint) ?? {};
+    const ageMs = Math.round(this.context.nowMs - (observedAtMs ?? this.context.nowMs));
+    return { endpoint, perSecond, ageMs };
+  }
+
+  /** Lists the limits in force and those that ended not long ago, for the peers. */
+  listObservations(): LimitObservation[] {
+    const { nowMs } = this.context;
+    return [...this.known]
+      .filter(([, limit]) => limit.perSecond !== undefined || nowMs < limit.reportedUntilMs)
+      .map(([endpoint]) => this.describe(endpoint));
+  }
+
+  recordAttempt(endpoint: EndpointId): void {
+    if (this.find(endpoint) !== undefined) this.attempts += 1;
+  }
+
+  /** Forgets an endpoint that was removed, or restarted under the same id. */
+  remove(endpoint: EndpointId): void {
+    this.known.delete(endpoint);
+  }
+
+  /**
+   * Ends a limit if the attempt started after it was observed. The response to an earlier attempt may
+   * have been made before the endpoint named the limit.
+   */
+  private end(endpoint: EndpointId, startedAtMs: MonotonicMs): boolean {
+    const previous = this.known.get(endpoint);
+    if (previous?.perSecond === undefined || startedAtMs <= previous.observedAtMs) return false;
+    return this.set(endpoint, undefined, startedAtMs);
+  }
+
+  /** @returns whether the limit differs from the previous one */
+  private set(
+    endpoint: EndpointId,
+    perSecond: number | undefined,
+    observedAtMs: MonotonicMs,
+  ): boolean {
+    const previous = this.find(endpoint);
+    const reportedUntilMs = this.context.nowMs + END_REPORT_MS;
+    this.known.set(endpoint, { perSecond, observedAtMs, reportedUntilMs });
+    if (perSecond === previous) return false;
+    if (perSecond === undefined) this.context.log(logEvents.endpointLimitEnded, { endpoint });
+    else this.context.log(logEvents.endpointLimited, { endpoint, perSecond });
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/gateway/permits/permitted-placement.ts
@@ -0,0 +1,48 @@
+import type { MonotonicMs } from '@savorywind/model';
+import type { AttemptPlan } from '../gateway-attempts.js';
+import type { GatewayContext } from '../gateway-context.js';
+import type { PlacementDecision, PlacementPolicy } from '../placement-policy.js';
+import type { GatewayRecord } from '../request-record.js';
+import type { PermitHolder } from './permit-holder.js';
+
+export interface PermittedPlacementOptions {
+  readonly context: GatewayContext;
+  readonly placementPolicy: PlacementPolicy;
+  readonly permits: PermitHolder;
+}
+
+/**
+ * Places requests, and requests permits for endpoints with limits where the others can't serve in time.
+ *
+ * @example
+ * const decision = placement.decide(record, latestMs, queuedRequests);
+ * if (decision.kind === 'place') placement.usePermits(decision);
+ */
+export class PermittedPlacement {
+  constructor(private readonly options: PermittedPlacementOptions) {}
+
+  /**
+   * Decides where a request is placed.
+   *
+   * @param latestMs latest useful start of an attempt
+   * @param queued other requests of the service that wait in this entry VM
+   */
+  decide(record: GatewayRecord, latestMs: MonotonicMs, queued: number): PlacementDecision {
+    const { context, placementPolicy, permits } = this.options;
+    const decision = placementPolicy.decide(record);
+    const isOnTime = decision.kind === 'place' && decision.isOnTime;
+    if (isOnTime || decision.kind === 'noEndpoint') return decision;
+    const limited = placementPolicy.listLimited(record);
+    if (limited.length === 0) return decision;
+    const hasPermit = permits.request(limited, queued + 1, latestMs - context.nowMs);
+    const needsPermit = decision.kind === 'wait' && decision.permitMs !== undefined;
+    return hasPermit || needsPermit ? placementPolicy.decide(record) : decision;
+  }
+
+  /** Uses up the permits for the endpoints of an attempt. */
+  usePermits({ endpoint, helpers }: AttemptPlan): void {
+    const { permits } = this.options;
+    permits.use(endpoint.id);
+    helpers.forEach((helper) => permits.use(helper.endpoint.id));
+  }
+}
--- a/packages/decisions/src/gateway/placement-policy.ts
+++ b/packages/decisions/src/gateway/placement-policy.ts
@@ -7,6 +7,8 @@
 import { placeGeneration } from './place-generation.js';
 import { createIdleLoad, type FleetLoadTracker } from './fleet-load-tracker.js';
 import type { GatewayContext } from './gateway-context.js';
+import type { EndpointLimits } from './permits/endpoint-limits.js';
+import type { PermitHolder } from './permits/permit-holder.js';
 import { pickReplica } from './pick-replica.js';
 import {
   TARGET_BUDGET_FRACTION,
@@ -36,8 +38,15 @@
 /** Where a request is placed, or why it can't be placed now. */
 export type PlacementDecision =
   | PlacedDecision
-  /** Stays queued: every engine is full, or waiting avoids disrupting other streams. */
-  | { readonly kind: 'wait' }
+  /**
+   * Stays queued: every engine is full, waiting avoids disrupting other streams, or endpoints with limits
+   * need a permit.
+   */
+  | {
+      readonly kind: 'wait';
+      /** Earliest time at which a permit may be had if the request needs one. */
+      readonly permitMs?: MonotonicMs;
+    }
   /** No endpoint of the service is registered and serving. */
   | { readonly kind: 'noEndpoint' };
 
@@ -128,6 +137,8 @@
   readonly health: EndpointHealth;
   readonly fleetLoad: FleetLoadTracker;
   readonly reachability: DomainReachability;
+  readonly limits: EndpointLimits;
+  readonly permits: PermitHolder;
   /** Failure domain of this entry VM. */
   readonly failureDomain: FailureDomainId;
 }
@@ -139,9 +150,45 @@
 export class PlacementPolicy {
   constructor(private readonly options: PlacementPolicyOptions) {}
 
+  /**
+   * Decides where a request is placed. Endpoints with limits are only used if a permit is held.
+   *
+   * @example
+   * const decision = policy.decide(record);
+   * if (decision.kind === 'place') permits.use(decision.endpoint.id);
+   */
   decide(record: GatewayRecord): PlacementDecision {
-    const candidates = this.listCandidates(record);
-    if (candidates.length === 0) return { kind: 'noEndpoint' };
+    const available = this.listAvailable(record);
+    if (available.length === 0) return { kind: 'noEndpoint' };
+    const permitted = available.filter(({ id }) => this.options.permits.mayUse(id));
+    if (permitted.length === 0) {
+      return { kind: 'wait', permitMs: this.options.permits.findEarliestMs(available) };
+    }
+    return this.decideAmong(record, this.addLoads(permitted));
+  }
+
+  /**
+   * Lists the endpoints that may get the request once a permit for them is held, those of the own failure
+   * domain first and otherwise in random order.
+   */
+  listLimited(record: GatewayRecord): GatewayEndpoint[] {
+    const { limits, failureDomain, context } = this.options;
+    if (limits.isEmpty) return [];
+    return this.listAvailable(record)
+      .filter(({ id }) => limits.find(id) !== undefined)
+      .map((endpoint) => ({ endpoint, random: context.drawRandom() }))
+      .sort(
+        (a, b) =>
+          Number(b.endpoint.failureDomain === failureDomain) -
+            Number(a.endpoint.failureDomain === failureDomain) || a.random - b.random,
+      )
+      .map(({ endpoint }) => endpoint);
+  }
+
+  private decideAmong(
+    record: GatewayRecord,
+    candidates: readonly EngineCandidate[],
+  ): PlacementDecision {
     const local = this.prefersLocal(record) ? this.listLocal(candidates) : [];
     const localDecision = local.length > 0 ? this.decideFrom(record, local) : undefined;
     const isTaken =
@@ -281,9 +328,8 @@
    * and have not failed the request. If there are none, all that have not failed the request are
    * listed; if there are none of these either, all that serve.
    */
-  private listCandidates(record: GatewayRecord): EngineCandidate[] {
+  private listAvailable(record: GatewayRecord): readonly GatewayEndpoint[] {
     const { nowMs } = this.options.context;
-    const loads = this.options.fleetLoad.sumLoads(nowMs);
     const serving = this.options.table.listServing(record.service.name);
     const untried = serving.filter(({ id }) => !record.failedEndpoints.has(id));
     const unreachable = this.listUnreachable(untried);
@@ -292,7 +338,12 @@
         !this.options.health.isEjected(id, nowMs) && !unreachable.has(failureDomain),
     );
     const fallback = untried.length > 0 ? untried : serving;
-    return (healthy.length > 0 ? healthy : fallback).map((endpoint) => ({
+    return healthy.length > 0 ? healthy : fallback;
+  }
+
+  private addLoads(endpoints: readonly GatewayEndpoint[]): EngineCandidate[] {
+    const loads = this.options.fleetLoad.sumLoads(this.options.context.nowMs);
+    return endpoints.map((endpoint) => ({
       endpoint,
       load: loads.get(endpoint.id) ?? IDLE_LOAD,
     }));
--- a/packages/decisions/src/gateway/snapshot-sender.ts
+++ b/packages/decisions/src/gateway/snapshot-sender.ts
@@ -4,9 +4,11 @@
   DATAGRAM_HEADER_BYTES,
   ENGINE_WORK_BYTES,
   IDLE_SNAPSHOT_BYTES,
+  LIMIT_OBSERVATION_BYTES,
   SNAPSHOT_DELAY_MS,
   SNAPSHOT_INTERVAL_MS,
 } from './consts.js';
+import type { EndpointLimits } from './permits/endpoint-limits.js';
 import type { FleetLoadTracker } from './fleet-load-tracker.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { SnapshotFrequency } from './peer-table.js';
@@ -26,11 +28,14 @@
  * @example
  * estimateDatagramBytes(snapshot); // 578 for work on ten engines
  */
-export const estimateDatagramBytes = ({ work }: WorkSnapshot): number =>
-  DATAGRAM_HEADER_BYTES + IDLE_SNAPSHOT_BYTES + work.length * ENGINE_WORK_BYTES;
+export const estimateDatagramBytes = ({ work, limits = [] }: WorkSnapshot): number =>
+  DATAGRAM_HEADER_BYTES +
+  IDLE_SNAPSHOT_BYTES +
+  work.length * ENGINE_WORK_BYTES +
+  limits.length * LIMIT_OBSERVATION_BYTES;
 
 /**
- * Sends the work of this entry VM to its peers: to some after each change, to the others at intervals,
+ * Sends the work of this entry VM, and the limits of endpoints that it knows of, to its peers: to some after each change, to the others at intervals,
  * and to all within a fraction of the VM's link. A delayed snapshot carries the changes up to its
  * sending.
  */
@@ -48,6 +53,7 @@
   constructor(
     private readonly context: GatewayContext,
     private readonly fleetLoad: FleetLoadTracker,
+    private readonly limits: EndpointLimits,
     linkBytesPerMs: number,
   ) {
     const bytesPerMs = LINK_FRACTION * linkBytesPerMs;
@@ -104,10 +110,10 @@
   }
 
   private send(frequency: SnapshotFrequency): void {
-    const { context, fleetLoad } = this;
+    const { context, fleetLoad, limits } = this;
     const peers = fleetLoad.peers.takeRecipients(frequency, context.nowMs);
     if (peers.length === 0) return;
-    const snapshot = fleetLoad.createSnapshot(context.nowMs);
+    const snapshot = fleetLoad.createSnapshot(limits.listObservations(), context.nowMs);
     this.budgets[frequency].take(peers.length * estimateDatagramBytes(snapshot), context.nowMs);
     context.emit({ kind: 'peers.send', snapshot, peers });
   }
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -10,6 +10,8 @@
   LogFields,
   MonotonicMs,
   NetworkAddress,
+  PermitAnswer,
+  PermitRequest,
   RequestId,
   Route,
   WorkSnapshot,
@@ -93,6 +95,10 @@
   | { readonly kind: 'store.failed'; readonly detail: string }
   | { readonly kind: 'peers.read'; readonly peers: readonly GatewayPeer[] }
   | { readonly kind: 'peer.received'; readonly snapshot: WorkSnapshot }
+  /** A peer asks for a permit. */
+  | { readonly kind: 'permit.requested'; readonly request: PermitRequest }
+  /** A coordinator answered a request for a permit. */
+  | { readonly kind: 'permit.answered'; readonly answer: PermitAnswer }
   | { readonly kind: 'request.arrived'; readonly request: GatewayRequest }
   | { readonly kind: 'request.abandoned'; readonly requestId: RequestId }
   /** The head of the endpoint's response, or of its rejection, has arrived; comes before other events. */
@@ -244,6 +250,12 @@
       readonly snapshot: WorkSnapshot;
       readonly peers: readonly NetworkAddress[];
     }
+  | {
+      readonly kind: 'permit.request';
+      readonly request: PermitRequest;
+      readonly to: NetworkAddress;
+    }
+  | { readonly kind: 'permit.answer'; readonly answer: PermitAnswer; readonly to: NetworkAddress }
   | { readonly kind: 'callerLimits.changed'; readonly limits: CallerLimits }
   /** Closes keep-alive connections to an endpoint that was removed, restarted or stalled. */
   | { readonly kind: 'endpoint.forgotten'; readonly endpoint: EndpointId }
--- a/packages/entry/src/gateway/compact-snapshot.ts
+++ b/packages/entry/src/gateway/compact-snapshot.ts
@@ -1,9 +1,10 @@
-import type { EngineWork, WorkSnapshot } from '@savorywind/model';
+import type { EngineWork, LimitObservation, WorkSnapshot } from '@savorywind/model';
 
 /**
  * A snapshot as an array without field names, a quarter as long as a map: version, id, failure domain,
- * host and port of the sender, incarnation, sequence, and the work, {@link VALUES_PER_ENGINE} values an
- * engine.
+ * host and port of the sender, incarnation, sequence, the work, {@link VALUES_PER_ENGINE} values an
+ * engine, and the limits of endpoints, {@link VALUES_PER_LIMIT} values each. Builds that know no limits
+ * send and read the elements before these.
  */
 export type CompactSnapshot = readonly [
   version: number,
@@ -14,6 +15,7 @@
   incarnation: number,
   sequence: number,
   work: readonly (string | number)[],
+  limits: readonly (string | number)[],
 ];
 
 /** First element of a compact snapshot. */
@@ -21,6 +23,17 @@
 
 const VALUES_PER_ENGINE = 8;
 
+const VALUES_PER_LIMIT = 3;
+
+/** Stands for the requests per second of a limit that has ended. */
+const ENDED = -1;
+
+const listLimitValues = ({ endpoint, perSecond, ageMs }: LimitObservation): (string | number)[] => [
+  endpoint,
+  perSecond ?? ENDED,
+  ageMs,
+];
+
 const listWorkValues = (work: EngineWork): (string | number)[] => [
   work.endpoint,
   work.writers,
@@ -39,7 +52,7 @@
  * packr.pack(encodeCompactSnapshot(snapshot));
  */
 export const encodeCompactSnapshot = (snapshot: WorkSnapshot): CompactSnapshot => {
-  const { from, incarnation, sequence, work } = snapshot;
+  const { from, incarnation, sequence, work, limits = [] } = snapshot;
   const { host, port } = from.address;
   return [
     COMPACT_VERSION,
@@ -50,6 +63,7 @@
     incarnation,
     sequence,
     work.flatMap(listWorkValues),
+    limits.flatMap(listLimitValues),
   ];
 };
 
@@ -70,14 +84,33 @@
   return work;
 };
 
+const decodeLimits = (values: readonly unknown[]): unknown[] => {
+  const limits: unknown[] = [];
+  for (let index = 0; index < values.length; index += VALUES_PER_LIMIT) {
+    const perSecond = values[index + 1];
+    limits.push({
+      endpoint: values[index],
+      perSecond: perSecond === ENDED ? undefined : perSecond,
+      ageMs: values[index + 2],
+    });
+  }
+  return limits;
+};
+
 /**
  * Converts a received array to the fields of a snapshot, which the caller checks.
  *
  * @returns undefined if the array is not a compact snapshot
  */
 export const decodeCompactSnapshot = (datagram: readonly unknown[]): unknown => {
-  const [version, id, failureDomain, host, port, incarnation, sequence, work] = datagram;
+  const [version, id, failureDomain, host, port, incarnation, sequence, work, limits] = datagram;
   if (version !== COMPACT_VERSION || !Array.isArray(work)) return undefined;
   const from = { id, failureDomain, address: { host, port } };
-  return { from, incarnation, sequence, work: decodeWork(work) };
+  return {
+    from,
+    incarnation,
+    sequence,
+    work: decodeWork(work),
+    limits: Array.isArray(limits) ? decodeLimits(limits) : undefined,
+  };
 };
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -12,6 +12,7 @@
 import { listControlGauges } from './metrics/control-gauges.js';
 import { GatewayMetrics } from './metrics/gateway-metrics.js';
 import { MetricsServer } from './metrics/metrics-server.js';
+import type { PermitMessage } from './permit-messages.js';
 import { PeerSocket } from './peer-socket.js';
 import { ReadinessServer } from './readiness-server.js';
 import { TableWatcher, type TableUpdate } from './store/table-watcher.js';
@@ -97,6 +98,7 @@
     this.peerSocket = new PeerSocket({
       address: self.address,
       onSnapshotReceived: (snapshot) => this.dispatch({ kind: 'peer.received', snapshot }),
+      onPermitMessage: (message) => this.handlePermitMessage(message),
       onFailed: (detail) => this.logger.write(logEvents.peerUnreadable, { detail }),
     });
     if (settings.metrics !== undefined) {
@@ -212,6 +214,12 @@
     });
   }
 
+  private handlePermitMessage(message: PermitMessage): void {
+    if (message.kind === 'permit.request')
+      this.dispatch({ kind: 'permit.requested', request: message.request });
+    else this.dispatch({ kind: 'permit.answered', answer: message.answer });
+  }
+
   private handleEndpointUpdate(update: TableUpdate): void {
     if (update.kind === 'failed') {
       this.dispatch({ kind: 'store.failed', detail: update.detail });
@@ -326,6 +334,10 @@
         this.adapter.reservations.release(release, agent);
       },
       'peers.send': ({ snapshot, peers }) => this.peerSocket.send(snapshot, peers),
+      'permit.request': ({ request, to }) =>
+        this.peerSocket.sendMessage({ kind: 'permit.request', request }, to),
+      'permit.answer': ({ answer, to }) =>
+        this.peerSocket.sendMessage({ kind: 'permit.answer', answer }, to),
       'callerLimits.changed': ({ limits }) => this.requestServer.changeLimits(limits),
       'endpoint.forgotten': ({ endpoint }) => this.pools.remove(endpoint),
       readiness: ({ ready }) => this.readinessServer.setReady(ready),
--- a/packages/entry/src/gateway/peer-socket.ts
+++ b/packages/entry/src/gateway/peer-socket.ts
@@ -1,5 +1,6 @@
 import { createSocket } from 'node:dgram';
 import type { NetworkAddress, WorkSnapshot } from '@savorywind/model';
+import type { PermitMessage } from './permit-messages.js';
 import { SnapshotCodec, type SnapshotFormat } from './snapshot-codec.js';
 
 const formatAddress = ({ host, port }: NetworkAddress): string => `${host}:${port}`;
@@ -13,12 +14,13 @@
 export interface PeerSocketOptions {
   readonly address: NetworkAddress;
   readonly onSnapshotReceived: (snapshot: WorkSnapshot) => void;
+  readonly onPermitMessage: (message: PermitMessage) => void;
   /** Called for a datagram that can't be decoded, and for an error of the socket. */
   readonly onFailed: (detail: string) => void;
 }
 
 /**
- * Exchanges work snapshots between entry VMs as UDP datagrams. Each snapshot replaces the sender's
+ * Exchanges work snapshots and messages about permits between entry VMs as UDP datagrams. Each snapshot replaces the sender's
  * earlier ones, so lost or late datagrams are not resent, and a slow peer delays no other.
  */
 export class PeerSocket {
@@ -56,6 +58,13 @@
     this.sendAs('named', snapshot, named);
   }
 
+  /** Sends a message about a permit to one peer. If it is lost, the sender of the request asks again. */
+  sendMessage(message: PermitMessage, { host, port }: NetworkAddress): void {
+    const bytes = this.codec.encodeMessage(message);
+    this.traffic.sentBytes += bytes.length;
+    this.socket.send(bytes, port, host, () => {});
+  }
+
   stop(): void {
     this.socket.close();
   }
@@ -79,6 +88,10 @@
       this.options.onFailed(decoded.val);
       return;
     }
+    if (decoded.val.kind !== 'snapshot') {
+      this.options.onPermitMessage(decoded.val);
+      return;
+    }
     const { snapshot, readsCompact } = decoded.val;
     this.recordFormat(snapshot.from.address, readsCompact);
     this.options.onSnapshotReceived(snapshot);
--- a/packages/entry/src/gateway/snapshot-codec.ts
+++ b/packages/entry/src/gateway/snapshot-codec.ts
@@ -7,6 +7,14 @@
   type Result,
   type WorkSnapshot,
 } from '@savorywind/model';
+import {
+  isAddress,
+  isNonNegative,
+  isObservation,
+  isPermitMessage,
+  isShortText,
+  type PermitMessage,
+} from './permit-messages.js';
 import {
   COMPACT_VERSION,
   decodeCompactSnapshot,
@@ -19,8 +27,9 @@
  */
 export type SnapshotFormat = 'named' | 'compact';
 
-/** A decoded datagram. */
+/** A decoded datagram with a snapshot. */
 export interface DecodedSnapshot {
+  readonly kind: 'snapshot';
   readonly snapshot: WorkSnapshot;
   /** Whether the sender reads the compact form, too. */
   readonly readsCompact: boolean;
@@ -35,20 +44,11 @@
 /** Engines that one snapshot may list; a larger fleet needs another message format. */
 const MAX_ENGINES = 4_096;
 
-const isShortString = (value: unknown): value is string =>
-  typeof value === 'string' && value.length < 256;
-
-const isNonNegative = (value: unknown): value is number =>
-  typeof value === 'number' && Number.isFinite(value) && value >= 0;
-
 const isPeer = (value: Partial<GatewayPeer> | undefined): boolean =>
-  isShortString(value?.id) &&
-  isShortString(value.failureDomain) &&
-  isShortString(value.address?.host) &&
-  isNonNegative(value.address.port);
+  isShortText(value?.id) && isShortText(value.failureDomain) && isAddress(value.address);
 
 const isWork = (value: Partial<EngineWork> | undefined): boolean =>
-  isShortString(value?.endpoint) &&
+  isShortText(value?.endpoint) &&
   isNonNegative(value.writers) &&
   isNonNegative(value.tightWriters) &&
   isNonNegative(value.tightGapMs) &&
@@ -57,6 +57,11 @@
   isNonNegative(value.readMs) &&
   isNonNegative(value.memoryTokens);
 
+/** Earlier builds send no limits. */
+const areLimits = (limits: WorkSnapshot['limits']): boolean =>
+  limits === undefined ||
+  (Array.isArray(limits) && limits.length <= MAX_ENGINES && limits.every(isObservation));
+
 /**
  * Checked by hand: hundreds of snapshots arrive per second, and a schema library would cost more time
  * than placing requests does.
@@ -69,16 +74,17 @@
     isNonNegative(snapshot?.sequence) &&
     Array.isArray(snapshot?.work) &&
     snapshot.work.length <= MAX_ENGINES &&
-    snapshot.work.every(isWork)
+    snapshot.work.every(isWork) &&
+    areLimits(snapshot.limits)
   );
 };
 
 /**
- * Converts work snapshots to and from datagrams.
+ * Converts work snapshots, and messages about permits, to and from datagrams.
  *
  * @example
  * const bytes = codec.encode(snapshot, 'compact');
- * codec.decode(bytes); // Ok({ snapshot, readsCompact: true }), or Err with what is wrong
+ * codec.decode(bytes); // Ok({ kind: 'snapshot', snapshot, readsCompact: true }), or Err with what is wrong
  */
 export class SnapshotCodec {
   private readonly packr = new Packr({ useRecords: false });
@@ -88,14 +94,20 @@
     return this.packr.pack({ ...snapshot, format: COMPACT_VERSION });
   }
 
-  decode(bytes: Uint8Array): Result<DecodedSnapshot, string> {
+  encodeMessage(message: PermitMessage): Uint8Array {
+    return this.packr.pack(message);
+  }
+
+  decode(bytes: Uint8Array): Result<DecodedSnapshot | PermitMessage, string> {
     const unpacked = this.unpack(bytes);
     if (unpacked.err) return unpacked;
+    if (isPermitMessage(unpacked.val)) return Ok(unpacked.val);
     const isCompact = Array.isArray(unpacked.val);
     const snapshot = isCompact ? decodeCompactSnapshot(unpacked.val as unknown[]) : unpacked.val;
-    if (!isSnapshot(snapshot)) return Err('datagram is not a work snapshot');
+    if (!isSnapshot(snapshot)) return Err('datagram is neither a work snapshot nor about a permit');
     const { format } = snapshot as NamedSnapshot;
-    return Ok({ snapshot, readsCompact: isCompact || format === COMPACT_VERSION });
+    const readsCompact = isCompact || format === COMPACT_VERSION;
+    return Ok({ kind: 'snapshot' as const, snapshot, readsCompact });
   }
 
   private unpack(bytes: Uint8Array): Result<unknown, string> {
--- a/packages/entry/test/gateway/peer-socket.test.ts
+++ b/packages/entry/test/gateway/peer-socket.test.ts
@@ -43,6 +43,7 @@
   const socket = new PeerSocket({
     address: { host: HOST, port },
     onSnapshotReceived: add,
+    onPermitMessage: ({ kind }) => add(kind),
     onFailed: add,
   });
   await socket.start();
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -195,6 +195,34 @@
   readonly memoryTokens: number;
 }
 
+/** What an entry VM knows of the limit that an endpoint names in its responses. */
+export interface LimitObservation {
+  readonly endpoint: EndpointId;
+  /** Requests per second from all entry VMs together; undefined once the limit has ended. */
+  readonly perSecond: number | undefined;
+  /** Time from the observation to the sending of this message, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** Asks the coordinator of an endpoint with a limit for the permit to send it one request. */
+export interface PermitRequest {
+  /** Chosen by the asking entry VM; unique. */
+  readonly permitId: string;
+  /** Where the answer is sent. */
+  readonly replyTo: NetworkAddress;
+  readonly limit: LimitObservation;
+  /** A permit that can't be used within this time is of no use. */
+  readonly maxDelayMs: number;
+}
+
+/** The coordinator's answer to a {@link PermitRequest}. */
+export interface PermitAnswer {
+  readonly permitId: string;
+  /** If granted, one request may be sent after `delayMs`; if denied, asking again before it is of no use. */
+  readonly outcome: 'granted' | 'denied';
+  readonly delayMs: number;
+}
+
 /** Work that an entry VM reports to its peers; each snapshot replaces the previous one. */
 export interface WorkSnapshot {
   readonly from: GatewayPeer;
@@ -202,4 +230,6 @@
   readonly incarnation: number;
   readonly sequence: number;
   readonly work: readonly EngineWork[];
+  /** Undefined from builds that know neither limits nor permits. */
+  readonly limits?: readonly LimitObservation[] | undefined;
 }
