--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -260,7 +260,7 @@
       this.fail(record, 'noEndpoint');
     } else if (decision.kind === 'place') {
       record.placementFields = decision.placementFields;
-      placement.usePermits(decision);
+      placement.usePermit(decision);
       this.reserveAndStart(record, decision);
     } else if (decision.permitMs !== undefined && decision.permitMs >= latestMs) {
       this.fail(record, 'noRoom');
--- a/packages/decisions/src/gateway/permits/permitted-placement.ts
+++ b/packages/decisions/src/gateway/permits/permitted-placement.ts
@@ -16,7 +16,7 @@
  *
  * @example
  * const decision = placement.decide(record, latestMs, queuedRequests);
- * if (decision.kind === 'place') placement.usePermits(decision);
+ * if (decision.kind === 'place') placement.usePermit(decision);
  */
 export class PermittedPlacement {
   constructor(private readonly options: PermittedPlacementOptions) {}
@@ -39,10 +39,8 @@
     return hasPermit || needsPermit ? placementPolicy.decide(record) : decision;
   }
 
-  /** Uses up the permits for the endpoints of an attempt. */
-  usePermits({ endpoint, helpers }: AttemptPlan): void {
-    const { permits } = this.options;
-    permits.use(endpoint.id);
-    helpers.forEach((helper) => permits.use(helper.endpoint.id));
+  /** Uses up the permit for the endpoint of an attempt; its helpers need none. */
+  usePermit({ endpoint }: AttemptPlan): void {
+    this.options.permits.use(endpoint.id);
   }
 }
--- a/packages/decisions/src/gateway/placement-estimates.ts
+++ b/packages/decisions/src/gateway/placement-estimates.ts
@@ -70,6 +70,11 @@
 export interface EngineCandidate {
   readonly endpoint: GatewayEndpoint;
   readonly load: EngineLoad;
+  /**
+   * Whether it may get the request itself. An endpoint with a limit and no permit may still be a prefill
+   * helper, as its limit counts the requests of entry VMs.
+   */
+  readonly isPermitted: boolean;
 }
 
 /** The estimated effects of a placement on one engine. */
@@ -112,15 +117,17 @@
 export const measureStreamWeight = ({ tightWriters, memoryTokens }: EngineLoad): number =>
   Math.max(tightWriters, memoryTokens / TOKENS_PER_STREAM_WEIGHT);
 
-/** Whether the engine has a free slot. */
-export const hasSlot = ({ endpoint, load }: EngineCandidate, traits: EngineTraits): boolean =>
-  countRequests(load) < Math.min(traits.slots, endpoint.slots);
+/** Whether the engine may get a request, and has a free slot for it. */
+export const hasSlot = (
+  { endpoint, load, isPermitted }: EngineCandidate,
+  traits: EngineTraits,
+): boolean => isPermitted && countRequests(load) < Math.min(traits.slots, endpoint.slots);
 
 /** Counts the tokens of KV cache that placements may still use. */
 export const countFreeTokens = ({ load }: EngineCandidate, traits: EngineTraits): number =>
   Math.max(0, Math.floor(MEMORY_BUDGET_FRACTION * traits.memoryTokens - load.memoryTokens));
 
-/** Whether the engine has a free slot, and memory for a request with this number of tokens. */
+/** Whether the engine may get a request, and has a free slot and memory for a request with this number of tokens. */
 export const hasCapacity = (
   candidate: EngineCandidate,
   tokens: number,
--- a/packages/decisions/src/gateway/placement-policy.ts
+++ b/packages/decisions/src/gateway/placement-policy.ts
@@ -151,7 +151,7 @@
   constructor(private readonly options: PlacementPolicyOptions) {}
 
   /**
-   * Decides where a request is placed. Endpoints with limits are only used if a permit is held.
+   * Decides where a request is placed. An endpoint with a limit gets it only if a permit is held.
    *
    * @example
    * const decision = policy.decide(record);
@@ -160,11 +160,11 @@
   decide(record: GatewayRecord): PlacementDecision {
     const available = this.listAvailable(record);
     if (available.length === 0) return { kind: 'noEndpoint' };
-    const permitted = available.filter(({ id }) => this.options.permits.mayUse(id));
-    if (permitted.length === 0) {
+    const candidates = this.listCandidates(available);
+    if (!candidates.some(({ isPermitted }) => isPermitted)) {
       return { kind: 'wait', permitMs: this.options.permits.findEarliestMs(available) };
     }
-    return this.decideAmong(record, this.addLoads(permitted));
+    return this.decideAmong(record, candidates);
   }
 
   /**
@@ -223,7 +223,8 @@
 
   private decideReplica(candidates: readonly EngineCandidate[]): PlacementDecision {
     const { context, failureDomain } = this.options;
-    const endpoint = pickReplica(candidates, failureDomain, () => context.drawRandom());
+    const permitted = candidates.filter(({ isPermitted }) => isPermitted);
+    const endpoint = pickReplica(permitted, failureDomain, () => context.drawRandom());
     if (endpoint === undefined) return { kind: 'noEndpoint' };
     return {
       kind: 'place',
@@ -341,11 +342,13 @@
     return healthy.length > 0 ? healthy : fallback;
   }
 
-  private addLoads(endpoints: readonly GatewayEndpoint[]): EngineCandidate[] {
-    const loads = this.options.fleetLoad.sumLoads(this.options.context.nowMs);
+  private listCandidates(endpoints: readonly GatewayEndpoint[]): EngineCandidate[] {
+    const { fleetLoad, context, permits } = this.options;
+    const loads = fleetLoad.sumLoads(context.nowMs);
     return endpoints.map((endpoint) => ({
       endpoint,
       load: loads.get(endpoint.id) ?? IDLE_LOAD,
+      isPermitted: permits.mayUse(endpoint.id),
     }));
   }
 
--- a/packages/decisions/test/gateway/permits.test.ts
+++ b/packages/decisions/test/gateway/permits.test.ts
@@ -112,6 +112,15 @@
     expect(driver.findAttempt(id)?.endpoint.id).toBe(limit.endpoint);
   });
 
+  it('has a long prompt prefilled by several of them with the permit of one', () => {
+    const id = driver.request('/review/', { promptTokens: 180_000 });
+    driver.answer(driver.requests[0]!.permitId, { outcome: 'granted', delayMs: 0 });
+    const attempt = driver.findAttempt(id);
+    expect(attempt?.endpoint.id).toBe(driver.requests[0]!.limit.endpoint);
+    expect(attempt?.helpers.length).toBeGreaterThan(0);
+    expect(driver.requests).toHaveLength(1);
+  });
+
   it('uses a permit only from its time on, and once', () => {
     const first = driver.request('/chat/');
     driver.answer(driver.requests[0]!.permitId, { outcome: 'granted', delayMs: 200 });
