--- a/packages/decisions/test/gateway/randomised-limits.test.ts
+++ b/packages/decisions/test/gateway/randomised-limits.test.ts
@@ -1,7 +1,12 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { describe, expect, it } from 'vitest';
-import { createEngines, createReplicas, GatewayFleet } from '../fixtures/gateway-fleet.js';
+import {
+  createEngines,
+  createReplicas,
+  GatewayFleet,
+  type FleetRequest,
+} from '../fixtures/gateway-fleet.js';
 
 /** The number of seeds can be raised for long runs by hand. */
 const SEEDS = Array.from({ length: Number(process.env.SEEDS ?? 10) }, (_, index) => index + 1);
@@ -14,6 +19,16 @@
 /** Longer than any request's deadline. */
 const REST_MS = 16_000;
 
+const drawCall = (uniform: number): FleetRequest => ({
+  path: uniform < 0.5 ? '/balance/' : '/booking/',
+  promptTokens: 0,
+});
+
+const drawGeneration = (uniform: number): FleetRequest =>
+  uniform < 0.95
+    ? { path: '/chat/', promptTokens: 5_000 }
+    : { path: '/review/', promptTokens: 180_000 };
+
 /** Runs a fleet whose endpoints name and end limits while entry VMs and their links fail at random. */
 class RandomisedFleet {
   readonly fleet: GatewayFleet;
@@ -29,8 +44,7 @@
       entryVmsPerDomain: 1 + this.draw(4),
       endpoints: isPlain ? createReplicas(4, DOMAINS) : createEngines(4 + this.draw(20), DOMAINS),
       requestsPerS: 30,
-      path: isPlain ? '/balance/' : '/chat/',
-      drawPromptTokens: (uniform) => (uniform < 0.95 ? 5_000 : 180_000),
+      drawRequest: isPlain ? drawCall : drawGeneration,
       waitsMs: 1_000 + this.draw(9_000),
       datagramLoss: this.draw(20) / 100,
     });
--- a/packages/decisions/test/gateway/requests-over-the-limit-of-an-engine.test.ts
+++ b/packages/decisions/test/gateway/requests-over-the-limit-of-an-engine.test.ts
@@ -3,11 +3,15 @@
   createEngines,
   createReplicas,
   GatewayFleet,
+  type FleetRequest,
   type GatewayFleetOptions,
 } from '../fixtures/gateway-fleet.js';
 
 const DOMAINS = ['a', 'b', 'c'];
 
+/** Target latency of the route `/review/` in the test configuration. */
+const REVIEW_TARGET_MS = 3_000;
+
 const createFleet = (changes: Partial<GatewayFleetOptions> = {}): GatewayFleet =>
   new GatewayFleet({
     seed: 1,
@@ -15,7 +19,7 @@
     entryVmsPerDomain: 3,
     endpoints: createEngines(23, DOMAINS),
     requestsPerS: 35,
-    path: '/chat/',
+    drawRequest: () => ({ path: '/chat/', promptTokens: 5_000 }),
     ...changes,
   });
 
@@ -72,9 +76,26 @@
     expect(fleet.outcomes.served - served).toBeGreaterThan(0.95 * (fleet.outcomes.sent - sent));
   });
 
+  it('does not make long prompts late if half of the engines name one', () => {
+    const drawRequest = (uniform: number): FleetRequest =>
+      uniform < 0.975
+        ? { path: '/chat/', promptTokens: 5_000 }
+        : { path: '/review/', promptTokens: 182_000 };
+    const fleet = createFleet({ requestsPerS: 38, drawRequest });
+    fleet.run(8_000);
+    fleet.limit(fleet.listBusiest(12), 1);
+    fleet.run(40_000);
+    const reviews = fleet.firstAttempts.filter(({ path }) => path === '/review/');
+    const onTime = reviews.filter(({ firstEventMs }) => firstEventMs <= REVIEW_TARGET_MS);
+    expect(reviews.length).toBeGreaterThan(20);
+    expect(onTime.length).toBeGreaterThan(0.8 * reviews.length);
+    expect(fleet.violations).toEqual([]);
+  });
+
   it.each(['/balance/', '/booking/'])('may be a replica of a plain service, %s', (path) => {
     const endpoints = createReplicas(3, DOMAINS);
-    const fleet = createFleet({ endpoints, path, requestsPerS: 5, waitsMs: 2_500 });
+    const drawRequest = (): FleetRequest => ({ path, promptTokens: 0 });
+    const fleet = createFleet({ endpoints, drawRequest, requestsPerS: 5, waitsMs: 2_500 });
     limitAll(fleet, 2);
     fleet.run(20_000);
     expect(fleet.outcomes.served).toBeGreaterThan(0.9 * fleet.outcomes.sent);
