Follow the store across eras, in which it comes back from an older copy

What callers would have seen: the store gives versions out again, and a feed that goes on from a version of before skips rows without an error; a revoked key that the copy still holds is confirmed; engines that had left get requests again; entry VMs that start later do not know the others.

Change, one module each: - store-era, table-watcher, store-client: the era of each response decides. A new one makes all rows be read again, late responses of an older one and changes since a version of an older one are discarded, pages of two eras are read again, a response without an era after ones with it counts as failed. - configuration-proof: what a response proves for the lease on credentials. The newer configuration stays in force as long as the process runs. - endpoint-table: registrations that the copy lacks are kept as after an outage; those of endpoints that had left or announced it are withheld until they change in the new era, start anew, or are still there after 10 s; that of an earlier process under the same id is ignored. - peer-registration: each VM checks its row, spread over a second, and writes it again where it is missing or differs. - log events 833 and 834 with eras and versions, savorywind_store_eras_total.

--- a/packages/bench/src/experiments/snapshot-traffic/gateway-fleet.ts
+++ b/packages/bench/src/experiments/snapshot-traffic/gateway-fleet.ts
@@ -109,7 +109,12 @@
     endpoints: readonly GatewayEndpoint[],
   ): void {
     this.nodes.forEach((_node, vm) => {
-      this.dispatch(vm, { kind: 'configuration.confirmed', requestedAtMs: 0, configuration });
+      this.dispatch(vm, {
+        kind: 'configuration.confirmed',
+        requestedAtMs: 0,
+        configuration,
+        source: 'snapshot',
+      });
       this.dispatch(vm, { kind: 'endpoints.read', endpoints });
       this.dispatch(vm, { kind: 'peers.read', peers: this.peers });
     });
--- a/packages/decisions/src/gateway/endpoint-table.ts
+++ b/packages/decisions/src/gateway/endpoint-table.ts
@@ -1,10 +1,37 @@
 import type { EndpointId, GatewayEndpoint, MonotonicMs, ServiceId } from '@savorywind/model';
 import type { EndpointChange } from './types.js';
 
+/** An endpoint that left, or announced that it leaves. */
+interface Departure {
+  /** Start of the process that left; undefined if it is not known. */
+  readonly startedAtMs: number | undefined;
+  readonly atMs: MonotonicMs;
+}
+
+/**
+ * Time for which a departure is remembered. An older copy of the store is some seconds old, and the store
+ * may come back from it some seconds later.
+ */
+const DEPARTURE_MEMORY_MS = 60_000;
+
+/**
+ * Time from the begin of an era of the store for which registrations of departed endpoints are not
+ * believed. By then the registration of an endpoint that has gone has expired, as nobody renews it.
+ */
+const WITHHOLD_MS = 10_000;
+
+const isEarlierStart = (a: number | undefined, b: number | undefined): boolean =>
+  a !== undefined && b !== undefined && a < b;
+
 /**
  * The registered endpoints. During an outage of the store, registrations expire although their
  * endpoints are alive. An endpoint whose registration disappears during the outage, or within
  * `reregistrationMs` after it, is therefore retained until that time has passed.
+ *
+ * A store that has come back from an older copy of itself begins a new era. Registrations that the copy
+ * lacks are retained as after an outage. Those of endpoints that had left or announced that they leave are
+ * withheld until they change in the new era, start anew, or are still there after `WITHHOLD_MS`; and the
+ * registration of an earlier process under the same id is ignored.
  */
 export class EndpointTable {
   private readonly endpoints = new Map<EndpointId, GatewayEndpoint>();
@@ -12,6 +39,16 @@
   /** Endpoints whose registration disappeared during an outage of the store or soon after it. */
   private readonly retained = new Set<EndpointId>();
 
+  private readonly departures = new Map<EndpointId, Departure>();
+
+  /** Registrations of departed endpoints that the store's copy still has. */
+  private readonly withheld = new Map<EndpointId, GatewayEndpoint>();
+
+  /** Endpoints whose registration has changed in this era while departures are withheld. */
+  private readonly changedInEra = new Set<EndpointId>();
+
+  private withheldUntilMs = Number.NEGATIVE_INFINITY;
+
   private hasLoaded = false;
 
   private graceEndsAtMs: MonotonicMs = 0;
@@ -41,32 +78,60 @@
     this.graceEndsAtMs = nowMs + this.reregistrationMs;
   }
 
+  /** Handles that the store has come back from an older copy of itself. */
+  handleEraRaised(nowMs: MonotonicMs): void {
+    this.graceEndsAtMs = nowMs + this.reregistrationMs;
+    this.withheldUntilMs = nowMs + WITHHOLD_MS;
+    this.withheld.clear();
+    this.changedInEra.clear();
+    this.endpoints.forEach((endpoint) => {
+      if (endpoint.state === 'leaving') this.recordDeparture(endpoint, nowMs);
+    });
+  }
+
   /** Replaces all registrations; endpoints missing from the list are removed or retained. */
   setAll(endpoints: readonly GatewayEndpoint[], nowMs: MonotonicMs): void {
     const present = new Set(endpoints.map(({ id }) => id));
     [...this.endpoints.keys()]
       .filter((id) => !present.has(id))
       .forEach((id) => this.removeOrRetain(id, nowMs));
-    endpoints.forEach((endpoint) => this.set(endpoint));
+    endpoints.forEach((endpoint) => {
+      if (this.mayBelieve(endpoint, nowMs)) this.set(endpoint);
+    });
     this.hasLoaded = true;
   }
 
   apply(changes: readonly EndpointChange[], nowMs: MonotonicMs): void {
     changes.forEach(({ id, endpoint }) => {
+      this.withheld.delete(id);
+      if (nowMs < this.withheldUntilMs) this.changedInEra.add(id);
       if (endpoint === undefined) this.removeOrRetain(id, nowMs);
       else this.set(endpoint);
     });
   }
 
-  /** Removes the retained endpoints that did not register again in time. */
+  /**
+   * Removes the retained endpoints that did not register again in time, and believes the registrations
+   * that were withheld for long enough.
+   */
   expire(nowMs: MonotonicMs): void {
-    if (this.isStoreUnavailable || nowMs < this.graceEndsAtMs) return;
-    this.retained.forEach((id) => this.remove(id));
+    if (!this.isStoreUnavailable && nowMs >= this.graceEndsAtMs)
+      this.retained.forEach((id) => this.remove(id, nowMs));
+    if (nowMs < this.withheldUntilMs) return;
+    const withheld = [...this.withheld.values()];
+    this.withheld.clear();
+    withheld.forEach((endpoint) => this.set(endpoint));
   }
 
-  /** When `expire` removes endpoints next; undefined if there is nothing to remove. */
+  /** When `expire` has something to do next; undefined if it has nothing to do. */
   get nextExpiryMs(): MonotonicMs | undefined {
-    return this.isStoreUnavailable || this.retained.size === 0 ? undefined : this.graceEndsAtMs;
+    const retainedMs =
+      this.isStoreUnavailable || this.retained.size === 0
+        ? Number.POSITIVE_INFINITY
+        : this.graceEndsAtMs;
+    const withheldMs = this.withheld.size === 0 ? Number.POSITIVE_INFINITY : this.withheldUntilMs;
+    const nextMs = Math.min(retainedMs, withheldMs);
+    return nextMs === Number.POSITIVE_INFINITY ? undefined : nextMs;
   }
 
   find(id: EndpointId): GatewayEndpoint | undefined {
@@ -84,6 +149,20 @@
     );
   }
 
+  /**
+   * Whether a registration that was read with all others says what holds now. One of a departed endpoint is
+   * withheld for a while after the begin of an era.
+   */
+  private mayBelieve(endpoint: GatewayEndpoint, nowMs: MonotonicMs): boolean {
+    const { id, startedAtMs } = endpoint;
+    if (nowMs >= this.withheldUntilMs || this.changedInEra.has(id)) return true;
+    if (isEarlierStart(startedAtMs, this.endpoints.get(id)?.startedAtMs)) return false;
+    const departure = this.departures.get(id);
+    if (departure === undefined || isEarlierStart(departure.startedAtMs, startedAtMs)) return true;
+    this.withheld.set(id, endpoint);
+    return false;
+  }
+
   private set(endpoint: GatewayEndpoint): void {
     const previous = this.endpoints.get(endpoint.id);
     this.retained.delete(endpoint.id);
@@ -95,11 +174,20 @@
 
   private removeOrRetain(id: EndpointId, nowMs: MonotonicMs): void {
     if (!this.endpoints.has(id)) return;
-    if (!this.isStoreUnavailable && nowMs >= this.graceEndsAtMs) this.remove(id);
+    if (!this.isStoreUnavailable && nowMs >= this.graceEndsAtMs) this.remove(id, nowMs);
     else this.retained.add(id);
   }
 
-  private remove(id: EndpointId): void {
+  private recordDeparture({ id, startedAtMs }: GatewayEndpoint, nowMs: MonotonicMs): void {
+    this.departures.forEach(({ atMs }, departed) => {
+      if (nowMs - atMs > DEPARTURE_MEMORY_MS) this.departures.delete(departed);
+    });
+    this.departures.set(id, { startedAtMs, atMs: nowMs });
+  }
+
+  private remove(id: EndpointId, nowMs: MonotonicMs): void {
+    const endpoint = this.endpoints.get(id);
+    if (endpoint !== undefined) this.recordDeparture(endpoint, nowMs);
     this.endpoints.delete(id);
     this.retained.delete(id);
     this.onInvalidated(id);
--- a/packages/decisions/src/gateway/fleet-load-tracker.ts
+++ b/packages/decisions/src/gateway/fleet-load-tracker.ts
@@ -2,7 +2,6 @@
   EndpointId,
   EngineWork,
   GatewayPeer,
-  LimitObservation,
   MonotonicMs,
   WorkSnapshot,
 } from '@savorywind/model';
@@ -33,6 +32,9 @@
   memoryTokens: number;
 }
 
+/** What a snapshot tells besides the work. */
+export type SnapshotFields = Pick<WorkSnapshot, 'limits' | 'configurationVersion'>;
+
 /** Loads by engine; engines without any work are missing. */
 export type EngineLoads = ReadonlyMap<EndpointId, EngineLoad>;
 
@@ -170,7 +172,10 @@
     return loads;
   }
 
-  createSnapshot(limits: readonly LimitObservation[], nowMs: MonotonicMs): WorkSnapshot {
+  createSnapshot(
+    { limits, configurationVersion }: SnapshotFields,
+    nowMs: MonotonicMs,
+  ): WorkSnapshot {
     this.sequence += 1;
     const byEngine = new Map<EndpointId, EngineLoad>();
     this.localWork.forEach((work) => {
@@ -185,6 +190,6 @@
       readMs: Math.round(load.readMs),
     }));
     const { self: from, incarnation, sequence } = this;
-    return { from, incarnation, sequence, work, limits };
+    return { from, incarnation, sequence, work, configurationVersion, limits };
   }
 }
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -5,12 +5,13 @@
   type GatewayConfiguration,
   type GatewayContract,
   type GatewayPeer,
-  type LimitObservation,
   type MonotonicMs,
   type Route,
+  type WorkSnapshot,
 } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
 import { LEASE_MARGIN_MS } from './consts.js';
+import { ConfigurationProof } from './configuration-proof.js';
 import { CredentialLease } from './credential-lease.js';
 import { DomainReachability } from './domain-reachability.js';
 import { EndpointLimits, type LimitUsage } from './permits/endpoint-limits.js';
@@ -40,6 +41,8 @@
   readonly contract: GatewayContract;
 }
 
+type EventOf<Kind extends GatewayEvent['kind']> = Extract<GatewayEvent, { readonly kind: Kind }>;
+
 type EventHandlers = {
   readonly [Kind in GatewayEvent['kind']]: (
     event: Extract<GatewayEvent, { readonly kind: Kind }>,
@@ -59,6 +62,12 @@
  */
 const NOT_READY_RETRY_AFTER_MS = 500;
 
+/**
+ * Time over which entry VMs spread the renewal of their rows after the store came back from an older copy:
+ * three calls of each of 330 VMs then stay below a third of what the store takes in a second.
+ */
+const RENEWAL_SPREAD_MS = 1_000;
+
 const estimateLeaseMs = ({ credentialFreshnessMs }: GatewayContract): number =>
   credentialFreshnessMs - LEASE_MARGIN_MS;
 
@@ -84,6 +93,9 @@
 
   private readonly table: EndpointTable;
 
+  /** Time after an outage or an older copy of the store by which what it lost is written again. */
+  private readonly reregistrationMs: number;
+
   private readonly health = new EndpointHealth();
 
   private readonly limits: EndpointLimits;
@@ -104,6 +116,8 @@
 
   private readonly handlers: EventHandlers;
 
+  private readonly proof = new ConfigurationProof();
+
   private routeIndex: RouteIndex | undefined;
 
   private isReady = false;
@@ -112,12 +126,15 @@
 
   private expiryTimer: Timer | undefined;
 
+  private renewalTimer: Timer | undefined;
+
   private isStoreUnavailable = false;
 
   constructor(options: GatewayNodeOptions) {
     const { self, incarnation, contract } = options;
     this.context = new GatewayContext(`${self.id}.${incarnation}`, options.seed);
     this.lease = new CredentialLease(estimateLeaseMs(contract));
+    this.reregistrationMs = contract.reregistrationMs;
     this.table = new EndpointTable(contract.reregistrationMs, (id) => this.removeEndpoint(id));
     this.fleetLoad = new FleetLoadTracker(self, incarnation);
     this.budget = new FleetRetryBudget(createBudgetOptions(contract));
@@ -126,7 +143,10 @@
     this.snapshots = new SnapshotSender(
       this.context,
       this.fleetLoad,
-      this.limits,
+      () => ({
+        limits: this.limits.listObservations(),
+        configurationVersion: this.routeIndex?.version,
+      }),
       contract.linkBytesPerMs,
     );
     this.coordinator = this.createCoordinator(self);
@@ -213,8 +233,7 @@
         this.context.log(logEvents.contractChanged);
       },
       'configuration.confirmed': (event) => {
-        if (event.configuration !== undefined) this.applyConfiguration(event.configuration);
-        if (this.routeIndex !== undefined) this.lease.renew(event.requestedAtMs);
+        this.handleConfirmation(event);
         this.handleStoreResponse();
       },
       'endpoints.read': ({ endpoints }) => {
@@ -225,6 +244,7 @@
         this.handleStoreResponse();
         this.table.apply(changes, this.context.nowMs);
       },
+      'store.eraRaised': (event) => this.handleEraRaised(event),
       'store.failed': ({ detail }) => this.handleStoreFailure(detail),
       'peers.read': ({ peers }) => {
         peers.forEach((peer) => this.fleetLoad.peers.add(peer, this.context.nowMs));
@@ -233,7 +253,7 @@
       },
       'peer.received': ({ snapshot }) => {
         if (this.fleetLoad.applySnapshot(snapshot, this.context.nowMs))
-          this.applyObservations(snapshot.limits ?? []);
+          this.applySnapshotFields(snapshot);
       },
       'permit.requested': ({ request }) => this.coordinator.handleRequest(request),
       'permit.answered': ({ answer }) => this.permits.handleAnswer(answer),
@@ -250,22 +270,51 @@
     };
   }
 
-  private applyObservations(observations: readonly LimitObservation[]): void {
-    observations
+  private applySnapshotFields({ limits = [], configurationVersion }: WorkSnapshot): void {
+    if (configurationVersion !== undefined)
+      this.proof.recordCommitted(configurationVersion, this.context.nowMs);
+    limits
       .filter(({ endpoint }) => this.table.find(endpoint) !== undefined)
       .forEach((observation) => this.limits.applyObservation(observation));
   }
 
+  private handleConfirmation(event: EventOf<'configuration.confirmed'>): void {
+    const { configuration, source, requestedAtMs } = event;
+    const { nowMs } = this.context;
+    this.proof.handleShown({ version: configuration?.version, source });
+    if (configuration !== undefined) this.applyConfiguration(configuration);
+    if (this.routeIndex !== undefined && this.proof.isProof(requestedAtMs, nowMs))
+      this.lease.renew(requestedAtMs);
+  }
+
   private applyConfiguration(configuration: GatewayConfiguration): void {
-    if (this.routeIndex !== undefined && configuration.version <= this.routeIndex.version) return;
+    const inForce = this.routeIndex?.version;
+    const { version } = configuration;
+    if (inForce !== undefined && version < inForce)
+      this.context.log(logEvents.configurationBehind, { version, inForce });
+    if (inForce !== undefined && version <= inForce) return;
     this.routeIndex = new RouteIndex(configuration);
+    this.proof.recordCommitted(version, this.context.nowMs);
     this.context.emit({ kind: 'callerLimits.changed', limits: configuration.callerLimits });
     this.context.log(logEvents.routesAdopted, {
-      version: configuration.version,
+      version,
       routes: configuration.routes.length,
     });
   }
 
+  private handleEraRaised({ previousEra, era }: EventOf<'store.eraRaised'>): void {
+    const { nowMs } = this.context;
+    const version = this.routeIndex?.version;
+    this.context.log(logEvents.storeEraRaised, { previousEra, era, version });
+    this.proof.handleEraRaised(nowMs, this.reregistrationMs);
+    this.table.handleEraRaised(nowMs);
+    this.renewalTimer?.cancel();
+    const delayMs = this.context.drawRandom() * RENEWAL_SPREAD_MS;
+    this.renewalTimer = this.context.schedule(delayMs, () =>
+      this.context.emit({ kind: 'registration.renew' }),
+    );
+  }
+
   private handleStoreResponse(): void {
     this.table.reportStoreAvailable(this.context.nowMs);
     if (!this.isStoreUnavailable) return;
--- a/packages/decisions/src/gateway/snapshot-sender.ts
+++ b/packages/decisions/src/gateway/snapshot-sender.ts
@@ -8,8 +8,7 @@
   SNAPSHOT_DELAY_MS,
   SNAPSHOT_INTERVAL_MS,
 } from './consts.js';
-import type { EndpointLimits } from './permits/endpoint-limits.js';
-import type { FleetLoadTracker } from './fleet-load-tracker.js';
+import type { FleetLoadTracker, SnapshotFields } from './fleet-load-tracker.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { SnapshotFrequency } from './peer-table.js';
 import { TrafficBudget } from './traffic-budget.js';
@@ -35,7 +34,8 @@
   limits.length * LIMIT_OBSERVATION_BYTES;
 
 /**
- * Sends the work of this entry VM, and the limits of endpoints that it knows of, to its peers: to some after each change, to the others at intervals,
+ * Sends the work of this entry VM, the limits of endpoints that it knows of, and the version of its
+ * configuration to its peers: to some after each change, to the others at intervals,
  * and to all within a fraction of the VM's link. A delayed snapshot carries the changes up to its
  * sending.
  */
@@ -53,7 +53,8 @@
   constructor(
     private readonly context: GatewayContext,
     private readonly fleetLoad: FleetLoadTracker,
-    private readonly limits: EndpointLimits,
+    /** Returns what a snapshot tells besides the work. */
+    private readonly describeFields: () => SnapshotFields,
     linkBytesPerMs: number,
   ) {
     const bytesPerMs = LINK_FRACTION * linkBytesPerMs;
@@ -110,10 +111,10 @@
   }
 
   private send(frequency: SnapshotFrequency): void {
-    const { context, fleetLoad, limits } = this;
+    const { context, fleetLoad } = this;
     const peers = fleetLoad.peers.takeRecipients(frequency, context.nowMs);
     if (peers.length === 0) return;
-    const snapshot = fleetLoad.createSnapshot(limits.listObservations(), context.nowMs);
+    const snapshot = fleetLoad.createSnapshot(this.describeFields(), context.nowMs);
     this.budgets[frequency].take(peers.length * estimateDatagramBytes(snapshot), context.nowMs);
     context.emit({ kind: 'peers.send', snapshot, peers });
   }
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -88,9 +88,16 @@
       readonly requestedAtMs: MonotonicMs;
       /** Undefined if it has not changed since the last response. */
       readonly configuration: GatewayConfiguration | undefined;
+      /** Whether the configuration was read with all rows of its table, or because it changed. */
+      readonly source: 'snapshot' | 'change';
     }
   | { readonly kind: 'endpoints.read'; readonly endpoints: readonly GatewayEndpoint[] }
   | { readonly kind: 'endpoints.changed'; readonly changes: readonly EndpointChange[] }
+  /**
+   * The store came back from an older copy of itself. Comes before all reads of the new era, and none of
+   * an older one comes after it.
+   */
+  | { readonly kind: 'store.eraRaised'; readonly previousEra: number; readonly era: number }
   /** A call to the store got no response or was refused. */
   | { readonly kind: 'store.failed'; readonly detail: string }
   | { readonly kind: 'peers.read'; readonly peers: readonly GatewayPeer[] }
@@ -256,6 +263,8 @@
       readonly to: NetworkAddress;
     }
   | { readonly kind: 'permit.answer'; readonly answer: PermitAnswer; readonly to: NetworkAddress }
+  /** Checks the row of this entry VM in the store, writes it again if needed, and reads the peers. */
+  | { readonly kind: 'registration.renew' }
   | { readonly kind: 'callerLimits.changed'; readonly limits: CallerLimits }
   /** Closes keep-alive connections to an endpoint that was removed, restarted or stalled. */
   | { readonly kind: 'endpoint.forgotten'; readonly endpoint: EndpointId }
--- a/packages/decisions/test/gateway/randomised.test.ts
+++ b/packages/decisions/test/gateway/randomised.test.ts
@@ -2,7 +2,8 @@
 import { LARGE_FLEET } from '../fixtures/fleet-driver.js';
 import { GatewaySimulation } from '../fixtures/gateway-simulation.js';
 
-const SEEDS = Array.from({ length: 20 }, (_, index) => index + 1);
+/** The number of seeds can be raised for long runs by hand. */
+const SEEDS = Array.from({ length: Number(process.env.SEEDS ?? 20) }, (_, index) => index + 1);
 const STEPS = 1_500;
 
 describe('randomised simulations of the gateway', () => {
--- a/packages/entry/src/gateway/compact-snapshot.ts
+++ b/packages/entry/src/gateway/compact-snapshot.ts
@@ -3,8 +3,8 @@
 /**
  * A snapshot as an array without field names, a quarter as long as a map: version, id, failure domain,
  * host and port of the sender, incarnation, sequence, the work, {@link VALUES_PER_ENGINE} values an
- * engine, and the limits of endpoints, {@link VALUES_PER_LIMIT} values each. Builds that know no limits
- * send and read the elements before these.
+ * engine, the limits of endpoints, {@link VALUES_PER_LIMIT} values each, and the version of the
+ * configuration. Builds that know no limits send and read the elements before these.
  */
 export type CompactSnapshot = readonly [
   version: number,
@@ -16,6 +16,7 @@
   sequence: number,
   work: readonly (string | number)[],
   limits: readonly (string | number)[],
+  configurationVersion: number | undefined,
 ];
 
 /** First element of a compact snapshot. */
@@ -52,7 +53,7 @@
  * packr.pack(encodeCompactSnapshot(snapshot));
  */
 export const encodeCompactSnapshot = (snapshot: WorkSnapshot): CompactSnapshot => {
-  const { from, incarnation, sequence, work, limits = [] } = snapshot;
+  const { from, incarnation, sequence, work, limits = [], configurationVersion } = snapshot;
   const { host, port } = from.address;
   return [
     COMPACT_VERSION,
@@ -64,6 +65,7 @@
     sequence,
     work.flatMap(listWorkValues),
     limits.flatMap(listLimitValues),
+    configurationVersion,
   ];
 };
 
@@ -103,7 +105,8 @@
  * @returns undefined if the array is not a compact snapshot
  */
 export const decodeCompactSnapshot = (datagram: readonly unknown[]): unknown => {
-  const [version, id, failureDomain, host, port, incarnation, sequence, work, limits] = datagram;
+  const [version, id, failureDomain, host, port, incarnation, sequence, work, limits, configured] =
+    datagram;
   if (version !== COMPACT_VERSION || !Array.isArray(work)) return undefined;
   const from = { id, failureDomain, address: { host, port } };
   return {
@@ -112,5 +115,6 @@
     sequence,
     work: decodeWork(work),
     limits: Array.isArray(limits) ? decodeLimits(limits) : undefined,
+    configurationVersion: configured,
   };
 };
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -15,6 +15,8 @@
 import type { PermitMessage } from './permit-messages.js';
 import { PeerSocket } from './peer-socket.js';
 import { ReadinessServer } from './readiness-server.js';
+import { PeerRegistration } from './store/peer-registration.js';
+import { StoreEra } from './store/store-era.js';
 import { TableWatcher, type TableUpdate } from './store/table-watcher.js';
 import type { TableRow } from './store/types.js';
 import type { GatewayAdapter, GatewaySettings, ReservationRequest } from './types.js';
@@ -37,9 +39,6 @@
 /** Time for the last responses to be written before connections close, in milliseconds. */
 const FINAL_WRITES_MS = 100;
 
-/** Pause before a failed registration of this entry VM is retried, in milliseconds. */
-const REGISTER_RETRY_MS = 500;
-
 /**
  * One running gateway. Passes events from sockets, the store and peers to `GatewayNode`, which makes
  * all decisions, and carries out the effects that it returns.
@@ -63,6 +62,10 @@
 
   private readonly attempts = new Map<string, EndpointAttempt>();
 
+  private readonly era = new StoreEra((previousEra, era) => this.handleEraRaised(previousEra, era));
+
+  private readonly registration: PeerRegistration;
+
   private readonly tableWatchers: TableWatcher[];
 
   private readonly logSink = createStdoutSink();
@@ -104,6 +107,12 @@
     if (settings.metrics !== undefined) {
       this.metricsServer = new MetricsServer(settings.metrics, () => this.renderMetrics());
     }
+    this.registration = new PeerRegistration({
+      tables: adapter.tables,
+      rows: adapter.rows,
+      self,
+      onRead: (peers) => this.dispatch({ kind: 'peers.read', peers }),
+    });
     this.tableWatchers = this.createTableWatchers();
   }
 
@@ -116,7 +125,7 @@
     this.startMetrics();
     this.logger.write(logEvents.gatewayStarted, { callers: this.settings.callers.port });
     this.tableWatchers.forEach((watcher) => watcher.start());
-    await this.register();
+    await this.registration.register();
   }
 
   /** A metrics server that can't start is logged and does not prevent the gateway from serving. */
@@ -143,6 +152,7 @@
     if (this.isStopped) return;
     this.isStopped = true;
     this.tableWatchers.forEach((watcher) => watcher.stop());
+    this.registration.stop();
     this.requestServer.stop();
     this.close();
   }
@@ -170,6 +180,7 @@
 
   private createTableWatchers(): TableWatcher[] {
     const { rows, tables } = this.adapter;
+    const { era } = this;
     const { credentialFreshnessMs, leavingNoticeMs } = this.settings.contract;
     const pollIntervalMs = Math.floor(credentialFreshnessMs / POLLS_PER_FRESHNESS_PERIOD);
     const readClockMs = (): number => this.clock.readMs();
@@ -179,6 +190,7 @@
         table: rows.configurationTable,
         longPollMs: POLLS_PER_LONG_POLL * pollIntervalMs,
         pollIntervalMs,
+        era,
         readClockMs,
         onUpdated: (update) => this.handleConfigurationUpdate(update),
       }),
@@ -188,12 +200,17 @@
         // If a long poll is lost, the next one is sent while leaving endpoints still serve requests.
         longPollMs: leavingNoticeMs,
         pollIntervalMs: undefined,
+        era,
         readClockMs,
         onUpdated: (update) => this.handleEndpointUpdate(update),
       }),
     ];
   }
 
+  private handleEraRaised(previousEra: number, era: number): void {
+    this.dispatch({ kind: 'store.eraRaised', previousEra, era });
+  }
+
   private handleConfigurationUpdate(update: TableUpdate): void {
     if (update.kind === 'failed') {
       this.dispatch({ kind: 'store.failed', detail: update.detail });
@@ -211,6 +228,7 @@
       // the age of the configuration.
       requestedAtMs: performance.now() - (this.clock.readMs() - update.requestedAtMs),
       configuration,
+      source: update.kind === 'changes' ? 'change' : 'snapshot',
     });
   }
 
@@ -245,26 +263,6 @@
     this.logger.write(logEvents.storeEntryUnreadable, { key });
   }
 
-  /**
-   * Writes this entry VM's row and then reads all rows. Of two entry VMs that register concurrently, at
-   * least one therefore sees the other.
-   */
-  private async register(): Promise<void> {
-    const { rows, tables } = this.adapter;
-    const { self } = this.settings;
-    const written = await tables.putRow(rows.peerTable, self.id, rows.encodePeer(self));
-    const read = await tables.readAll(rows.peerTable);
-    if (this.isStopped) return;
-    if (written.err || read.err) {
-      setTimeout(() => this.register(), REGISTER_RETRY_MS).unref();
-      return;
-    }
-    const peers = read.val.rows
-      .filter(({ removed }) => !removed)
-      .flatMap((row) => rows.decodePeer(row) ?? []);
-    this.dispatch({ kind: 'peers.read', peers });
-  }
-
   private openExchange(exchange: CallerExchange, path: string, host: string): void {
     const { requestId, metadata } = exchange;
     if (this.isStopped) {
@@ -338,6 +336,9 @@
         this.peerSocket.sendMessage({ kind: 'permit.request', request }, to),
       'permit.answer': ({ answer, to }) =>
         this.peerSocket.sendMessage({ kind: 'permit.answer', answer }, to),
+      'registration.renew': () => {
+        this.registration.renew();
+      },
       'callerLimits.changed': ({ limits }) => this.requestServer.changeLimits(limits),
       'endpoint.forgotten': ({ endpoint }) => this.pools.remove(endpoint),
       readiness: ({ ready }) => this.readinessServer.setReady(ready),
@@ -370,6 +371,7 @@
         traffic: this.peerSocket.trafficBytes,
         linkBytesPerMs: this.settings.contract.linkBytesPerMs,
         limits: this.node.limitUsage,
+        storeEras: this.era.raises,
         longestTimerDelayMs: this.runner.takeLongestTimerDelayMs(),
       }),
       ...listProcessGauges(this.logSink.droppedLines),
@@ -380,6 +382,7 @@
     if (this.isStopped) return;
     this.isStopped = true;
     this.tableWatchers.forEach((watcher) => watcher.stop());
+    this.registration.stop();
     this.requestServer.stop();
     // Lets the last responses be written before connections close.
     setTimeout(() => this.close(), FINAL_WRITES_MS);
--- a/packages/entry/src/gateway/metrics/control-gauges.ts
+++ b/packages/entry/src/gateway/metrics/control-gauges.ts
@@ -8,13 +8,15 @@
   readonly traffic: Readonly<PeerTraffic>;
   readonly linkBytesPerMs: number;
   readonly limits: LimitUsage;
+  /** How often the store has come back from an older copy of itself. */
+  readonly storeEras: number;
   /** By how much a timer was late at most since the last reading, in milliseconds. */
   readonly longestTimerDelayMs: number;
 }
 
 /**
  * Lists what shows whether control work delays requests: the traffic with peers beside the rate of the
- * link, the limits of endpoints, and how long events wait for the process.
+ * link, the limits of endpoints, the eras of the store, and how long events wait for the process.
  */
 export const listControlGauges = (load: ControlLoad): Gauge[] => [
   {
@@ -45,6 +47,12 @@
     type: 'counter',
     value: load.limits.attempts,
   },
+  {
+    metric: 'savorywind_store_eras_total',
+    help: 'How often the store has come back from an older copy of itself, as seen by this VM.',
+    type: 'counter',
+    value: load.storeEras,
+  },
   {
     metric: 'savorywind_longest_timer_delay_seconds',
     help: 'Longest time by which a timer was late since the last reading of the metrics.',
--- a/packages/entry/src/gateway/snapshot-codec.ts
+++ b/packages/entry/src/gateway/snapshot-codec.ts
@@ -75,7 +75,8 @@
     Array.isArray(snapshot?.work) &&
     snapshot.work.length <= MAX_ENGINES &&
     snapshot.work.every(isWork) &&
-    areLimits(snapshot.limits)
+    areLimits(snapshot.limits) &&
+    (snapshot.configurationVersion === undefined || isNonNegative(snapshot.configurationVersion))
   );
 };
 
--- a/packages/entry/src/gateway/store/table-watcher.ts
+++ b/packages/entry/src/gateway/store/table-watcher.ts
@@ -1,5 +1,6 @@
 import csp, { type Channel } from 'js-csp';
 import type { Result } from '@savorywind/model';
+import type { StoreEra } from './store-era.js';
 import type { TableClient, TableFailure, TableRow, TableRows } from './types.js';
 
 /**
@@ -27,6 +28,8 @@
    * of the table must tell which one is newer.
    */
   readonly pollIntervalMs: number | undefined;
+  /** The era of the store, for all watchers of the process. */
+  readonly era: StoreEra;
   readonly readClockMs: () => number;
   /** Called with each result, including failures. A lost history is handled and not reported. */
   readonly onUpdated: (update: TableUpdate) => void;
@@ -46,8 +49,16 @@
 
 type ReadResult = Result<TableRows, TableFailure>;
 
+/** A version of the store, and the era in which it counts. */
+interface Position {
+  readonly version: number;
+  readonly era: number | undefined;
+}
+
 interface PendingRead {
   readonly kind: 'snapshot' | 'changes';
+  /** Era of the version from which changes are read. */
+  readonly era: number | undefined;
   readonly requestedAtMs: number;
   readonly result: Promise<ReadResult>;
 }
@@ -67,12 +78,13 @@
 
 /**
  * Watches one table: reads all rows first, then only changes. Reads all rows again when the store's
- * history no longer covers the last known version. Retries failed reads until it is stopped.
+ * history no longer covers the last known version, or when the store has begun a new era. Responses of an
+ * older era are discarded. Retries failed reads until it is stopped.
  */
 export class TableWatcher {
   private isStopped = false;
 
-  private version: number | undefined;
+  private position: Position | undefined;
 
   constructor(private readonly options: TableWatcherOptions) {}
 
@@ -112,30 +124,47 @@
   }
 
   private startRead(waitMs: number): PendingRead {
-    const { tables, table, readClockMs } = this.options;
-    const { version } = this;
+    const { tables, table, readClockMs, era } = this.options;
     const requestedAtMs = readClockMs();
-    if (version === undefined)
-      return { kind: 'snapshot', requestedAtMs, result: tables.readAll(table) };
-    const result = tables.readChanges(table, version, waitMs);
-    return { kind: 'changes', requestedAtMs, result };
+    const { position } = this;
+    if (position === undefined || position.era !== era.current) {
+      const result = tables.readAll(table);
+      return { kind: 'snapshot', era: era.current, requestedAtMs, result };
+    }
+    const result = tables.readChanges(table, position.version, waitMs);
+    return { kind: 'changes', era: position.era, requestedAtMs, result };
   }
 
   /** @returns false if the next read must wait for the backoff */
-  private handleResult({ kind, requestedAtMs }: PendingRead, result: ReadResult): boolean {
-    const { onUpdated } = this.options;
-    if (result.err) return this.handleFailure(result.val);
-    const { version, rows } = result.val;
-    // Of two overlapping reads, the older result may arrive last.
-    this.version = Math.max(this.version ?? version, version);
-    onUpdated({ kind, rows, requestedAtMs });
+  private handleResult(read: PendingRead, result: ReadResult): boolean {
+    const { onUpdated, era } = this.options;
+    const relation = era.observe(result.val.era);
+    if (relation === 'older') return false;
+    if (result.err) return this.handleFailure(read, result.val);
+    if (relation === 'missing') {
+      onUpdated({ kind: 'failed', detail: 'response names no era of the store' });
+      return false;
+    }
+    // Changes since a version of an older era: rows may be missing.
+    if (read.kind === 'changes' && read.era !== era.current) return true;
+    const { rows } = result.val;
+    this.advance(result.val);
+    onUpdated({ kind: read.kind, rows, requestedAtMs: read.requestedAtMs });
     return true;
   }
 
-  private handleFailure({ kind, detail }: TableFailure): boolean {
+  /** Of two overlapping reads, the older result may arrive last. */
+  private advance({ version, era }: TableRows): void {
+    const isSameEra = this.position !== undefined && this.position.era === era;
+    const known = isSameEra ? this.position!.version : version;
+    this.position = { version: Math.max(known, version), era };
+  }
+
+  /** A store that has no history for a read of all rows is asked again only after a pause. */
+  private handleFailure(read: PendingRead, { kind, detail }: TableFailure): boolean {
     if (kind === 'historyLost') {
-      this.version = undefined;
-      return true;
+      this.position = undefined;
+      return read.kind === 'changes';
     }
     this.options.onUpdated({ kind: 'failed', detail });
     return false;
--- a/packages/entry/src/gateway/store/types.ts
+++ b/packages/entry/src/gateway/store/types.ts
@@ -12,6 +12,8 @@
 export interface TableRows {
   readonly rows: readonly TableRow[];
   readonly version: number;
+  /** Era of the store, in which `version` counts; undefined if the response names none. */
+  readonly era: number | undefined;
 }
 
 /**
@@ -22,11 +24,13 @@
 export interface TableFailure {
   readonly kind: 'historyLost' | 'refused' | 'unanswered';
   readonly detail: string;
+  /** Era of the store; undefined without a response, or if it names none. */
+  readonly era: number | undefined;
 }
 
 /** Client of the tables in the platform's store. */
 export interface TableClient {
-  /** Reads all rows of a table. */
+  /** Reads all rows of a table, in one era of the store. */
   readAll(table: string): Promise<Result<TableRows, TableFailure>>;
   /**
    * Reads the rows that changed after a version.
--- a/packages/entry/test/gateway/gateway-metrics.test.ts
+++ b/packages/entry/test/gateway/gateway-metrics.test.ts
@@ -55,6 +55,7 @@
     expect(text).toMatch(/^savorywind_link_bytes_per_second 125000000$/m);
     expect(text).toMatch(/^savorywind_longest_timer_delay_seconds \d/m);
     expect(text).toContain('# TYPE savorywind_peer_bytes_sent_total counter');
+    expect(text).toMatch(/^savorywind_store_eras_total 0$/m);
     expect(text).toMatch(/^savorywind_limited_endpoints 0$/m);
     expect(text).toMatch(/^savorywind_attempts_at_limited_endpoints_total 0$/m);
   });
--- /dev/null
+++ b/packages/entry/test/gateway/peer-registration.test.ts
@@ -0,0 +1,111 @@
+import { Err, Ok, type GatewayPeer, type Result } from '@savorywind/model';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { PeerRegistration } from '../../src/gateway/store/peer-registration.js';
+import type { TableClient, TableFailure, TableRow } from '../../src/gateway/store/types.js';
+import type { GatewayRows } from '../../src/gateway/types.js';
+
+const createPeer = (id: string, port = 7_000): GatewayPeer => ({
+  id,
+  failureDomain: 'a',
+  address: { host: '127.0.0.1', port },
+});
+
+const encodePeer = (peer: GatewayPeer): Uint8Array => Buffer.from(JSON.stringify(peer));
+
+const rows = {
+  peerTable: 'peers',
+  encodePeer,
+  decodePeer: ({ value }: TableRow) =>
+    JSON.parse(Buffer.from(value).toString()) as GatewayPeer | undefined,
+} as GatewayRows;
+
+const REFUSED: TableFailure = { kind: 'refused', detail: 'test', era: undefined };
+
+/** A table of peers in memory that records its calls. */
+class PeerTableStandIn {
+  readonly stored = new Map<string, Uint8Array>();
+
+  readonly calls: string[] = [];
+
+  failures = 0;
+
+  readonly client: TableClient = {
+    readAll: () => this.answer('read', { rows: this.listRows(), version: 1, era: undefined }),
+    readChanges: () => new Promise(() => {}),
+    putRow: (_table, key, value) => {
+      const answer = this.answer<void>('put', undefined);
+      if (this.failures === 0) this.stored.set(key, value);
+      return answer;
+    },
+    removeRow: () => Promise.resolve(Ok(undefined)),
+    stop: () => {},
+  };
+
+  private listRows(): TableRow[] {
+    return [...this.stored].map(([key, value]) => ({ key, value, removed: false }));
+  }
+
+  private answer<Value>(call: string, value: Value): Promise<Result<Value, TableFailure>> {
+    this.calls.push(call);
+    if (this.failures === 0) return Promise.resolve(Ok(value));
+    this.failures -= 1;
+    return Promise.resolve(Err(REFUSED));
+  }
+}
+
+let table: PeerTableStandIn;
+let registration: PeerRegistration;
+let reads: (readonly string[])[];
+let notifyRead = (): void => {};
+
+beforeEach(() => {
+  table = new PeerTableStandIn();
+  reads = [];
+  registration = new PeerRegistration({
+    tables: table.client,
+    rows,
+    self: createPeer('vm-1'),
+    onRead: (peers) => {
+      reads.push(peers.map(({ id }) => id));
+      notifyRead();
+    },
+  });
+});
+
+afterEach(() => registration.stop());
+
+describe('the row of an entry VM', () => {
+  it('is written before the others are read', async () => {
+    table.stored.set('vm-2', encodePeer(createPeer('vm-2')));
+    await registration.register();
+    expect(table.calls).toEqual(['put', 'read']);
+    expect(reads).toEqual([['vm-2', 'vm-1']]);
+  });
+
+  it('is not written again while it is there', async () => {
+    table.stored.set('vm-1', encodePeer(createPeer('vm-1')));
+    await registration.renew();
+    expect(table.calls).toEqual(['read']);
+    expect(reads).toEqual([['vm-1']]);
+  });
+
+  it.each([
+    ['missing', undefined],
+    ['that of an earlier process', encodePeer(createPeer('vm-1', 6_000))],
+  ])('is written again if it is %s', async (_case, value) => {
+    if (value !== undefined) table.stored.set('vm-1', value);
+    await registration.renew();
+    expect(table.calls).toEqual(['read', 'put', 'read']);
+    expect(table.stored.get('vm-1')).toEqual(encodePeer(createPeer('vm-1')));
+  });
+
+  it('is tried again after a refusal', async () => {
+    table.failures = 1;
+    const read = new Promise<void>((resolve) => {
+      notifyRead = resolve;
+    });
+    await registration.renew();
+    await read;
+    expect(table.calls).toEqual(['read', 'read', 'put', 'read']);
+  });
+});
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -230,6 +230,8 @@
   readonly incarnation: number;
   readonly sequence: number;
   readonly work: readonly EngineWork[];
+  /** Version of the sender's configuration; undefined without one, or from builds that do not send it. */
+  readonly configurationVersion?: number | undefined;
   /** Undefined from builds that know neither limits nor permits. */
   readonly limits?: readonly LimitObservation[] | undefined;
 }
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -37,6 +37,12 @@
     'warn',
     'the limit of requests per second in the response of an endpoint cannot be decoded and is ignored',
   ],
+  storeEraRaised: [833, 'warn', 'the store came back from an older copy of itself'],
+  configurationBehind: [
+    834,
+    'warn',
+    'the store shows an older version of the configuration; the one in force is kept',
+  ],
   logLinesDropped: [827, 'warn', 'log lines were dropped because the log reader was too slow'],
   peerUnreadable: [
     825,
