Tell peers since when a version of the configuration is known

An entry VM that starts while the store shows an older copy took that copy's configuration for confirmed, and admitted a credential that a lost version had revoked, until its lease ran out.

If a peer had known a newer version when the last confirmation was requested, that confirmation is disproved and the lease ends. Transport and delays make an age look smaller, so a proof is never ended wrongly; suspensions move what was known before them back.

New tests in store-eras.test.ts: a VM that started then; a version that came after the confirmation, also during a suspension. vitest on decisions/test/gateway, entry/test/gateway, platform and model passes.

--- a/packages/decisions/src/gateway/configuration-proof.ts
+++ b/packages/decisions/src/gateway/configuration-proof.ts
@@ -1,4 +1,4 @@
-import type { MonotonicMs } from '@savorywind/model';
+import type { KnownConfiguration, MonotonicMs } from '@savorywind/model';
 
 /** A version of the configuration, and since when this entry VM knows that it was committed. */
 interface KnownVersion {
@@ -23,33 +23,63 @@
  * credential may have been revoked in between.
  *
  * A response proves nothing if it shows an older version than one that was known to be committed when
- * the question left: to this entry VM, or to a peer by its snapshots. After the begin of a new era it also
- * proves nothing until the operator has written in that era, or until the time has passed in which
- * everything lost is written again: the last change may have been lost before any entry VM saw it.
+ * the question left: to this entry VM, or to a peer by its snapshots. A proof ends when a peer tells later
+ * that it had known a newer version by then, as after a start while the older copy is shown. After the
+ * begin of a new era a response also proves nothing until the operator has written in that era, or until
+ * the time has passed in which everything lost is written again: the last change may have been lost
+ * before any entry VM saw it.
  *
  * @example
  * proof.handleShown({ version: 7, source: 'snapshot' });
- * if (proof.isProof(requestedAtMs, nowMs)) lease.renew(requestedAtMs);
+ * if (proof.takeProof(requestedAtMs, nowMs)) lease.renew(requestedAtMs);
  */
 export class ConfigurationProof {
-  private readonly knownVersions: KnownVersion[] = [];
+  private knownVersions: KnownVersion[] = [];
 
+  /** The newest version of the configuration that the store has shown in its era. */
   private shownVersion: number | undefined;
 
+  /** The last response that proved something. */
+  private lastProof: { readonly version: number; readonly requestedAtMs: MonotonicMs } | undefined;
+
   /** Until when responses prove nothing after the begin of an era. */
   private heldUntilMs = Number.NEGATIVE_INFINITY;
 
-  /** The newest version of the configuration that the store has shown in its era. */
-  get shown(): number | undefined {
-    return this.shownVersion;
+  /**
+   * Counts time that the clock missed: what was known before it lies further back. The hold after an era
+   * is not shortened, as the time may be a step of the wall clock.
+   */
+  addLostTime(lostMs: number): void {
+    this.knownVersions = this.knownVersions.map(({ version, knownSinceMs }) => ({
+      version,
+      knownSinceMs: knownSinceMs - lostMs,
+    }));
+    const { lastProof } = this;
+    if (lastProof === undefined) return;
+    this.lastProof = { ...lastProof, requestedAtMs: lastProof.requestedAtMs - lostMs };
+  }
+
+  /** Describes the newest version that is known to be committed, for the peers. */
+  describeNewest(nowMs: MonotonicMs): KnownConfiguration | undefined {
+    const newest = this.knownVersions.at(-1);
+    if (newest === undefined) return undefined;
+    return { version: newest.version, ageMs: Math.round(nowMs - newest.knownSinceMs) };
   }
 
-  /** Records a version that was committed. */
-  recordCommitted(version: number, nowMs: MonotonicMs): void {
+  /**
+   * Records a version that was committed.
+   *
+   * @returns whether it disproves the last proof: the store showed an older version after somebody knew it
+   */
+  recordCommitted(version: number, knownSinceMs: MonotonicMs): boolean {
     const newest = this.knownVersions.at(-1);
-    if (newest !== undefined && version <= newest.version) return;
-    this.knownVersions.push({ version, knownSinceMs: nowMs });
-    if (this.knownVersions.length > MAX_KNOWN_VERSIONS) this.knownVersions.shift();
+    if (newest === undefined || version > newest.version) {
+      this.knownVersions.push({ version, knownSinceMs });
+      if (this.knownVersions.length > MAX_KNOWN_VERSIONS) this.knownVersions.shift();
+    }
+    const { lastProof } = this;
+    if (lastProof === undefined) return false;
+    return lastProof.version < version && knownSinceMs <= lastProof.requestedAtMs;
   }
 
   /** @param rewriteMs time within which what the store has lost is written again */
@@ -64,12 +94,18 @@
     if (source === 'change') this.heldUntilMs = Number.NEGATIVE_INFINITY;
   }
 
-  /** Whether the last response proves that the configuration in force was current when it was requested. */
-  isProof(requestedAtMs: MonotonicMs, nowMs: MonotonicMs): boolean {
-    if (this.shownVersion === undefined || nowMs < this.heldUntilMs) return false;
-    const required = this.knownVersions.findLast(
-      ({ knownSinceMs }) => knownSinceMs <= requestedAtMs,
+  /**
+   * Whether the last response proves that the configuration in force was current when it was requested.
+   * If it does, it is remembered as the last proof.
+   */
+  takeProof(requestedAtMs: MonotonicMs, nowMs: MonotonicMs): boolean {
+    const { shownVersion } = this;
+    if (shownVersion === undefined || nowMs < this.heldUntilMs) return false;
+    const isOutdated = this.knownVersions.some(
+      ({ version, knownSinceMs }) => knownSinceMs <= requestedAtMs && version > shownVersion,
     );
-    return required === undefined || this.shownVersion >= required.version;
+    if (isOutdated) return false;
+    this.lastProof = { version: shownVersion, requestedAtMs };
+    return true;
   }
 }
--- a/packages/decisions/src/gateway/credential-lease.ts
+++ b/packages/decisions/src/gateway/credential-lease.ts
@@ -20,6 +20,11 @@
     }
   }
 
+  /** Ends the lease: what confirmed it was outdated. */
+  clear(): void {
+    this.confirmedAtMs = undefined;
+  }
+
   /** Counts time that the clock missed, such as a suspension of the process. */
   addLostTime(lostMs: number): void {
     if (this.confirmedAtMs !== undefined) this.confirmedAtMs -= lostMs;
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -145,7 +145,7 @@
       this.fleetLoad,
       () => ({
         limits: this.limits.listObservations(),
-        configurationVersion: this.routeIndex?.version,
+        configuration: this.proof.describeNewest(this.context.nowMs),
       }),
       contract.linkBytesPerMs,
     );
@@ -224,6 +224,7 @@
       drainRequested: () => this.startDrain(),
       'time.lost': ({ lostMs }) => {
         this.lease.addLostTime(lostMs);
+        this.proof.addLostTime(lostMs);
         this.permits.clear();
       },
       'contract.changed': ({ contract }) => {
@@ -270,9 +271,12 @@
     };
   }
 
-  private applySnapshotFields({ limits = [], configurationVersion }: WorkSnapshot): void {
-    if (configurationVersion !== undefined)
-      this.proof.recordCommitted(configurationVersion, this.context.nowMs);
+  private applySnapshotFields({ limits = [], configuration }: WorkSnapshot): void {
+    if (configuration !== undefined) {
+      const knownSinceMs = this.context.nowMs - configuration.ageMs;
+      const isDisproved = this.proof.recordCommitted(configuration.version, knownSinceMs);
+      if (isDisproved) this.lease.clear();
+    }
     limits
       .filter(({ endpoint }) => this.table.find(endpoint) !== undefined)
       .forEach((observation) => this.limits.applyObservation(observation));
@@ -283,7 +287,7 @@
     const { nowMs } = this.context;
     this.proof.handleShown({ version: configuration?.version, source });
     if (configuration !== undefined) this.applyConfiguration(configuration);
-    if (this.routeIndex !== undefined && this.proof.isProof(requestedAtMs, nowMs))
+    if (this.routeIndex !== undefined && this.proof.takeProof(requestedAtMs, nowMs))
       this.lease.renew(requestedAtMs);
   }
 
--- a/packages/decisions/test/gateway/store-eras.test.ts
+++ b/packages/decisions/test/gateway/store-eras.test.ts
@@ -41,6 +41,16 @@
 const findReason = (path = '/private/'): string | undefined =>
   driver.findRefusal(driver.request(path, { credential: 'secret' }))?.reason;
 
+/** Delivers the snapshot of a peer that has known a version for some time. */
+const hearOf = (version: number, ageMs = 0): void => {
+  const [from] = createPeers('b', 1);
+  const configuration = { version, ageMs };
+  driver.dispatch({
+    kind: 'peer.received',
+    snapshot: { from: from!, incarnation: 1, sequence: 1, work: [], configuration },
+  });
+};
+
 const showEndpoints = (...endpoints: readonly GatewayEndpoint[]): void =>
   driver.dispatch({ kind: 'endpoints.read', endpoints });
 
@@ -113,11 +123,7 @@
   });
 
   it('is not confirmed by a version that a peer has already replaced', () => {
-    const [from] = createPeers('b', 1);
-    driver.dispatch({
-      kind: 'peer.received',
-      snapshot: { from: from!, incarnation: 1, sequence: 1, work: [], configurationVersion: 6 },
-    });
+    hearOf(6);
     driver.advance(4_800);
     driver.confirm();
     expect(findReason()).toBe('credentialsStale');
@@ -126,20 +132,37 @@
   });
 
   it('is confirmed by a question that left before a peer told of a newer version', () => {
-    const [from] = createPeers('b', 1);
     driver.advance(2_000);
     const requestedAtMs = driver.nowMs;
     driver.advance(100);
-    driver.dispatch({
-      kind: 'peer.received',
-      snapshot: { from: from!, incarnation: 1, sequence: 1, work: [], configurationVersion: 6 },
-    });
+    hearOf(6);
     const confirmation = { configuration: undefined, source: 'change', requestedAtMs } as const;
     driver.dispatch({ kind: 'configuration.confirmed', ...confirmation });
     driver.advance(4_000);
     expect(isAdmitted()).toBe(true);
   });
 
+  it('admits nothing in a VM that started then, once a peer tells of the newer version', () => {
+    driver.advance(200);
+    hearOf(6, 60_000);
+    expect(findReason()).toBe('credentialsStale');
+    driver.confirm(createConfiguration({ version: 6 }));
+    expect(isAdmitted()).toBe(true);
+  });
+
+  it('stays confirmed if a peer got a newer version after the last confirmation', () => {
+    driver.advance(200);
+    hearOf(6, 100);
+    expect(isAdmitted()).toBe(true);
+  });
+
+  it('stays confirmed if a peer got a newer version while this VM was suspended', () => {
+    driver.advance(200);
+    driver.dispatch({ kind: 'time.lost', lostMs: 1_000 });
+    hearOf(6, 700);
+    expect(isAdmitted()).toBe(true);
+  });
+
   it('is treated the same in a second drill soon after the first', () => {
     driver.confirm(createConfiguration({ version: 5, ...REVOKED }));
     raiseEra();
--- a/packages/entry/src/gateway/compact-snapshot.ts
+++ b/packages/entry/src/gateway/compact-snapshot.ts
@@ -3,8 +3,8 @@
 /**
  * A snapshot as an array without field names, a quarter as long as a map: version, id, failure domain,
  * host and port of the sender, incarnation, sequence, the work, {@link VALUES_PER_ENGINE} values an
- * engine, the limits of endpoints, {@link VALUES_PER_LIMIT} values each, and the version of the
- * configuration. Builds that know no limits send and read the elements before these.
+ * engine, the limits of endpoints, {@link VALUES_PER_LIMIT} values each, and the version
+ * and age of the configuration. Builds that know no limits send and read the elements before these.
  */
 export type CompactSnapshot = readonly [
   version: number,
@@ -17,6 +17,7 @@
   work: readonly (string | number)[],
   limits: readonly (string | number)[],
   configurationVersion: number | undefined,
+  configurationAgeMs: number | undefined,
 ];
 
 /** First element of a compact snapshot. */
@@ -53,7 +54,7 @@
  * packr.pack(encodeCompactSnapshot(snapshot));
  */
 export const encodeCompactSnapshot = (snapshot: WorkSnapshot): CompactSnapshot => {
-  const { from, incarnation, sequence, work, limits = [], configurationVersion } = snapshot;
+  const { from, incarnation, sequence, work, limits = [], configuration } = snapshot;
   const { host, port } = from.address;
   return [
     COMPACT_VERSION,
@@ -65,7 +66,8 @@
     sequence,
     work.flatMap(listWorkValues),
     limits.flatMap(listLimitValues),
-    configurationVersion,
+    configuration?.version,
+    configuration?.ageMs,
   ];
 };
 
@@ -99,14 +101,27 @@
   return limits;
 };
 
+const decodeConfiguration = ([version, ageMs]: readonly unknown[]): unknown =>
+  version === undefined ? undefined : { version, ageMs };
+
 /**
  * Converts a received array to the fields of a snapshot, which the caller checks.
  *
  * @returns undefined if the array is not a compact snapshot
  */
 export const decodeCompactSnapshot = (datagram: readonly unknown[]): unknown => {
-  const [version, id, failureDomain, host, port, incarnation, sequence, work, limits, configured] =
-    datagram;
+  const [
+    version,
+    id,
+    failureDomain,
+    host,
+    port,
+    incarnation,
+    sequence,
+    work,
+    limits,
+    ...configured
+  ] = datagram;
   if (version !== COMPACT_VERSION || !Array.isArray(work)) return undefined;
   const from = { id, failureDomain, address: { host, port } };
   return {
@@ -115,6 +130,6 @@
     sequence,
     work: decodeWork(work),
     limits: Array.isArray(limits) ? decodeLimits(limits) : undefined,
-    configurationVersion: configured,
+    configuration: decodeConfiguration(configured),
   };
 };
--- a/packages/entry/src/gateway/snapshot-codec.ts
+++ b/packages/entry/src/gateway/snapshot-codec.ts
@@ -4,6 +4,7 @@
   Ok,
   type EngineWork,
   type GatewayPeer,
+  type KnownConfiguration,
   type Result,
   type WorkSnapshot,
 } from '@savorywind/model';
@@ -57,6 +58,9 @@
   isNonNegative(value.readMs) &&
   isNonNegative(value.memoryTokens);
 
+const isKnownConfiguration = ({ version, ageMs }: Partial<KnownConfiguration>): boolean =>
+  isNonNegative(version) && isNonNegative(ageMs);
+
 /** Earlier builds send no limits. */
 const areLimits = (limits: WorkSnapshot['limits']): boolean =>
   limits === undefined ||
@@ -76,7 +80,7 @@
     snapshot.work.length <= MAX_ENGINES &&
     snapshot.work.every(isWork) &&
     areLimits(snapshot.limits) &&
-    (snapshot.configurationVersion === undefined || isNonNegative(snapshot.configurationVersion))
+    (snapshot.configuration === undefined || isKnownConfiguration(snapshot.configuration))
   );
 };
 
--- a/packages/entry/test/gateway/snapshot-codec.test.ts
+++ b/packages/entry/test/gateway/snapshot-codec.test.ts
@@ -15,7 +15,7 @@
   from: { id: 'front-hafnar-15', failureDomain: 'hafnar', address: { host: HOST, port } },
   incarnation: 1_764_820_800_000,
   sequence: 123_456,
-  configurationVersion: 4_000_000_000,
+  configuration: { version: 4_000_000_000, ageMs: 4_000_000_000 },
   work: Array.from({ length: engines }, (_, index) => ({
     endpoint: `i-${String(10_000_000 + index)}`,
     writers: 3,
@@ -44,14 +44,14 @@
   });
 
   it('of a build that knows no limits has none, and is decoded', () => {
-    const { limits, configurationVersion, ...snapshot } = createSnapshot(3);
+    const { limits, configuration, ...snapshot } = createSnapshot(3);
     const packr = new Packr({ useRecords: false });
     const compact = packr.unpack(codec.encode(createSnapshot(3), 'compact')) as unknown[];
     const decoded = [
       packr.pack(snapshot),
       packr.pack(compact.slice(0, ELEMENTS_WITHOUT_LIMITS)),
     ].map((bytes) => codec.decode(bytes).unwrap());
-    expect([limits?.length, configurationVersion]).toEqual([2, 4_000_000_000]);
+    expect([limits?.length, configuration?.version]).toEqual([2, 4_000_000_000]);
     decoded.forEach((datagram) => {
       expect(datagram).toMatchObject({ kind: 'snapshot', snapshot });
       expect(datagram).not.toMatchObject({ snapshot: { limits: expect.anything() as unknown } });
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -223,6 +223,13 @@
   readonly delayMs: number;
 }
 
+/** The newest version of the configuration that an entry VM knows to be committed. */
+export interface KnownConfiguration {
+  readonly version: number;
+  /** For how long the entry VM has known it when it sends this, in milliseconds. */
+  readonly ageMs: number;
+}
+
 /** Work that an entry VM reports to its peers; each snapshot replaces the previous one. */
 export interface WorkSnapshot {
   readonly from: GatewayPeer;
@@ -230,8 +237,8 @@
   readonly incarnation: number;
   readonly sequence: number;
   readonly work: readonly EngineWork[];
-  /** Version of the sender's configuration; undefined without one, or from builds that do not send it. */
-  readonly configurationVersion?: number | undefined;
+  /** Undefined if the sender knows no configuration, or from builds that do not send it. */
+  readonly configuration?: KnownConfiguration | undefined;
   /** Undefined from builds that know neither limits nor permits. */
   readonly limits?: readonly LimitObservation[] | undefined;
 }
