--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -74,6 +74,8 @@
 await bundle('platform/src/main.ts', 'target/savorywind-entry.cjs', 'cjs');
 copyFileSync(`${root}deploy/start.cjs`, `${root}target/start.cjs`);
 writeCodeCache();
+if (process.argv.includes('--bench'))
+  await bundle('platform/test/start-benchmark.ts', 'target/start-benchmark.mjs', 'esm');
 if (process.argv.includes('--demo')) {
   await bundle('platform/test/demo.ts', 'target/platform-demo.mjs', 'esm');
   await bundle('platform/test/mixed-builds-demo.ts', 'target/mixed-builds-demo.mjs', 'esm');
