Count a suspension towards the age of a limit's end

What callers and engines would see: an entry VM that is suspended shortly after it saw a limit end, tells its peers of that end afterwards as if it were new. They lift a limit that the engine named meanwhile, and the engine gets more than it takes until their next response from it.

Times of observations are on the monotonic clock, which does not count suspensions. Ends are now moved back by them. Limits in force are not: the time may be a step of the wall clock, and an older end could then replace them.

The test failed before. endpoint-limits, permits, randomised-limits and store-eras pass.

--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -225,6 +225,7 @@
       'time.lost': ({ lostMs }) => {
         this.lease.addLostTime(lostMs);
         this.proof.addLostTime(lostMs);
+        this.limits.addLostTime(lostMs);
         this.permits.clear();
       },
       'contract.changed': ({ contract }) => {
--- a/packages/decisions/src/gateway/permits/endpoint-limits.ts
+++ b/packages/decisions/src/gateway/permits/endpoint-limits.ts
@@ -89,6 +89,17 @@
     else previous.reportedUntilMs = this.context.nowMs + END_REPORT_MS;
   }
 
+  /**
+   * Counts time that the clock missed towards the age of ends. A limit in force is not moved back: that
+   * could let an older end replace it, if the time was a step of the wall clock.
+   */
+  addLostTime(lostMs: number): void {
+    this.known.forEach((limit, endpoint) => {
+      if (limit.perSecond !== undefined) return;
+      this.known.set(endpoint, { ...limit, observedAtMs: limit.observedAtMs - lostMs });
+    });
+  }
+
   /** Finds the requests per second that an endpoint takes; undefined if it has no limit. */
   find(endpoint: EndpointId): number | undefined {
     return this.known.get(endpoint)?.perSecond;
--- a/packages/decisions/test/gateway/endpoint-limits.test.ts
+++ b/packages/decisions/test/gateway/endpoint-limits.test.ts
@@ -1,10 +1,13 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import type { RequestLimitReport } from '../../src/gateway/types.js';
+import { createPeers } from '../fixtures/fleet-driver.js';
 import { createEndpoint, startDriver, type GatewayDriver } from '../fixtures/gateway-driver.js';
 
 /** Time until a permit of the only VM can be used, at a limit of 20 requests per second. */
 const PERMIT_DELAY_MS = 65;
 
+const SUSPENSION_MS = 5_000;
+
 let driver: GatewayDriver;
 
 beforeEach(() => {
@@ -62,6 +65,20 @@
     expect(driver.limitUsage.limitedEndpoints).toBe(0);
   });
 
+  it('that has ended is told to peers with an age that counts a suspension', () => {
+    report(driver.request('/chat/'), 20);
+    driver.advance(100);
+    const later = driver.request('/chat/');
+    driver.advance(PERMIT_DELAY_MS);
+    report(later, 'none');
+    driver.dispatch({ kind: 'time.lost', lostMs: SUSPENSION_MS });
+    driver.dispatch({ kind: 'peers.read', peers: createPeers('b', 1) });
+    driver.advance(1);
+    const [limit] = driver.list('peers.send').at(-1)!.snapshot.limits!;
+    expect(limit).toMatchObject({ endpoint: 'e1', perSecond: undefined });
+    expect(limit!.ageMs).toBeGreaterThanOrEqual(SUSPENSION_MS);
+  });
+
   it('counts the attempts that were started while it was in force', () => {
     report(driver.request('/chat/'), 20);
     expect(driver.limitUsage.attempts).toBe(0);
