--- a/packages/decisions/test/gateway/store-eras.test.ts
+++ b/packages/decisions/test/gateway/store-eras.test.ts
@@ -163,7 +163,7 @@
     expect(isAdmitted()).toBe(true);
   });
 
-  it('is treated the same in a second drill soon after the first', () => {
+  it('is treated the same when another copy comes back soon after the first', () => {
     driver.confirm(createConfiguration({ version: 5, ...REVOKED }));
     raiseEra();
     showVersion(4);
@@ -247,7 +247,7 @@
 });
 
 describe('the row of this entry VM, when the store comes back from an older copy', () => {
-  it('is checked once within a second, also after two drills', () => {
+  it('is checked once within a second, also after two copies', () => {
     raiseEra();
     driver.advance(1);
     raiseEra();
