Log how a response that was passed on in part goes on, and one that ends by its connection

The head of a response now says whether it is a stream of events and whether it has a length; log events 840 and 841 show both cases. No decision uses it.

--- a/packages/bench/src/experiments/snapshot-traffic/gateway-fleet.ts
+++ b/packages/bench/src/experiments/snapshot-traffic/gateway-fleet.ts
@@ -183,7 +183,12 @@
   }
 
   private respond(vm: number, attemptId: string): void {
-    const head = { status: 200, hasReceipt: true };
+    const head = {
+      status: 200,
+      hasReceipt: true,
+      content: 'events',
+      isDelimited: true,
+    } as const;
     this.schedule(FIRST_EVENT_MS, vm, { kind: 'attempt.headReceived', attemptId, head });
     for (let event = 0; event < EVENTS; event += 1) {
       const delayMs = FIRST_EVENT_MS + event * EVENT_INTERVAL_MS;
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -73,7 +73,7 @@
       work: this.addWork(record, plan),
       startedAtMs: this.options.context.nowMs,
       stallTimer: undefined,
-      hasHead: false,
+      head: undefined,
       isPaused: false,
     };
     record.attempt = attempt;
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -29,6 +29,8 @@
 import {
   logAbandoned,
   logBrokenOff,
+  logConnectionEnd,
+  logContinued,
   logFailure,
   logRefusal,
   logRetry,
@@ -151,7 +153,7 @@
     const record = this.attempts.find(attemptId);
     const attempt = record?.attempt;
     if (record === undefined || attempt === undefined) return;
-    attempt.hasHead = true;
+    attempt.head = head;
     this.options.health.reportResponse(attempt.endpoint.id);
     this.reportResponse(attempt);
     if (head.status >= FIRST_SERVER_ERROR)
@@ -189,6 +191,7 @@
   handleEnd(attemptId: string): void {
     const record = this.attempts.find(attemptId);
     if (record === undefined) return;
+    logConnectionEnd(this.options.context, record);
     const isLate = logIfLate(this.options.context, record);
     this.attempts.detach(record);
     this.options.context.emit({ kind: 'caller.finish', requestId: record.request.requestId });
@@ -331,6 +334,7 @@
 
   private relay(record: GatewayRecord, attempt: GatewayAttempt): void {
     const { requestId } = record.request;
+    if (record.hasForwardedHead) logContinued(this.options.context, record, attempt);
     record.hasForwardedHead = true;
     this.options.context.emit({
       kind: 'caller.relay',
--- a/packages/decisions/src/gateway/request-log.ts
+++ b/packages/decisions/src/gateway/request-log.ts
@@ -1,6 +1,6 @@
 import { logEvents } from '@savorywind/model';
 import type { GatewayContext } from './gateway-context.js';
-import type { GatewayRecord } from './request-record.js';
+import type { GatewayAttempt, GatewayRecord } from './request-record.js';
 import type { GatewayAttemptFailure, GatewayRefusalReason } from './types.js';
 
 /** Log fields of a failed attempt. */
@@ -87,6 +87,35 @@
   context.log(logEvents.requestBrokenOff, { request: callerAttempt, reason });
 };
 
+/**
+ * Logs that a response whose beginning the caller has is continued with the response of another
+ * endpoint.
+ */
+export const logContinued = (
+  context: GatewayContext,
+  { request, lastEventId }: GatewayRecord,
+  { endpoint, head }: GatewayAttempt,
+): void =>
+  context.log(logEvents.responseContinued, {
+    request: request.callerAttempt,
+    endpoint: endpoint.id,
+    status: head?.status,
+    content: head?.content,
+    lastEventId,
+  });
+
+/** Logs a complete response without a length; it ended with its connection. */
+export const logConnectionEnd = (
+  context: GatewayContext,
+  { request, attempt }: GatewayRecord,
+): void => {
+  if (attempt?.head?.isDelimited !== false) return;
+  context.log(logEvents.responseEndedByClose, {
+    request: request.callerAttempt,
+    endpoint: attempt.endpoint.id,
+  });
+};
+
 /** Logs the refusal of a request that was admitted. */
 export const logRefusal = (
   context: GatewayContext,
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -11,7 +11,7 @@
 import type { Timer } from '../timers/timer-queue.js';
 import type { ReservationSet } from './memory-reservations.js';
 import type { LocalWork } from './fleet-load-tracker.js';
-import type { GatewayRequest } from './types.js';
+import type { GatewayRequest, GatewayResponseHead } from './types.js';
 
 /** One attempt to have a request served by an endpoint. */
 export interface GatewayAttempt {
@@ -23,7 +23,8 @@
   readonly work: readonly LocalWork[];
   readonly startedAtMs: MonotonicMs;
   stallTimer: Timer | undefined;
-  hasHead: boolean;
+  /** Head of the response; undefined until it has arrived. */
+  head: GatewayResponseHead | undefined;
   /** Whether the response is paused because the caller reads slowly. */
   isPaused: boolean;
 }
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -55,6 +55,10 @@
    * Whether the response carries the endpoint's receipt, which proves that the endpoint sent it.
    */
   readonly hasReceipt: boolean;
+  /** `events`: a stream that is forwarded event by event; `whole`: any other body. */
+  readonly content: 'events' | 'whole';
+  /** Whether the response says where its body ends, so that it does not end with its connection. */
+  readonly isDelimited: boolean;
 }
 
 /**
--- a/packages/decisions/test/gateway/attempts.test.ts
+++ b/packages/decisions/test/gateway/attempts.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import {
   createEndpoint,
+  createHead,
   createWork,
   startDriver,
   type GatewayDriver,
@@ -29,7 +30,7 @@
     const driver = startDriver('e1');
     const id = driver.request('/booking/');
     const { attemptId } = driver.findAttempt(id)!;
-    const head = { status: 503, hasReceipt: true };
+    const head = createHead({ status: 503, content: 'whole' });
     driver.dispatch({ kind: 'attempt.headReceived', attemptId, head });
     expect(driver.findRefusal(id)?.reason).toBe('broken');
   });
@@ -149,7 +150,7 @@
     const driver = startDriver('e1');
     const id = driver.request('/booking/');
     const { attemptId } = driver.findAttempt(id)!;
-    const head = { status: 500, hasReceipt: true };
+    const head = createHead({ status: 500, content: 'whole' });
     driver.dispatch({ kind: 'attempt.headReceived', attemptId, head });
     expect(driver.list('caller.relay')).toHaveLength(1);
     expect(listEvents(driver)).toEqual(['requestPlaced', 'attemptFailed']);
--- a/packages/entry/src/gateway/endpoints/response-relay.ts
+++ b/packages/entry/src/gateway/endpoints/response-relay.ts
@@ -112,9 +112,11 @@
   private reportHead(): void {
     if (this.isHeadReported || this.isEnded) return;
     this.isHeadReported = true;
-    const { attemptId, dispatch, metadata } = this.options;
+    const { attemptId, dispatch, metadata, response } = this.options;
     const { status, hasReceipt } = metadata;
-    dispatch({ kind: 'attempt.headReceived', attemptId, head: { status, hasReceipt } });
+    const content = this.splitter === undefined ? 'whole' : 'events';
+    const head = { status, hasReceipt, content, isDelimited: hasDelimitedBody(response) } as const;
+    dispatch({ kind: 'attempt.headReceived', attemptId, head });
   }
 
   private handleEnd(): void {
--- a/packages/entry/src/gateway/types.ts
+++ b/packages/entry/src/gateway/types.ts
@@ -41,7 +41,7 @@
 >;
 
 /** Metadata that an endpoint sends in the head of its response. */
-export interface ResponseMetadata extends GatewayResponseHead {
+export interface ResponseMetadata extends Pick<GatewayResponseHead, 'status' | 'hasReceipt'> {
   /**
    * `rejected`: the endpoint did not run the request. `otherEndpoint`: another endpoint has the address
    * now and did not run it.
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -43,6 +43,12 @@
     'warn',
     'the store shows an older version of the configuration; the one in force is kept',
   ],
+  responseContinued: [
+    840,
+    'info',
+    'a response that the caller has in part is continued with that of another endpoint',
+  ],
+  responseEndedByClose: [841, 'info', 'a response without a length ended with its connection'],
   logLinesDropped: [827, 'warn', 'log lines were dropped because the log reader was too slow'],
   peerUnreadable: [
     825,
