Continue a response only with a stream, never with an error or another body

Cause: GatewayRequests.handleHead relayed the response of the resumed attempt whatever it was. Where the second engine answered 500, its status could no longer be passed on, its body became a part of the stream, and its end ended the caller's response. The check for server errors left out requests whose head had been forwarded, so that such an error was relayed rather than retried.

Change: once the caller has the head of a response, only a stream of events with a receipt is forwarded. An engine whose response lacks the receipt is now also avoided by the retry.

--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -35,6 +35,7 @@
   logRefusal,
   logRetry,
   logServerError,
+  logUnforwardable,
 } from './request-log.js';
 import { RequestQueue } from './request-queue.js';
 
@@ -97,6 +98,15 @@
 
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
+/**
+ * Whether a response may be forwarded. Once the caller has a part of a response, only a stream may
+ * follow: the status and the end of any other response would be taken for those of the first one.
+ */
+const isForwardable = (
+  { hasForwardedHead }: GatewayRecord,
+  { status, hasReceipt, content }: GatewayResponseHead,
+): boolean => (hasReceipt || !isSuccess(status)) && (!hasForwardedHead || content === 'events');
+
 /**
  * Runs requests from their arrival to their final response: placement, attempts, retries,
  * deadlines.
@@ -156,12 +166,13 @@
     attempt.head = head;
     this.options.health.reportResponse(attempt.endpoint.id);
     this.reportResponse(attempt);
+    if (!isForwardable(record, head)) {
+      this.rejectResponse(record, attempt, head);
+      return;
+    }
     if (head.status >= FIRST_SERVER_ERROR)
       logServerError(this.options.context, record, head.status);
-    if (isSuccess(head.status) && !head.hasReceipt) {
-      this.attempts.cancel(record);
-      this.retryOrFail(record, 'invalid');
-    } else if (this.takeServerErrorRetry(record, head)) {
+    if (this.takeServerErrorRetry(record, head)) {
       logRetry(this.options.context, record, 'serverError');
       this.attempts.cancel(record);
       this.place(record);
@@ -332,6 +343,18 @@
     this.queue.remove(record);
   }
 
+  /** Discards a response that can't be forwarded, and runs the request elsewhere if it may. */
+  private rejectResponse(
+    record: GatewayRecord,
+    { endpoint }: GatewayAttempt,
+    head: GatewayResponseHead,
+  ): void {
+    logUnforwardable(this.options.context, record, head);
+    record.failedEndpoints.add(endpoint.id);
+    this.attempts.cancel(record);
+    this.retryOrFail(record, 'invalid');
+  }
+
   private relay(record: GatewayRecord, attempt: GatewayAttempt): void {
     const { requestId } = record.request;
     if (record.hasForwardedHead) logContinued(this.options.context, record, attempt);
@@ -345,18 +368,12 @@
 
   /**
    * Counts an attempt that ended with a server error, and takes a retry from the budget. Does
-   * nothing for other statuses, or if a head was already forwarded.
+   * nothing for other statuses.
    *
    * @returns whether the request is to be retried on another endpoint
    */
   private takeServerErrorRetry(record: GatewayRecord, head: GatewayResponseHead): boolean {
-    if (
-      head.status < FIRST_SERVER_ERROR ||
-      record.hasForwardedHead ||
-      record.attempt === undefined
-    ) {
-      return false;
-    }
+    if (head.status < FIRST_SERVER_ERROR || record.attempt === undefined) return false;
     record.runs += 1;
     if (!mayRerun(record) || !mayRetry(record)) return false;
     const { budget, context } = this.options;
--- a/packages/decisions/src/gateway/request-log.ts
+++ b/packages/decisions/src/gateway/request-log.ts
@@ -1,7 +1,7 @@
 import { logEvents } from '@savorywind/model';
 import type { GatewayContext } from './gateway-context.js';
 import type { GatewayAttempt, GatewayRecord } from './request-record.js';
-import type { GatewayAttemptFailure, GatewayRefusalReason } from './types.js';
+import type { GatewayAttemptFailure, GatewayRefusalReason, GatewayResponseHead } from './types.js';
 
 /** Log fields of a failed attempt. */
 interface FailureFields {
@@ -48,6 +48,18 @@
   logFailure(context, record, { failed, failure: 'serverError', detail: `status ${status}` });
 };
 
+/** Logs a response that can't be forwarded. */
+export const logUnforwardable = (
+  context: GatewayContext,
+  record: GatewayRecord,
+  { status, content, hasReceipt }: GatewayResponseHead,
+): void => {
+  const failed = record.attempt?.endpoint.id ?? '';
+  const receipt = hasReceipt ? '' : ', no receipt';
+  const detail = `status ${status}, content ${content}${receipt}, can't be forwarded`;
+  logFailure(context, record, { failed, failure: 'invalid', detail });
+};
+
 /**
  * Logs that a request is retried.
  *
@@ -94,13 +106,11 @@
 export const logContinued = (
   context: GatewayContext,
   { request, lastEventId }: GatewayRecord,
-  { endpoint, head }: GatewayAttempt,
+  { endpoint }: GatewayAttempt,
 ): void =>
   context.log(logEvents.responseContinued, {
     request: request.callerAttempt,
     endpoint: endpoint.id,
-    status: head?.status,
-    content: head?.content,
     lastEventId,
   });
 
