Run a request again after a part of its response only where that can be continued

Cause: a request was sent again after any failure if its kind allows a repeat, also when a part of its response had been passed on and nothing said where the next response had to begin. Two cases: a response of a call that exceeds the buffer of 262,144 bytes is forwarded before it ends, and when it broke, the whole response of the next replica was appended to it; a stream whose last event has no id was asked for from its beginning, or from an earlier event.

Change: a record knows whether its response is continuable: nothing was forwarded, or a stream whose last forwarded event has an id. Else a failure breaks the response off, and a stall does not move it.

--- a/packages/decisions/src/gateway/create-gateway-record.ts
+++ b/packages/decisions/src/gateway/create-gateway-record.ts
@@ -71,6 +71,7 @@
     failedEndpoints: new Set(),
     hasLostEndpoint: false,
     hasForwardedHead: false,
+    isContinuable: true,
     lastEventId: request.lastEventId,
     times: { firstAtMs: undefined, lastAtMs: undefined, longestGapMs: 0 },
     placementFields: {},
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -75,8 +75,10 @@
 
 const FIRST_SERVER_ERROR = 500;
 
-const mayRetry = ({ route, runs, sends, unsent }: GatewayRecord): boolean =>
-  runs < route.maxAttempts && sends - unsent < route.maxAttempts + MAX_EXTRA_ATTEMPTS;
+const mayRetry = ({ route, runs, sends, unsent, isContinuable }: GatewayRecord): boolean =>
+  isContinuable &&
+  runs < route.maxAttempts &&
+  sends - unsent < route.maxAttempts + MAX_EXTRA_ATTEMPTS;
 
 const releaseReservations = (record: GatewayRecord): void => {
   record.reservations?.release();
@@ -187,7 +189,8 @@
   handleEvent(attemptId: string, eventId: string | undefined): void {
     const record = this.attempts.find(attemptId);
     if (record?.attempt === undefined) return;
-    if (eventId !== undefined) record.lastEventId = eventId;
+    record.lastEventId = eventId ?? record.lastEventId;
+    record.isContinuable = eventId !== undefined;
     recordEvent(record.times, this.options.context.nowMs);
     this.reportResponse(record.attempt);
     this.attempts.handleEvent(record, record.attempt);
@@ -359,6 +362,7 @@
     const { requestId } = record.request;
     if (record.hasForwardedHead) logContinued(this.options.context, record, attempt);
     record.hasForwardedHead = true;
+    record.isContinuable = attempt.head?.content === 'events';
     this.options.context.emit({
       kind: 'caller.relay',
       requestId,
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -80,6 +80,11 @@
   hasLostEndpoint: boolean;
   /** Whether the head of a response was forwarded to the caller. */
   hasForwardedHead: boolean;
+  /**
+   * Whether another endpoint can continue the response: nothing of it was forwarded, or a stream whose
+   * last forwarded event has an id.
+   */
+  isContinuable: boolean;
   lastEventId: string | undefined;
   readonly times: EventTimes;
   /** Estimates behind the last placement, as log fields. */
