Refuse events of a resumed stream that the caller already has

Cause: nothing checked that an engine which resumes a stream goes on after the last event. One that ignores the field and begins with the first event had its events appended: pieces came twice.

Change: the ids of a response's events must increase, from the last event that the caller has; else the response is invalid, and the stream goes on at another engine or is broken off.

--- a/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
@@ -116,9 +116,9 @@
       const type = response.headers['content-type'] ?? '';
       const deliversEvents =
         start.delivery === 'events' && status === HTTP_OK && type.startsWith(EVENT_STREAM_TYPE);
-      const { attemptId } = start;
+      const { attemptId, lastEventId } = start;
       this.relay = new ResponseRelay(
-        { attemptId, response, metadata, exchange, dispatch },
+        { attemptId, response, metadata, exchange, dispatch, lastEventId },
         deliversEvents,
       );
     }
--- a/packages/entry/src/gateway/endpoints/response-relay.ts
+++ b/packages/entry/src/gateway/endpoints/response-relay.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { CallerExchange } from '../callers/caller-exchange.js';
 import type { ResponseMetadata, DispatchGatewayEvent } from '../types.js';
+import { EventOrder } from './event-order.js';
 import { EventSplitter, type StreamEvent } from './event-splitter.js';
 import { hasBeenReset } from './probing-agent.js';
 
@@ -22,6 +23,8 @@
   readonly metadata: ResponseMetadata;
   readonly exchange: CallerExchange;
   readonly dispatch: DispatchGatewayEvent;
+  /** Id of the last event that the caller has; undefined if the stream starts from its beginning. */
+  readonly lastEventId: string | undefined;
 }
 
 /**
@@ -32,6 +35,8 @@
 export class ResponseRelay {
   private readonly splitter: EventSplitter | undefined;
 
+  private readonly order: EventOrder;
+
   private bufferedChunks: Buffer[] = [];
 
   private bufferedBytes = 0;
@@ -50,7 +55,8 @@
     deliversEvents: boolean,
   ) {
     this.splitter = deliversEvents ? new EventSplitter() : undefined;
-    const { response } = options;
+    const { response, lastEventId } = options;
+    this.order = new EventOrder(lastEventId);
     response.on('data', (chunk: Buffer) => this.handleChunk(chunk));
     response.on('end', () => this.handleEnd());
     response.on('error', (error) => this.fail('broken', error.message));
@@ -102,6 +108,7 @@
   }
 
   private handleEvent({ bytes, id }: StreamEvent): void {
+    if (!this.order.accept(id)) this.fail('invalid', 'event ids do not increase');
     this.reportHead();
     if (this.isEnded || !this.mayForward) return;
     this.send(bytes);
