Let entry VMs in the tests of the command bind port 0 for operators

Cause: the fixture looked up a free port by listening on port 0, closed it, and let the entry VM bind it later. The system may give that port in between to a server on port 0 or to an outgoing connection, of this or another test file.

Ruled out: a retry of the start, which hides collisions.

--- a/packages/entry/src/runtime/entry-process.ts
+++ b/packages/entry/src/runtime/entry-process.ts
@@ -47,6 +47,8 @@
 
   private operatorServer: Server | undefined;
 
+  private listeningOperatorPort: number | undefined;
+
   private readonly operatorCalls = new PendingOperatorCalls((event) => this.runner.dispatch(event));
 
   private readonly vm: EntryVm;
@@ -80,6 +82,11 @@
     this.runner = new StateMachineRunner(this.node, this.createEffectHandlers());
   }
 
+  /** Port of the operator API, also if the settings give port 0; undefined before the start. */
+  get operatorPort(): number | undefined {
+    return this.listeningOperatorPort;
+  }
+
   /**
    * Starts servers and links.
    *
@@ -91,6 +98,7 @@
     const { port } = this.callerServer;
     await this.links.start();
     const { port: operatorPort } = this.operatorServer.address() as AddressInfo;
+    this.listeningOperatorPort = operatorPort;
     this.log.write(logEvents.processStarted, { port, operatorPort });
     this.runner.dispatch({ kind: 'started' });
     return port;
