Reserve the ports that tests must know before their servers start

Cause: fixtures of gateways and the measured fleet looked up a free port by listening on port 0 and bound it later; links and the process fleet drew a random port below the ephemeral range and probed it. In both, another process may take the port in between: five copies of one fault. Tests of PeerSocket looked up a TCP port and bound the UDP port of that number.

Change: one function, reservePort of the stand-ins. A process holds blocks of 100 ports from 20000 to 31999, below the ephemeral range. The first port of a block is its lock, a listening socket that is held until the process ends, so no two processes get the same port, blocks of killed processes are free again, and the system gives no reserved port to a connection. A port that another program uses, over TCP or UDP, is passed over. The test of a refused connection takes such a port instead of one that was closed a moment ago.

Weighed: port 0 everywhere. Settings of the users' platform refuse it, peers and membership rows name ports before the start, and restarts keep their port. Lock files outlive a killed process. A part for each Vitest worker does not keep two runs of the tests, or a demo beside them, apart.

Evidence: with the body of the function as before (port 0, closed), two of the four new tests failed: "gives no port to two processes that run at once" (expected 941 to be 1000) and "gives no port that the system assigns to connections". They pass now. The start benchmark was built, not run; the measurement of configurations was not run.

--- a/packages/bench/src/configuration/measured-fleet.ts
+++ b/packages/bench/src/configuration/measured-fleet.ts
@@ -1,12 +1,11 @@
 import { createHash } from 'node:crypto';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { createInterface } from 'node:readline';
 import type { NodeStatus } from '@savorywind/decisions';
 import type { Configuration, MembershipEntry } from '@savorywind/model';
+import { reservePort } from '@savorywind/stand-ins';
 import { startEntry, startStandIn, type StartedProcess } from '../process/child-process.js';
 import { startCountingProxy, type CountingProxy } from './counting-proxy.js';
 
@@ -17,14 +16,6 @@
 /** Number of the log event `configurationAdopted`. */
 const CONFIGURATION_ADOPTED_EVENT = 301;
 
-const findFreePort = (): Promise<number> =>
-  new Promise((resolve) => {
-    const server = createServer().listen(0, host, () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(port));
-    });
-  });
-
 /** One entry VM process and the proxy between it and the platform. */
 interface Member {
   readonly id: string;
@@ -64,7 +55,7 @@
   ): Promise<Member> {
     const failureDomain = DOMAINS[index % DOMAINS.length] ?? 'a';
     const id = `entry-${failureDomain}${Math.floor(index / DOMAINS.length) + 1}`;
-    const [operators, links] = [await findFreePort(), await findFreePort()];
+    const [operators, links] = [await reservePort(), await reservePort()];
     const proxy = await startCountingProxy(platformPort);
     const sha256 = createHash('sha256').update(CREDENTIAL).digest('hex');
     const file = join(folder, `${id}.json`);
--- a/packages/bench/src/process/process-fleet.ts
+++ b/packages/bench/src/process/process-fleet.ts
@@ -9,8 +9,8 @@
   type ConfigurationHead,
   type EndpointDeclaration,
 } from '@savorywind/model';
+import { reservePort } from '@savorywind/stand-ins';
 import { startEntry, startStandIn, type StartedProcess } from './child-process.js';
-import { findFreePorts } from './free-ports.js';
 
 const HOST = '127.0.0.1';
 const FAILURE_DOMAINS = ['a', 'b', 'c'] as const;
@@ -227,9 +227,13 @@
   private async createSpecs(entryVmsPerDomain: number): Promise<void> {
     for (const failureDomain of FAILURE_DOMAINS) {
       for (let index = 1; index <= entryVmsPerDomain; index += 1) {
-        const [callerPort = 0, linkPort = 0, operatorPort = 0] = await findFreePorts(3);
-        const id = `entry-${failureDomain}${index}`;
-        this.entryVmSpecs.push({ id, failureDomain, callerPort, linkPort, operatorPort });
+        this.entryVmSpecs.push({
+          id: `entry-${failureDomain}${index}`,
+          failureDomain,
+          callerPort: await reservePort(),
+          linkPort: await reservePort(),
+          operatorPort: await reservePort(),
+        });
       }
     }
   }
--- a/packages/entry/test/endpoints/attempts.test.ts
+++ b/packages/entry/test/endpoints/attempts.test.ts
@@ -1,5 +1,6 @@
 import type { NodeEvent } from '@savorywind/decisions';
 import type { Endpoint } from '@savorywind/model';
+import { reservePort } from '@savorywind/stand-ins';
 import { describe, expect, it } from 'vitest';
 import type { CallerRequest } from '../../src/callers/types.js';
 import { FlowControl } from '../../src/callers/flow-control.js';
@@ -140,9 +141,7 @@
   it.each<[Kind]>([['service'], ['engine']])(
     'report a refused connection as not sent (%s)',
     async (kind) => {
-      const endpoint = await RawEndpoint.start(reset);
-      await endpoint.stop();
-      expect(await run(kind, endpoint.port)).toEqual(['notSent']);
+      expect(await run(kind, await reservePort())).toEqual(['notSent']);
     },
   );
 
--- a/packages/entry/test/gateway/peer-socket.test.ts
+++ b/packages/entry/test/gateway/peer-socket.test.ts
@@ -1,9 +1,9 @@
 import { createSocket } from 'node:dgram';
 import { Packr } from 'msgpackr';
 import type { WorkSnapshot } from '@savorywind/model';
+import { reservePort } from '@savorywind/stand-ins';
 import { afterEach, describe, expect, it } from 'vitest';
 import { PeerSocket } from '../../src/gateway/peer-socket.js';
-import { startRawServer } from '../fixtures/test-gateway.js';
 
 const HOST = '127.0.0.1';
 const packr = new Packr({ useRecords: false });
@@ -32,8 +32,7 @@
 
 /** Sends datagrams to a socket and returns the snapshot or the error that it reports for each. */
 const receive = async (...datagrams: readonly Uint8Array[]): Promise<(WorkSnapshot | string)[]> => {
-  const { port, close } = await startRawServer(() => {});
-  close();
+  const port = await reservePort();
   const received: (WorkSnapshot | string)[] = [];
   let finish = (): void => {};
   const add = (value: WorkSnapshot | string): void => {
--- a/packages/entry/test/gateway/snapshot-codec.test.ts
+++ b/packages/entry/test/gateway/snapshot-codec.test.ts
@@ -3,11 +3,11 @@
 import { Packr } from 'msgpackr';
 import { DATAGRAM_HEADER_BYTES, estimateDatagramBytes } from '@savorywind/decisions';
 import type { WorkSnapshot } from '@savorywind/model';
+import { reservePort } from '@savorywind/stand-ins';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { PeerSocket } from '../../src/gateway/peer-socket.js';
 import type { PermitMessage } from '../../src/gateway/permit-messages.js';
 import { SnapshotCodec, type SnapshotFormat } from '../../src/gateway/snapshot-codec.js';
-import { startRawServer } from '../fixtures/test-gateway.js';
 
 const HOST = '127.0.0.1';
 
@@ -135,11 +135,9 @@
     peer = createSocket('udp4').bind(0, HOST);
     await once(peer, 'listening');
     peerPort = peer.address().port;
-    const { port, close } = await startRawServer(() => {});
-    close();
-    socketPort = port;
+    socketPort = await reservePort();
     socket = new PeerSocket({
-      address: { host: HOST, port },
+      address: { host: HOST, port: socketPort },
       onSnapshotReceived: () => onReceived(),
       onPermitMessage: () => {},
       onFailed: () => {},
--- a/packages/entry/test/links/entry-links.test.ts
+++ b/packages/entry/test/links/entry-links.test.ts
@@ -1,9 +1,10 @@
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import { WebSocket } from 'ws';
 import type { LinkMessage } from '@savorywind/model';
+import { reservePort } from '@savorywind/stand-ins';
 import { LINK_PATH, LINK_PROTOCOL_VERSION, MAX_QUEUED_FRAMES } from '../../src/links/consts.js';
 import { FrameCodec } from '../../src/links/frame-codec.js';
-import { createVm, findFreePort, startLinks, type RunningLinks } from '../fixtures/links.js';
+import { createVm, startLinks, type RunningLinks } from '../fixtures/links.js';
 
 const WAIT = { timeout: 20_000, interval: 10 };
 const MESSAGES = 200;
@@ -11,8 +12,8 @@
 const startedLinks: RunningLinks[] = [];
 
 const startPair = async (): Promise<[RunningLinks, RunningLinks]> => {
-  const lower = await startLinks(createVm('a', await findFreePort()));
-  const higher = await startLinks(createVm('b', await findFreePort()));
+  const lower = await startLinks(createVm('a', await reservePort()));
+  const higher = await startLinks(createVm('b', await reservePort()));
   startedLinks.push(lower, higher);
   return [lower, higher];
 };
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -23,4 +23,5 @@
 } from './http/route-server.js';
 export { startPlatform, type PlatformSettings } from './platform/platform-stand-in.js';
 export { TableStore } from './platform/table-store.js';
+export { reservePort } from './ports/reserve-port.js';
 export { startService, type ServiceSettings } from './service/service-stand-in.js';
