Withhold registrations of departed endpoints while the store does not answer

Cause: after the store came back from an older copy, registrations of departed endpoints are withheld for 10 s, as a gone endpoint's registration expires in that time. If the store became unavailable meanwhile, nothing could expire, nor could the VM hear of it, but the 10 s went on, and the old registration was believed.

Change: they are withheld as long as the store does not answer, and for 10 s after it answers again.

--- a/packages/decisions/src/gateway/endpoint-table.ts
+++ b/packages/decisions/src/gateway/endpoint-table.ts
@@ -15,8 +15,9 @@
 const DEPARTURE_MEMORY_MS = 60_000;
 
 /**
- * Time from the begin of an era of the store for which registrations of departed endpoints are not
- * believed. By then the registration of an endpoint that has gone has expired, as nobody renews it.
+ * Time from the begin of an era of the store, or from the end of an outage during it, for which
+ * registrations of departed endpoints are not believed. By then the registration of an endpoint that has
+ * gone has expired, as nobody renews it, and this VM has heard of that.
  */
 const WITHHOLD_MS = 10_000;
 
@@ -30,8 +31,8 @@
  *
  * A store that has come back from an older copy of itself begins a new era. Registrations that the copy
  * lacks are retained as after an outage. Those of endpoints that had left or announced that they leave are
- * withheld until they change in the new era, start anew, or are still there after `WITHHOLD_MS`; and the
- * registration of an earlier process under the same id is ignored.
+ * withheld until they change in the new era, start anew, or are still there after `WITHHOLD_MS` in which
+ * the store answers. The registration of an earlier process under the same id is ignored.
  */
 export class EndpointTable {
   private readonly endpoints = new Map<EndpointId, GatewayEndpoint>();
@@ -76,6 +77,7 @@
     if (!this.isStoreUnavailable) return;
     this.isStoreUnavailable = false;
     this.graceEndsAtMs = nowMs + this.reregistrationMs;
+    if (this.withheld.size > 0) this.withheldUntilMs = nowMs + WITHHOLD_MS;
   }
 
   /** Handles that the store has come back from an older copy of itself. */
@@ -115,8 +117,8 @@
    * that were withheld for long enough.
    */
   expire(nowMs: MonotonicMs): void {
-    if (!this.isStoreUnavailable && nowMs >= this.graceEndsAtMs)
-      this.retained.forEach((id) => this.remove(id, nowMs));
+    if (this.isStoreUnavailable) return;
+    if (nowMs >= this.graceEndsAtMs) this.retained.forEach((id) => this.remove(id, nowMs));
     if (nowMs < this.withheldUntilMs) return;
     const withheld = [...this.withheld.values()];
     this.withheld.clear();
@@ -125,10 +127,8 @@
 
   /** When `expire` has something to do next; undefined if it has nothing to do. */
   get nextExpiryMs(): MonotonicMs | undefined {
-    const retainedMs =
-      this.isStoreUnavailable || this.retained.size === 0
-        ? Number.POSITIVE_INFINITY
-        : this.graceEndsAtMs;
+    if (this.isStoreUnavailable) return undefined;
+    const retainedMs = this.retained.size === 0 ? Number.POSITIVE_INFINITY : this.graceEndsAtMs;
     const withheldMs = this.withheld.size === 0 ? Number.POSITIVE_INFINITY : this.withheldUntilMs;
     const nextMs = Math.min(retainedMs, withheldMs);
     return nextMs === Number.POSITIVE_INFINITY ? undefined : nextMs;
--- a/packages/decisions/test/gateway/store-eras.test.ts
+++ b/packages/decisions/test/gateway/store-eras.test.ts
@@ -225,6 +225,28 @@
     expect(listUsed()).toContain('e2');
   });
 
+  it('of an endpoint that had left are not believed while the store is away', () => {
+    change('e2', createEndpoint('e2', { state: 'leaving' }));
+    raiseEra();
+    showEndpoints(createEndpoint('e1'), createEndpoint('e2'));
+    driver.dispatch({ kind: 'store.failed', detail: 'test' });
+    driver.advance(11_000);
+    expect(listUsed()).toEqual(['e1']);
+  });
+
+  it('of an endpoint that had left are not believed as soon as the store is back', () => {
+    change('e2', createEndpoint('e2', { state: 'leaving' }));
+    raiseEra();
+    showEndpoints(createEndpoint('e1'), createEndpoint('e2'));
+    driver.dispatch({ kind: 'store.failed', detail: 'test' });
+    driver.advance(11_000);
+    driver.confirm();
+    showEndpoints(createEndpoint('e1'), createEndpoint('e2'));
+    expect(listUsed()).toEqual(['e1']);
+    driver.advance(11_000);
+    expect(listUsed()).toEqual(['e1', 'e2']);
+  });
+
   it('of a process that started anew after it had left are believed at once', () => {
     driver.advance(100);
     change('e2', undefined);
