Leave out event ids that no header can hold

Cause: the id of a stream's last event is sent back in a header when the stream is resumed at another engine. An id with a control character makes Node's http.request throw ERR_INVALID_CHAR inside an effect, which nothing catches: one engine could end the process and with it all open responses.

Change: such an id, an empty one and one of over 1,024 characters count as none, so that the stream is not resumed after that event.

The throw was seen with a call of http.request alone; the end of a whole process was not played.

--- a/packages/entry/src/gateway/endpoints/event-splitter.ts
+++ b/packages/entry/src/gateway/endpoints/event-splitter.ts
@@ -1,4 +1,4 @@
-/** One complete server-sent event: its unchanged bytes, and its id if it has one. */
+/** One complete server-sent event: its unchanged bytes, and its id if it has one that can be sent back. */
 export interface StreamEvent {
   readonly bytes: Buffer;
   readonly id: string | undefined;
@@ -8,6 +8,12 @@
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = /^id: ?(.*)$/m;
 
+/**
+ * Ids that a header can hold (RFC 9110, section 5.5), as a resumed stream sends the last one back. Their
+ * length is bounded well below the 8 KB of a request's head that servers commonly accept.
+ */
+const HEADER_VALUE = /^[\x21-\x7e\x80-\xff][\x20-\x7e\x80-\xff]{0,1023}$/;
+
 /** Largest event, in bytes. Engines send a few tokens per event, so a larger one is invalid. */
 const MAX_EVENT_BYTES = 1_048_576;
 
@@ -24,8 +30,8 @@
 };
 
 const parseEvent = (bytes: Buffer): StreamEvent => {
-  const id = ID_FIELD.exec(bytes.toString('latin1'))?.[1]?.replace(/\r$/, '');
-  return { bytes, id };
+  const id = ID_FIELD.exec(bytes.toString('latin1'))?.[1] ?? '';
+  return { bytes, id: HEADER_VALUE.test(id) ? id : undefined };
 };
 
 /**
