Reset the connection of an HTTP/1.0 caller whose response was broken off

Cause: a response to an HTTP/1.0 caller has no chunks and, where its length is not known, ends with its connection. Breaking it off closed the connection like a complete one.

Change: a response that is not chunked is broken off with a reset. HTTP/1.1 callers see the missing last chunk, as before.

Evidence: "is reset if it was broken off" failed before (end for reset) and passes now, five runs of five. Remains: a process that is killed ends such a response like a complete one; nothing in the process can prevent that.

--- a/packages/entry/src/gateway/callers/caller-exchange.ts
+++ b/packages/entry/src/gateway/callers/caller-exchange.ts
@@ -78,9 +78,14 @@
     this.outgoing.end();
   }
 
-  /** Closes the connection, so that the caller sees that the response is incomplete. */
+  /**
+   * Closes the connection, so that the caller sees that the response is incomplete. A response that is
+   * not chunked may end with its connection; then only a reset shows it.
+   */
   abort(): void {
-    this.outgoing.destroy();
+    const { outgoing } = this;
+    if (!outgoing.chunkedEncoding) outgoing.socket?.resetAndDestroy();
+    outgoing.destroy();
   }
 
   /** Sends an error response that the gateway creates itself. */
--- a/packages/entry/test/gateway/broken-off-response-that-looks-complete.test.ts
+++ b/packages/entry/test/gateway/broken-off-response-that-looks-complete.test.ts
@@ -1,5 +1,5 @@
 import { request, type IncomingMessage } from 'node:http';
-import type { Socket } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import type { Route } from '@savorywind/model';
 import { afterEach, describe, expect, it } from 'vitest';
 import {
@@ -97,9 +97,20 @@
       .end();
   });
 
+/** Sends a request by HTTP/1.0, and returns how the connection ended. */
+const callByOldProtocol = ({ port }: TestGateway): Promise<'end' | 'reset'> =>
+  new Promise((resolve) => {
+    const socket = connect(port, '127.0.0.1');
+    socket.on('end', () => resolve('end'));
+    socket.on('error', () => resolve('reset'));
+    socket.resume();
+    socket.write('GET /a HTTP/1.0\r\nHost: shop.example\r\nX-Try: 1\r\nX-Waits: 2000\r\n\r\n');
+  });
+
+const STREAM = { kind: 'streaming', resumable: true, maxEventGapMs: 100 } as const;
+
 const runStream = async (...scripts: readonly Script[]): Promise<Outcome> => {
-  const stream = { kind: 'streaming', resumable: true, maxEventGapMs: 100 } as const;
-  return callGateway(await startGateway(scripts, stream));
+  return callGateway(await startGateway(scripts, STREAM));
 };
 
 const BROKEN_OFF = sendAndReset(`${STREAM_HEAD}${CHUNKED}${createChunkedEvents(1, 2)}`);
@@ -151,6 +162,18 @@
   });
 });
 
+describe('a stream for a caller without chunks, by HTTP/1.0', () => {
+  it('ends with its connection if it is complete', async () => {
+    const whole = send(`${STREAM_HEAD}${CHUNKED}${createChunkedEvents(1, 2)}${LAST_CHUNK}`);
+    expect(await callByOldProtocol(await startGateway([whole], STREAM))).toBe('end');
+  });
+
+  it('is reset if it was broken off, so that it does not look complete', async () => {
+    const gateway = await startGateway([BROKEN_OFF, BROKEN_OFF], STREAM);
+    expect(await callByOldProtocol(gateway)).toBe('reset');
+  });
+});
+
 describe('a long response of a call that an endpoint broke off', () => {
   it('does not go on with the response of another endpoint', async () => {
     const head = `HTTP/1.1 200 OK\r\nX-Receipt: r\r\nContent-Length: ${LONG_BODY_BYTES}\r\n\r\n`;
