--- a/packages/decisions/test/gateway/attempts.test.ts
+++ b/packages/decisions/test/gateway/attempts.test.ts
@@ -35,6 +35,15 @@
     expect(driver.findRefusal(id)?.reason).toBe('broken');
   });
 
+  it.each([408, 429, 503])('has no retry-after time if its endpoint responds with %i', (status) => {
+    const driver = startDriver('e1');
+    const id = driver.request('/booking/');
+    const { attemptId } = driver.findAttempt(id)!;
+    const head = createHead({ status, content: 'whole' });
+    driver.dispatch({ kind: 'attempt.headReceived', attemptId, head });
+    expect(driver.findRefusal(id)).toEqual({ reason: 'broken', retryAfterMs: undefined });
+  });
+
   it('is not sent again after its caller has disconnected', () => {
     const driver = startDriver('e1');
     const id = driver.request('/booking/');
--- a/packages/entry/test/gateway/broken-off-response-that-looks-complete.test.ts
+++ b/packages/entry/test/gateway/broken-off-response-that-looks-complete.test.ts
@@ -109,9 +109,8 @@
 
 const STREAM = { kind: 'streaming', resumable: true, maxEventGapMs: 100 } as const;
 
-const runStream = async (...scripts: readonly Script[]): Promise<Outcome> => {
-  return callGateway(await startGateway(scripts, STREAM));
-};
+const runStream = async (...scripts: readonly Script[]): Promise<Outcome> =>
+  callGateway(await startGateway(scripts, STREAM));
 
 const BROKEN_OFF = sendAndReset(`${STREAM_HEAD}${CHUNKED}${createChunkedEvents(1, 2)}`);
 
