Name no retry time where a call that must not repeat may have run

Cause: an endpoint that answers a call that must not repeat with 408 or 429 and does not say that it did not execute it may have run it. The caller got 502, as it should, but with Retry-After, since the attempt was not counted as a run; for 503 it was.

--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -179,6 +179,8 @@
       this.attempts.cancel(record);
       this.place(record);
     } else if (!mayRerun(record) && NOT_EXECUTED_STATUSES.has(head.status)) {
+      // The endpoint may have run it: the response does not say that it was not executed.
+      record.runs = Math.max(1, record.runs);
       this.attempts.cancel(record);
       this.fail(record, 'broken');
     } else {
