Send a request that an endpoint rejected to it again over a new connection only (REFUSED)

Cause: a request that must not run twice may go again to an endpoint that rejected it, over the same kept connection and with the same id. If the first rejection arrives a second time, late, it names that id and passes for the rejection of the second send, which the endpoint runs. The caller is told that nothing ran, and the request may even run twice.

Ruled out by reading: 'connect' against the connect timer (bytes are written only after 'connect'), requests destroyed before their socket, bytes that arrive on idle sockets (Node drops them), two responses in one read (Node closes the connection), 408 of the body reader (its request never starts).

Change: the decisions record at which endpoints an attempt was started, and a later attempt there uses a new connection, which ends with its response. Requests that may run again keep using kept connections.

--- a/packages/decisions/src/gateway/create-gateway-record.ts
+++ b/packages/decisions/src/gateway/create-gateway-record.ts
@@ -68,6 +68,7 @@
     sends: 0,
     runs: 0,
     unsent: 0,
+    attemptedEndpoints: new Set(),
     failedEndpoints: new Set(),
     hasLostEndpoint: false,
     hasForwardedHead: false,
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -6,7 +6,7 @@
 import type { GatewayContext } from './gateway-context.js';
 import type { MemoryReservation } from './memory-reservations.js';
 import { mayRerun, type GatewayAttempt, type GatewayRecord } from './request-record.js';
-import type { PrefillHelper } from './types.js';
+import type { ConnectionChoice, PrefillHelper } from './types.js';
 
 /**
  * Shortest time without data after which a stream's endpoint counts as stalled, in milliseconds.
@@ -42,6 +42,15 @@
     reservationId: held.find((item) => item.endpoint.id === endpoint.id)?.reservationId,
   }));
 
+/**
+ * Decides which connection an attempt uses. An endpoint may send a rejection twice, and the late copy names
+ * the same request: on a connection of an earlier attempt it would pass for the rejection of this one.
+ */
+const decideConnection = (record: GatewayRecord, { id }: GatewayEndpoint): ConnectionChoice => {
+  if (mayRerun(record)) return 'kept';
+  return record.attemptedEndpoints.has(id) ? 'new' : 'recent';
+};
+
 export interface GatewayAttemptsOptions {
   readonly context: GatewayContext;
   readonly fleetLoad: FleetLoadTracker;
@@ -82,6 +91,7 @@
     this.options.limits.recordAttempt(plan.endpoint.id);
     this.records.set(attempt.attemptId, record);
     this.emitStart(record, attempt, plan);
+    record.attemptedEndpoints.add(plan.endpoint.id);
     this.armStallTimer(record, attempt, this.estimateStallTimeoutMs(record, plan.partMs));
     this.options.onWorkChanged();
   }
@@ -159,7 +169,7 @@
       priority: undefined,
       lastEventId: record.lastEventId,
       helpers: listPrefillHelpers(plan.helpers, reservations?.held ?? []),
-      connection: mayRerun(record) ? 'kept' : 'recent',
+      connection: decideConnection(record, endpoint),
       delivery: route.kind === 'streaming' ? 'events' : 'whole',
     });
     record.placements.push({
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -73,6 +73,8 @@
   runs: number;
   /** Attempts that failed before any byte of the request left this process. */
   unsent: number;
+  /** Endpoints at which an attempt was started. */
+  readonly attemptedEndpoints: Set<EndpointId>;
   /** Endpoints that failed this request; they get it again only if there is no other. */
   readonly failedEndpoints: Set<EndpointId>;
   /** Whether the connection to an endpoint of this request was lost, or the endpoint stalled. */
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -202,6 +202,15 @@
   readonly totalMs: number;
 }
 
+/**
+ * Which connection an attempt uses.
+ *
+ * - `kept`: any keep-alive connection, else a new one
+ * - `recent`: a keep-alive connection that was in use recently, else a new one
+ * - `new`: a new one, which no response to an earlier attempt can arrive on
+ */
+export type ConnectionChoice = 'kept' | 'recent' | 'new';
+
 /** Output of the gateway's decisions, executed by the process. */
 export type GatewayEffect =
   | {
@@ -219,8 +228,7 @@
       /** Id of the last event that was forwarded; replaces the caller's. */
       readonly lastEventId: string | undefined;
       readonly helpers: readonly PrefillHelper[];
-      /** `recent`: reuses a keep-alive connection only if it was in use recently. */
-      readonly connection: 'kept' | 'recent';
+      readonly connection: ConnectionChoice;
       /** `whole`: the response is buffered until it is complete. */
       readonly delivery: 'whole' | 'events';
     }
--- a/packages/decisions/test/gateway/attempts.test.ts
+++ b/packages/decisions/test/gateway/attempts.test.ts
@@ -25,6 +25,14 @@
     expect(driver.findRefusal(id)?.retryAfterMs).toBeGreaterThan(0);
   });
 
+  it('goes to an endpoint that rejected it over a new connection only', () => {
+    const driver = startDriver('e1');
+    const id = driver.request('/booking/');
+    driver.fail(id, 'rejected');
+    const connections = driver.list('attempt.start').map(({ connection }) => connection);
+    expect(connections).toEqual(['recent', 'new']);
+  });
+
   it('is refused as broken where the status of its endpoint means that it did not run', () => {
     const driver = startDriver('e1');
     const id = driver.request('/booking/');
--- a/packages/entry/src/gateway/endpoints/connection-pools.ts
+++ b/packages/entry/src/gateway/endpoints/connection-pools.ts
@@ -1,5 +1,6 @@
 import type { Agent } from 'node:http';
 import type { Socket } from 'node:net';
+import type { ConnectionChoice } from '@savorywind/decisions';
 import type { EndpointId } from '@savorywind/model';
 import { ProbingAgent } from './probing-agent.js';
 
@@ -24,15 +25,20 @@
 export class ConnectionPools {
   private readonly agents = new Map<EndpointId, Agent>();
 
+  /** Opens a connection for each request and closes it after the response. */
+  private readonly newConnections = new ProbingAgent({ keepAlive: false });
+
   /**
-   * Returns the pool of an endpoint, which is created if it does not exist yet.
+   * Returns the pool of an endpoint, which is created if it does not exist yet. For `new` connections,
+   * returns an agent without idle connections.
    *
-   * @param freshness `kept` allows all idle connections; `recent` first closes those that were idle for
-   *   too long
+   * @param choice `kept` allows all idle connections; `recent` first closes those that were idle for too
+   *   long
    */
-  find(endpoint: EndpointId, freshness: 'kept' | 'recent'): Agent {
+  find(endpoint: EndpointId, choice: ConnectionChoice): Agent {
+    if (choice === 'new') return this.newConnections;
     const agent = this.agents.get(endpoint) ?? this.createAgent(endpoint);
-    if (freshness === 'recent') {
+    if (choice === 'recent') {
       const oldestAllowedMs = performance.now() - MAX_RECENT_IDLE_MS;
       this.closeIdle(agent, (socket) => (idleSinceMs.get(socket) ?? 0) < oldestAllowedMs);
     }
@@ -50,6 +56,7 @@
   stop(): void {
     this.agents.forEach((agent) => agent.destroy());
     this.agents.clear();
+    this.newConnections.destroy();
   }
 
   private createAgent(endpoint: EndpointId): Agent {
