--- a/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
@@ -98,15 +98,9 @@
     const { wire, exchange, start, dispatch } = this.options;
     const status = response.statusCode ?? 0;
     const metadata = wire.readResponse(status, response.headers);
-    const isForThisRequest =
-      metadata.callerAttempt === undefined ||
-      metadata.callerAttempt === exchange.metadata.callerAttempt;
-    if (!isForThisRequest || response.headers['content-encoding'] !== undefined) {
-      this.drop(
-        response,
-        'invalid',
-        'response belongs to another request or has a content encoding',
-      );
+    const mismatch = this.findMismatch(response, metadata);
+    if (mismatch !== undefined) {
+      this.drop(response, 'invalid', mismatch);
       return;
     }
     this.reportLimit(metadata);
@@ -124,6 +118,21 @@
     }
   }
 
+  /** Finds why a response can't be taken for the response to this request. */
+  private findMismatch(
+    { headers }: IncomingMessage,
+    { callerAttempt, outcome }: ResponseMetadata,
+  ): string | undefined {
+    const { metadata } = this.options.exchange;
+    if (headers['content-encoding'] !== undefined) return 'response has a content encoding';
+    if (callerAttempt !== undefined && callerAttempt !== metadata.callerAttempt)
+      return 'response belongs to another request';
+    // It may be late and belong to an earlier request, while the endpoint runs this one.
+    if (callerAttempt === undefined && outcome !== 'answered' && this.outgoing.reusedSocket)
+      return 'rejection on a reused connection names no request';
+    return undefined;
+  }
+
   /** A response of another endpoint at the same address says nothing of this one. */
   private reportLimit({ outcome, requestLimit }: ResponseMetadata): void {
     if (this.isEnded || outcome === 'otherEndpoint') return;
--- a/packages/entry/test/gateway/refused-request-that-runs.test.ts
+++ b/packages/entry/test/gateway/refused-request-that-runs.test.ts
@@ -51,19 +51,30 @@
 const createRejection = (name: string): string =>
   `HTTP/1.1 503 Full\r\nX-Try: ${name}\r\nX-Not-Run: 1\r\n${NO_BODY}`;
 
+const UNNAMED_REJECTION = `HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n${NO_BODY}`;
+
 const run = (name: string, socket: Socket): void => {
   runs.push(name);
   socket.write(`HTTP/1.1 200 OK\r\nX-Receipt: r\r\nX-Try: ${name}\r\n${NO_BODY}`);
 };
 
-/** Starts a gateway with one endpoint, which responds to each request by its name. */
-const startGateway = async (respond: (name: string, socket: Socket) => void): Promise<void> => {
-  const endpoint = await startRawServer((socket) =>
+/**
+ * Starts a gateway with one endpoint.
+ *
+ * @param respond called for each request with its number on its connection, from 1
+ */
+const startGateway = async (
+  respond: (name: string, socket: Socket, count: number) => void,
+): Promise<void> => {
+  const endpoint = await startRawServer((socket) => {
+    let count = 0;
     socket.on('data', (bytes: Buffer) => {
       const name = /x-try: (\w+)/i.exec(bytes.toString())?.[1];
-      if (name !== undefined) respond(name, socket);
-    }),
-  );
+      if (name === undefined) return;
+      count += 1;
+      respond(name, socket, count);
+    });
+  });
   closeEndpoint = endpoint.close;
   gateway = await startTestGateway([endpoint.port], createConfiguration());
 };
@@ -85,4 +96,26 @@
     await delay(LATE_RUN_MS);
     expect({ status, runs }).toEqual({ status: 503, runs: [] });
   });
+
+  it('did not run where a late rejection names no request', async () => {
+    await startGateway((name, socket, count) => {
+      if (count > 1) socket.write(UNNAMED_REJECTION);
+      run(name, socket);
+    });
+    expect(await sendAttempt('t1')).toBe(200);
+    const status = await sendAttempt('t2');
+    await delay(LATE_RUN_MS);
+    expect({ status, runs }).toEqual({ status: 502, runs: ['t1', 't2'] });
+  });
+
+  it('is sent again where the first response of a connection is a rejection without a name', async () => {
+    let connections = 0;
+    await startGateway((name, socket, count) => {
+      if (count === 1) connections += 1;
+      if (connections === 1) socket.write(UNNAMED_REJECTION);
+      else run(name, socket);
+    });
+    expect(await sendAttempt('t1')).toBe(200);
+    expect(runs).toEqual(['t1']);
+  });
 });
