Check with processes and sockets that requests refused as not run do not run (REFUSED)

Adds replicas that keep their promises and otherwise send responses twice, late, truncated or without an id, close, half-close or reset connections, answer before they read a body, reset connections over a limit, accept few waiting connections, and take another id at the same address. A ledger compares what callers were told with what ran, until seconds after the end.

Callers keep connections or open new ones, send long bodies and give up early.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -79,4 +79,9 @@
 if (process.argv.includes('--demo')) {
   await bundle('platform/test/demo.ts', 'target/platform-demo.mjs', 'esm');
   await bundle('platform/test/mixed-builds-demo.ts', 'target/mixed-builds-demo.mjs', 'esm');
+  await bundle(
+    'platform/test/refused-requests-stress.ts',
+    'target/refused-requests-stress.mjs',
+    'esm',
+  );
 }
