Limit the bytes of a response outside of its body

Cause: nothing counted the bytes that an endpoint sends outside of a body. Node limits headers, one chunk extension and the trailers to 16 KB each, but resets the count with each informational response and each chunk, and counts neither empty lines before a status line nor zeros of a chunk size. An endpoint that sends them without end kept one core busy (4.0 to 4.7 s of processor time in 4 s) until the request's deadline.

Ruled out: bytes that are not HTTP, an endless status line, header line, chunk extension or trailer. These tests passed before.

Change: FramingLimit counts what the connection receives less the body.

Evidence: npx vitest run packages/entry/test/gateway/endless-heads.test.ts Before: "has its connection closed: empty lines before the status line", "responses with status 100", "responses with status 103", "chunks of one byte with long extensions", "zeros of a chunk size": "Error: Test timed out in 4000ms.". Now all 12 pass.

--- a/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
@@ -10,6 +10,7 @@
 } from '../types.js';
 import { ResponseRelay } from './response-relay.js';
 import type { ConnectionPools } from './connection-pools.js';
+import { FramingLimit } from './framing-limit.js';
 
 const HTTP_OK = 200;
 const EVENT_STREAM_TYPE = 'text/event-stream';
@@ -35,6 +36,8 @@
 
   private relay: ResponseRelay | undefined;
 
+  private framing: FramingLimit | undefined;
+
   private isEnded = false;
 
   constructor(private readonly options: EndpointAttemptOptions) {
@@ -42,6 +45,7 @@
     this.outgoing.on('socket', (socket) => this.handleSocket(socket));
     this.outgoing.on('response', (response) => this.handleResponse(response));
     this.outgoing.on('error', (error: NodeJS.ErrnoException) => this.handleError(error));
+    this.outgoing.on('close', () => this.framing?.stop());
     this.outgoing.end(options.exchange.body.length > 0 ? options.exchange.body : undefined);
   }
 
@@ -79,6 +83,7 @@
   }
 
   private handleSocket(socket: Socket): void {
+    this.framing = new FramingLimit(socket, (detail) => this.failResponse('invalid', detail));
     if (!socket.connecting) {
       this.mayHaveSent = true;
       return;
@@ -96,6 +101,7 @@
 
   private handleResponse(response: IncomingMessage): void {
     const { wire, exchange, start, dispatch } = this.options;
+    this.framing?.attach(response);
     const status = response.statusCode ?? 0;
     const metadata = wire.readResponse(status, response.headers);
     const isForThisRequest =
@@ -157,6 +163,13 @@
     else this.fail(isParseError ? 'invalid' : 'broken', error.message);
   }
 
+  /** Closes the connection to the endpoint, also if the attempt has already failed. */
+  private failResponse(failure: 'broken' | 'invalid', detail: string): void {
+    if (this.relay !== undefined) this.relay.fail(failure, detail);
+    else this.fail(failure, detail);
+    this.outgoing.destroy();
+  }
+
   private fail(failure: Failure, detail: string, atFault?: NetworkAddress): void {
     if (this.isEnded) return;
     this.isEnded = true;
