Fail an attempt whose endpoint switches protocols

Cause: Node closes a connection whose response has status 101 and reports neither a response nor an error if nothing listens for 'upgrade'. The attempt ran on without a connection until its request's deadline.

Change: the attempt fails as 'invalid' at once.

Evidence: npx vitest run packages/entry/test/gateway/endless-heads.test.ts Before: "an endpoint that switches protocols > fails the attempt at once: Error: Test timed out in 2000ms." Now all 13 pass.

--- a/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
@@ -46,6 +46,8 @@
     this.outgoing.on('response', (response) => this.handleResponse(response));
     this.outgoing.on('error', (error: NodeJS.ErrnoException) => this.handleError(error));
     this.outgoing.on('close', () => this.framing?.stop());
+    // Without this listener, Node closes the connection and reports nothing.
+    this.outgoing.on('upgrade', () => this.failResponse('invalid', 'endpoint switched protocols'));
     this.outgoing.end(options.exchange.body.length > 0 ? options.exchange.body : undefined);
   }
 
--- a/packages/entry/test/gateway/endless-heads.test.ts
+++ b/packages/entry/test/gateway/endless-heads.test.ts
@@ -63,3 +63,11 @@
     2 * TEST_LIMIT_MS,
   );
 });
+
+describe('an endpoint that switches protocols', () => {
+  it('fails the attempt at once', async () => {
+    const head = 'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n';
+    const { end } = await runEndlessly(head, 'a');
+    expect(end).toMatchObject({ failure: 'invalid', detail: 'endpoint switched protocols' });
+  }, 2_000);
+});
