Close the connection of a rejection whose body never ends

Cause: the body of a rejection was read to its end, however long it is, after the attempt had been reported as failed. No timer and no deadline applied any more, so the connection was read until the endpoint closed it.

Ruled out: a response that is dropped (another request's, or with a content encoding) closes its connection; that test passed before.

The rejection counts as before.

--- a/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
@@ -10,6 +10,7 @@
 } from '../types.js';
 import { ResponseRelay } from './response-relay.js';
 import type { ConnectionPools } from './connection-pools.js';
+import { dropBody } from './drop-body.js';
 import { FramingLimit } from './framing-limit.js';
 
 const HTTP_OK = 200;
@@ -139,14 +140,13 @@
     dispatch({ kind: 'attempt.limitReported', attemptId: start.attemptId, limit: requestLimit });
   }
 
-  /** Fails the attempt, and reads the body to its end, so that the connection can be reused. */
+  /** Fails the attempt. The connection is reused if the body ends soon. */
   private handleRejection(
     response: IncomingMessage,
     outcome: 'rejected' | 'otherEndpoint',
     { status, atFault }: ResponseMetadata,
   ): void {
-    response.on('error', () => {});
-    response.resume();
+    dropBody(response);
     this.fail(outcome, `status ${status}`, atFault);
   }
 
