--- a/packages/entry/test/gateway/endless-heads.test.ts
+++ b/packages/entry/test/gateway/endless-heads.test.ts
@@ -56,7 +56,7 @@
     'has its connection closed: %s',
     async (_name, head, part) => {
       const { end, tookMs } = await runEndlessly(head, part);
-      expect(end).toMatchObject({ kind: 'attempt.failed' });
+      expect(end).toMatchObject({ kind: 'attempt.failed', failure: 'invalid' });
       expect(end).toHaveProperty('detail', expect.stringMatching(/Parse Error|65536 bytes/));
       expect(tookMs).toBeLessThan(TEST_LIMIT_MS);
     },
