Keep a complete response when the endpoint sends more bytes after it

Cause: if bytes that are not HTTP arrived in one segment with the end of a response, the parse error was reported before the end of the response, and the attempt failed although its whole body was there. A call that must not repeat then ended with 502.

Ruled out: a response without a length; it is complete only once its connection has ended without a reset, and an error after its last byte still breaks it (response-ends.test.ts passes as before).

Change: an error of the connection is ignored once a response with a delimited body is complete. The connection is closed.

Evidence: npx vitest run packages/entry/test/gateway/unasked-bytes.test.ts Before: "AssertionError: expected 'attempt.failed' to be 'attempt.ended'". Now it passes.

--- a/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
@@ -161,7 +161,8 @@
     const isParseError = error.code?.startsWith('HPE_') === true;
     if (!this.mayHaveSent) this.fail('notSent', error.message);
     // Without this report, a response without a length would look complete after a reset.
-    else this.failResponse(isParseError ? 'invalid' : 'broken', error.message);
+    else if (this.relay?.isComplete !== true)
+      this.failResponse(isParseError ? 'invalid' : 'broken', error.message);
   }
 
   /** Closes the connection to the endpoint, also if the attempt has already failed. */
--- a/packages/entry/src/gateway/endpoints/response-relay.ts
+++ b/packages/entry/src/gateway/endpoints/response-relay.ts
@@ -60,6 +60,16 @@
     });
   }
 
+  /**
+   * Whether the whole response was received, although its end may not be reported yet. What the
+   * connection receives after it belongs to no request. A response without a length may still turn out
+   * to have been reset.
+   */
+  get isComplete(): boolean {
+    const { response } = this.options;
+    return response.complete && hasDelimitedBody(response);
+  }
+
   /** Sends the head and what was buffered; from now on data is forwarded as it arrives. */
   startForwarding(): void {
     const { exchange, response } = this.options;
