Close an idle connection on which the endpoint sends bytes

Cause: nothing listened to an idle connection. Its bytes waited in a buffer of the socket, and the next request on the connection read them as its response: a head without a request id was accepted, and 9 bytes of the next request's answer were taken for its body. Reads also restart the idle timeout, so that such a connection was never closed.

Ruled out: the parser of the previous request, which is detached when its response is complete.

Change: GuardedAgent listens while a connection is idle, and closes it at the first byte (RFC 9112 knows no data outside of a response). It also takes the connection out of the pool, as Node does so only later and with lifo scheduling could use it for a request.

--- a/packages/entry/src/gateway/endpoints/probing-agent.ts
+++ b/packages/entry/src/gateway/endpoints/probing-agent.ts
@@ -1,5 +1,5 @@
-import { Agent } from 'node:http';
 import { connect, type Socket, type TcpNetConnectOpts } from 'node:net';
+import { GuardedAgent } from './guarded-agent.js';
 
 const resetSockets = new WeakSet<Socket>();
 
@@ -16,7 +16,7 @@
  * HTTP agent that writes a probe to each connection as soon as the peer ends it, before the reader of
  * the response sees the end; see `hasBeenReset`.
  */
-export class ProbingAgent extends Agent {
+export class ProbingAgent extends GuardedAgent {
   // eslint-disable-next-line class-methods-use-this
   override createConnection(options: TcpNetConnectOpts): Socket {
     const socket = connect({ ...options, allowHalfOpen: true });
