Copy the chunks of a buffered response into one block

Cause: a response is buffered up to 262,144 bytes, which limited its bytes but not its memory. Each chunk was kept as an object of its own: 20 responses of 60,000 chunks of one byte (1.2 MB) took 234 MB.

Change: GrowingBuffer copies the chunks into one block of memory, which doubles when it is full.

Evidence: npx vitest run packages/entry/test/gateway/endless-bodies.test.ts Before: "AssertionError: expected to be less than". Now it passes.

--- a/packages/entry/src/gateway/endpoints/response-relay.ts
+++ b/packages/entry/src/gateway/endpoints/response-relay.ts
@@ -2,6 +2,7 @@
 import type { CallerExchange } from '../callers/caller-exchange.js';
 import type { ResponseMetadata, DispatchGatewayEvent } from '../types.js';
 import { EventSplitter, type StreamEvent } from './event-splitter.js';
+import { GrowingBuffer } from './growing-buffer.js';
 import { hasBeenReset } from './probing-agent.js';
 
 /** Statuses whose responses never have a body (RFC 9110). */
@@ -32,9 +33,7 @@
 export class ResponseRelay {
   private readonly splitter: EventSplitter | undefined;
 
-  private bufferedChunks: Buffer[] = [];
-
-  private bufferedBytes = 0;
+  private readonly buffered = new GrowingBuffer();
 
   private mayForward = false;
 
@@ -75,8 +74,7 @@
     const { exchange, response } = this.options;
     this.mayForward = true;
     exchange.sendHead(response, this.splitter === undefined ? this.findContentLength() : undefined);
-    this.bufferedChunks.forEach((chunk) => this.send(chunk));
-    this.bufferedChunks = [];
+    if (this.buffered.length > 0) this.send(this.buffered.take());
   }
 
   /** Discards the response. No further events are dispatched. */
@@ -86,7 +84,7 @@
   }
 
   private findContentLength(): number | undefined {
-    return this.options.response.complete ? this.bufferedBytes : undefined;
+    return this.options.response.complete ? this.buffered.length : undefined;
   }
 
   private handleChunk(chunk: Buffer): void {
@@ -100,9 +98,8 @@
       this.send(chunk);
       return;
     }
-    this.bufferedChunks.push(chunk);
-    this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes > MAX_BUFFERED_BYTES) this.reportHead();
+    this.buffered.append(chunk);
+    if (this.buffered.length > MAX_BUFFERED_BYTES) this.reportHead();
   }
 
   private handleEventChunk(splitter: EventSplitter, chunk: Buffer): void {
