--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,6 +5,8 @@
 export { settingsSchema, type EntrySettings } from './settings/schema.js';
 export { FrameCodec } from './links/frame-codec.js';
 export { SnapshotCodec } from './gateway/snapshot-codec.js';
+export { FramingLimit } from './gateway/endpoints/framing-limit.js';
+export { GrowingBuffer } from './gateway/endpoints/growing-buffer.js';
 export { GatewayProcess } from './gateway/gateway-process.js';
 export type * from './gateway/types.js';
 export type * from './gateway/store/types.js';
