--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -7,6 +7,7 @@
 export { SnapshotCodec } from './gateway/snapshot-codec.js';
 export { FramingLimit } from './gateway/endpoints/framing-limit.js';
 export { GrowingBuffer } from './gateway/endpoints/growing-buffer.js';
+export { GuardedAgent } from './gateway/endpoints/guarded-agent.js';
 export { GatewayProcess } from './gateway/gateway-process.js';
 export type * from './gateway/types.js';
 export type * from './gateway/store/types.js';
