--- a/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
@@ -10,6 +10,8 @@
 } from '../types.js';
 import { ResponseRelay } from './response-relay.js';
 import type { ConnectionPools } from './connection-pools.js';
+import { dropBody } from './drop-body.js';
+import { FramingLimit } from './framing-limit.js';
 
 const HTTP_OK = 200;
 const EVENT_STREAM_TYPE = 'text/event-stream';
@@ -35,6 +37,8 @@
 
   private relay: ResponseRelay | undefined;
 
+  private framing: FramingLimit | undefined;
+
   private isEnded = false;
 
   constructor(private readonly options: EndpointAttemptOptions) {
@@ -42,6 +46,9 @@
     this.outgoing.on('socket', (socket) => this.handleSocket(socket));
     this.outgoing.on('response', (response) => this.handleResponse(response));
     this.outgoing.on('error', (error: NodeJS.ErrnoException) => this.handleError(error));
+    this.outgoing.on('close', () => this.framing?.stop());
+    // Without this listener, Node closes the connection and reports nothing.
+    this.outgoing.on('upgrade', () => this.failResponse('invalid', 'endpoint switched protocols'));
     this.outgoing.end(options.exchange.body.length > 0 ? options.exchange.body : undefined);
   }
 
@@ -79,6 +86,7 @@
   }
 
   private handleSocket(socket: Socket): void {
+    this.framing = new FramingLimit(socket, (detail) => this.failResponse('invalid', detail));
     if (!socket.connecting) {
       this.mayHaveSent = true;
       return;
@@ -96,6 +104,7 @@
 
   private handleResponse(response: IncomingMessage): void {
     const { wire, exchange, start, dispatch } = this.options;
+    this.framing?.attach(response);
     const status = response.statusCode ?? 0;
     const metadata = wire.readResponse(status, response.headers);
     const mismatch = this.findMismatch(response, metadata);
@@ -140,14 +149,13 @@
     dispatch({ kind: 'attempt.limitReported', attemptId: start.attemptId, limit: requestLimit });
   }
 
-  /** Fails the attempt, and reads the body to its end, so that the connection can be reused. */
+  /** Fails the attempt. The connection is reused if the body ends soon. */
   private handleRejection(
     response: IncomingMessage,
     outcome: 'rejected' | 'otherEndpoint',
     { status, atFault }: ResponseMetadata,
   ): void {
-    response.on('error', () => {});
-    response.resume();
+    dropBody(response);
     this.fail(outcome, `status ${status}`, atFault);
   }
 
@@ -162,8 +170,15 @@
     const isParseError = error.code?.startsWith('HPE_') === true;
     if (!this.mayHaveSent) this.fail('notSent', error.message);
     // Without this report, a response without a length would look complete after a reset.
-    else if (this.relay !== undefined) this.relay.fail('broken', error.message);
-    else this.fail(isParseError ? 'invalid' : 'broken', error.message);
+    else if (this.relay?.isComplete !== true)
+      this.failResponse(isParseError ? 'invalid' : 'broken', error.message);
+  }
+
+  /** Closes the connection to the endpoint, also if the attempt has already failed. */
+  private failResponse(failure: 'broken' | 'invalid', detail: string): void {
+    if (this.relay !== undefined) this.relay.fail(failure, detail);
+    else this.fail(failure, detail);
+    this.outgoing.destroy();
   }
 
   private fail(failure: Failure, detail: string, atFault?: NetworkAddress): void {
--- a/packages/entry/src/gateway/endpoints/response-relay.ts
+++ b/packages/entry/src/gateway/endpoints/response-relay.ts
@@ -3,6 +3,7 @@
 import type { ResponseMetadata, DispatchGatewayEvent } from '../types.js';
 import { EventOrder } from './event-order.js';
 import { EventSplitter, type StreamEvent } from './event-splitter.js';
+import { GrowingBuffer } from './growing-buffer.js';
 import { hasBeenReset } from './probing-agent.js';
 
 /** Statuses whose responses never have a body (RFC 9110). */
@@ -37,9 +38,7 @@
 
   private readonly order: EventOrder;
 
-  private bufferedChunks: Buffer[] = [];
-
-  private bufferedBytes = 0;
+  private readonly buffered = new GrowingBuffer();
 
   private mayForward = false;
 
@@ -66,13 +65,22 @@
     });
   }
 
+  /**
+   * Whether the whole response was received, although its end may not be reported yet. What the
+   * connection receives after it belongs to no request. A response without a length may still turn out
+   * to have been reset.
+   */
+  get isComplete(): boolean {
+    const { response } = this.options;
+    return response.complete && hasDelimitedBody(response);
+  }
+
   /** Sends the head and what was buffered; from now on data is forwarded as it arrives. */
   startForwarding(): void {
     const { exchange, response } = this.options;
     this.mayForward = true;
     exchange.sendHead(response, this.splitter === undefined ? this.findContentLength() : undefined);
-    this.bufferedChunks.forEach((chunk) => this.send(chunk));
-    this.bufferedChunks = [];
+    if (this.buffered.length > 0) this.send(this.buffered.take());
   }
 
   /** Discards the response. No further events are dispatched. */
@@ -82,7 +90,7 @@
   }
 
   private findContentLength(): number | undefined {
-    return this.options.response.complete ? this.bufferedBytes : undefined;
+    return this.options.response.complete ? this.buffered.length : undefined;
   }
 
   private handleChunk(chunk: Buffer): void {
@@ -96,9 +104,8 @@
       this.send(chunk);
       return;
     }
-    this.bufferedChunks.push(chunk);
-    this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes > MAX_BUFFERED_BYTES) this.reportHead();
+    this.buffered.append(chunk);
+    if (this.buffered.length > MAX_BUFFERED_BYTES) this.reportHead();
   }
 
   private handleEventChunk(splitter: EventSplitter, chunk: Buffer): void {
