Count no comments and empty lines as events of a stream

Cause: each empty line ended an event for the splitter, also after comments or nothing. Such an event was reported as the first one, which sent the head to the caller and bound the request to the endpoint, and each further one restarted the timer that notices a stalled stream. An endpoint that sends comments without end held its caller until the deadline, though the stream could have gone on elsewhere.

Change: the splitter joins comments and empty lines between two events, and they are forwarded unchanged, but not reported.

--- a/packages/entry/src/gateway/endpoints/event-splitter.ts
+++ b/packages/entry/src/gateway/endpoints/event-splitter.ts
@@ -1,13 +1,19 @@
 import { GrowingBuffer } from './growing-buffer.js';
 
-/** One complete server-sent event: its unchanged bytes, and its id if it has one. */
+/**
+ * One complete server-sent event, or comments and empty lines between two events: its unchanged bytes,
+ * and its id if it has one.
+ */
 export interface StreamEvent {
   readonly bytes: Buffer;
   readonly id: string | undefined;
+  /** False for comments and empty lines, which say nothing about the progress of the engine. */
+  readonly hasFields: boolean;
 }
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const COLON = 0x3a;
 const ID_FIELD = /^id: ?(.*)$/m;
 
 /** Largest event, in bytes. Engines send a few tokens per event, so a larger one is invalid. */
@@ -26,7 +32,17 @@
 
 const parseEvent = (bytes: Buffer): StreamEvent => {
   const id = ID_FIELD.exec(bytes.toString('latin1'))?.[1]?.replace(/\r$/, '');
-  return { bytes, id };
+  return { bytes, id, hasFields: true };
+};
+
+/** Whether a line of the event is neither empty nor a comment. */
+const hasFields = (event: Buffer): boolean => {
+  for (let lineStart = 0; lineStart < event.length;) {
+    const first = event[lineStart];
+    if (first !== LINE_FEED && first !== CARRIAGE_RETURN && first !== COLON) return true;
+    lineStart = event.indexOf(LINE_FEED, lineStart) + 1;
+  }
+  return false;
 };
 
 /**
@@ -57,13 +73,25 @@
     // Mostly a chunk is one complete event, which need not be copied.
     const bytes = searchedBytes === 0 ? chunk : this.joinPartialEvent(chunk);
     const events: StreamEvent[] = [];
+    let commentStart = 0;
     let start = 0;
+    const addComments = (): void => {
+      if (start === commentStart) return;
+      const comments = bytes.subarray(commentStart, start);
+      events.push({ bytes: comments, id: undefined, hasFields: false });
+    };
     let end = findEventEnd(bytes, start, searchedBytes);
     while (end > 0) {
-      events.push(parseEvent(bytes.subarray(start, end)));
+      const event = bytes.subarray(start, end);
+      if (hasFields(event)) {
+        addComments();
+        events.push(parseEvent(event));
+        commentStart = end;
+      }
       start = end;
       end = findEventEnd(bytes, start, start);
     }
+    addComments();
     if (start > 0 || searchedBytes === 0) this.keepPartialEvent(bytes.subarray(start));
     return events;
   }
--- a/packages/entry/src/gateway/endpoints/response-relay.ts
+++ b/packages/entry/src/gateway/endpoints/response-relay.ts
@@ -104,7 +104,10 @@
 
   private handleEventChunk(splitter: EventSplitter, chunk: Buffer): void {
     const events = splitter.add(chunk);
-    events.forEach((event) => this.handleEvent(event));
+    events.forEach((event) => {
+      if (event.hasFields) this.handleEvent(event);
+      else this.handleComments(event.bytes);
+    });
     if (splitter.isEventTooLong) this.fail('invalid', 'server-sent event exceeds the size limit');
   }
 
@@ -116,6 +119,21 @@
     dispatch({ kind: 'attempt.eventPassed', attemptId, eventId: id });
   }
 
+  /**
+   * Forwards comments and empty lines, but reports no event: they must not make a stream that has
+   * stalled look alive. Before the first event they are buffered.
+   */
+  private handleComments(bytes: Buffer): void {
+    if (this.isEnded) return;
+    if (this.mayForward) {
+      this.send(bytes);
+      return;
+    }
+    this.buffered.append(bytes);
+    if (this.buffered.length > MAX_BUFFERED_BYTES)
+      this.fail('invalid', `more than ${MAX_BUFFERED_BYTES} bytes before the first event`);
+  }
+
   private reportHead(): void {
     if (this.isHeadReported || this.isEnded) return;
     this.isHeadReported = true;
