Limit an event of a stream to 256 KB, as a buffered response

Change: 262,144 bytes, the limit of a buffered response. Events hold a few tokens.

Evidence: npx vitest run packages/entry/test/gateway/event-splitter.test.ts Before, "reports an event that exceeds the size limit" (now of 262,145 bytes): 'AssertionError: expected false to be true'. Now all 5 pass.

--- a/packages/entry/src/gateway/endpoints/event-splitter.ts
+++ b/packages/entry/src/gateway/endpoints/event-splitter.ts
@@ -17,7 +17,7 @@
 const ID_FIELD = /^id: ?(.*)$/m;
 
 /** Largest event, in bytes. Engines send a few tokens per event, so a larger one is invalid. */
-const MAX_EVENT_BYTES = 1_048_576;
+const MAX_EVENT_BYTES = 262_144;
 
 /** Finds the index after the next empty line, or -1. */
 const findEventEnd = (bytes: Buffer, eventStart: number, from: number): number => {
--- a/packages/entry/test/gateway/event-splitter.test.ts
+++ b/packages/entry/test/gateway/event-splitter.test.ts
@@ -44,7 +44,7 @@
 
   it('reports an event that exceeds the size limit', () => {
     const splitter = new EventSplitter();
-    expect(splitter.add(Buffer.alloc(1_100_000, 'x'))).toEqual([]);
+    expect(splitter.add(Buffer.alloc(262_145, 'x'))).toEqual([]);
     expect(splitter.isEventTooLong).toBe(true);
   });
 
