Give each open request its final answer when a stop's time ends

Cause: the end of the grace was known to the process only. Shortly before SIGKILL it closed all connections, whatever the decisions still held, so a long prompt that waited in the queue for an engine got neither an answer nor a refusal, and no log line: closing the connections also stopped the decisions, before they heard of the closed ones.

Ruled out: a request at an engine, or lost between two states.

Change: `drainRequested` carries the time left. At its end GatewayNode ends each open request: 503 with Retry-After where nothing was sent, 502 where an endpoint may have run it, a break-off after the head; `drained` comes after these. A second stop signal changes nothing.

--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -122,7 +122,10 @@
 
   private isReady = false;
 
-  private drainingSinceMs: MonotonicMs | undefined;
+  /** From when on requests are refused because the process stops; undefined until it has to. */
+  private closesAtMs: MonotonicMs | undefined;
+
+  private isDrained = false;
 
   private expiryTimer: Timer | undefined;
 
@@ -221,7 +224,7 @@
     const { requests } = this;
     return {
       woken: () => {},
-      drainRequested: () => this.startDrain(),
+      drainRequested: ({ timeLeftMs }) => this.startDrain(timeLeftMs),
       'time.lost': ({ lostMs }) => {
         this.lease.addLostTime(lostMs);
         this.proof.addLostTime(lostMs);
@@ -400,29 +403,32 @@
     const { nowMs } = this.context;
     const isConfigured =
       this.routeIndex !== undefined && this.table.isLoaded && this.lease.isValid(nowMs);
-    const ready = isConfigured && this.drainingSinceMs === undefined;
+    const ready = isConfigured && this.closesAtMs === undefined;
     if (ready === this.isReady) return;
     this.isReady = ready;
     this.context.emit({ kind: 'readiness', ready });
     this.context.log(ready ? logEvents.gatewayReady : logEvents.gatewayNotReady);
   }
 
-  private startDrain(): void {
-    if (this.drainingSinceMs !== undefined) return;
-    this.drainingSinceMs = this.context.nowMs;
-    this.context.schedule(DRAIN_NOTICE_MS, () => {
-      this.context.emit({ kind: 'callers.close' });
+  private startDrain(timeLeftMs: number): void {
+    if (this.closesAtMs !== undefined) return;
+    const { context } = this;
+    const noticeMs = Math.min(DRAIN_NOTICE_MS, timeLeftMs);
+    this.closesAtMs = context.nowMs + noticeMs;
+    context.schedule(noticeMs, () => {
+      context.emit({ kind: 'callers.close' });
       this.finishDrainIfIdle();
     });
+    context.schedule(timeLeftMs, () => this.requests.endAll());
   }
 
   private isClosed(): boolean {
-    const { drainingSinceMs } = this;
-    return drainingSinceMs !== undefined && this.context.nowMs >= drainingSinceMs + DRAIN_NOTICE_MS;
+    return this.closesAtMs !== undefined && this.context.nowMs >= this.closesAtMs;
   }
 
   private finishDrainIfIdle(): void {
-    if (!this.isClosed() || this.requests.inFlight > 0) return;
+    if (this.isDrained || !this.isClosed() || this.requests.inFlight > 0) return;
+    this.isDrained = true;
     this.context.emit({ kind: 'drained' });
   }
 }
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -30,6 +30,7 @@
   logAbandoned,
   logBrokenOff,
   logFailure,
+  logOpenAtStop,
   logRefusal,
   logRetry,
   logServerError,
@@ -141,6 +142,13 @@
     this.close(record, 'abandoned');
   }
 
+  /** Gives each open request its final response, because the time of the process has ended. */
+  endAll(): void {
+    const open = [...this.records.values()];
+    if (open.length > 0) logOpenAtStop(this.options.context, open);
+    open.forEach((record) => this.end(record, 'stopping'));
+  }
+
   handleLimit(attemptId: string, limit: RequestLimitReport): void {
     const attempt = this.attempts.find(attemptId)?.attempt;
     if (attempt === undefined) return;
@@ -387,10 +395,14 @@
 
   private expire(requestId: string): void {
     const record = this.records.get(requestId);
-    if (record === undefined) return;
+    if (record !== undefined) this.end(record, 'timeout');
+  }
+
+  /** Ends a request whose time is over. Its attempt, if it has one, may have been executed. */
+  private end(record: GatewayRecord, reason: GatewayRefusalReason): void {
     if (record.attempt !== undefined) record.runs += 1;
     this.attempts.cancel(record);
-    this.fail(record, 'timeout');
+    this.fail(record, reason);
   }
 
   /** Ends a request that can't be served with its final response. */
--- a/packages/decisions/src/gateway/request-log.ts
+++ b/packages/decisions/src/gateway/request-log.ts
@@ -106,3 +106,13 @@
     runs,
   });
 };
+
+/**
+ * Logs how many requests were open, and in which state, when the time of a stopping process ended.
+ * Each of them is logged on its own as it is ended.
+ */
+export const logOpenAtStop = (context: GatewayContext, records: readonly GatewayRecord[]): void => {
+  const streaming = records.filter(({ hasForwardedHead }) => hasForwardedHead).length;
+  const unplaced = records.filter(({ attempt }) => attempt === undefined).length;
+  context.log(logEvents.requestsOpenAtStop, { open: records.length, unplaced, streaming });
+};
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -73,7 +73,11 @@
 export type GatewayEvent =
   /** A timer is due. */
   | { readonly kind: 'woken' }
-  | { readonly kind: 'drainRequested' }
+  | {
+      readonly kind: 'drainRequested';
+      /** Time that the process has for its requests; those that are open at its end are ended. */
+      readonly timeLeftMs: number;
+    }
   /**
    * Time passed that the monotonic clock did not count: the process was suspended, or the wall
    * clock was set forward, which can't be told apart.
@@ -168,6 +172,8 @@
   | 'noEndpoint'
   | 'noRoom'
   | 'rejected'
+  /** The process stops before the response could be complete. */
+  | 'stopping'
   | 'broken'
   | 'timeout';
 
@@ -272,7 +278,7 @@
   | { readonly kind: 'request.measured'; readonly measured: RequestMeasured }
   /** Accepts no more connections; those in use stay open. */
   | { readonly kind: 'callers.close' }
-  /** No request is in flight any more, and the process may exit. */
+  /** No request is in flight any more, and the process may exit. Comes once. */
   | { readonly kind: 'drained' }
   | { readonly kind: 'log'; readonly event: LogEvent; readonly fields: LogFields };
 
--- a/packages/decisions/test/gateway/attempts.test.ts
+++ b/packages/decisions/test/gateway/attempts.test.ts
@@ -193,7 +193,7 @@
 describe('an entry VM that drains', () => {
   it('admits requests for a notice time, then closes and refuses, and ends when it is idle', () => {
     const driver = startDriver('e1');
-    driver.dispatch({ kind: 'drainRequested' });
+    driver.dispatch({ kind: 'drainRequested', timeLeftMs: 7_600 });
     expect(driver.list('readiness').at(-1)?.ready).toBe(false);
     const early = driver.request('/chat/');
     expect(driver.findAttempt(early)).toBeDefined();
--- a/packages/entry/src/gateway/callers/refusal-statuses.ts
+++ b/packages/entry/src/gateway/callers/refusal-statuses.ts
@@ -12,6 +12,7 @@
   noEndpoint: 503,
   noRoom: 503,
   rejected: 503,
+  stopping: 503,
   broken: 502,
   timeout: 504,
 };
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -33,7 +33,7 @@
  */
 const POLLS_PER_LONG_POLL = 6;
 
-/** The process stops this long before the platform kills it, in milliseconds. */
+/** Open requests are ended this long before the platform kills the process, in milliseconds. */
 const STOP_MARGIN_MS = 400;
 
 /** Time for the last responses to be written before connections close, in milliseconds. */
@@ -78,6 +78,8 @@
 
   private readonly logger;
 
+  private isDraining = false;
+
   private isStopped = false;
 
   constructor(
@@ -137,14 +139,16 @@
 
   /**
    * Reports not ready immediately, still serves requests that arrive, and stops when all are answered
-   * or shortly before the end of the grace period.
+   * or shortly before the end of the grace period, when each open request gets its final response. Does
+   * nothing if it was called before.
    */
   drain(): void {
+    if (this.isDraining) return;
+    this.isDraining = true;
     this.readinessServer.setReady(false);
     this.requestServer.stopKeepAlive();
-    this.dispatch({ kind: 'drainRequested' });
-    const { stopGraceMs } = this.settings.contract;
-    setTimeout(() => this.stop(), stopGraceMs - STOP_MARGIN_MS).unref();
+    const timeLeftMs = Math.max(0, this.settings.contract.stopGraceMs - STOP_MARGIN_MS);
+    this.dispatch({ kind: 'drainRequested', timeLeftMs });
   }
 
   /** Stops without waiting for requests in flight. */
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -43,6 +43,11 @@
     'warn',
     'the store shows an older version of the configuration; the one in force is kept',
   ],
+  requestsOpenAtStop: [
+    840,
+    'warn',
+    'the time of the stopping gateway ended with requests open; each gets its final answer',
+  ],
   logLinesDropped: [827, 'warn', 'log lines were dropped because the log reader was too slow'],
   peerUnreadable: [
     825,
