Refuse requests that a stopping process can't serve in time as early as known

Cause: a process that had to stop let requests wait as if it had all the time of their callers. A late long prompt is placed under load only in the last third of its caller's wait, which may lie after the end of the process; its caller lost the time in which a peer could have served it.

Change: `StopDeadline` knows the end of the process's time. A request that can't be placed at once waits only if its response is expected to be complete by then, counted from the time at which late requests are placed, or at which its permit may be had; otherwise it is refused at its arrival, or when the stop begins, with Retry-After. No attempt starts that could not deliver a first event in time. Requests that can be placed at once are admitted and placed as before during the notice time.

Evidence, on the code before:

FAIL requests-open-at-the-end-of-a-stop.test.ts > is refused at its arrival if it can’t be served in time, and its caller has time to go on FAIL ... > is refused when the stop begins if it is known by then that it can’t be served in time FAIL ... > is not sent to an engine that could not answer before the process ends

--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -420,6 +420,7 @@
       this.finishDrainIfIdle();
     });
     context.schedule(timeLeftMs, () => this.requests.endAll());
+    this.requests.startStop(context.nowMs + timeLeftMs);
   }
 
   private isClosed(): boolean {
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -1,4 +1,9 @@
-import type { CallerWaitLimits, GatewayEndpoint, NetworkAddress } from '@savorywind/model';
+import type {
+  CallerWaitLimits,
+  GatewayEndpoint,
+  MonotonicMs,
+  NetworkAddress,
+} from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
 import { MAX_HELPERS, MIN_ATTEMPT_MS, PLACEMENT_RETRY_MS } from './consts.js';
 import { createGatewayRecord, type ResolvedRoute } from './create-gateway-record.js';
@@ -15,7 +20,7 @@
 import { measureRequest } from './measure-request.js';
 import type { MemoryReservations } from './memory-reservations.js';
 import type { PermittedPlacement } from './permits/permitted-placement.js';
-import { estimateMinFirstEventMs } from './placement-policy.js';
+import { estimateMinFirstEventMs, type WaitDecision } from './placement-policy.js';
 import { mayRerun, type GatewayAttempt, type GatewayRecord } from './request-record.js';
 import type {
   GatewayResponseHead,
@@ -36,6 +41,7 @@
   logServerError,
 } from './request-log.js';
 import { RequestQueue } from './request-queue.js';
+import { StopDeadline } from './stop-deadline.js';
 
 export interface GatewayRequestsOptions {
   readonly context: GatewayContext;
@@ -109,6 +115,8 @@
 
   private readonly attempts: GatewayAttempts;
 
+  private readonly stopDeadline = new StopDeadline();
+
   constructor(private readonly options: GatewayRequestsOptions) {
     const { context, fleetLoad, limits, onWorkChanged } = options;
     this.attempts = new GatewayAttempts({
@@ -142,6 +150,15 @@
     this.close(record, 'abandoned');
   }
 
+  /**
+   * Has the process stop at a given time. Requests that wait and can't be served by then are refused
+   * now, so that their callers have time to go to a peer.
+   */
+  startStop(endMs: MonotonicMs): void {
+    this.stopDeadline.set(endMs);
+    this.placeQueued();
+  }
+
   /** Gives each open request its final response, because the time of the process has ended. */
   endAll(): void {
     const open = [...this.records.values()];
@@ -261,6 +278,10 @@
       this.fail(record, 'noRoom');
       return;
     }
+    if (!this.stopDeadline.mayStart(minFirstEventMs, context.nowMs)) {
+      this.fail(record, 'stopping');
+      return;
+    }
     const latestMs = endMs - minFirstEventMs;
     const queued = this.queue.count(record.service.name);
     const decision = placement.decide(record, latestMs, queued);
@@ -272,11 +293,19 @@
       this.reserveAndStart(record, decision);
     } else if (decision.permitMs !== undefined && decision.permitMs >= latestMs) {
       this.fail(record, 'noRoom');
+    } else if (!this.mayWait(record, decision)) {
+      this.fail(record, 'stopping');
     } else {
       this.queueRequest(record);
     }
   }
 
+  /** Whether a stopping process may still let a request wait. */
+  private mayWait(record: GatewayRecord, { permitMs, lateStartMs }: WaitDecision): boolean {
+    const startMs = Math.max(this.options.context.nowMs, permitMs ?? 0, lateStartMs ?? 0);
+    return this.stopDeadline.mayWait(record, startMs);
+  }
+
   /**
    * Reserves memory on helpers before the attempt starts. If a reservation fails, the request is
    * queued.
--- a/packages/decisions/src/gateway/placement-policy.ts
+++ b/packages/decisions/src/gateway/placement-policy.ts
@@ -35,18 +35,25 @@
   readonly placementFields: LogFields;
 }
 
+/**
+ * The request stays queued: every engine is full, waiting avoids disrupting other streams, or endpoints
+ * with limits need a permit.
+ */
+export interface WaitDecision {
+  readonly kind: 'wait';
+  /** Earliest time at which a permit may be had if the request needs one. */
+  readonly permitMs?: MonotonicMs;
+  /**
+   * When a late request is placed although other requests may need the capacity. Undefined for others,
+   * which may be placed at any time.
+   */
+  readonly lateStartMs?: MonotonicMs;
+}
+
 /** Where a request is placed, or why it can't be placed now. */
 export type PlacementDecision =
   | PlacedDecision
-  /**
-   * Stays queued: every engine is full, waiting avoids disrupting other streams, or endpoints with limits
-   * need a permit.
-   */
-  | {
-      readonly kind: 'wait';
-      /** Earliest time at which a permit may be had if the request needs one. */
-      readonly permitMs?: MonotonicMs;
-    }
+  | WaitDecision
   /** No endpoint of the service is registered and serving. */
   | { readonly kind: 'noEndpoint' };
 
@@ -102,9 +109,12 @@
   estimateMs: Math.round(placement.firstEventMs),
 });
 
+/** When the last part of the caller's wait begins, in which a late long prompt is placed. */
+const findFinalWaitMs = ({ firstEventDeadlineMs, arrivedAtMs }: GatewayRecord): MonotonicMs =>
+  firstEventDeadlineMs - FINAL_WAIT_FRACTION * (firstEventDeadlineMs - arrivedAtMs);
+
 const isNearFirstEventDeadline = (record: GatewayRecord, nowMs: MonotonicMs): boolean =>
-  record.firstEventDeadlineMs - nowMs <=
-  FINAL_WAIT_FRACTION * (record.firstEventDeadlineMs - record.arrivedAtMs);
+  nowMs >= findFinalWaitMs(record);
 
 const hasIdleCapacity = ({ idleFraction, remainingIdleFraction }: Placement): boolean =>
   idleFraction >= LOW_LOAD_IDLE_FRACTION || remainingIdleFraction >= MIN_REMAINING_IDLE_FRACTION;
@@ -124,8 +134,16 @@
   return prefillMs / prefillEngines + PASSES_TO_FIRST_EVENT * estimatePassMs(service.engine, 1, 0);
 };
 
+/**
+ * Estimates for how long a request may still wait and meet its target latency, in milliseconds;
+ * negative if it is late.
+ */
+const estimateSlackMs = (record: GatewayRecord, targetLeftMs: number, engines: number): number =>
+  TARGET_BUDGET_FRACTION[record.isLong ? 'long' : 'short'] * targetLeftMs -
+  estimateMinFirstEventMs(record, engines);
+
 /** Estimates the decode time from the first event to the last one, in milliseconds. */
-const estimateDecodeMs = ({ service, request }: GatewayRecord): number => {
+export const estimateDecodeMs = ({ service, request }: GatewayRecord): number => {
   if (service.engine === undefined) return 0;
   const passes = request.maxOutputTokens / service.engine.stepsPerPass;
   return passes * estimatePassMs(service.engine, 1, request.promptTokens);
@@ -261,7 +279,7 @@
       placement === undefined ||
       !this.isAcceptable(record, placement, targetLeftMs, candidates.length)
     ) {
-      return { kind: 'wait' };
+      return this.describeWait(record, placement, targetLeftMs, candidates.length);
     }
     const { endpoint, helpers, partMs, memoryTokens: primaryTokens } = placement;
     const placementFields = describePlacement(placement, targetLeftMs);
@@ -312,8 +330,7 @@
     const endMs = nowMs + firstEventMs + estimateDecodeMs(record);
     if (nowMs + firstEventMs >= record.firstEventDeadlineMs || endMs >= record.deadlineMs)
       return false;
-    const budgetFraction = TARGET_BUDGET_FRACTION[record.isLong ? 'long' : 'short'];
-    const slackMs = budgetFraction * targetLeftMs - estimateMinFirstEventMs(record, engines);
+    const slackMs = estimateSlackMs(record, targetLeftMs, engines);
     const weight = record.memoryTokens / TOKENS_PER_STREAM_WEIGHT;
     const mayWait = slackMs > MIN_SLACK_MS;
     if (!isLate) return disruption <= (mayWait ? EARLY_DISRUPTION_FRACTION * weight : weight);
@@ -324,6 +341,23 @@
     return disruption === 0 && nowMs + firstEventMs + MIN_SLACK_MS >= record.firstEventDeadlineMs;
   }
 
+  /** Describes a wait; see `isAcceptable` for when late requests are placed. */
+  // eslint-disable-next-line class-methods-use-this
+  private describeWait(
+    record: GatewayRecord,
+    placement: Placement | undefined,
+    targetLeftMs: number,
+    engines: number,
+  ): WaitDecision {
+    const isOnTime =
+      placement?.isLate === false || estimateSlackMs(record, targetLeftMs, engines) > MIN_SLACK_MS;
+    if (isOnTime) return { kind: 'wait' };
+    if (record.isLong) return { kind: 'wait', lateStartMs: findFinalWaitMs(record) };
+    const firstEventMs = placement?.firstEventMs ?? estimateMinFirstEventMs(record, engines);
+    const lateStartMs = record.firstEventDeadlineMs - firstEventMs - MIN_SLACK_MS;
+    return { kind: 'wait', lateStartMs };
+  }
+
   /**
    * Lists the endpoints that may get the request: those that are neither ejected nor unreachable
    * and have not failed the request. If there are none, all that have not failed the request are
--- a/packages/decisions/test/gateway/requests-open-at-the-end-of-a-stop.test.ts
+++ b/packages/decisions/test/gateway/requests-open-at-the-end-of-a-stop.test.ts
@@ -123,3 +123,50 @@
     expect(driver.list('drained')).toHaveLength(1);
   });
 });
+
+describe('a request that has to wait for an engine of an entry VM that stops', () => {
+  it('is refused at its arrival if it can’t be served in time, and its caller has time to go on', () => {
+    const driver = startBusyDriver();
+    advanceBusy(driver, 200);
+    stop(driver);
+    advanceBusy(driver, 2_200);
+    const id = driver.request('/review/', LONG_PROMPT);
+    advanceBusy(driver, 3_500);
+    expect(driver.findAttempt(id)).toBeUndefined();
+    expect(driver.findRefusal(id)?.reason).toBe('stopping');
+    expect(driver.findRefusal(id)?.retryAfterMs).toBeLessThan(1_000);
+  });
+
+  it('is refused when the stop begins if it is known by then that it can’t be served in time', () => {
+    const driver = startBusyDriver();
+    advanceBusy(driver, 200);
+    const id = driver.request('/review/', LONG_PROMPT);
+    advanceBusy(driver, 3_200);
+    expect(driver.findRefusal(id)).toBeUndefined();
+    driver.dispatch({ kind: 'drainRequested', timeLeftMs: 4_000 });
+    expect(driver.findRefusal(id)?.reason).toBe('stopping');
+  });
+
+  it('is served if an engine becomes idle while it still has time', () => {
+    const driver = startBusyDriver();
+    advanceBusy(driver, 200);
+    stop(driver);
+    const id = driver.request('/review/', { ...LONG_PROMPT, promptTokens: 100_000 });
+    advanceBusy(driver, 400);
+    expect(driver.findAttempt(id)).toBeUndefined();
+    driver.receiveSnapshot(9_000_000, []);
+    driver.advance(20);
+    expect(driver.findAttempt(id)).toBeDefined();
+  });
+
+  it('is not sent to an engine that could not answer before the process ends', () => {
+    const driver = startBusyDriver();
+    stop(driver);
+    const id = driver.request('/booking/', { waitsMs: 15_000 });
+    driver.advance(STOP_MS - 10);
+    driver.fail(id, 'notSent');
+    expect(driver.list('attempt.start')).toHaveLength(1);
+    expect(driver.findRefusal(id)?.reason).toBe('stopping');
+    expect(driver.findRefusal(id)?.retryAfterMs).toBeGreaterThan(0);
+  });
+});
