Answer and flush what a stopping process still holds before connections close

Cause: the process closed all connections 0.1 s after the decisions had no request left. They don't know of a request whose body is still arriving, nor of a response that is ended but not yet sent to a caller that reads slowly: the first got no answer, the second a part of one. Node's `server.close()` and `closeIdleConnections()`, called when the notice time ends, cut such a response as well, as they count its connection as idle.

Change: RequestServer knows the responses that the operating system has not taken over. The process waits for them, but never beyond its grace less 0.3 s; event 804 says how many were cut. When the notice time ends, requests that are still arriving are refused with 503 and Retry-After (event 841), and their connection stays open for up to 1 s, so that a caller that still sends reads the response. A second stop signal changes nothing. Requests that are queued behind another one on a connection are reported when it closes; Node doesn't report them, and their requests stayed open and their bodies counted until the deadline.

--- a/packages/entry/src/gateway/callers/request-server.ts
+++ b/packages/entry/src/gateway/callers/request-server.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import { Server as NetServer, type Socket } from 'node:net';
 import type { CallerLimits, NetworkAddress } from '@savorywind/model';
 import { BodyBudget } from '../../callers/body-budget.js';
 import type { GatewayWire, RequestMetadata } from '../types.js';
@@ -51,6 +51,15 @@
 /** `Retry-After` if the body budget is used up, in seconds: other bodies are released within seconds. */
 const RETRY_AFTER_S = '1';
 
+/** `Retry-After` of requests that are refused because the process stops, in seconds. */
+const STOPPING_RETRY_AFTER_S = '0.5';
+
+/**
+ * Longest time for which a connection stays open for a caller that still sends its body after it was
+ * refused, in milliseconds. Closing it earlier resets it, which may discard the response.
+ */
+const LINGER_MS = 1_000;
+
 const BAD_REQUEST_RESPONSE =
   'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 
@@ -61,6 +70,15 @@
   readonly onRequestReceived: (exchange: CallerExchange, path: string, host: string) => void;
   /** Called when a caller's connection closes before its response was sent completely. */
   readonly onDisconnected: (requestId: string) => void;
+  /** Called when a request is refused because the process stops before its body has arrived. */
+  readonly onUnreadRefused: (callerAttempt: string | undefined) => void;
+}
+
+/** A request whose body is still arriving. */
+interface UnreadRequest {
+  readonly incoming: IncomingMessage;
+  readonly metadata: RequestMetadata;
+  readonly reader: BodyReader;
 }
 
 /** Counts the bytes of a request's headers, with two bytes of separators for each name and value. */
@@ -79,6 +97,21 @@
 
   private readonly bodyBudget = new BodyBudget(MAX_BUFFERED_BODY_BYTES);
 
+  /** Responses that are not yet handed to the operating system completely. */
+  private readonly openResponses = new Set<ServerResponse>();
+
+  private readonly unreadRequests = new Map<ServerResponse, UnreadRequest>();
+
+  /** Complete responses whose callers still send their bodies. */
+  private readonly lingeringResponses = new Set<ServerResponse>();
+
+  /** Whether new connections are no longer accepted. */
+  private isClosing = false;
+
+  private isStopped = false;
+
+  private onResponsesWritten: (() => void) | undefined;
+
   constructor(private readonly options: RequestServerOptions) {
     this.server = createServer(
       {
@@ -92,9 +125,17 @@
       (incoming, outgoing) => this.handleRequest(incoming, outgoing),
     );
     this.server.maxHeadersCount = 0;
+    this.server.on('connection', (socket) => {
+      socket.on('close', () => this.closeQueuedResponses(socket));
+    });
     this.server.on('clientError', (_error, socket) => this.handleParseError(socket as Socket));
   }
 
+  /** Number of requests whose response is not yet handed to the operating system completely. */
+  get openResponseCount(): number {
+    return this.openResponses.size - this.lingeringResponses.size;
+  }
+
   start(): Promise<void> {
     const { host, port } = this.options.address;
     return new Promise((resolve, reject) => {
@@ -115,27 +156,50 @@
     this.isStopping = true;
   }
 
-  /** Stops accepting connections and closes idle ones. */
+  /**
+   * Stops accepting connections, closes idle ones and refuses requests whose body is still arriving.
+   * Connections in use close after their response. May be called more than once.
+   */
   close(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
+    this.isClosing = true;
+    // The same method of the HTTP server also closes connections, among them some in use; see
+    // `closeIdleConnections`.
+    if (this.server.listening) NetServer.prototype.close.call(this.server);
+    this.closeIdleConnections();
+    [...this.unreadRequests].forEach(([outgoing, unread]) => this.refuseUnread(outgoing, unread));
   }
 
-  /**
-   * Same as `close`, but may be called after it. Connections in use close after their response.
-   */
+  /** Same as `close`, and refuses all requests that arrive later without reading their bodies. */
   stop(): void {
-    if (this.server.listening) this.server.close();
-    this.server.closeIdleConnections();
+    this.isStopped = true;
+    this.close();
+  }
+
+  /** Calls back once all responses are handed to the operating system, or their callers have left. */
+  waitForResponses(onWritten: () => void): void {
+    if (this.openResponses.size === 0) onWritten();
+    else this.onResponsesWritten = onWritten;
   }
 
   /** Closes all connections, including those in use. */
   closeAllConnections(): void {
+    this.server.close();
     this.server.closeAllConnections();
   }
 
+  /**
+   * Closes idle connections, unless a response is being sent: Node counts a connection as idle once its
+   * response has ended, although it may not be sent completely.
+   */
+  private closeIdleConnections(): void {
+    const isSending = [...this.openResponses].some(({ writableEnded }) => writableEnded);
+    if (!isSending) this.server.closeIdleConnections();
+  }
+
   private handleRequest(incoming: IncomingMessage, outgoing: ServerResponse): void {
     if (this.isStopping) outgoing.shouldKeepAlive = false;
+    this.openResponses.add(outgoing);
+    outgoing.on('close', () => this.removeResponse(outgoing));
     if (countHeadBytes(incoming.rawHeaders) > this.limits.maxHeaderBytes) {
       this.refuse(incoming, outgoing, HTTP_HEADERS_TOO_LARGE);
       return;
@@ -150,14 +214,65 @@
       budget: this.bodyBudget,
       maxBytes: this.limits.maxBodyBytes,
       timeoutMs: Math.min(metadata.waitsMs ?? MAX_BODY_READ_MS, MAX_BODY_READ_MS),
-      onFailed: (failure) => this.refuse(incoming, outgoing, BODY_FAILURE_STATUS[failure]),
-      onRead: (body) => this.openExchange(incoming, outgoing, metadata, body),
+      onFailed: (failure) => {
+        this.unreadRequests.delete(outgoing);
+        this.refuse(incoming, outgoing, BODY_FAILURE_STATUS[failure]);
+      },
+      onRead: (body) => {
+        this.unreadRequests.delete(outgoing);
+        this.openExchange(incoming, outgoing, metadata, body);
+      },
     });
+    const unread = { incoming, metadata, reader };
+    this.unreadRequests.set(outgoing, unread);
+    if (this.isStopped) this.refuseUnread(outgoing, unread);
     // The body isn't needed after the response has ended, completely or not.
     outgoing.on('close', () => reader.release());
     incoming.on('error', () => outgoing.destroy());
   }
 
+  /**
+   * Reports the responses that were queued behind another one when their connection closed. Node reports
+   * the close only to the response that was being written.
+   */
+  private closeQueuedResponses(socket: Socket): void {
+    [...this.openResponses]
+      .filter((outgoing) => outgoing.socket === null && outgoing.req.socket === socket)
+      .forEach((outgoing) => outgoing.emit('close'));
+  }
+
+  private removeResponse(outgoing: ServerResponse): void {
+    this.unreadRequests.delete(outgoing);
+    this.openResponses.delete(outgoing);
+    this.lingeringResponses.delete(outgoing);
+    if (this.isClosing) this.closeIdleConnections();
+    if (this.openResponses.size === 0) this.onResponsesWritten?.();
+  }
+
+  /**
+   * Refuses a request because the process stops. The response is sent at once; the connection stays
+   * open for a while, so that the caller can finish sending and reads the response.
+   */
+  private refuseUnread(
+    outgoing: ServerResponse,
+    { incoming, metadata, reader }: UnreadRequest,
+  ): void {
+    this.unreadRequests.delete(outgoing);
+    reader.release();
+    outgoing.writeHead(HTTP_UNAVAILABLE, {
+      Connection: 'close',
+      'Content-Length': '0',
+      'Retry-After': STOPPING_RETRY_AFTER_S,
+    });
+    outgoing.flushHeaders();
+    this.lingeringResponses.add(outgoing);
+    const lingerTimer = setTimeout(() => outgoing.end(), LINGER_MS);
+    outgoing.on('close', () => clearTimeout(lingerTimer));
+    incoming.on('end', () => outgoing.end());
+    incoming.resume();
+    this.options.onUnreadRefused(metadata.callerAttempt);
+  }
+
   private openExchange(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -36,7 +36,7 @@
 /** Open requests are ended this long before the platform kills the process, in milliseconds. */
 const STOP_MARGIN_MS = 400;
 
-/** Time for the last responses to be written before connections close, in milliseconds. */
+/** Least time for the last responses to be written before connections close, in milliseconds. */
 const FINAL_WRITES_MS = 100;
 
 /**
@@ -80,8 +80,15 @@
 
   private isDraining = false;
 
+  /** When connections close at the latest, whether or not all responses are written. */
+  private closesAtMs = 0;
+
   private isStopped = false;
 
+  private isClosed = false;
+
+  private closeTimer: NodeJS.Timeout | undefined;
+
   constructor(
     private readonly settings: GatewaySettings,
     private readonly adapter: GatewayAdapter,
@@ -98,6 +105,7 @@
       wire,
       onRequestReceived: (exchange, path, host) => this.openExchange(exchange, path, host),
       onDisconnected: (requestId) => this.abandonExchange(requestId),
+      onUnreadRefused: (request) => this.logger.write(logEvents.unreadRequestRefused, { request }),
     });
     this.readinessServer = new ReadinessServer(settings.readiness, wire.readinessPath);
     this.peerSocket = new PeerSocket({
@@ -148,6 +156,7 @@
     this.readinessServer.setReady(false);
     this.requestServer.stopKeepAlive();
     const timeLeftMs = Math.max(0, this.settings.contract.stopGraceMs - STOP_MARGIN_MS);
+    this.closesAtMs = performance.now() + timeLeftMs + FINAL_WRITES_MS;
     this.dispatch({ kind: 'drainRequested', timeLeftMs });
   }
 
@@ -388,11 +397,17 @@
     this.tableWatchers.forEach((watcher) => watcher.stop());
     this.registration.stop();
     this.requestServer.stop();
-    // Lets the last responses be written before connections close.
-    setTimeout(() => this.close(), FINAL_WRITES_MS);
+    setTimeout(() => this.requestServer.waitForResponses(() => this.close()), FINAL_WRITES_MS);
+    // A caller that reads slowly can't keep the process from ending.
+    const timeLeftMs = Math.max(FINAL_WRITES_MS, this.closesAtMs - performance.now());
+    this.closeTimer = setTimeout(() => this.close(), timeLeftMs);
   }
 
   private close(): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    clearTimeout(this.closeTimer);
+    const unwritten = this.requestServer.openResponseCount;
     this.requestServer.closeAllConnections();
     this.runner.stop();
     this.pools.stop();
@@ -400,7 +415,7 @@
     this.peerSocket.stop();
     this.readinessServer.stop();
     this.metricsServer?.stop();
-    this.logger.write(logEvents.gatewayStopped, {});
+    this.logger.write(logEvents.gatewayStopped, { unwritten });
     this.logSink.flush();
     this.onStopped();
   }
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -48,6 +48,11 @@
     'warn',
     'the time of the stopping gateway ended with requests open; each gets its final answer',
   ],
+  unreadRequestRefused: [
+    841,
+    'info',
+    'a request was refused because the gateway stops before its body has arrived',
+  ],
   logLinesDropped: [827, 'warn', 'log lines were dropped because the log reader was too slow'],
   peerUnreadable: [
     825,
