Send what was written before a response is broken off

Cause: a response that could not be completed was ended by destroying its connection, which discards what the caller has not read yet: events that were relayed, and counted as received, are lost to a slow reader.

Change: the connection closes once what was written is sent, and after 1 s at the latest. The caller sees as before that the response is incomplete.

--- a/packages/entry/src/gateway/callers/caller-exchange.ts
+++ b/packages/entry/src/gateway/callers/caller-exchange.ts
@@ -6,6 +6,12 @@
 
 const MS_PER_S = 1_000;
 
+/**
+ * Longest time for which a response that is broken off is written to a caller that reads slowly, in
+ * milliseconds.
+ */
+const BREAK_OFF_FLUSH_MS = 1_000;
+
 /** The gateway sets this header itself when it resumes a stream at another endpoint. */
 const LAST_EVENT_ID_HEADER = 'last-event-id';
 
@@ -78,9 +84,19 @@
     this.outgoing.end();
   }
 
-  /** Closes the connection, so that the caller sees that the response is incomplete. */
+  /**
+   * Closes the connection, so that the caller sees that the response is incomplete, after what was
+   * written has been sent.
+   */
   abort(): void {
-    this.outgoing.destroy();
+    const { outgoing } = this;
+    if (outgoing.socket === null || outgoing.writableLength === 0) {
+      outgoing.destroy();
+      return;
+    }
+    outgoing.socket.destroySoon();
+    const timer = setTimeout(() => outgoing.destroy(), BREAK_OFF_FLUSH_MS);
+    outgoing.on('close', () => clearTimeout(timer));
   }
 
   /** Sends an error response that the gateway creates itself. */
--- a/packages/entry/test/gateway/request-server.test.ts
+++ b/packages/entry/test/gateway/request-server.test.ts
@@ -84,6 +84,24 @@
     expect(await countBytes(socket)).toBeGreaterThan(LARGE_BYTES);
   });
 
+  it('sends what was written before it breaks a response off', async () => {
+    const { port, exchanges } = await startServer();
+    const socket = openConnection(port, REQUEST);
+    await waitUntil(() => exchanges.length === 1);
+    exchanges[0]!.send(Buffer.alloc(LARGE_BYTES));
+    exchanges[0]!.abort();
+    expect(await countBytes(socket)).toBeGreaterThan(LARGE_BYTES);
+  });
+
+  it('does not wait for a caller that reads nothing of a response that was broken off', async () => {
+    const { port, exchanges, server } = await startServer();
+    openConnection(port, REQUEST).pause();
+    await waitUntil(() => exchanges.length === 1);
+    exchanges[0]!.send(Buffer.alloc(LARGE_BYTES));
+    exchanges[0]!.abort();
+    await waitUntil(() => server.openResponseCount === 0);
+  });
+
   it('refuses a request that arrives after its stop, without reading the body', async () => {
     const { port, exchanges, server } = await startServer();
     const socket = openConnection(port, REQUEST);
