End a drain of the first design after callers that leave with queued requests

Cause: Node reports the close of a connection only to the response that is being written. Responses to requests queued behind it on the connection were counted as open for ever, so that a drain did not end, and their requests were not abandoned.

Ruled out: responses that have ended; those are reported.

Change: OpenRequests reports the close to the queued responses of the connection.

Evidence, before:

FAIL open-requests.test.ts > do not include those that were queued on a connection that has closed Error: Test timed out in 4000ms.

npx vitest run packages/entry/test/open-requests.test.ts

--- a/packages/entry/src/callers/open-requests.ts
+++ b/packages/entry/src/callers/open-requests.ts
@@ -11,12 +11,11 @@
   private idleListener: (() => void) | undefined;
 
   add(response: ServerResponse): void {
-    const { socket } = response.req;
-    const responses = this.responsesBySocket.get(socket) ?? new Set();
-    this.responsesBySocket.set(socket, responses.add(response));
+    const responses = this.findResponses(response.req.socket);
+    responses.add(response);
     this.openCount += 1;
     response.on('close', () => {
-      responses.delete(response);
+      if (!responses.delete(response)) return;
       this.openCount -= 1;
       this.reportIdle();
     });
@@ -38,6 +37,21 @@
     this.reportIdle();
   }
 
+  /** Finds the set of a connection's unfinished responses, and creates it for the first of them. */
+  private findResponses(socket: Duplex): Set<ServerResponse> {
+    const known = this.responsesBySocket.get(socket);
+    if (known !== undefined) return known;
+    const responses = new Set<ServerResponse>();
+    this.responsesBySocket.set(socket, responses);
+    // Node reports the close only to the response that is being written, not to those queued behind it.
+    socket.on('close', () => {
+      [...responses]
+        .filter((response) => response.socket === null)
+        .forEach((response) => response.emit('close'));
+    });
+    return responses;
+  }
+
   private reportIdle(): void {
     if (this.openCount > 0) return;
     const listener = this.idleListener;
