Leave a silent endpoint the rest of a stop's time if no other could answer

Change: a stall starts a retry only if another endpoint could send a first event before the process ends.

Evidence, before:

FAIL requests-open-at-the-end-of-a-stop.test.ts > is not ended before the end of the grace because its engine is silent AssertionError: expected [ { kind: 'caller.breakOff', …(1) } ] to have a length of +0 but got 1

--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -82,6 +82,10 @@
 const mayRetry = ({ route, runs, sends, unsent }: GatewayRecord): boolean =>
   runs < route.maxAttempts && sends - unsent < route.maxAttempts + MAX_EXTRA_ATTEMPTS;
 
+/** Estimates the shortest useful time of an attempt up to its first event, in milliseconds. */
+const estimateLeastWaitMs = (record: GatewayRecord): number =>
+  Math.max(MIN_ATTEMPT_MS, estimateMinFirstEventMs(record, MAX_HELPERS + 1));
+
 const releaseReservations = (record: GatewayRecord): void => {
   record.reservations?.release();
   record.reservations = undefined;
@@ -252,6 +256,8 @@
     const { context, health, budget } = this.options;
     // The stalled endpoint may have executed the request.
     if (!mayRetry({ ...record, runs: record.runs + 1 })) return;
+    // A stopping process leaves the silent endpoint the rest of the time if no other could answer in it.
+    if (!this.stopDeadline.mayStart(estimateLeastWaitMs(record), context.nowMs)) return;
     if (!budget.takeRetry(record.service.name, context.nowMs)) return;
     health.reportFailure(attempt.endpoint.id, context.nowMs);
     this.reportLoss(record, attempt);
@@ -269,10 +275,7 @@
     const { context, placement } = this.options;
     this.removeFromQueue(record);
     releaseReservations(record);
-    const minFirstEventMs = Math.max(
-      MIN_ATTEMPT_MS,
-      estimateMinFirstEventMs(record, MAX_HELPERS + 1),
-    );
+    const minFirstEventMs = estimateLeastWaitMs(record);
     const endMs = record.hasForwardedHead ? record.deadlineMs : record.firstEventDeadlineMs;
     if (context.nowMs + minFirstEventMs >= endMs) {
       this.fail(record, 'noRoom');
--- a/packages/decisions/test/gateway/requests-open-at-the-end-of-a-stop.test.ts
+++ b/packages/decisions/test/gateway/requests-open-at-the-end-of-a-stop.test.ts
@@ -8,6 +8,9 @@
 /** Time from the stop signal during which requests are admitted. */
 const NOTICE_MS = 2_900;
 
+/** Time without an event after which the engine of a chat counts as stalled. */
+const STALL_MS = 1_000;
+
 const ENGINES = ['e1', 'e2', 'e3', 'e4'];
 
 const LONG_PROMPT = { promptTokens: 300_000, waitsMs: 15_000 };
@@ -124,6 +127,24 @@
   });
 });
 
+describe('a stream of an entry VM that stops', () => {
+  it('is not ended before the end of the grace because its engine is silent', () => {
+    const driver = startDriver('e1');
+    const id = driver.request('/chat/', { waitsMs: 30_000, promptTokens: 100 });
+    stop(driver);
+    const endMs = driver.nowMs + STOP_MS;
+    // The stall is noticed in the last 30 ms, in which no other engine could resume the stream.
+    for (let leftMs = endMs - 30 - STALL_MS - driver.nowMs; leftMs > 0; leftMs -= 500) {
+      driver.advance(Math.min(500, leftMs));
+      driver.sendEvent(id, '1');
+    }
+    driver.advance(endMs - 1 - driver.nowMs);
+    expect(driver.list('caller.breakOff')).toHaveLength(0);
+    driver.advance(1);
+    expect(driver.list('caller.breakOff')).toHaveLength(1);
+  });
+});
+
 describe('a request that has to wait for an engine of an entry VM that stops', () => {
   it('is refused at its arrival if it can’t be served in time, and its caller has time to go on', () => {
     const driver = startBusyDriver();
