Stop within the grace of reloaded settings

Cause: the process read the time from the stop signal to the kill from the settings with which it had started. With a shorter time in a reloaded file it was killed with requests open.

Change: `changeSettings` applies the new time to later stops.

Evidence, before:

npx vitest run packages/entry/test/gateway/process-stops.test.ts

--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -78,6 +78,9 @@
 
   private readonly logger;
 
+  /** Time from the stop signal until the process is killed, by the settings last loaded. */
+  private stopGraceMs: number;
+
   private isDraining = false;
 
   /** When connections close at the latest, whether or not all responses are written. */
@@ -95,6 +98,7 @@
     private readonly onStopped: () => void,
   ) {
     const { self, contract } = settings;
+    this.stopGraceMs = contract.stopGraceMs;
     const incarnation = Date.now();
     const { wire } = adapter;
     this.logger = createEventLogger(self.id, 'info', this.logSink);
@@ -155,7 +159,7 @@
     this.isDraining = true;
     this.readinessServer.setReady(false);
     this.requestServer.stopKeepAlive();
-    const timeLeftMs = Math.max(0, this.settings.contract.stopGraceMs - STOP_MARGIN_MS);
+    const timeLeftMs = Math.max(0, this.stopGraceMs - STOP_MARGIN_MS);
     this.closesAtMs = performance.now() + timeLeftMs + FINAL_WRITES_MS;
     this.dispatch({ kind: 'drainRequested', timeLeftMs });
   }
@@ -172,6 +176,7 @@
 
   /** Applies the deployment's limits from new settings. Changed addresses need a restart. */
   changeSettings({ contract }: GatewaySettings): void {
+    this.stopGraceMs = contract.stopGraceMs;
     this.dispatch({ kind: 'contract.changed', contract });
   }
 
--- a/packages/entry/test/gateway/process-stops.test.ts
+++ b/packages/entry/test/gateway/process-stops.test.ts
@@ -154,6 +154,22 @@
     expect(elapsedMs).toBeLessThan(STOP_GRACE_MS);
   });
 
+  it('ends within the grace of reloaded settings', async () => {
+    const { gateway, runs } = await startSetup('');
+    const { settings } = gateway;
+    sendRequest(gateway.port, SHORT_PROMPT);
+    await waitUntil(() => runs.length === 1);
+    const stopGraceMs = STOP_GRACE_MS / 2;
+    gateway.process.changeSettings({
+      ...settings,
+      contract: { ...settings.contract, stopGraceMs },
+    });
+    const startedAtMs = performance.now();
+    gateway.process.drain();
+    await gateway.stopped;
+    expect(performance.now() - startedAtMs).toBeLessThan(stopGraceMs);
+  });
+
   it('ends within its grace although a caller does not read what was written to it', async () => {
     const { gateway, runs } = await startSetup(`${STREAM_HEAD}${'data: x\n\n'.repeat(2_000_000)}`);
     const caller = sendRequest(gateway.port, SHORT_PROMPT);
