--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -1,4 +1,9 @@
-import type { CallerWaitLimits, GatewayEndpoint, NetworkAddress } from '@savorywind/model';
+import type {
+  CallerWaitLimits,
+  GatewayEndpoint,
+  MonotonicMs,
+  NetworkAddress,
+} from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
 import { MAX_HELPERS, MIN_ATTEMPT_MS, PLACEMENT_RETRY_MS } from './consts.js';
 import { createGatewayRecord, type ResolvedRoute } from './create-gateway-record.js';
@@ -15,7 +20,7 @@
 import { measureRequest } from './measure-request.js';
 import type { MemoryReservations } from './memory-reservations.js';
 import type { PermittedPlacement } from './permits/permitted-placement.js';
-import { estimateMinFirstEventMs } from './placement-policy.js';
+import { estimateMinFirstEventMs, type WaitDecision } from './placement-policy.js';
 import { mayRerun, type GatewayAttempt, type GatewayRecord } from './request-record.js';
 import type {
   GatewayResponseHead,
@@ -32,12 +37,14 @@
   logConnectionEnd,
   logContinued,
   logFailure,
+  logOpenAtStop,
   logRefusal,
   logRetry,
   logServerError,
   logUnforwardable,
 } from './request-log.js';
 import { RequestQueue } from './request-queue.js';
+import { StopDeadline } from './stop-deadline.js';
 
 export interface GatewayRequestsOptions {
   readonly context: GatewayContext;
@@ -80,6 +87,10 @@
   runs < route.maxAttempts &&
   sends - unsent < route.maxAttempts + MAX_EXTRA_ATTEMPTS;
 
+/** Estimates the shortest useful time of an attempt up to its first event, in milliseconds. */
+const estimateLeastWaitMs = (record: GatewayRecord): number =>
+  Math.max(MIN_ATTEMPT_MS, estimateMinFirstEventMs(record, MAX_HELPERS + 1));
+
 const releaseReservations = (record: GatewayRecord): void => {
   record.reservations?.release();
   record.reservations = undefined;
@@ -122,6 +133,8 @@
 
   private readonly attempts: GatewayAttempts;
 
+  private readonly stopDeadline = new StopDeadline();
+
   constructor(private readonly options: GatewayRequestsOptions) {
     const { context, fleetLoad, limits, onWorkChanged } = options;
     this.attempts = new GatewayAttempts({
@@ -155,6 +168,22 @@
     this.close(record, 'abandoned');
   }
 
+  /**
+   * Has the process stop at a given time. Requests that wait and can't be served by then are refused
+   * now, so that their callers have time to go to a peer.
+   */
+  startStop(endMs: MonotonicMs): void {
+    this.stopDeadline.set(endMs);
+    this.placeQueued();
+  }
+
+  /** Gives each open request its final response, because the time of the process has ended. */
+  endAll(): void {
+    const open = [...this.records.values()];
+    if (open.length > 0) logOpenAtStop(this.options.context, open);
+    open.forEach((record) => this.end(record, 'stopping'));
+  }
+
   handleLimit(attemptId: string, limit: RequestLimitReport): void {
     const attempt = this.attempts.find(attemptId)?.attempt;
     if (attempt === undefined) return;
@@ -246,6 +275,8 @@
     const { context, health, budget } = this.options;
     // The stalled endpoint may have executed the request.
     if (!mayRetry({ ...record, runs: record.runs + 1 })) return;
+    // A stopping process leaves the silent endpoint the rest of the time if no other could answer in it.
+    if (!this.stopDeadline.mayStart(estimateLeastWaitMs(record), context.nowMs)) return;
     if (!budget.takeRetry(record.service.name, context.nowMs)) return;
     health.reportFailure(attempt.endpoint.id, context.nowMs);
     this.reportLoss(record, attempt);
@@ -263,15 +294,16 @@
     const { context, placement } = this.options;
     this.removeFromQueue(record);
     releaseReservations(record);
-    const minFirstEventMs = Math.max(
-      MIN_ATTEMPT_MS,
-      estimateMinFirstEventMs(record, MAX_HELPERS + 1),
-    );
+    const minFirstEventMs = estimateLeastWaitMs(record);
     const endMs = record.hasForwardedHead ? record.deadlineMs : record.firstEventDeadlineMs;
     if (context.nowMs + minFirstEventMs >= endMs) {
       this.fail(record, 'noRoom');
       return;
     }
+    if (!this.stopDeadline.mayStart(minFirstEventMs, context.nowMs)) {
+      this.fail(record, 'stopping');
+      return;
+    }
     const latestMs = endMs - minFirstEventMs;
     const queued = this.queue.count(record.service.name);
     const decision = placement.decide(record, latestMs, queued);
@@ -283,11 +315,19 @@
       this.reserveAndStart(record, decision);
     } else if (decision.permitMs !== undefined && decision.permitMs >= latestMs) {
       this.fail(record, 'noRoom');
+    } else if (!this.mayWait(record, decision)) {
+      this.fail(record, 'stopping');
     } else {
       this.queueRequest(record);
     }
   }
 
+  /** Whether a stopping process may still let a request wait. */
+  private mayWait(record: GatewayRecord, { permitMs, lateStartMs }: WaitDecision): boolean {
+    const startMs = Math.max(this.options.context.nowMs, permitMs ?? 0, lateStartMs ?? 0);
+    return this.stopDeadline.mayWait(record, startMs);
+  }
+
   /**
    * Reserves memory on helpers before the attempt starts. If a reservation fails, the request is
    * queued.
@@ -414,10 +454,14 @@
 
   private expire(requestId: string): void {
     const record = this.records.get(requestId);
-    if (record === undefined) return;
+    if (record !== undefined) this.end(record, 'timeout');
+  }
+
+  /** Ends a request whose time is over. Its attempt, if it has one, may have been executed. */
+  private end(record: GatewayRecord, reason: GatewayRefusalReason): void {
     if (record.attempt !== undefined) record.runs += 1;
     this.attempts.cancel(record);
-    this.fail(record, 'timeout');
+    this.fail(record, reason);
   }
 
   /** Ends a request that can't be served with its final response. */
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -33,10 +33,10 @@
  */
 const POLLS_PER_LONG_POLL = 6;
 
-/** The process stops this long before the platform kills it, in milliseconds. */
+/** Open requests are ended this long before the platform kills the process, in milliseconds. */
 const STOP_MARGIN_MS = 400;
 
-/** Time for the last responses to be written before connections close, in milliseconds. */
+/** Least time for the last responses to be written before connections close, in milliseconds. */
 const FINAL_WRITES_MS = 100;
 
 /**
@@ -78,14 +78,27 @@
 
   private readonly logger;
 
+  /** Time from the stop signal until the process is killed, by the settings last loaded. */
+  private stopGraceMs: number;
+
+  private isDraining = false;
+
+  /** When connections close at the latest, whether or not all responses are written. */
+  private closesAtMs = 0;
+
   private isStopped = false;
 
+  private isClosed = false;
+
+  private closeTimer: NodeJS.Timeout | undefined;
+
   constructor(
     private readonly settings: GatewaySettings,
     private readonly adapter: GatewayAdapter,
     private readonly onStopped: () => void,
   ) {
     const { self, contract } = settings;
+    this.stopGraceMs = contract.stopGraceMs;
     const incarnation = Date.now();
     const { wire } = adapter;
     this.logger = createEventLogger(self.id, 'info', this.logSink);
@@ -96,6 +109,7 @@
       wire,
       onRequestReceived: (exchange, path, host) => this.openExchange(exchange, path, host),
       onDisconnected: (requestId) => this.abandonExchange(requestId),
+      onUnreadRefused: (request) => this.logger.write(logEvents.unreadRequestRefused, { request }),
     });
     this.readinessServer = new ReadinessServer(settings.readiness, wire.readinessPath);
     this.peerSocket = new PeerSocket({
@@ -137,14 +151,17 @@
 
   /**
    * Reports not ready immediately, still serves requests that arrive, and stops when all are answered
-   * or shortly before the end of the grace period.
+   * or shortly before the end of the grace period, when each open request gets its final response. Does
+   * nothing if it was called before.
    */
   drain(): void {
+    if (this.isDraining) return;
+    this.isDraining = true;
     this.readinessServer.setReady(false);
     this.requestServer.stopKeepAlive();
-    this.dispatch({ kind: 'drainRequested' });
-    const { stopGraceMs } = this.settings.contract;
-    setTimeout(() => this.stop(), stopGraceMs - STOP_MARGIN_MS).unref();
+    const timeLeftMs = Math.max(0, this.stopGraceMs - STOP_MARGIN_MS);
+    this.closesAtMs = performance.now() + timeLeftMs + FINAL_WRITES_MS;
+    this.dispatch({ kind: 'drainRequested', timeLeftMs });
   }
 
   /** Stops without waiting for requests in flight. */
@@ -159,6 +176,7 @@
 
   /** Applies the deployment's limits from new settings. Changed addresses need a restart. */
   changeSettings({ contract }: GatewaySettings): void {
+    this.stopGraceMs = contract.stopGraceMs;
     this.dispatch({ kind: 'contract.changed', contract });
   }
 
@@ -384,11 +402,17 @@
     this.tableWatchers.forEach((watcher) => watcher.stop());
     this.registration.stop();
     this.requestServer.stop();
-    // Lets the last responses be written before connections close.
-    setTimeout(() => this.close(), FINAL_WRITES_MS);
+    setTimeout(() => this.requestServer.waitForResponses(() => this.close()), FINAL_WRITES_MS);
+    // A caller that reads slowly can't keep the process from ending.
+    const timeLeftMs = Math.max(FINAL_WRITES_MS, this.closesAtMs - performance.now());
+    this.closeTimer = setTimeout(() => this.close(), timeLeftMs);
   }
 
   private close(): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    clearTimeout(this.closeTimer);
+    const unwritten = this.requestServer.openResponseCount;
     this.requestServer.closeAllConnections();
     this.runner.stop();
     this.pools.stop();
@@ -396,7 +420,7 @@
     this.peerSocket.stop();
     this.readinessServer.stop();
     this.metricsServer?.stop();
-    this.logger.write(logEvents.gatewayStopped, {});
+    this.logger.write(logEvents.gatewayStopped, { unwritten });
     this.logSink.flush();
     this.onStopped();
   }
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -49,6 +49,16 @@
     'a response that the caller has in part is continued with that of another endpoint',
   ],
   responseEndedByClose: [841, 'info', 'a response without a length ended with its connection'],
+  requestsOpenAtStop: [
+    842,
+    'warn',
+    'the time of the stopping gateway ended with requests open; each gets its final answer',
+  ],
+  unreadRequestRefused: [
+    843,
+    'info',
+    'a request was refused because the gateway stops before its body has arrived',
+  ],
   logLinesDropped: [827, 'warn', 'log lines were dropped because the log reader was too slow'],
   peerUnreadable: [
     825,
