Decode what engines say of leaving and of coming back

Cause: neither Server-Leaving nor Retry-After with an engine's 503 was decoded, so no decision could use them.

The adapter decodes both for responses to requests and to reservations. Leaving counts with any status, and only as exactly 1; two headers arrive as "1, 1" and are unreadable. Retry-After counts with status 503 only, in seconds with decimals. 0 and huge numbers are passed on as they are; negative numbers, exponents, dates and junk are unreadable; of two headers Node.js keeps the first. A date is ruled out as wall clocks differ. The responses of another endpoint at the same address (421) say nothing. Event endpoint.noticeReported names the endpoint with the start time of its process, and is dispatched only if a response says something. Log event 835 names unreadable fields. No placement uses the notices yet.

Evidence: npx vitest run platform/test/endpoint-notice.test.ts with wire.ts as before: "AssertionError: expected undefined to deeply equal { leaving: 'no', retryAfterMs: 250 }", 34 failed; now 34 passed. Also passed: model and entry/test/gateway (126), platform/test/platform-path.test.ts.

--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -10,6 +10,7 @@
   type WorkSnapshot,
 } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
+import { EndpointAvailability } from './availability/endpoint-availability.js';
 import { LEASE_MARGIN_MS } from './consts.js';
 import { ConfigurationProof } from './configuration-proof.js';
 import { CredentialLease } from './credential-lease.js';
@@ -100,6 +101,8 @@
 
   private readonly limits: EndpointLimits;
 
+  private readonly availability: EndpointAvailability;
+
   private readonly coordinator: PermitCoordinator;
 
   private readonly permits: PermitHolder;
@@ -136,6 +139,7 @@
     this.lease = new CredentialLease(estimateLeaseMs(contract));
     this.reregistrationMs = contract.reregistrationMs;
     this.table = new EndpointTable(contract.reregistrationMs, (id) => this.removeEndpoint(id));
+    this.availability = new EndpointAvailability({ context: this.context });
     this.fleetLoad = new FleetLoadTracker(self, incarnation);
     this.budget = new FleetRetryBudget(createBudgetOptions(contract));
     this.reservations = new MemoryReservations(this.context, contract);
@@ -262,6 +266,8 @@
       'request.arrived': ({ request }) => this.handleRequest(request),
       'request.abandoned': ({ requestId }) => requests.abandon(requestId),
       'attempt.limitReported': ({ attemptId, limit }) => requests.handleLimit(attemptId, limit),
+      'endpoint.noticeReported': ({ endpoint, notice }) =>
+        this.availability.report(endpoint, notice),
       'attempt.headReceived': ({ attemptId, head }) => requests.handleHead(attemptId, head),
       'attempt.eventPassed': ({ attemptId, eventId }) => requests.handleEvent(attemptId, eventId),
       'attempt.flowChanged': ({ attemptId, flow }) => requests.handleFlow(attemptId, flow),
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -63,6 +63,20 @@
  */
 export type RequestLimitReport = number | 'none' | 'unreadable';
 
+/** Identity of one process of an endpoint: it may restart under the same id. */
+export type EndpointProcess = Pick<GatewayEndpoint, 'id' | 'startedAtMs'>;
+
+/** What the head of a response says of the endpoint's readiness for further requests. */
+export interface EndpointNotice {
+  /** Whether the endpoint says that it leaves; `unreadable` if the field can't be decoded. */
+  readonly leaving: 'no' | 'yes' | 'unreadable';
+  /**
+   * Time from the response, in milliseconds, for which the endpoint wants nothing from this entry VM;
+   * `none` if it names no time.
+   */
+  readonly retryAfterMs: number | 'none' | 'unreadable';
+}
+
 /** A changed registration; `endpoint` is undefined if the registration was removed. */
 export interface EndpointChange {
   readonly id: EndpointId;
@@ -114,6 +128,12 @@
       readonly attemptId: AttemptId;
       readonly limit: RequestLimitReport;
     }
+  /** A response of the endpoint carries a notice; comes before what the response means for its request. */
+  | {
+      readonly kind: 'endpoint.noticeReported';
+      readonly endpoint: EndpointProcess;
+      readonly notice: EndpointNotice;
+    }
   | {
       readonly kind: 'attempt.headReceived';
       readonly attemptId: AttemptId;
--- a/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
@@ -8,6 +8,7 @@
   GatewayWire,
   AttemptStart,
 } from '../types.js';
+import { reportNotice } from './report-notice.js';
 import { ResponseRelay } from './response-relay.js';
 import type { ConnectionPools } from './connection-pools.js';
 
@@ -110,6 +111,7 @@
       return;
     }
     this.reportLimit(metadata);
+    this.reportNotice(metadata);
     if (metadata.outcome !== 'answered') {
       this.handleRejection(response, metadata.outcome, metadata);
     } else {
@@ -131,6 +133,12 @@
     dispatch({ kind: 'attempt.limitReported', attemptId: start.attemptId, limit: requestLimit });
   }
 
+  private reportNotice({ outcome, notice }: ResponseMetadata): void {
+    if (this.isEnded || outcome === 'otherEndpoint') return;
+    const { start, dispatch } = this.options;
+    reportNotice(start.endpoint, notice, dispatch);
+  }
+
   /** Fails the attempt, and reads the body to its end, so that the connection can be reused. */
   private handleRejection(
     response: IncomingMessage,
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -9,6 +9,7 @@
 import { ElapsedClock } from './elapsed-clock.js';
 import { ConnectionPools } from './endpoints/connection-pools.js';
 import { EndpointAttempt } from './endpoints/endpoint-attempt.js';
+import { ReservationCalls } from './endpoints/reservation-calls.js';
 import { listControlGauges } from './metrics/control-gauges.js';
 import { GatewayMetrics } from './metrics/gateway-metrics.js';
 import { MetricsServer } from './metrics/metrics-server.js';
@@ -19,7 +20,7 @@
 import { StoreEra } from './store/store-era.js';
 import { TableWatcher, type TableUpdate } from './store/table-watcher.js';
 import type { TableRow } from './store/types.js';
-import type { GatewayAdapter, GatewaySettings, ReservationRequest } from './types.js';
+import type { GatewayAdapter, GatewaySettings } from './types.js';
 
 /**
  * Configuration polls per credential freshness period: credentials count as stale if no read of the
@@ -58,6 +59,8 @@
 
   private readonly pools = new ConnectionPools();
 
+  private readonly reservationCalls: ReservationCalls;
+
   private readonly exchanges = new Map<string, CallerExchange>();
 
   private readonly attempts = new Map<string, EndpointAttempt>();
@@ -91,6 +94,11 @@
     this.logger = createEventLogger(self.id, 'info', this.logSink);
     this.node = new GatewayNode({ self, incarnation, seed: incarnation, contract });
     this.runner = new StateMachineRunner(this.node, this.createHandlers());
+    this.reservationCalls = new ReservationCalls({
+      reservations: adapter.reservations,
+      pools: this.pools,
+      dispatch: (event) => this.dispatch(event),
+    });
     this.requestServer = new RequestServer({
       address: settings.callers,
       wire,
@@ -307,14 +315,6 @@
     this.attempts.set(start.attemptId, attempt);
   }
 
-  private reserve(request: ReservationRequest): void {
-    const { reservationId, endpoint } = request;
-    const agent = this.pools.find(endpoint.id, 'kept');
-    this.adapter.reservations.reserve(request, agent).then((outcome) => {
-      this.dispatch({ kind: 'reservation.answered', reservationId, outcome });
-    });
-  }
-
   private createHandlers(): EffectHandlersOf<GatewayEffect> {
     return {
       'attempt.start': (effect) => this.startAttempt(effect),
@@ -326,11 +326,8 @@
       'caller.finish': ({ requestId }) => this.takeExchange(requestId)?.finish(),
       'caller.breakOff': ({ requestId }) => this.takeExchange(requestId)?.abort(),
       'caller.refuse': ({ requestId, refusal }) => this.takeExchange(requestId)?.refuse(refusal),
-      'reservation.ask': (request) => this.reserve(request),
-      'reservation.release': (release) => {
-        const agent = this.pools.find(release.endpoint.id, 'kept');
-        this.adapter.reservations.release(release, agent);
-      },
+      'reservation.ask': (request) => this.reservationCalls.reserve(request),
+      'reservation.release': (request) => this.reservationCalls.release(request),
       'peers.send': ({ snapshot, peers }) => this.peerSocket.send(snapshot, peers),
       'permit.request': ({ request, to }) =>
         this.peerSocket.sendMessage({ kind: 'permit.request', request }, to),
--- a/packages/entry/src/gateway/types.ts
+++ b/packages/entry/src/gateway/types.ts
@@ -1,5 +1,6 @@
 import type { Agent, IncomingHttpHeaders } from 'node:http';
 import type {
+  EndpointNotice,
   GatewayResponseHead,
   GatewayEffect,
   GatewayEvent,
@@ -48,6 +49,7 @@
    */
   readonly outcome: 'answered' | 'rejected' | 'otherEndpoint';
   readonly requestLimit: RequestLimitReport;
+  readonly notice: EndpointNotice;
   /** Address of the participating endpoint that failed; undefined if the response names none. */
   readonly atFault: NetworkAddress | undefined;
   /** Id of the caller's attempt that the response belongs to; undefined if it names none. */
@@ -79,11 +81,19 @@
   encodePeer(peer: GatewayPeer): Uint8Array;
 }
 
+/** Response of an engine to a reservation. */
+export interface ReservationResponse {
+  readonly outcome: ReservationOutcome;
+  /** Undefined if no response of this engine came. */
+  readonly notice: EndpointNotice | undefined;
+}
+
 /** Reserves and releases KV cache memory on engines. */
 export interface EngineReservations {
   /** Reserves memory, or renews the reservation with the same id. */
-  reserve(reservation: ReservationRequest, agent: Agent): Promise<ReservationOutcome>;
-  release(reservation: ReservationRelease, agent: Agent): Promise<void>;
+  reserve(reservation: ReservationRequest, agent: Agent): Promise<ReservationResponse>;
+  /** @returns the notice in the response; undefined if no response of this engine came */
+  release(reservation: ReservationRelease, agent: Agent): Promise<EndpointNotice | undefined>;
 }
 
 /** Everything that the gateway needs from the platform it runs on. */
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -43,6 +43,11 @@
     'warn',
     'the store shows an older version of the configuration; the one in force is kept',
   ],
+  endpointNoticeUnreadable: [
+    835,
+    'warn',
+    'what an endpoint says of leaving or of coming back cannot be decoded and is ignored',
+  ],
   logLinesDropped: [827, 'warn', 'log lines were dropped because the log reader was too slow'],
   peerUnreadable: [
     825,
