Send nothing more to an endpoint that says in a response that it leaves

Cause: an endpoint's leaving was known from its registration alone, which comes late, not at all while the store is away, and may come back from an older copy that says "ready".

One module now answers whether an endpoint may be sent something new (availability/endpoint-availability.ts: allowed, or why not and until when). What runs there is finished. If all endpoints of a service leave, requests end at once with noEndpoint (503). Log event 836.

Ruled out: a hook in the registrations table. Eras and outages change it, and the fact must outlive both.

--- a/packages/decisions/src/gateway/endpoint-table.ts
+++ b/packages/decisions/src/gateway/endpoint-table.ts
@@ -138,11 +138,6 @@
     return this.endpoints.get(id);
   }
 
-  /** Whether an endpoint is registered and not leaving. */
-  isServing(id: EndpointId): boolean {
-    return this.endpoints.get(id)?.state === 'serving';
-  }
-
   listServing(service: ServiceId): GatewayEndpoint[] {
     return [...this.endpoints.values()].filter(
       (endpoint) => endpoint.service === service && endpoint.state === 'serving',
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -1,4 +1,4 @@
-import type { GatewayEndpoint } from '@savorywind/model';
+import type { EndpointId, GatewayEndpoint } from '@savorywind/model';
 import { CONNECT_TIMEOUT_MS } from './consts.js';
 import type { PlacedHelper } from './placement-estimates.js';
 import type { EndpointLimits } from './permits/endpoint-limits.js';
@@ -123,6 +123,16 @@
     this.detach(record);
   }
 
+  /** Withdraws the attempts that involve an endpoint, where their requests are not sent yet. */
+  withdraw(endpoint: EndpointId): void {
+    this.records.forEach(({ attempt }) => {
+      if (attempt === undefined || attempt.hasHead) return;
+      const involved = [attempt.endpoint, ...attempt.helpers];
+      if (!involved.some(({ id }) => id === endpoint)) return;
+      this.options.context.emit({ kind: 'attempt.withdraw', attemptId: attempt.attemptId });
+    });
+  }
+
   private finishPrefill(work: LocalWork): void {
     if (work.memoryTokens > 0) work.state = 'decode';
     else this.options.fleetLoad.removeLocalWork(work);
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -139,10 +139,16 @@
     this.lease = new CredentialLease(estimateLeaseMs(contract));
     this.reregistrationMs = contract.reregistrationMs;
     this.table = new EndpointTable(contract.reregistrationMs, (id) => this.removeEndpoint(id));
-    this.availability = new EndpointAvailability({ context: this.context });
+    this.availability = new EndpointAvailability({
+      context: this.context,
+      table: this.table,
+      onClosed: (endpoint) => this.requests.handleClosed(endpoint),
+    });
     this.fleetLoad = new FleetLoadTracker(self, incarnation);
     this.budget = new FleetRetryBudget(createBudgetOptions(contract));
-    this.reservations = new MemoryReservations(this.context, contract);
+    this.reservations = new MemoryReservations(this.context, contract, (id) =>
+      this.availability.isOpen(id),
+    );
     this.limits = new EndpointLimits(this.context, () => this.snapshots.handleWorkChanged());
     this.snapshots = new SnapshotSender(
       this.context,
@@ -192,12 +198,13 @@
   }
 
   private createRequests(self: GatewayPeer, callerWait: CallerWaitLimits): GatewayRequests {
-    const { context, table, health, limits, permits, fleetLoad, budget, reservations } = this;
+    const { context, availability, health, limits, permits, fleetLoad, budget, reservations } =
+      this;
     const { failureDomain } = self;
     const reachability = new DomainReachability(fleetLoad.peers);
     const placementPolicy = new PlacementPolicy({
       context,
-      table,
+      availability,
       health,
       fleetLoad,
       reachability,
@@ -207,7 +214,7 @@
     });
     return new GatewayRequests({
       context,
-      table,
+      availability,
       health,
       limits,
       reachability,
@@ -386,6 +393,7 @@
 
   private removeEndpoint(endpoint: EndpointId): void {
     this.health.remove(endpoint);
+    this.availability.remove(endpoint);
     this.limits.remove(endpoint);
     this.permits.remove(endpoint);
     this.coordinator.remove(endpoint);
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -1,12 +1,17 @@
-import type { CallerWaitLimits, GatewayEndpoint, NetworkAddress } from '@savorywind/model';
+import type {
+  CallerWaitLimits,
+  EndpointId,
+  GatewayEndpoint,
+  NetworkAddress,
+} from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
+import type { EndpointAvailability } from './availability/endpoint-availability.js';
 import { MAX_HELPERS, MIN_ATTEMPT_MS, PLACEMENT_RETRY_MS } from './consts.js';
 import { createGatewayRecord, type ResolvedRoute } from './create-gateway-record.js';
 import { createRefusal } from './create-refusal.js';
 import type { DomainReachability } from './domain-reachability.js';
 import type { EndpointLimits } from './permits/endpoint-limits.js';
 import type { EndpointHealth } from './endpoint-health.js';
-import type { EndpointTable } from './endpoint-table.js';
 import { logIfLate, recordEvent } from './event-times.js';
 import type { FleetLoadTracker } from './fleet-load-tracker.js';
 import type { FleetRetryBudget } from './fleet-retry-budget.js';
@@ -38,7 +43,7 @@
 
 export interface GatewayRequestsOptions {
   readonly context: GatewayContext;
-  readonly table: EndpointTable;
+  readonly availability: EndpointAvailability;
   readonly health: EndpointHealth;
   readonly limits: EndpointLimits;
   readonly reachability: DomainReachability;
@@ -147,6 +152,11 @@
     this.options.limits.report(attempt.endpoint.id, limit, attempt.startedAtMs);
   }
 
+  /** Takes back the requests that are on the way to an endpoint that takes no more, where possible. */
+  handleClosed(endpoint: EndpointId): void {
+    this.attempts.withdraw(endpoint);
+  }
+
   handleHead(attemptId: string, head: GatewayResponseHead): void {
     const record = this.attempts.find(attemptId);
     const attempt = record?.attempt;
@@ -202,11 +212,13 @@
     const { context, health } = this.options;
     const { id: failedId } = findFailedEndpoint(attempt, atFault);
     logFailure(context, record, { failed: failedId, failure, detail });
-    health.reportFailure(failedId, context.nowMs);
     if (CONNECTION_FAILURES.has(failure)) this.reportLoss(record, attempt);
     this.attempts.detach(record);
     releaseReservations(record);
-    record.failedEndpoints.add(failedId);
+    if (failure !== 'withdrawn') {
+      health.reportFailure(failedId, context.nowMs);
+      record.failedEndpoints.add(failedId);
+    }
     this.retryOrFail(record, failure);
   }
 
@@ -282,7 +294,7 @@
       if (reserved === undefined) {
         record.reservations = undefined;
         this.queueRequest(record);
-      } else if (this.isPlanServing(plan)) {
+      } else if (this.isPlanOpen(plan)) {
         this.attempts.start(record, plan);
       } else {
         releaseReservations(record);
@@ -291,11 +303,11 @@
     });
   }
 
-  /** Whether all engines of a plan still serve: some may have left while memory was reserved. */
-  private isPlanServing({ endpoint, helpers }: AttemptPlan): boolean {
-    const { table } = this.options;
+  /** Whether all engines of a plan take requests: some may have left while memory was reserved. */
+  private isPlanOpen({ endpoint, helpers }: AttemptPlan): boolean {
+    const { availability } = this.options;
     return [endpoint, ...helpers.map((helper) => helper.endpoint)].every(({ id }) =>
-      table.isServing(id),
+      availability.isOpen(id),
     );
   }
 
@@ -362,7 +374,7 @@
   }
 
   private retryOrFail(record: GatewayRecord, failure: GatewayAttemptFailure): void {
-    if (failure === 'notSent') record.unsent += 1;
+    if (failure === 'notSent' || failure === 'withdrawn') record.unsent += 1;
     else if (failure === 'broken' || failure === 'invalid') record.runs += 1;
     const hasRun = record.runs > 0;
     if (hasRun && !mayRerun(record)) {
@@ -381,7 +393,8 @@
    */
   private takeRetryBudget(record: GatewayRecord, failure: GatewayAttemptFailure): boolean {
     const { budget, context } = this.options;
-    if (failure === 'notSent') return record.unsent <= MAX_EXTRA_ATTEMPTS;
+    if (failure === 'notSent' || failure === 'withdrawn')
+      return record.unsent <= MAX_EXTRA_ATTEMPTS;
     return budget.takeRetry(record.service.name, context.nowMs);
   }
 
--- a/packages/decisions/src/gateway/memory-reservations.ts
+++ b/packages/decisions/src/gateway/memory-reservations.ts
@@ -1,4 +1,4 @@
-import type { GatewayEndpoint } from '@savorywind/model';
+import type { EndpointId, GatewayEndpoint } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
 import type { PlacedHelper } from './placement-estimates.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -45,6 +45,8 @@
   constructor(
     private readonly context: GatewayContext,
     { maxReservationMs, reservationReleaseMs }: ReservationLimits,
+    /** Whether an engine may be asked for memory now. */
+    private readonly isOpen: (engine: EndpointId) => boolean,
   ) {
     this.holdMs = Math.floor(Math.min(maxReservationMs, HOLD_FRACTION * reservationReleaseMs));
   }
@@ -52,8 +54,8 @@
   /**
    * Reserves the memory that the helpers hold.
    *
-   * @param onDone gets the reservations, or undefined if one was refused or unanswered, after all
-   *   were released
+   * @param onDone gets the reservations, or undefined if one was refused or unanswered, or its engine
+   *   takes no more, after all were released
    */
   reserve(
     helpers: readonly PlacedHelper[],
@@ -103,6 +105,11 @@
         onDone(set);
         return;
       }
+      if (!this.isOpen(next.endpoint.id)) {
+        set.release();
+        onDone(undefined);
+        return;
+      }
       requested.push(next);
       this.pending.set(next.reservationId, (outcome) => {
         if (isReleased) return;
--- a/packages/decisions/src/gateway/placement-policy.ts
+++ b/packages/decisions/src/gateway/placement-policy.ts
@@ -1,8 +1,8 @@
 import type { FailureDomainId, GatewayEndpoint, LogFields, MonotonicMs } from '@savorywind/model';
+import type { EndpointAvailability } from './availability/endpoint-availability.js';
 import { MAX_HELPERS } from './consts.js';
 import type { EndpointHealth } from './endpoint-health.js';
 import type { DomainReachability } from './domain-reachability.js';
-import type { EndpointTable } from './endpoint-table.js';
 import { estimatePassMs } from './engine-costs.js';
 import { placeGeneration } from './place-generation.js';
 import { createIdleLoad, type FleetLoadTracker } from './fleet-load-tracker.js';
@@ -47,7 +47,7 @@
       /** Earliest time at which a permit may be had if the request needs one. */
       readonly permitMs?: MonotonicMs;
     }
-  /** No endpoint of the service is registered and serving. */
+  /** No endpoint of the service takes requests. */
   | { readonly kind: 'noEndpoint' };
 
 const IDLE_LOAD = createIdleLoad();
@@ -133,7 +133,7 @@
 
 export interface PlacementPolicyOptions {
   readonly context: GatewayContext;
-  readonly table: EndpointTable;
+  readonly availability: EndpointAvailability;
   readonly health: EndpointHealth;
   readonly fleetLoad: FleetLoadTracker;
   readonly reachability: DomainReachability;
@@ -327,11 +327,11 @@
   /**
    * Lists the endpoints that may get the request: those that are neither ejected nor unreachable
    * and have not failed the request. If there are none, all that have not failed the request are
-   * listed; if there are none of these either, all that serve.
+   * listed; if there are none of these either, all that take requests.
    */
   private listAvailable(record: GatewayRecord): readonly GatewayEndpoint[] {
     const { nowMs } = this.options.context;
-    const serving = this.options.table.listServing(record.service.name);
+    const serving = this.options.availability.listOpen(record.service.name);
     const untried = serving.filter(({ id }) => !record.failedEndpoints.has(id));
     const unreachable = this.listUnreachable(untried);
     const healthy = untried.filter(
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -43,6 +43,8 @@
   | 'rejected'
   /** Another endpoint now has the address, and did not execute the request. */
   | 'otherEndpoint'
+  /** Not sent either: the endpoint takes no more requests. */
+  | 'withdrawn'
   /** The connection was lost, or the response ended early. */
   | 'broken'
   /** The received bytes are not a response to this request. */
@@ -245,6 +247,8 @@
       readonly delivery: 'whole' | 'events';
     }
   | { readonly kind: 'attempt.cancel'; readonly attemptId: AttemptId }
+  /** Fails the attempt as `withdrawn` if no byte of the request has left this process. */
+  | { readonly kind: 'attempt.withdraw'; readonly attemptId: AttemptId }
   /** Forwards the head of the response to the caller, and the body as it arrives. */
   | {
       readonly kind: 'caller.relay';
--- a/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
@@ -23,7 +23,7 @@
   readonly dispatch: DispatchGatewayEvent;
 }
 
-type Failure = 'notSent' | 'rejected' | 'otherEndpoint' | 'broken' | 'invalid';
+type Failure = 'notSent' | 'withdrawn' | 'rejected' | 'otherEndpoint' | 'broken' | 'invalid';
 
 /** One attempt to run a request at an endpoint, from connecting to the end of the response. */
 export class EndpointAttempt {
@@ -51,6 +51,13 @@
     this.relay?.startForwarding();
   }
 
+  /** Fails the attempt unless bytes of the request may have been sent. */
+  withdraw(): void {
+    if (this.mayHaveSent) return;
+    this.fail('withdrawn', 'endpoint takes no more requests');
+    this.outgoing.destroy();
+  }
+
   /** Closes the connection to the endpoint. No further events are dispatched. */
   cancel(): void {
     this.isEnded = true;
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -322,6 +322,7 @@
         this.attempts.get(attemptId)?.cancel();
         this.attempts.delete(attemptId);
       },
+      'attempt.withdraw': ({ attemptId }) => this.attempts.get(attemptId)?.withdraw(),
       'caller.relay': ({ attemptId }) => this.attempts.get(attemptId)?.startForwarding(),
       'caller.finish': ({ requestId }) => this.takeExchange(requestId)?.finish(),
       'caller.breakOff': ({ requestId }) => this.takeExchange(requestId)?.abort(),
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -48,6 +48,7 @@
     'warn',
     'what an endpoint says of leaving or of coming back cannot be decoded and is ignored',
   ],
+  endpointLeavingNoted: [836, 'info', 'an endpoint has said in a response that it leaves'],
   logLinesDropped: [827, 'warn', 'log lines were dropped because the log reader was too slow'],
   peerUnreadable: [
     825,
