Keep to the time that an endpoint names when it turns a request away

Cause: a 503 with a time to come back was an ejection of a fixed length, from 0.25 s on, so an endpoint that had asked for seconds of rest got requests again at once, and where all endpoints had asked for it, all of them did.

If all endpoints of a service are closed, requests are refused at once (endpointsClosed, 503) with the soonest time and some more at random; only waits within an eighth of the target latency are held, and a stream that has begun waits as long as its caller. What a once-only call is told is unchanged: if it may have run, 502. A call that could be repeated gets the 503 of its endpoint forwarded if no other endpoint is open. Log events 837 and 838.

Weighed: the time as a hint of load for peers. It is meant for this VM only, and an endpoint may answer others; peers are not told.

--- a/packages/decisions/src/gateway/availability/endpoint-availability.ts
+++ b/packages/decisions/src/gateway/availability/endpoint-availability.ts
@@ -1,5 +1,6 @@
 import {
   logEvents,
+  type AttemptId,
   type EndpointId,
   type GatewayEndpoint,
   type MonotonicMs,
@@ -8,13 +9,18 @@
 import type { EndpointTable } from '../endpoint-table.js';
 import type { GatewayContext } from '../gateway-context.js';
 import type { EndpointNotice, EndpointProcess } from '../types.js';
+import { EndpointClosures } from './endpoint-closures.js';
 import { LeavingEndpoints } from './leaving-endpoints.js';
 
 /** Why an endpoint may not be sent anything. */
 export type UnavailableReason =
   | 'unregistered'
   /** By its registration or by its own responses. */
-  | 'leaving';
+  | 'leaving'
+  /** It has named a time to come back that is not over. */
+  | 'closed'
+  /** That time is over, and it has not answered the first requests after it yet. */
+  | 'returning';
 
 /** Whether this entry VM may send an endpoint something new now. */
 export type Availability =
@@ -22,7 +28,7 @@
   | {
       readonly allowed: false;
       readonly reason: UnavailableReason;
-      /** When it may be allowed again; undefined if that is not known. */
+      /** When it may be allowed again at the earliest; undefined if that is not known. */
       readonly untilMs: MonotonicMs | undefined;
     };
 
@@ -46,6 +52,8 @@
 export class EndpointAvailability {
   private readonly leaving: LeavingEndpoints;
 
+  private readonly closures: EndpointClosures;
+
   constructor(private readonly options: EndpointAvailabilityOptions) {
     const { context, table } = options;
     this.leaving = new LeavingEndpoints({
@@ -53,6 +61,11 @@
       table,
       onLeaving: (endpoint) => this.reportClosed(endpoint),
     });
+    this.closures = new EndpointClosures({
+      context,
+      table,
+      onClosed: (endpoint) => this.reportClosed(endpoint),
+    });
   }
 
   /** Records what a response of an endpoint says. */
@@ -60,6 +73,7 @@
     if (leaving === 'unreadable') this.logUnreadable(process.id, 'leaving');
     if (retryAfterMs === 'unreadable') this.logUnreadable(process.id, 'retryAfter');
     if (leaving === 'yes') this.leaving.report(process);
+    if (typeof retryAfterMs === 'number') this.closures.report(process, retryAfterMs);
   }
 
   check(id: EndpointId): Availability {
@@ -68,7 +82,7 @@
       return { allowed: false, reason: 'unregistered', untilMs: undefined };
     if (endpoint.state === 'leaving' || this.leaving.isLeaving(endpoint))
       return { allowed: false, reason: 'leaving', untilMs: undefined };
-    return ALLOWED;
+    return this.checkClosure(endpoint);
   }
 
   isOpen(id: EndpointId): boolean {
@@ -80,9 +94,46 @@
     return this.options.table.listServing(service).filter(({ id }) => this.isOpen(id));
   }
 
+  /**
+   * Finds the earliest time at which any endpoint of a service may be sent something; undefined if one may
+   * now, or if none will as far as known.
+   */
+  findOpeningMs(service: ServiceId): MonotonicMs | undefined {
+    const answers = this.options.table.listServing(service).map(({ id }) => this.check(id));
+    if (answers.some(({ allowed }) => allowed)) return undefined;
+    const times = answers.flatMap((answer) => (answer.allowed ? [] : (answer.untilMs ?? [])));
+    return times.length === 0 ? undefined : Math.min(...times);
+  }
+
+  /** Records that an attempt was started that endpoints take part in, helpers included. */
+  recordStart(attemptId: AttemptId, endpoints: readonly GatewayEndpoint[]): void {
+    endpoints.forEach(({ id }) => this.closures.recordStart(attemptId, id));
+  }
+
+  recordResponse(attemptId: AttemptId): void {
+    this.closures.recordResponse(attemptId);
+  }
+
+  recordEnd(attemptId: AttemptId): void {
+    this.closures.recordEnd(attemptId);
+  }
+
+  /** Counts time that the clock missed. */
+  addLostTime(lostMs: number): void {
+    this.closures.addLostTime(lostMs);
+  }
+
   /** Forgets what concerns an endpoint that was removed, or restarted under the same id. */
   remove(endpoint: EndpointId): void {
     this.leaving.remove(endpoint);
+    this.closures.remove(endpoint);
+  }
+
+  private checkClosure(endpoint: GatewayEndpoint): Availability {
+    const untilMs = this.closures.findOpeningMs(endpoint);
+    if (untilMs === undefined) return ALLOWED;
+    const reason = untilMs > this.options.context.nowMs ? 'closed' : 'returning';
+    return { allowed: false, reason, untilMs };
   }
 
   /** A response of an earlier process under the same id closes nothing. */
--- a/packages/decisions/src/gateway/availability/leaving-endpoints.ts
+++ b/packages/decisions/src/gateway/availability/leaving-endpoints.ts
@@ -2,6 +2,7 @@
 import type { EndpointTable } from '../endpoint-table.js';
 import type { GatewayContext } from '../gateway-context.js';
 import type { EndpointProcess } from '../types.js';
+import { isLaterProcess } from './is-later-process.js';
 
 /** The process of an endpoint that said that it leaves. */
 interface LeavingProcess {
@@ -48,14 +49,9 @@
   }
 
   /** Whether a process, or a later one under the same id, has said that it leaves. */
-  isLeaving({ id, startedAtMs }: EndpointProcess): boolean {
-    const known = this.known.get(id);
-    if (known === undefined) return false;
-    const isLater =
-      known.startedAtMs !== undefined &&
-      startedAtMs !== undefined &&
-      startedAtMs > known.startedAtMs;
-    return !isLater;
+  isLeaving(process: EndpointProcess): boolean {
+    const known = this.known.get(process.id);
+    return known !== undefined && !isLaterProcess(process, known);
   }
 
   /** Forgets an endpoint that was removed or restarted, unless the start of its process is known. */
--- a/packages/decisions/src/gateway/create-refusal.ts
+++ b/packages/decisions/src/gateway/create-refusal.ts
@@ -13,21 +13,31 @@
  */
 const CAPACITY_RETRY_AFTER_MS = 1_000;
 
+/** Part of the time for which all endpoints are closed over which callers are spread. */
+const CLOSED_SPREAD_FRACTION = 0.1;
+
+export interface RetryAfterOptions {
+  /** Time for which all endpoints of the service are closed; 0 if one may get a request now. */
+  readonly closedForMs: number;
+  /** Random number from 0 to 1 that spreads the callers' retries. */
+  readonly jitter: number;
+}
+
 /**
  * Creates the final response of a request that fails. It has a retry-after time only if the request
  * certainly has not run.
- *
- * @param jitter random number from 0 to 1 that spreads the callers' retries
  */
 export const createRefusal = (
   record: GatewayRecord,
   reason: GatewayRefusalReason,
-  jitter: number,
+  { closedForMs, jitter }: RetryAfterOptions,
 ): GatewayRefusal => {
   if (record.runs > 0) {
     return { reason: reason === 'timeout' ? 'timeout' : 'broken', retryAfterMs: undefined };
   }
   const isFull = reason === 'noRoom' || reason === 'timeout';
-  const retryAfterMs = (isFull ? CAPACITY_RETRY_AFTER_MS : RETRY_AFTER_MS) * (1 + jitter);
+  const baseMs = isFull ? CAPACITY_RETRY_AFTER_MS : RETRY_AFTER_MS;
+  const spreadMs = Math.max(baseMs, CLOSED_SPREAD_FRACTION * closedForMs);
+  const retryAfterMs = Math.max(baseMs, closedForMs) + spreadMs * jitter;
   return { reason: isFull ? 'noRoom' : reason, retryAfterMs };
 };
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -1,4 +1,5 @@
 import type { EndpointId, GatewayEndpoint } from '@savorywind/model';
+import type { EndpointAvailability } from './availability/endpoint-availability.js';
 import { CONNECT_TIMEOUT_MS } from './consts.js';
 import type { PlacedHelper } from './placement-estimates.js';
 import type { EndpointLimits } from './permits/endpoint-limits.js';
@@ -46,6 +47,7 @@
   readonly context: GatewayContext;
   readonly fleetLoad: FleetLoadTracker;
   readonly limits: EndpointLimits;
+  readonly availability: EndpointAvailability;
   /** Called when an attempt starts, gets its first event or ends. */
   readonly onWorkChanged: () => void;
   readonly onStalled: (record: GatewayRecord, attempt: GatewayAttempt) => void;
@@ -80,6 +82,8 @@
     record.firstPlacedAtMs ??= this.options.context.nowMs;
     record.sends += 1;
     this.options.limits.recordAttempt(plan.endpoint.id);
+    const involved = [attempt.endpoint, ...attempt.helpers];
+    this.options.availability.recordStart(attempt.attemptId, involved);
     this.records.set(attempt.attemptId, record);
     this.emitStart(record, attempt, plan);
     this.armStallTimer(record, attempt, this.estimateStallTimeoutMs(record, plan.partMs));
@@ -111,6 +115,7 @@
     if (attempt === undefined) return;
     attempt.stallTimer?.cancel();
     attempt.work.forEach((work) => this.options.fleetLoad.removeLocalWork(work));
+    this.options.availability.recordEnd(attempt.attemptId);
     this.records.delete(attempt.attemptId);
     record.attempt = undefined;
     this.options.onWorkChanged();
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -237,6 +237,7 @@
         this.lease.addLostTime(lostMs);
         this.proof.addLostTime(lostMs);
         this.limits.addLostTime(lostMs);
+        this.availability.addLostTime(lostMs);
         this.permits.clear();
       },
       'contract.changed': ({ contract }) => {
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -2,6 +2,7 @@
   CallerWaitLimits,
   EndpointId,
   GatewayEndpoint,
+  MonotonicMs,
   NetworkAddress,
 } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
@@ -77,6 +78,12 @@
 
 const FIRST_SERVER_ERROR = 500;
 
+/**
+ * Fraction of the target latency for which a request waits in all for endpoints that have named a time to
+ * come back; its caller is told the time instead.
+ */
+const CLOSED_WAIT_FRACTION = 0.125;
+
 const mayRetry = ({ route, runs, sends, unsent }: GatewayRecord): boolean =>
   runs < route.maxAttempts && sends - unsent < route.maxAttempts + MAX_EXTRA_ATTEMPTS;
 
@@ -98,6 +105,19 @@
   return named ?? endpoint;
 };
 
+/**
+ * Whether a request waits for endpoints that have named a time to come back. A stream that has begun can't
+ * be refused any more.
+ */
+const mayWaitForOpening = (
+  { hasForwardedHead, arrivedAtMs, route }: GatewayRecord,
+  openingMs: MonotonicMs,
+  latestMs: MonotonicMs,
+): boolean =>
+  hasForwardedHead
+    ? openingMs < latestMs
+    : openingMs <= arrivedAtMs + CLOSED_WAIT_FRACTION * route.targetLatencyMs;
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 /**
@@ -114,9 +134,10 @@
   private readonly attempts: GatewayAttempts;
 
   constructor(private readonly options: GatewayRequestsOptions) {
-    const { context, fleetLoad, limits, onWorkChanged } = options;
+    const { context, availability, fleetLoad, limits, onWorkChanged } = options;
     this.attempts = new GatewayAttempts({
       context,
+      availability,
       fleetLoad,
       limits,
       onWorkChanged,
@@ -162,6 +183,7 @@
     const attempt = record?.attempt;
     if (record === undefined || attempt === undefined) return;
     attempt.hasHead = true;
+    this.options.availability.recordResponse(attemptId);
     this.options.health.reportResponse(attempt.endpoint.id);
     this.reportResponse(attempt);
     if (head.status >= FIRST_SERVER_ERROR)
@@ -270,6 +292,9 @@
     const decision = placement.decide(record, latestMs, queued);
     if (decision.kind === 'noEndpoint') {
       this.fail(record, 'noEndpoint');
+    } else if (decision.kind === 'closed') {
+      if (mayWaitForOpening(record, decision.untilMs, latestMs)) this.queueRequest(record);
+      else this.fail(record, 'endpointsClosed');
     } else if (decision.kind === 'place') {
       record.placementFields = decision.placementFields;
       placement.usePermit(decision);
@@ -367,7 +392,9 @@
     }
     record.runs += 1;
     if (!mayRerun(record) || !mayRetry(record)) return false;
-    const { budget, context } = this.options;
+    const { availability, budget, context } = this.options;
+    // The endpoint's own answer is better than a refusal because all endpoints are closed.
+    if (availability.findOpeningMs(record.service.name) !== undefined) return false;
     if (!budget.takeRetry(record.service.name, context.nowMs)) return false;
     record.failedEndpoints.add(record.attempt.endpoint.id);
     return true;
@@ -408,7 +435,7 @@
 
   /** Ends a request that can't be served with its final response. */
   private fail(record: GatewayRecord, reason: GatewayRefusalReason): void {
-    const { context } = this.options;
+    const { context, availability } = this.options;
     const { requestId } = record.request;
     if (record.hasForwardedHead) {
       logBrokenOff(context, record, reason);
@@ -416,7 +443,11 @@
       this.close(record, 'brokenOff');
       return;
     }
-    const refusal = createRefusal(record, reason, context.drawRandom());
+    const openingMs = availability.findOpeningMs(record.service.name) ?? context.nowMs;
+    const refusal = createRefusal(record, reason, {
+      closedForMs: openingMs - context.nowMs,
+      jitter: context.drawRandom(),
+    });
     logRefusal(context, record, reason);
     context.emit({ kind: 'caller.refuse', requestId, refusal });
     this.close(record, refusal.reason);
--- a/packages/decisions/src/gateway/permits/permitted-placement.ts
+++ b/packages/decisions/src/gateway/permits/permitted-placement.ts
@@ -31,7 +31,7 @@
     const { context, placementPolicy, permits } = this.options;
     const decision = placementPolicy.decide(record);
     const isOnTime = decision.kind === 'place' && decision.isOnTime;
-    if (isOnTime || decision.kind === 'noEndpoint') return decision;
+    if (isOnTime || decision.kind === 'noEndpoint' || decision.kind === 'closed') return decision;
     const limited = placementPolicy.listLimited(record);
     if (limited.length === 0) return decision;
     const hasPermit = permits.request(limited, queued + 1, latestMs - context.nowMs);
--- a/packages/decisions/src/gateway/placement-policy.ts
+++ b/packages/decisions/src/gateway/placement-policy.ts
@@ -48,7 +48,13 @@
       readonly permitMs?: MonotonicMs;
     }
   /** No endpoint of the service takes requests. */
-  | { readonly kind: 'noEndpoint' };
+  | { readonly kind: 'noEndpoint' }
+  /** Those that serve have named a time to come back. */
+  | {
+      readonly kind: 'closed';
+      /** When one of them may get a request at the earliest. */
+      readonly untilMs: MonotonicMs;
+    };
 
 const IDLE_LOAD = createIdleLoad();
 
@@ -159,7 +165,10 @@
    */
   decide(record: GatewayRecord): PlacementDecision {
     const available = this.listAvailable(record);
-    if (available.length === 0) return { kind: 'noEndpoint' };
+    if (available.length === 0) {
+      const untilMs = this.options.availability.findOpeningMs(record.service.name);
+      return untilMs === undefined ? { kind: 'noEndpoint' } : { kind: 'closed', untilMs };
+    }
     const candidates = this.listCandidates(available);
     if (!candidates.some(({ isPermitted }) => isPermitted)) {
       return { kind: 'wait', permitMs: this.options.permits.findEarliestMs(available) };
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -188,6 +188,8 @@
   | 'notReady'
   | 'credentialsStale'
   | 'noEndpoint'
+  /** All endpoints of the service have named a time to come back. */
+  | 'endpointsClosed'
   | 'noRoom'
   | 'rejected'
   | 'broken'
--- a/packages/entry/src/gateway/callers/refusal-statuses.ts
+++ b/packages/entry/src/gateway/callers/refusal-statuses.ts
@@ -10,6 +10,7 @@
   notReady: 503,
   credentialsStale: 503,
   noEndpoint: 503,
+  endpointsClosed: 503,
   noRoom: 503,
   rejected: 503,
   broken: 502,
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -49,6 +49,16 @@
     'what an endpoint says of leaving or of coming back cannot be decoded and is ignored',
   ],
   endpointLeavingNoted: [836, 'info', 'an endpoint has said in a response that it leaves'],
+  endpointClosed: [
+    837,
+    'info',
+    'an endpoint takes nothing from this VM for the time that it named',
+  ],
+  endpointReopened: [
+    838,
+    'info',
+    'an endpoint that had named a time to come back takes requests again',
+  ],
   logLinesDropped: [827, 'warn', 'log lines were dropped because the log reader was too slow'],
   peerUnreadable: [
     825,
