Tell peers which endpoints have said that they leave

Cause: what one entry VM had learned from a response, the others learned only from a response of their own, which each time costs a request on the way.

leave: endpoint, start time, age; at most 32, the newest; none if the registration is of another process. A departure is sent at once like a change of the work. The compact form gets one more element, only if there is something to tell, and earlier builds ignore it in both forms.

It is not told on. Ruled out: to close on a peer's word; nothing then tells a false one from a true one. Times to come back are not told, as they are meant for one VM. Log event 839.

Cost: 48 bytes at most for each endpoint that leaves, in the estimate of the link's use, too; none otherwise.

--- a/packages/decisions/src/gateway/availability/endpoint-availability.ts
+++ b/packages/decisions/src/gateway/availability/endpoint-availability.ts
@@ -2,7 +2,9 @@
   logEvents,
   type AttemptId,
   type EndpointId,
+  type EntryVmId,
   type GatewayEndpoint,
+  type LeavingObservation,
   type MonotonicMs,
   type ServiceId,
 } from '@savorywind/model';
@@ -11,6 +13,7 @@
 import type { EndpointNotice, EndpointProcess } from '../types.js';
 import { EndpointClosures } from './endpoint-closures.js';
 import { LeavingEndpoints } from './leaving-endpoints.js';
+import { ToldDepartures } from './told-departures.js';
 
 /** Why an endpoint may not be sent anything. */
 export type UnavailableReason =
@@ -54,6 +57,8 @@
 
   private readonly closures: EndpointClosures;
 
+  private readonly told: ToldDepartures;
+
   constructor(private readonly options: EndpointAvailabilityOptions) {
     const { context, table } = options;
     this.leaving = new LeavingEndpoints({
@@ -61,6 +66,7 @@
       table,
       onLeaving: (endpoint) => this.reportClosed(endpoint),
     });
+    this.told = new ToldDepartures(context, table);
     this.closures = new EndpointClosures({
       context,
       table,
@@ -89,9 +95,24 @@
     return this.check(id).allowed;
   }
 
-  /** Lists the endpoints of a service that may be sent something. */
+  /**
+   * Lists the endpoints of a service that may be sent something. Those that leave according to peers are
+   * listed only if there are no others.
+   */
   listOpen(service: ServiceId): GatewayEndpoint[] {
-    return this.options.table.listServing(service).filter(({ id }) => this.isOpen(id));
+    const open = this.options.table.listServing(service).filter(({ id }) => this.isOpen(id));
+    const preferred = open.filter((endpoint) => !this.told.isTold(endpoint));
+    return preferred.length > 0 ? preferred : open;
+  }
+
+  /** Lists the endpoints that have told this entry VM that they leave, for the peers. */
+  listObservations(): LeavingObservation[] | undefined {
+    return this.leaving.listObservations();
+  }
+
+  /** Applies what a peer says of endpoints that leave. */
+  applyObservations(from: EntryVmId, observations: readonly LeavingObservation[]): void {
+    observations.forEach((observation) => this.told.apply(from, observation));
   }
 
   /**
@@ -127,6 +148,7 @@
   remove(endpoint: EndpointId): void {
     this.leaving.remove(endpoint);
     this.closures.remove(endpoint);
+    this.told.remove(endpoint);
   }
 
   private checkClosure(endpoint: GatewayEndpoint): Availability {
--- a/packages/decisions/src/gateway/availability/leaving-endpoints.ts
+++ b/packages/decisions/src/gateway/availability/leaving-endpoints.ts
@@ -1,4 +1,10 @@
-import { logEvents, type EndpointId, type MonotonicMs } from '@savorywind/model';
+import {
+  logEvents,
+  type EndpointId,
+  type LeavingObservation,
+  type MonotonicMs,
+} from '@savorywind/model';
+import { MAX_LEAVING_OBSERVATIONS } from '../consts.js';
 import type { EndpointTable } from '../endpoint-table.js';
 import type { GatewayContext } from '../gateway-context.js';
 import type { EndpointProcess } from '../types.js';
@@ -54,6 +60,18 @@
     return known !== undefined && !isLaterProcess(process, known);
   }
 
+  /** Lists the processes that have told this entry VM that they leave, for the peers, the newest ones. */
+  listObservations(): LeavingObservation[] | undefined {
+    const { context, table } = this.options;
+    const observations = [...this.known].flatMap(([endpoint, { startedAtMs, observedAtMs }]) => {
+      const isRegistered = table.find(endpoint)?.startedAtMs === startedAtMs;
+      if (startedAtMs === undefined || !isRegistered) return [];
+      return [{ endpoint, startedAtMs, ageMs: Math.round(context.nowMs - observedAtMs) }];
+    });
+    if (observations.length === 0) return undefined;
+    return observations.sort((a, b) => a.ageMs - b.ageMs).slice(0, MAX_LEAVING_OBSERVATIONS);
+  }
+
   /** Forgets an endpoint that was removed or restarted, unless the start of its process is known. */
   remove(endpoint: EndpointId): void {
     if (this.known.get(endpoint)?.startedAtMs === undefined) this.known.delete(endpoint);
--- a/packages/decisions/src/gateway/consts.ts
+++ b/packages/decisions/src/gateway/consts.ts
@@ -40,6 +40,12 @@
 /** Bytes that one observed limit adds to a snapshot: upper bound as for the work on an engine. */
 export const LIMIT_OBSERVATION_BYTES = 48;
 
+/** Bytes that one endpoint that leaves adds to a snapshot: upper bound as for the work on an engine. */
+export const LEAVING_OBSERVATION_BYTES = 48;
+
+/** Most endpoints that leave in one snapshot; the newest ones are told. */
+export const MAX_LEAVING_OBSERVATIONS = 32;
+
 /** Bytes that the work on one engine adds to a snapshot: upper bound as above. */
 export const ENGINE_WORK_BYTES = 45;
 
--- a/packages/decisions/src/gateway/fleet-load-tracker.ts
+++ b/packages/decisions/src/gateway/fleet-load-tracker.ts
@@ -33,7 +33,7 @@
 }
 
 /** What a snapshot tells besides the work. */
-export type SnapshotFields = Pick<WorkSnapshot, 'limits' | 'configuration'>;
+export type SnapshotFields = Pick<WorkSnapshot, 'limits' | 'leaving' | 'configuration'>;
 
 /** Loads by engine; engines without any work are missing. */
 export type EngineLoads = ReadonlyMap<EndpointId, EngineLoad>;
@@ -172,7 +172,10 @@
     return loads;
   }
 
-  createSnapshot({ limits, configuration }: SnapshotFields, nowMs: MonotonicMs): WorkSnapshot {
+  createSnapshot(
+    { limits, leaving, configuration }: SnapshotFields,
+    nowMs: MonotonicMs,
+  ): WorkSnapshot {
     this.sequence += 1;
     const byEngine = new Map<EndpointId, EngineLoad>();
     this.localWork.forEach((work) => {
@@ -187,6 +190,6 @@
       readMs: Math.round(load.readMs),
     }));
     const { self: from, incarnation, sequence } = this;
-    return { from, incarnation, sequence, work, configuration, limits };
+    return { from, incarnation, sequence, work, configuration, limits, leaving };
   }
 }
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -142,7 +142,10 @@
     this.availability = new EndpointAvailability({
       context: this.context,
       table: this.table,
-      onClosed: (endpoint) => this.requests.handleClosed(endpoint),
+      onClosed: (endpoint) => {
+        this.requests.handleClosed(endpoint);
+        this.snapshots.handleWorkChanged();
+      },
     });
     this.fleetLoad = new FleetLoadTracker(self, incarnation);
     this.budget = new FleetRetryBudget(createBudgetOptions(contract));
@@ -155,6 +158,7 @@
       this.fleetLoad,
       () => ({
         limits: this.limits.listObservations(),
+        leaving: this.availability.listObservations(),
         configuration: this.proof.describeNewest(this.context.nowMs),
       }),
       contract.linkBytesPerMs,
@@ -286,7 +290,8 @@
     };
   }
 
-  private applySnapshotFields({ limits = [], configuration }: WorkSnapshot): void {
+  private applySnapshotFields(snapshot: WorkSnapshot): void {
+    const { from, limits = [], leaving = [], configuration } = snapshot;
     if (configuration !== undefined) {
       const knownSinceMs = this.context.nowMs - configuration.ageMs;
       const isDisproved = this.proof.recordCommitted(configuration.version, knownSinceMs);
@@ -295,6 +300,7 @@
     limits
       .filter(({ endpoint }) => this.table.find(endpoint) !== undefined)
       .forEach((observation) => this.limits.applyObservation(observation));
+    this.availability.applyObservations(from.id, leaving);
   }
 
   private handleConfirmation(event: EventOf<'configuration.confirmed'>): void {
--- a/packages/decisions/src/gateway/snapshot-sender.ts
+++ b/packages/decisions/src/gateway/snapshot-sender.ts
@@ -4,6 +4,7 @@
   DATAGRAM_HEADER_BYTES,
   ENGINE_WORK_BYTES,
   IDLE_SNAPSHOT_BYTES,
+  LEAVING_OBSERVATION_BYTES,
   LIMIT_OBSERVATION_BYTES,
   SNAPSHOT_DELAY_MS,
   SNAPSHOT_INTERVAL_MS,
@@ -27,14 +28,16 @@
  * @example
  * estimateDatagramBytes(snapshot); // 578 for work on ten engines
  */
-export const estimateDatagramBytes = ({ work, limits = [] }: WorkSnapshot): number =>
+export const estimateDatagramBytes = ({ work, limits = [], leaving = [] }: WorkSnapshot): number =>
   DATAGRAM_HEADER_BYTES +
   IDLE_SNAPSHOT_BYTES +
   work.length * ENGINE_WORK_BYTES +
-  limits.length * LIMIT_OBSERVATION_BYTES;
+  limits.length * LIMIT_OBSERVATION_BYTES +
+  leaving.length * LEAVING_OBSERVATION_BYTES;
 
 /**
- * Sends the work of this entry VM, the limits of endpoints that it knows of, and the version of its
+ * Sends the work of this entry VM, the limits of endpoints that it knows of, those that
+ * leave, and the version of its
  * configuration to its peers: to some after each change, to the others at intervals,
  * and to all within a fraction of the VM's link. A delayed snapshot carries the changes up to its
  * sending.
--- a/packages/entry/src/gateway/compact-snapshot.ts
+++ b/packages/entry/src/gateway/compact-snapshot.ts
@@ -1,10 +1,16 @@
-import type { EngineWork, LimitObservation, WorkSnapshot } from '@savorywind/model';
+import type {
+  EngineWork,
+  LeavingObservation,
+  LimitObservation,
+  WorkSnapshot,
+} from '@savorywind/model';
 
 /**
  * A snapshot as an array without field names, a quarter as long as a map: version, id, failure domain,
  * host and port of the sender, incarnation, sequence, the work, {@link VALUES_PER_ENGINE} values an
  * engine, the limits of endpoints, {@link VALUES_PER_LIMIT} values each, and the version
- * and age of the configuration. Builds that know no limits send and read the elements before these.
+ * and age of the configuration, and if there are any the endpoints that leave,
+ * {@link VALUES_PER_LEAVING} values each. Earlier builds send and read only the first elements.
  */
 export type CompactSnapshot = readonly [
   version: number,
@@ -18,6 +24,8 @@
   limits: readonly (string | number)[],
   configurationVersion: number | undefined,
   configurationAgeMs: number | undefined,
+  /** One element, or none if no endpoint leaves. */
+  ...leaving: (readonly (string | number)[])[],
 ];
 
 /** First element of a compact snapshot. */
@@ -27,6 +35,8 @@
 
 const VALUES_PER_LIMIT = 3;
 
+const VALUES_PER_LEAVING = 3;
+
 /** Stands for the requests per second of a limit that has ended. */
 const ENDED = -1;
 
@@ -36,6 +46,12 @@
   ageMs,
 ];
 
+const listLeavingValues = (observation: LeavingObservation): (string | number)[] => [
+  observation.endpoint,
+  observation.startedAtMs,
+  observation.ageMs,
+];
+
 const listWorkValues = (work: EngineWork): (string | number)[] => [
   work.endpoint,
   work.writers,
@@ -54,7 +70,7 @@
  * packr.pack(encodeCompactSnapshot(snapshot));
  */
 export const encodeCompactSnapshot = (snapshot: WorkSnapshot): CompactSnapshot => {
-  const { from, incarnation, sequence, work, limits = [], configuration } = snapshot;
+  const { from, incarnation, sequence, work, limits = [], configuration, leaving = [] } = snapshot;
   const { host, port } = from.address;
   return [
     COMPACT_VERSION,
@@ -68,6 +84,7 @@
     limits.flatMap(listLimitValues),
     configuration?.version,
     configuration?.ageMs,
+    ...(leaving.length === 0 ? [] : [leaving.flatMap(listLeavingValues)]),
   ];
 };
 
@@ -101,6 +118,18 @@
   return limits;
 };
 
+const decodeLeaving = (values: readonly unknown[]): unknown[] => {
+  const leaving: unknown[] = [];
+  for (let index = 0; index < values.length; index += VALUES_PER_LEAVING) {
+    leaving.push({
+      endpoint: values[index],
+      startedAtMs: values[index + 1],
+      ageMs: values[index + 2],
+    });
+  }
+  return leaving;
+};
+
 const decodeConfiguration = ([version, ageMs]: readonly unknown[]): unknown =>
   version === undefined ? undefined : { version, ageMs };
 
@@ -120,7 +149,9 @@
     sequence,
     work,
     limits,
-    ...configured
+    configurationVersion,
+    configurationAgeMs,
+    leaving,
   ] = datagram;
   if (version !== COMPACT_VERSION || !Array.isArray(work)) return undefined;
   const from = { id, failureDomain, address: { host, port } };
@@ -130,6 +161,7 @@
     sequence,
     work: decodeWork(work),
     limits: Array.isArray(limits) ? decodeLimits(limits) : undefined,
-    configuration: decodeConfiguration(configured),
+    configuration: decodeConfiguration([configurationVersion, configurationAgeMs]),
+    leaving: Array.isArray(leaving) ? decodeLeaving(leaving) : undefined,
   };
 };
--- a/packages/entry/src/gateway/snapshot-codec.ts
+++ b/packages/entry/src/gateway/snapshot-codec.ts
@@ -5,6 +5,7 @@
   type EngineWork,
   type GatewayPeer,
   type KnownConfiguration,
+  type LeavingObservation,
   type Result,
   type WorkSnapshot,
 } from '@savorywind/model';
@@ -66,6 +67,13 @@
   limits === undefined ||
   (Array.isArray(limits) && limits.length <= MAX_ENGINES && limits.every(isObservation));
 
+const isLeaving = (value: Partial<LeavingObservation> | undefined): boolean =>
+  isShortText(value?.endpoint) && isNonNegative(value.startedAtMs) && isNonNegative(value.ageMs);
+
+const areLeaving = (leaving: WorkSnapshot['leaving']): boolean =>
+  leaving === undefined ||
+  (Array.isArray(leaving) && leaving.length <= MAX_ENGINES && leaving.every(isLeaving));
+
 /**
  * Checked by hand: hundreds of snapshots arrive per second, and a schema library would cost more time
  * than placing requests does.
@@ -80,6 +88,7 @@
     snapshot.work.length <= MAX_ENGINES &&
     snapshot.work.every(isWork) &&
     areLimits(snapshot.limits) &&
+    areLeaving(snapshot.leaving) &&
     (snapshot.configuration === undefined || isKnownConfiguration(snapshot.configuration))
   );
 };
--- a/packages/entry/test/gateway/snapshot-codec.test.ts
+++ b/packages/entry/test/gateway/snapshot-codec.test.ts
@@ -67,6 +67,39 @@
     expect(codec.decode(codec.encode(snapshot, 'named')).err).toBe(true);
   });
 
+  it.each<SnapshotFormat>(['named', 'compact'])('tells who leaves, %s', (format) => {
+    const leaving = [
+      { endpoint: 'i-20000003', startedAtMs: 1_764_820_800_123, ageMs: 40 },
+      { endpoint: 'i-20000004', startedAtMs: 1_764_820_900_456, ageMs: 90_000 },
+    ];
+    const snapshot = { ...createSnapshot(3), leaving };
+    const bytes = codec.encode(snapshot, format);
+    expect(codec.decode(bytes).unwrap()).toMatchObject({ snapshot });
+    if (format === 'compact')
+      expect(bytes.length + DATAGRAM_HEADER_BYTES).toBeLessThan(estimateDatagramBytes(snapshot));
+  });
+
+  it('keeps the elements that earlier builds read where endpoints leave', () => {
+    const packr = new Packr({ useRecords: false });
+    const unpack = (snapshot: WorkSnapshot): unknown[] =>
+      packr.unpack(codec.encode(snapshot, 'compact')) as unknown[];
+    const leaving = [{ endpoint: 'i-20000003', startedAtMs: 5, ageMs: 40 }];
+    const elements = unpack(createSnapshot(3));
+    const withLeaving = unpack({ ...createSnapshot(3), leaving });
+    expect(withLeaving.slice(0, elements.length)).toEqual(elements);
+    expect(withLeaving).toHaveLength(elements.length + 1);
+  });
+
+  it.each([
+    [{ endpoint: 7, startedAtMs: 1, ageMs: 1 }],
+    [{ endpoint: 'e', startedAtMs: undefined, ageMs: 1 }],
+    [{ endpoint: 'e', startedAtMs: 1, ageMs: -1 }],
+  ])('with an invalid endpoint that leaves is refused, %j', (observation) => {
+    const snapshot = { ...createSnapshot(1), leaving: [observation] } as unknown as WorkSnapshot;
+    expect(codec.decode(codec.encode(snapshot, 'named')).err).toBe(true);
+    expect(codec.decode(codec.encode(snapshot, 'compact')).err).toBe(true);
+  });
+
   it('in the compact form takes a third of the bytes of the named form, or less', () => {
     const named = codec.encode(createSnapshot(30), 'named').length;
     const compact = codec.encode(createSnapshot(30), 'compact').length;
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -204,6 +204,15 @@
   readonly ageMs: number;
 }
 
+/** An endpoint that has told an entry VM itself, in a response, that it leaves. */
+export interface LeavingObservation {
+  readonly endpoint: EndpointId;
+  /** Start of the process that leaves; others under the same id are not concerned. */
+  readonly startedAtMs: number;
+  /** Time from the response to the sending of this message, in milliseconds. */
+  readonly ageMs: number;
+}
+
 /** Asks the coordinator of an endpoint with a limit for the permit to send it one request. */
 export interface PermitRequest {
   /** Chosen by the asking entry VM; unique. */
@@ -241,4 +250,6 @@
   readonly configuration?: KnownConfiguration | undefined;
   /** Undefined from builds that know neither limits nor permits. */
   readonly limits?: readonly LimitObservation[] | undefined;
+  /** Undefined if the sender knows none, or from builds that do not send them. */
+  readonly leaving?: readonly LeavingObservation[] | undefined;
 }
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -59,6 +59,11 @@
     'info',
     'an endpoint that had named a time to come back takes requests again',
   ],
+  endpointLeavingTold: [
+    839,
+    'info',
+    'a peer says that an endpoint leaves; others are preferred to it',
+  ],
   logLinesDropped: [827, 'warn', 'log lines were dropped because the log reader was too slow'],
   peerUnreadable: [
     825,
