--- a/packages/decisions/src/gateway/availability/endpoint-availability.ts
+++ b/packages/decisions/src/gateway/availability/endpoint-availability.ts
@@ -35,6 +35,18 @@
       readonly untilMs: MonotonicMs | undefined;
     };
 
+/** What metrics show of the endpoints that may not be sent anything. */
+export interface AvailabilityUsage {
+  /** Registered endpoints by the reason for which they are not available. */
+  readonly unavailable: Readonly<Record<Exclude<UnavailableReason, 'unregistered'>, number>>;
+  /** Processes that have told this VM in a response that they leave. */
+  readonly departures: number;
+  /** Times to come back that endpoints have named to this VM. */
+  readonly closures: number;
+  /** Fields of notices that could not be decoded. */
+  readonly unreadable: number;
+}
+
 export interface EndpointAvailabilityOptions {
   readonly context: GatewayContext;
   readonly table: EndpointTable;
@@ -59,6 +71,8 @@
 
   private readonly told: ToldDepartures;
 
+  private unreadable = 0;
+
   constructor(private readonly options: EndpointAvailabilityOptions) {
     const { context, table } = options;
     this.leaving = new LeavingEndpoints({
@@ -74,6 +88,17 @@
     });
   }
 
+  get usage(): AvailabilityUsage {
+    const unavailable = { leaving: 0, closed: 0, returning: 0 };
+    this.options.table.listIds().forEach((id) => {
+      const answer = this.check(id);
+      if (!answer.allowed && answer.reason !== 'unregistered') unavailable[answer.reason] += 1;
+    });
+    const { unreadable } = this;
+    const { reported: departures } = this.leaving;
+    return { unavailable, departures, closures: this.closures.begun, unreadable };
+  }
+
   /** Records what a response of an endpoint says. */
   report(process: EndpointProcess, { leaving, retryAfterMs }: EndpointNotice): void {
     if (leaving === 'unreadable') this.logUnreadable(process.id, 'leaving');
@@ -164,6 +189,7 @@
   }
 
   private logUnreadable(endpoint: EndpointId, field: string): void {
+    this.unreadable += 1;
     this.options.context.log(logEvents.endpointNoticeUnreadable, { endpoint, field });
   }
 }
--- a/packages/decisions/src/gateway/availability/endpoint-closures.ts
+++ b/packages/decisions/src/gateway/availability/endpoint-closures.ts
@@ -53,6 +53,9 @@
 export class EndpointClosures {
   private readonly closures = new Map<EndpointId, Closure>();
 
+  /** Times that endpoints have named, since the start of this process; a time made longer counts once. */
+  begun = 0;
+
   constructor(private readonly options: EndpointClosuresOptions) {}
 
   /** Records the time that a process has named. A shorter one does not end a longer one. */
@@ -68,8 +71,10 @@
     const previousMs = isSameProcess ? known.untilMs : Number.NEGATIVE_INFINITY;
     const untilMs = Math.max(previousMs, context.nowMs + durationMs + spreadMs);
     this.closures.set(id, { startedAtMs, untilMs, permitted: 1, waitingSinceMs: new Map() });
-    if (previousMs <= context.nowMs)
+    if (previousMs <= context.nowMs) {
+      this.begun += 1;
       context.log(logEvents.endpointClosed, { endpoint: id, forMs: Math.round(durationMs) });
+    }
     onClosed(id);
   }
 
--- a/packages/decisions/src/gateway/availability/leaving-endpoints.ts
+++ b/packages/decisions/src/gateway/availability/leaving-endpoints.ts
@@ -41,6 +41,9 @@
 export class LeavingEndpoints {
   private readonly known = new Map<EndpointId, LeavingProcess>();
 
+  /** Processes that have said that they leave, since the start of this one. */
+  reported = 0;
+
   constructor(private readonly options: LeavingEndpointsOptions) {}
 
   /** Records that a process of an endpoint has said in a response that it leaves. */
@@ -50,6 +53,7 @@
     this.dropOutdated();
     const { id, startedAtMs } = process;
     this.known.set(id, { startedAtMs, observedAtMs: context.nowMs });
+    this.reported += 1;
     context.log(logEvents.endpointLeavingNoted, { endpoint: id, startedAtMs });
     onLeaving(id);
   }
--- a/packages/decisions/src/gateway/endpoint-table.ts
+++ b/packages/decisions/src/gateway/endpoint-table.ts
@@ -138,6 +138,10 @@
     return this.endpoints.get(id);
   }
 
+  listIds(): EndpointId[] {
+    return [...this.endpoints.keys()];
+  }
+
   listServing(service: ServiceId): GatewayEndpoint[] {
     return [...this.endpoints.values()].filter(
       (endpoint) => endpoint.service === service && endpoint.state === 'serving',
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -10,7 +10,10 @@
   type WorkSnapshot,
 } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
-import { EndpointAvailability } from './availability/endpoint-availability.js';
+import {
+  EndpointAvailability,
+  type AvailabilityUsage,
+} from './availability/endpoint-availability.js';
 import { LEASE_MARGIN_MS } from './consts.js';
 import { ConfigurationProof } from './configuration-proof.js';
 import { CredentialLease } from './credential-lease.js';
@@ -190,6 +193,11 @@
     return this.limits.usage;
   }
 
+  /** What metrics show of the endpoints that may not be sent anything. */
+  get availabilityUsage(): AvailabilityUsage {
+    return this.availability.usage;
+  }
+
   private createCoordinator(self: GatewayPeer): PermitCoordinator {
     const { context, table, limits, fleetLoad } = this;
     return new PermitCoordinator({ context, self, peers: fleetLoad.peers, table, limits });
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -369,6 +369,7 @@
         traffic: this.peerSocket.trafficBytes,
         linkBytesPerMs: this.settings.contract.linkBytesPerMs,
         limits: this.node.limitUsage,
+        availability: this.node.availabilityUsage,
         storeEras: this.era.raises,
         longestTimerDelayMs: this.runner.takeLongestTimerDelayMs(),
       }),
--- a/packages/entry/src/gateway/metrics/control-gauges.ts
+++ b/packages/entry/src/gateway/metrics/control-gauges.ts
@@ -1,4 +1,4 @@
-import type { LimitUsage } from '@savorywind/decisions';
+import type { AvailabilityUsage, LimitUsage } from '@savorywind/decisions';
 import type { Gauge } from '../../observe/render-metrics.js';
 import type { PeerTraffic } from '../peer-socket.js';
 
@@ -8,12 +8,54 @@
   readonly traffic: Readonly<PeerTraffic>;
   readonly linkBytesPerMs: number;
   readonly limits: LimitUsage;
+  readonly availability: AvailabilityUsage;
   /** How often the store has come back from an older copy of itself. */
   readonly storeEras: number;
   /** By how much a timer was late at most since the last reading, in milliseconds. */
   readonly longestTimerDelayMs: number;
 }
 
+const listAvailabilityGauges = ({
+  unavailable,
+  departures,
+  closures,
+  unreadable,
+}: AvailabilityUsage): Gauge[] => [
+  {
+    metric: 'savorywind_leaving_endpoints',
+    help: 'Registered endpoints that leave, by their registration or by a response to this VM.',
+    value: unavailable.leaving,
+  },
+  {
+    metric: 'savorywind_closed_endpoints',
+    help: 'Endpoints that have named to this VM a time to come back that is not over.',
+    value: unavailable.closed,
+  },
+  {
+    metric: 'savorywind_returning_endpoints',
+    help: 'Endpoints whose time to come back is over and that answer the first requests after it.',
+    value: unavailable.returning,
+  },
+  {
+    metric: 'savorywind_endpoint_departures_total',
+    help: 'Endpoints that have said in a response to this VM that they leave.',
+    type: 'counter',
+    value: departures,
+  },
+  {
+    metric: 'savorywind_endpoint_closures_total',
+    help: 'Times to come back that endpoints have named to this VM.',
+    type: 'counter',
+    value: closures,
+  },
+  {
+    metric: 'savorywind_unreadable_notices_total',
+    help: 'Fields of responses about leaving or coming back that could not be decoded.',
+    type: 'counter',
+    value: unreadable,
+  },
+];
+
 /**
  * Lists what shows whether control work delays requests: the traffic with peers beside the rate of the
  * link, the limits of endpoints, the eras of the store, and how long events wait for the process.
@@ -47,6 +89,7 @@
     type: 'counter',
     value: load.limits.attempts,
   },
+  ...listAvailabilityGauges(load.availability),
   {
     metric: 'savorywind_store_eras_total',
     help: 'How often the store has come back from an older copy of itself, as seen by this VM.',
--- a/packages/entry/test/gateway/gateway-metrics.test.ts
+++ b/packages/entry/test/gateway/gateway-metrics.test.ts
@@ -57,6 +57,12 @@
     expect(text).toContain('# TYPE savorywind_peer_bytes_sent_total counter');
     expect(text).toMatch(/^savorywind_store_eras_total 0$/m);
     expect(text).toMatch(/^savorywind_limited_endpoints 0$/m);
+    ['leaving_endpoints', 'closed_endpoints', 'returning_endpoints'].forEach((name) =>
+      expect(text).toContain(`\nsavorywind_${name} 0\n`),
+    );
+    ['endpoint_departures', 'endpoint_closures', 'unreadable_notices'].forEach((name) =>
+      expect(text).toContain(`\nsavorywind_${name}_total 0\n`),
+    );
     expect(text).toMatch(/^savorywind_attempts_at_limited_endpoints_total 0$/m);
   });
 
