Believe no withheld registration that an outage kept from expiring

Cause: after the store has come back from an older copy, registrations of endpoints that had left are withheld for 10 s and then believed, as by then they have expired unless somebody renews them. If the store could not be reached in these 10 s, their end could not be seen, and an endpoint that had announced that it leaves got requests again.

They are now believed only while the store answers, and after an outage not before the time in which endpoints register again has passed, too.

Evidence: npx vitest run packages/decisions/test/gateway/store-eras.test.ts without the change: "expected { kind: 'attempt.start', …(11) } to be undefined", 1 failed of 22; now 22 passed.

--- a/packages/decisions/src/gateway/endpoint-table.ts
+++ b/packages/decisions/src/gateway/endpoint-table.ts
@@ -76,6 +76,9 @@
     if (!this.isStoreUnavailable) return;
     this.isStoreUnavailable = false;
     this.graceEndsAtMs = nowMs + this.reregistrationMs;
+    // Registrations that were withheld could not be seen to expire during the outage.
+    if (this.withheld.size > 0)
+      this.withheldUntilMs = Math.max(this.withheldUntilMs, this.graceEndsAtMs);
   }
 
   /** Handles that the store has come back from an older copy of itself. */
@@ -117,7 +120,7 @@
   expire(nowMs: MonotonicMs): void {
     if (!this.isStoreUnavailable && nowMs >= this.graceEndsAtMs)
       this.retained.forEach((id) => this.remove(id, nowMs));
-    if (nowMs < this.withheldUntilMs) return;
+    if (this.isStoreUnavailable || nowMs < this.withheldUntilMs) return;
     const withheld = [...this.withheld.values()];
     this.withheld.clear();
     withheld.forEach((endpoint) => this.set(endpoint));
@@ -129,7 +132,10 @@
       this.isStoreUnavailable || this.retained.size === 0
         ? Number.POSITIVE_INFINITY
         : this.graceEndsAtMs;
-    const withheldMs = this.withheld.size === 0 ? Number.POSITIVE_INFINITY : this.withheldUntilMs;
+    const withheldMs =
+      this.isStoreUnavailable || this.withheld.size === 0
+        ? Number.POSITIVE_INFINITY
+        : this.withheldUntilMs;
     const nextMs = Math.min(retainedMs, withheldMs);
     return nextMs === Number.POSITIVE_INFINITY ? undefined : nextMs;
   }
--- a/packages/decisions/test/gateway/store-eras.test.ts
+++ b/packages/decisions/test/gateway/store-eras.test.ts
@@ -255,3 +255,22 @@
     expect(driver.list('registration.renew')).toHaveLength(1);
   });
 });
+
+describe('the registration of an endpoint that leaves, in an older copy of the store', () => {
+  it('is not believed while the store can’t be reached, nor at once when it can', () => {
+    driver = startDriver('e1');
+    const endpoint = createEndpoint('e1', { state: 'leaving' });
+    driver.dispatch({ kind: 'endpoints.changed', changes: [{ id: 'e1', endpoint }] });
+    raiseEra();
+    driver.dispatch({ kind: 'endpoints.read', endpoints: [createEndpoint('e1')] });
+    driver.dispatch({ kind: 'store.failed', detail: 'test' });
+    driver.advance(60_000);
+    expect(driver.findAttempt(driver.request('/chat/'))).toBeUndefined();
+    driver.confirm();
+    expect(driver.findAttempt(driver.request('/chat/'))).toBeUndefined();
+    driver.dispatch({ kind: 'endpoints.changed', changes: [{ id: 'e1', endpoint: undefined }] });
+    driver.advance(10_000);
+    driver.confirm();
+    expect(driver.findAttempt(driver.request('/chat/'))).toBeUndefined();
+  });
+});
