--- a/packages/decisions/src/gateway/endpoint-table.ts
+++ b/packages/decisions/src/gateway/endpoint-table.ts
@@ -138,9 +138,8 @@
     return this.endpoints.get(id);
   }
 
-  /** Whether an endpoint is registered and not leaving. */
-  isServing(id: EndpointId): boolean {
-    return this.endpoints.get(id)?.state === 'serving';
+  listIds(): EndpointId[] {
+    return [...this.endpoints.keys()];
   }
 
   listServing(service: ServiceId): GatewayEndpoint[] {
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -1,4 +1,5 @@
-import type { GatewayEndpoint } from '@savorywind/model';
+import type { EndpointId, GatewayEndpoint } from '@savorywind/model';
+import type { EndpointAvailability } from './availability/endpoint-availability.js';
 import { CONNECT_TIMEOUT_MS } from './consts.js';
 import type { PlacedHelper } from './placement-estimates.js';
 import type { EndpointLimits } from './permits/endpoint-limits.js';
@@ -55,6 +56,7 @@
   readonly context: GatewayContext;
   readonly fleetLoad: FleetLoadTracker;
   readonly limits: EndpointLimits;
+  readonly availability: EndpointAvailability;
   /** Called when an attempt starts, gets its first event or ends. */
   readonly onWorkChanged: () => void;
   readonly onStalled: (record: GatewayRecord, attempt: GatewayAttempt) => void;
@@ -89,6 +91,8 @@
     record.firstPlacedAtMs ??= this.options.context.nowMs;
     record.sends += 1;
     this.options.limits.recordAttempt(plan.endpoint.id);
+    const involved = [attempt.endpoint, ...attempt.helpers];
+    this.options.availability.recordStart(attempt.attemptId, involved);
     this.records.set(attempt.attemptId, record);
     this.emitStart(record, attempt, plan);
     record.attemptedEndpoints.add(plan.endpoint.id);
@@ -121,6 +125,7 @@
     if (attempt === undefined) return;
     attempt.stallTimer?.cancel();
     attempt.work.forEach((work) => this.options.fleetLoad.removeLocalWork(work));
+    this.options.availability.recordEnd(attempt.attemptId);
     this.records.delete(attempt.attemptId);
     record.attempt = undefined;
     this.options.onWorkChanged();
@@ -133,6 +138,16 @@
     this.detach(record);
   }
 
+  /** Withdraws the attempts that involve an endpoint, where their requests are not sent yet. */
+  withdraw(endpoint: EndpointId): void {
+    this.records.forEach(({ attempt }) => {
+      if (attempt === undefined || attempt.head !== undefined) return;
+      const involved = [attempt.endpoint, ...attempt.helpers];
+      if (!involved.some(({ id }) => id === endpoint)) return;
+      this.options.context.emit({ kind: 'attempt.withdraw', attemptId: attempt.attemptId });
+    });
+  }
+
   private finishPrefill(work: LocalWork): void {
     if (work.memoryTokens > 0) work.state = 'decode';
     else this.options.fleetLoad.removeLocalWork(work);
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -10,6 +10,10 @@
   type WorkSnapshot,
 } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
+import {
+  EndpointAvailability,
+  type AvailabilityUsage,
+} from './availability/endpoint-availability.js';
 import { LEASE_MARGIN_MS } from './consts.js';
 import { ConfigurationProof } from './configuration-proof.js';
 import { CredentialLease } from './credential-lease.js';
@@ -100,6 +104,8 @@
 
   private readonly limits: EndpointLimits;
 
+  private readonly availability: EndpointAvailability;
+
   private readonly coordinator: PermitCoordinator;
 
   private readonly permits: PermitHolder;
@@ -139,15 +145,26 @@
     this.lease = new CredentialLease(estimateLeaseMs(contract));
     this.reregistrationMs = contract.reregistrationMs;
     this.table = new EndpointTable(contract.reregistrationMs, (id) => this.removeEndpoint(id));
+    this.availability = new EndpointAvailability({
+      context: this.context,
+      table: this.table,
+      onClosed: (endpoint) => {
+        this.requests.handleClosed(endpoint);
+        this.snapshots.handleWorkChanged();
+      },
+    });
     this.fleetLoad = new FleetLoadTracker(self, incarnation);
     this.budget = new FleetRetryBudget(createBudgetOptions(contract));
-    this.reservations = new MemoryReservations(this.context, contract);
+    this.reservations = new MemoryReservations(this.context, contract, (id) =>
+      this.availability.isOpen(id),
+    );
     this.limits = new EndpointLimits(this.context, () => this.snapshots.handleWorkChanged());
     this.snapshots = new SnapshotSender(
       this.context,
       this.fleetLoad,
       () => ({
         limits: this.limits.listObservations(),
+        leaving: this.availability.listObservations(),
         configuration: this.proof.describeNewest(this.context.nowMs),
       }),
       contract.linkBytesPerMs,
@@ -179,6 +196,11 @@
     return this.limits.usage;
   }
 
+  /** What metrics show of the endpoints that may not be sent anything. */
+  get availabilityUsage(): AvailabilityUsage {
+    return this.availability.usage;
+  }
+
   private createCoordinator(self: GatewayPeer): PermitCoordinator {
     const { context, table, limits, fleetLoad } = this;
     return new PermitCoordinator({ context, self, peers: fleetLoad.peers, table, limits });
@@ -191,12 +213,13 @@
   }
 
   private createRequests(self: GatewayPeer, callerWait: CallerWaitLimits): GatewayRequests {
-    const { context, table, health, limits, permits, fleetLoad, budget, reservations } = this;
+    const { context, availability, health, limits, permits, fleetLoad, budget, reservations } =
+      this;
     const { failureDomain } = self;
     const reachability = new DomainReachability(fleetLoad.peers);
     const placementPolicy = new PlacementPolicy({
       context,
-      table,
+      availability,
       health,
       fleetLoad,
       reachability,
@@ -206,7 +229,7 @@
     });
     return new GatewayRequests({
       context,
-      table,
+      availability,
       health,
       limits,
       reachability,
@@ -229,6 +252,7 @@
         this.lease.addLostTime(lostMs);
         this.proof.addLostTime(lostMs);
         this.limits.addLostTime(lostMs);
+        this.availability.addLostTime(lostMs);
         this.permits.clear();
       },
       'contract.changed': ({ contract }) => {
@@ -265,6 +289,8 @@
       'request.arrived': ({ request }) => this.handleRequest(request),
       'request.abandoned': ({ requestId }) => requests.abandon(requestId),
       'attempt.limitReported': ({ attemptId, limit }) => requests.handleLimit(attemptId, limit),
+      'endpoint.noticeReported': ({ endpoint, notice }) =>
+        this.availability.report(endpoint, notice),
       'attempt.headReceived': ({ attemptId, head }) => requests.handleHead(attemptId, head),
       'attempt.eventPassed': ({ attemptId, eventId }) => requests.handleEvent(attemptId, eventId),
       'attempt.flowChanged': ({ attemptId, flow }) => requests.handleFlow(attemptId, flow),
@@ -275,7 +301,8 @@
     };
   }
 
-  private applySnapshotFields({ limits = [], configuration }: WorkSnapshot): void {
+  private applySnapshotFields(snapshot: WorkSnapshot): void {
+    const { from, limits = [], leaving = [], configuration } = snapshot;
     if (configuration !== undefined) {
       const knownSinceMs = this.context.nowMs - configuration.ageMs;
       const isDisproved = this.proof.recordCommitted(configuration.version, knownSinceMs);
@@ -284,6 +311,7 @@
     limits
       .filter(({ endpoint }) => this.table.find(endpoint) !== undefined)
       .forEach((observation) => this.limits.applyObservation(observation));
+    this.availability.applyObservations(from.id, leaving);
   }
 
   private handleConfirmation(event: EventOf<'configuration.confirmed'>): void {
@@ -383,6 +411,7 @@
 
   private removeEndpoint(endpoint: EndpointId): void {
     this.health.remove(endpoint);
+    this.availability.remove(endpoint);
     this.limits.remove(endpoint);
     this.permits.remove(endpoint);
     this.coordinator.remove(endpoint);
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -1,17 +1,18 @@
 import type {
   CallerWaitLimits,
+  EndpointId,
   GatewayEndpoint,
   MonotonicMs,
   NetworkAddress,
 } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
+import type { EndpointAvailability } from './availability/endpoint-availability.js';
 import { MAX_HELPERS, MIN_ATTEMPT_MS, PLACEMENT_RETRY_MS } from './consts.js';
 import { createGatewayRecord, type ResolvedRoute } from './create-gateway-record.js';
 import { createRefusal } from './create-refusal.js';
 import type { DomainReachability } from './domain-reachability.js';
 import type { EndpointLimits } from './permits/endpoint-limits.js';
 import type { EndpointHealth } from './endpoint-health.js';
-import type { EndpointTable } from './endpoint-table.js';
 import { logIfLate, recordEvent } from './event-times.js';
 import type { FleetLoadTracker } from './fleet-load-tracker.js';
 import type { FleetRetryBudget } from './fleet-retry-budget.js';
@@ -48,7 +49,7 @@
 
 export interface GatewayRequestsOptions {
   readonly context: GatewayContext;
-  readonly table: EndpointTable;
+  readonly availability: EndpointAvailability;
   readonly health: EndpointHealth;
   readonly limits: EndpointLimits;
   readonly reachability: DomainReachability;
@@ -82,6 +83,12 @@
 
 const FIRST_SERVER_ERROR = 500;
 
+/**
+ * Fraction of the target latency for which a request waits in all for endpoints that have named a time to
+ * come back; its caller is told the time instead.
+ */
+const CLOSED_WAIT_FRACTION = 0.125;
+
 const mayRetry = ({ route, runs, sends, unsent, isContinuable }: GatewayRecord): boolean =>
   isContinuable &&
   runs < route.maxAttempts &&
@@ -109,6 +116,19 @@
   return named ?? endpoint;
 };
 
+/**
+ * Whether a request waits for endpoints that have named a time to come back. A stream that has begun can't
+ * be refused any more.
+ */
+const mayWaitForOpening = (
+  { hasForwardedHead, arrivedAtMs, route }: GatewayRecord,
+  openingMs: MonotonicMs,
+  latestMs: MonotonicMs,
+): boolean =>
+  hasForwardedHead
+    ? openingMs < latestMs
+    : openingMs <= arrivedAtMs + CLOSED_WAIT_FRACTION * route.targetLatencyMs;
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 /**
@@ -136,9 +156,10 @@
   private readonly stopDeadline = new StopDeadline();
 
   constructor(private readonly options: GatewayRequestsOptions) {
-    const { context, fleetLoad, limits, onWorkChanged } = options;
+    const { context, availability, fleetLoad, limits, onWorkChanged } = options;
     this.attempts = new GatewayAttempts({
       context,
+      availability,
       fleetLoad,
       limits,
       onWorkChanged,
@@ -190,11 +211,17 @@
     this.options.limits.report(attempt.endpoint.id, limit, attempt.startedAtMs);
   }
 
+  /** Takes back the requests that are on the way to an endpoint that takes no more, where possible. */
+  handleClosed(endpoint: EndpointId): void {
+    this.attempts.withdraw(endpoint);
+  }
+
   handleHead(attemptId: string, head: GatewayResponseHead): void {
     const record = this.attempts.find(attemptId);
     const attempt = record?.attempt;
     if (record === undefined || attempt === undefined) return;
     attempt.head = head;
+    this.options.availability.recordResponse(attemptId);
     this.options.health.reportResponse(attempt.endpoint.id);
     this.reportResponse(attempt);
     if (!isForwardable(record, head)) {
@@ -250,11 +277,13 @@
     const { context, health } = this.options;
     const { id: failedId } = findFailedEndpoint(attempt, atFault);
     logFailure(context, record, { failed: failedId, failure, detail });
-    health.reportFailure(failedId, context.nowMs);
     if (CONNECTION_FAILURES.has(failure)) this.reportLoss(record, attempt);
     this.attempts.detach(record);
     releaseReservations(record);
-    record.failedEndpoints.add(failedId);
+    if (failure !== 'withdrawn') {
+      health.reportFailure(failedId, context.nowMs);
+      record.failedEndpoints.add(failedId);
+    }
     this.retryOrFail(record, failure);
   }
 
@@ -309,6 +338,9 @@
     const decision = placement.decide(record, latestMs, queued);
     if (decision.kind === 'noEndpoint') {
       this.fail(record, 'noEndpoint');
+    } else if (decision.kind === 'closed') {
+      if (mayWaitForOpening(record, decision.untilMs, latestMs)) this.queueRequest(record);
+      else this.fail(record, 'endpointsClosed');
     } else if (decision.kind === 'place') {
       record.placementFields = decision.placementFields;
       placement.usePermit(decision);
@@ -341,7 +373,7 @@
       if (reserved === undefined) {
         record.reservations = undefined;
         this.queueRequest(record);
-      } else if (this.isPlanServing(plan)) {
+      } else if (this.isPlanOpen(plan)) {
         this.attempts.start(record, plan);
       } else {
         releaseReservations(record);
@@ -350,11 +382,11 @@
     });
   }
 
-  /** Whether all engines of a plan still serve: some may have left while memory was reserved. */
-  private isPlanServing({ endpoint, helpers }: AttemptPlan): boolean {
-    const { table } = this.options;
+  /** Whether all engines of a plan take requests: some may have left while memory was reserved. */
+  private isPlanOpen({ endpoint, helpers }: AttemptPlan): boolean {
+    const { availability } = this.options;
     return [endpoint, ...helpers.map((helper) => helper.endpoint)].every(({ id }) =>
-      table.isServing(id),
+      availability.isOpen(id),
     );
   }
 
@@ -422,14 +454,16 @@
     if (head.status < FIRST_SERVER_ERROR || record.attempt === undefined) return false;
     record.runs += 1;
     if (!mayRerun(record) || !mayRetry(record)) return false;
-    const { budget, context } = this.options;
+    const { availability, budget, context } = this.options;
+    // The endpoint's own answer is better than a refusal because all endpoints are closed.
+    if (availability.findOpeningMs(record.service.name) !== undefined) return false;
     if (!budget.takeRetry(record.service.name, context.nowMs)) return false;
     record.failedEndpoints.add(record.attempt.endpoint.id);
     return true;
   }
 
   private retryOrFail(record: GatewayRecord, failure: GatewayAttemptFailure): void {
-    if (failure === 'notSent') record.unsent += 1;
+    if (failure === 'notSent' || failure === 'withdrawn') record.unsent += 1;
     else if (failure === 'broken' || failure === 'invalid') record.runs += 1;
     const hasRun = record.runs > 0;
     if (hasRun && !mayRerun(record)) {
@@ -448,7 +482,8 @@
    */
   private takeRetryBudget(record: GatewayRecord, failure: GatewayAttemptFailure): boolean {
     const { budget, context } = this.options;
-    if (failure === 'notSent') return record.unsent <= MAX_EXTRA_ATTEMPTS;
+    if (failure === 'notSent' || failure === 'withdrawn')
+      return record.unsent <= MAX_EXTRA_ATTEMPTS;
     return budget.takeRetry(record.service.name, context.nowMs);
   }
 
@@ -466,7 +501,7 @@
 
   /** Ends a request that can't be served with its final response. */
   private fail(record: GatewayRecord, reason: GatewayRefusalReason): void {
-    const { context } = this.options;
+    const { context, availability } = this.options;
     const { requestId } = record.request;
     if (record.hasForwardedHead) {
       logBrokenOff(context, record, reason);
@@ -474,7 +509,11 @@
       this.close(record, 'brokenOff');
       return;
     }
-    const refusal = createRefusal(record, reason, context.drawRandom());
+    const openingMs = availability.findOpeningMs(record.service.name) ?? context.nowMs;
+    const refusal = createRefusal(record, reason, {
+      closedForMs: openingMs - context.nowMs,
+      jitter: context.drawRandom(),
+    });
     logRefusal(context, record, reason);
     context.emit({ kind: 'caller.refuse', requestId, refusal });
     this.close(record, refusal.reason);
--- a/packages/decisions/src/gateway/placement-policy.ts
+++ b/packages/decisions/src/gateway/placement-policy.ts
@@ -1,8 +1,8 @@
 import type { FailureDomainId, GatewayEndpoint, LogFields, MonotonicMs } from '@savorywind/model';
+import type { EndpointAvailability } from './availability/endpoint-availability.js';
 import { MAX_HELPERS } from './consts.js';
 import type { EndpointHealth } from './endpoint-health.js';
 import type { DomainReachability } from './domain-reachability.js';
-import type { EndpointTable } from './endpoint-table.js';
 import { estimatePassMs } from './engine-costs.js';
 import { placeGeneration } from './place-generation.js';
 import { createIdleLoad, type FleetLoadTracker } from './fleet-load-tracker.js';
@@ -54,8 +54,14 @@
 export type PlacementDecision =
   | PlacedDecision
   | WaitDecision
-  /** No endpoint of the service is registered and serving. */
-  | { readonly kind: 'noEndpoint' };
+  /** No endpoint of the service takes requests. */
+  | { readonly kind: 'noEndpoint' }
+  /** Those that serve have named a time to come back. */
+  | {
+      readonly kind: 'closed';
+      /** When one of them may get a request at the earliest. */
+      readonly untilMs: MonotonicMs;
+    };
 
 const IDLE_LOAD = createIdleLoad();
 
@@ -151,7 +157,7 @@
 
 export interface PlacementPolicyOptions {
   readonly context: GatewayContext;
-  readonly table: EndpointTable;
+  readonly availability: EndpointAvailability;
   readonly health: EndpointHealth;
   readonly fleetLoad: FleetLoadTracker;
   readonly reachability: DomainReachability;
@@ -177,7 +183,10 @@
    */
   decide(record: GatewayRecord): PlacementDecision {
     const available = this.listAvailable(record);
-    if (available.length === 0) return { kind: 'noEndpoint' };
+    if (available.length === 0) {
+      const untilMs = this.options.availability.findOpeningMs(record.service.name);
+      return untilMs === undefined ? { kind: 'noEndpoint' } : { kind: 'closed', untilMs };
+    }
     const candidates = this.listCandidates(available);
     if (!candidates.some(({ isPermitted }) => isPermitted)) {
       return { kind: 'wait', permitMs: this.options.permits.findEarliestMs(available) };
@@ -361,11 +370,11 @@
   /**
    * Lists the endpoints that may get the request: those that are neither ejected nor unreachable
    * and have not failed the request. If there are none, all that have not failed the request are
-   * listed; if there are none of these either, all that serve.
+   * listed; if there are none of these either, all that take requests.
    */
   private listAvailable(record: GatewayRecord): readonly GatewayEndpoint[] {
     const { nowMs } = this.options.context;
-    const serving = this.options.table.listServing(record.service.name);
+    const serving = this.options.availability.listOpen(record.service.name);
     const untried = serving.filter(({ id }) => !record.failedEndpoints.has(id));
     const unreachable = this.listUnreachable(untried);
     const healthy = untried.filter(
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -43,6 +43,8 @@
   | 'rejected'
   /** Another endpoint now has the address, and did not execute the request. */
   | 'otherEndpoint'
+  /** Not sent either: the endpoint takes no more requests. */
+  | 'withdrawn'
   /** The connection was lost, or the response ended early. */
   | 'broken'
   /** The received bytes are not a response to this request. */
@@ -67,6 +69,20 @@
  */
 export type RequestLimitReport = number | 'none' | 'unreadable';
 
+/** Identity of one process of an endpoint: it may restart under the same id. */
+export type EndpointProcess = Pick<GatewayEndpoint, 'id' | 'startedAtMs'>;
+
+/** What the head of a response says of the endpoint's readiness for further requests. */
+export interface EndpointNotice {
+  /** Whether the endpoint says that it leaves; `unreadable` if the field can't be decoded. */
+  readonly leaving: 'no' | 'yes' | 'unreadable';
+  /**
+   * Time from the response, in milliseconds, for which the endpoint wants nothing from this entry VM;
+   * `none` if it names no time.
+   */
+  readonly retryAfterMs: number | 'none' | 'unreadable';
+}
+
 /** A changed registration; `endpoint` is undefined if the registration was removed. */
 export interface EndpointChange {
   readonly id: EndpointId;
@@ -122,6 +138,12 @@
       readonly attemptId: AttemptId;
       readonly limit: RequestLimitReport;
     }
+  /** A response of the endpoint carries a notice; comes before what the response means for its request. */
+  | {
+      readonly kind: 'endpoint.noticeReported';
+      readonly endpoint: EndpointProcess;
+      readonly notice: EndpointNotice;
+    }
   | {
       readonly kind: 'attempt.headReceived';
       readonly attemptId: AttemptId;
@@ -174,6 +196,8 @@
   | 'notReady'
   | 'credentialsStale'
   | 'noEndpoint'
+  /** All endpoints of the service have named a time to come back. */
+  | 'endpointsClosed'
   | 'noRoom'
   | 'rejected'
   /** The process stops before the response could be complete. */
@@ -243,6 +267,8 @@
       readonly delivery: 'whole' | 'events';
     }
   | { readonly kind: 'attempt.cancel'; readonly attemptId: AttemptId }
+  /** Fails the attempt as `withdrawn` if no byte of the request has left this process. */
+  | { readonly kind: 'attempt.withdraw'; readonly attemptId: AttemptId }
   /** Forwards the head of the response to the caller, and the body as it arrives. */
   | {
       readonly kind: 'caller.relay';
--- a/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
@@ -8,6 +8,7 @@
   GatewayWire,
   AttemptStart,
 } from '../types.js';
+import { reportNotice } from './report-notice.js';
 import { ResponseRelay } from './response-relay.js';
 import type { ConnectionPools } from './connection-pools.js';
 import { dropBody } from './drop-body.js';
@@ -24,7 +25,7 @@
   readonly dispatch: DispatchGatewayEvent;
 }
 
-type Failure = 'notSent' | 'rejected' | 'otherEndpoint' | 'broken' | 'invalid';
+type Failure = 'notSent' | 'withdrawn' | 'rejected' | 'otherEndpoint' | 'broken' | 'invalid';
 
 /** One attempt to run a request at an endpoint, from connecting to the end of the response. */
 export class EndpointAttempt {
@@ -57,6 +58,13 @@
     this.relay?.startForwarding();
   }
 
+  /** Fails the attempt unless bytes of the request may have been sent. */
+  withdraw(): void {
+    if (this.mayHaveSent) return;
+    this.fail('withdrawn', 'endpoint takes no more requests');
+    this.outgoing.destroy();
+  }
+
   /** Closes the connection to the endpoint. No further events are dispatched. */
   cancel(): void {
     this.isEnded = true;
@@ -113,6 +121,7 @@
       return;
     }
     this.reportLimit(metadata);
+    this.reportNotice(metadata);
     if (metadata.outcome !== 'answered') {
       this.handleRejection(response, metadata.outcome, metadata);
     } else {
@@ -149,6 +158,12 @@
     dispatch({ kind: 'attempt.limitReported', attemptId: start.attemptId, limit: requestLimit });
   }
 
+  private reportNotice({ outcome, notice }: ResponseMetadata): void {
+    if (this.isEnded || outcome === 'otherEndpoint') return;
+    const { start, dispatch } = this.options;
+    reportNotice(start.endpoint, notice, dispatch);
+  }
+
   /** Fails the attempt. The connection is reused if the body ends soon. */
   private handleRejection(
     response: IncomingMessage,
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -43,6 +43,27 @@
     'warn',
     'the store shows an older version of the configuration; the one in force is kept',
   ],
+  endpointNoticeUnreadable: [
+    835,
+    'warn',
+    'what an endpoint says of leaving or of coming back cannot be decoded and is ignored',
+  ],
+  endpointLeavingNoted: [836, 'info', 'an endpoint has said in a response that it leaves'],
+  endpointClosed: [
+    837,
+    'info',
+    'an endpoint takes nothing from this VM for the time that it named',
+  ],
+  endpointReopened: [
+    838,
+    'info',
+    'an endpoint that had named a time to come back takes requests again',
+  ],
+  endpointLeavingTold: [
+    839,
+    'info',
+    'a peer says that an endpoint leaves; others are preferred to it',
+  ],
   responseContinued: [
     840,
     'info',
