Count only chunks as the end of a body with a transfer coding

Cause: any Transfer-Encoding header counted as an end of its own. A body of another coding than chunks ends with its connection, and one that was reset with its last bytes looked complete to the caller.

Evidence: two new cases (identity, gzip) in broken-off-response-that-looks-complete.test.ts failed before and pass now.

--- a/packages/entry/src/gateway/endpoints/response-relay.ts
+++ b/packages/entry/src/gateway/endpoints/response-relay.ts
@@ -9,10 +9,13 @@
 /** Statuses whose responses never have a body (RFC 9110). */
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
+/** Only chunks have an end of their own; a body of any other coding ends with its connection. */
+const CHUNKED_LAST = /(^|[\s,])chunked\s*$/i;
+
 /** Whether the response says where its body ends, so that it does not end with the connection. */
 const hasDelimitedBody = ({ headers, statusCode }: IncomingMessage): boolean =>
   headers['content-length'] !== undefined ||
-  headers['transfer-encoding'] !== undefined ||
+  CHUNKED_LAST.test(headers['transfer-encoding'] ?? '') ||
   STATUSES_WITHOUT_BODY.has(statusCode ?? 0);
 
 /** A response that exceeds this size, in bytes, is forwarded before it is complete. */
--- a/packages/entry/test/gateway/broken-off-response-that-looks-complete.test.ts
+++ b/packages/entry/test/gateway/broken-off-response-that-looks-complete.test.ts
@@ -152,6 +152,15 @@
     expect(isComplete).toBe(false);
   });
 
+  it.each(['identity', 'gzip'])(
+    'does not look complete if its coding %s has no end and it is reset with its last bytes',
+    async (coding) => {
+      const head = `${STREAM_HEAD}Transfer-Encoding: ${coding}\r\n\r\n${createEvent(1)}`;
+      const withoutEnd: Script = (socket) => socket.write(head, () => socket.resetAndDestroy());
+      expect((await runStream(withoutEnd, withoutEnd)).isComplete).toBe(false);
+    },
+  );
+
   it('does not look complete if it had no length and is reset with its last bytes', async () => {
     const events = [1, 2].map(createEvent).join('');
     const withoutLength: Script = (socket) =>
