--- a/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/endpoint-attempt.ts
@@ -146,8 +146,10 @@
     if (callerAttempt !== undefined && callerAttempt !== metadata.callerAttempt)
       return 'response belongs to another request';
     // It may be late and belong to an earlier request, while the endpoint runs this one.
-    if (callerAttempt === undefined && outcome !== 'answered' && this.outgoing.reusedSocket)
-      return 'rejection on a reused connection names no request';
+    const isUnnamed = callerAttempt === undefined && this.outgoing.reusedSocket;
+    // The answer to a request without an id can't name it; a rejection then proves nothing.
+    if (isUnnamed && (metadata.callerAttempt !== undefined || outcome !== 'answered'))
+      return 'response on a reused connection names no request';
     return undefined;
   }
 
--- a/packages/entry/test/gateway/response-ends.test.ts
+++ b/packages/entry/test/gateway/response-ends.test.ts
@@ -125,6 +125,18 @@
     }
   });
 
+  it.each([200, 409, 500])(
+    'has a late response with status %i that names no request discarded',
+    async (status) => {
+      const unnamed = `HTTP/1.1 ${status} Late\r\nX-Receipt: r\r\nContent-Length: 4\r\n\r\nlate`;
+      await startEndpoint((name, socket) => {
+        socket.write(name === 't2' ? unnamed : createResponse(name));
+      });
+      expect(await sendAttempt('t1')).toMatchObject({ status: 200, body: 't1' });
+      expect((await sendAttempt('t2')).status).toBe(502);
+    },
+  );
+
   it('has a late response discarded, and the next caller receives its own', async () => {
     await startEndpoint((name, socket) => {
       setTimeout(() => socket.write(createResponse(name)), name === 't1' ? 250 : 0);
