Start no attempt in a stop if its memory was reserved too late

Evidence: a new case of requests-open-at-the-end-of-a-stop.test.ts failed before (an attempt was started); 12 passed now.

--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -305,7 +305,7 @@
     // The stalled endpoint may have executed the request.
     if (!mayRetry({ ...record, runs: record.runs + 1 })) return;
     // A stopping process leaves the silent endpoint the rest of the time if no other could answer in it.
-    if (!this.stopDeadline.mayStart(estimateLeastWaitMs(record), context.nowMs)) return;
+    if (!this.mayStartBeforeStop(record)) return;
     if (!budget.takeRetry(record.service.name, context.nowMs)) return;
     health.reportFailure(attempt.endpoint.id, context.nowMs);
     this.reportLoss(record, attempt);
@@ -329,7 +329,7 @@
       this.fail(record, 'noRoom');
       return;
     }
-    if (!this.stopDeadline.mayStart(minFirstEventMs, context.nowMs)) {
+    if (!this.mayStartBeforeStop(record)) {
       this.fail(record, 'stopping');
       return;
     }
@@ -360,6 +360,11 @@
     return this.stopDeadline.mayWait(record, startMs);
   }
 
+  /** Whether an attempt would get its first event before a stopping process ends. */
+  private mayStartBeforeStop(record: GatewayRecord): boolean {
+    return this.stopDeadline.mayStart(estimateLeastWaitMs(record), this.options.context.nowMs);
+  }
+
   /**
    * Reserves memory on helpers before the attempt starts. If a reservation fails, the request is
    * queued.
@@ -373,6 +378,8 @@
       if (reserved === undefined) {
         record.reservations = undefined;
         this.queueRequest(record);
+      } else if (!this.mayStartBeforeStop(record)) {
+        this.place(record);
       } else if (this.isPlanOpen(plan)) {
         this.attempts.start(record, plan);
       } else {
--- a/packages/decisions/test/gateway/requests-open-at-the-end-of-a-stop.test.ts
+++ b/packages/decisions/test/gateway/requests-open-at-the-end-of-a-stop.test.ts
@@ -180,6 +180,22 @@
     expect(driver.findAttempt(id)).toBeDefined();
   });
 
+  it('is not sent if its memory is reserved too late for a first event', () => {
+    const driver = startDriver(...ENGINES);
+    const id = driver.request('/review/', { promptTokens: 700_000, waitsMs: 15_000 });
+    const asked = driver.list('reservation.ask');
+    expect(asked.length).toBeGreaterThan(0);
+    stop(driver);
+    driver.advance(STOP_MS - 10);
+    for (let answered = 0; answered < driver.list('reservation.ask').length; answered += 1) {
+      const { reservationId } = driver.list('reservation.ask')[answered]!;
+      driver.dispatch({ kind: 'reservation.answered', reservationId, outcome: 'reserved' });
+    }
+    expect(driver.findAttempt(id)).toBeUndefined();
+    expect(driver.findRefusal(id)?.reason).toBe('stopping');
+    expect(driver.findRefusal(id)?.retryAfterMs).toBeGreaterThan(0);
+  });
+
   it('is not sent to an engine that could not answer before the process ends', () => {
     const driver = startBusyDriver();
     stop(driver);
