Log which parts of a prompt a failed attempt had, and whether its response had begun

It has three more fields now: the attempts of the request so far (sends), whether the caller had events before (hasEvents), and the parts of the prompt that other prompts may share (parts, the first 8).

No decision depends on the parts yet.

--- a/packages/bench/src/experiments/snapshot-traffic/gateway-fleet.ts
+++ b/packages/bench/src/experiments/snapshot-traffic/gateway-fleet.ts
@@ -152,6 +152,8 @@
         promptTokens: prompt.tokens,
         maxOutputTokens: 1_300,
         lastEventId: undefined,
+        model: undefined,
+        sharedParts: [],
       },
     });
   }
--- a/packages/decisions/src/gateway/request-log.ts
+++ b/packages/decisions/src/gateway/request-log.ts
@@ -3,6 +3,9 @@
 import type { GatewayAttempt, GatewayRecord } from './request-record.js';
 import type { GatewayAttemptFailure, GatewayRefusalReason, GatewayResponseHead } from './types.js';
 
+/** Most parts of a prompt that one log line names. */
+const MAX_LOGGED_PARTS = 8;
+
 /** Log fields of a failed attempt. */
 interface FailureFields {
   /** The endpoint that failed: the one that got the request, or one of its helpers. */
@@ -27,12 +30,15 @@
   record: GatewayRecord,
   failureFields: FailureFields,
 ): void => {
-  const { request, attempt } = record;
+  const { request, attempt, sends, times } = record;
   logPlacements(context, record);
   context.log(logEvents.attemptFailed, {
     request: request.callerAttempt,
     endpoint: attempt?.endpoint.id,
     ...failureFields,
+    sends,
+    hasEvents: times.firstAtMs !== undefined,
+    parts: request.sharedParts.slice(0, MAX_LOGGED_PARTS).join(' '),
   });
 };
 
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -33,6 +33,13 @@
   readonly maxOutputTokens: number;
   /** Id of the last event that the caller received of a stream that broke. */
   readonly lastEventId: string | undefined;
+  /** Model that the caller names; undefined if it names none. */
+  readonly model: string | undefined;
+  /**
+   * Ids of the parts of the prompt that other prompts may share, in order and without repetition; the last
+   * part is the request's own and is missing.
+   */
+  readonly sharedParts: readonly string[];
 }
 
 /** How an attempt ended without a response that can be forwarded. */
--- a/packages/entry/src/gateway/types.ts
+++ b/packages/entry/src/gateway/types.ts
@@ -38,7 +38,14 @@
 /** Metadata that a caller sends in headers of its request. */
 export type RequestMetadata = Pick<
   GatewayRequest,
-  'callerAttempt' | 'credential' | 'waitsMs' | 'promptTokens' | 'maxOutputTokens' | 'lastEventId'
+  | 'callerAttempt'
+  | 'credential'
+  | 'waitsMs'
+  | 'promptTokens'
+  | 'maxOutputTokens'
+  | 'lastEventId'
+  | 'model'
+  | 'sharedParts'
 >;
 
 /** Metadata that an endpoint sends in the head of its response. */
