Add failing tests: a prompt part crashes engine after engine

Nine entry VMs and 23 engines on the simulated clock; from 5 s on a fraction of the requests has a part under which each engine ends that begins to answer.

--- /dev/null
+++ b/packages/decisions/test/gateway/prompt-part-that-crashes-engine-after-engine.test.ts
@@ -0,0 +1,66 @@
+import { describe, expect, it } from 'vitest';
+import { CrashMonitor } from '../fixtures/crash-monitor.js';
+import { createEngines, GatewayFleet, type FleetRequest } from '../fixtures/gateway-fleet.js';
+
+const DOMAINS = ['a', 'b', 'c'];
+const HARMFUL = 'bad0';
+
+/** Parts that sound requests share; harmful ones have one of them, too. */
+const FIRST_PARTS = ['aa01', 'aa02', 'aa03', 'aa04', 'aa05', 'aa06'];
+const SECOND_PARTS = Array.from({ length: 60 }, (_, index) => `bb${index}`);
+
+interface HarmfulRun {
+  readonly seed: number;
+  readonly harmfulFraction: number;
+}
+
+const findHarm = ({ sharedParts = [] }: FleetRequest): string | undefined =>
+  sharedParts.find((part) => part === HARMFUL);
+
+/** Nine entry VMs and 23 engines; after five seconds a fraction of the requests has the harmful part. */
+const runFleet = ({ seed, harmfulFraction }: HarmfulRun): CrashMonitor => {
+  const crashMonitor = new CrashMonitor({ decisiveCrash: 5 });
+  let fraction = 0;
+  let drawn = 0;
+  const fleet = new GatewayFleet({
+    seed,
+    domains: DOMAINS,
+    entryVmsPerDomain: 3,
+    endpoints: createEngines(23, DOMAINS),
+    requestsPerS: 35,
+    drawRequest: (uniform) => {
+      drawn += 1;
+      const first = FIRST_PARTS[drawn % FIRST_PARTS.length]!;
+      const second =
+        uniform < fraction ? HARMFUL : SECOND_PARTS[(drawn * 7) % SECOND_PARTS.length]!;
+      return { path: '/chat/', promptTokens: 5_000, sharedParts: [first, second] };
+    },
+    findHarm,
+    crashMonitor,
+  });
+  fleet.run(5_000);
+  fraction = harmfulFraction;
+  fleet.run(30_000);
+  return crashMonitor;
+};
+
+describe('a prompt part that crashes each engine that begins to answer (BUDGET, LOST)', () => {
+  it.each([
+    { seed: 1, harmfulFraction: 0.02 },
+    { seed: 2, harmfulFraction: 0.1 },
+    { seed: 3, harmfulFraction: 0.3 },
+  ])('is not sent to engine after engine, %j', (run) => {
+    const monitor = runFleet(run);
+    expect(monitor.crashes).toBeGreaterThanOrEqual(3);
+    expect(monitor.violations).toEqual([]);
+  });
+
+  it.each([
+    { seed: 4, harmfulFraction: 0.1 },
+    { seed: 5, harmfulFraction: 0.3 },
+  ])('stops no sound request that shares the other parts, %j', (run) => {
+    const soundAfter = runFleet(run).countSoundAfter();
+    expect(soundAfter.sent).toBeGreaterThan(200);
+    expect(soundAfter.begunAtFirstAttempt).toBeGreaterThan(soundAfter.sent / 2);
+  });
+});
