Refuse requests with a prompt part under which engines crash

Cause: nothing remembered what an engine had ended under. Each such request was new, was retried at once on a second engine, and the next one was placed as if nothing had been. Class: a failure that belongs to the request was booked on the endpoint alone.

Change: packages/decisions/src/gateway/harm. An engine that is lost under a request whose answer has not begun is evidence against the shared parts of its prompt, an answer that begins is evidence for them and takes back all earlier crashes. Three crashes at least 100 ms apart without an answer in between block a part; crashes that a blocked part explains don't count against the others, and among parts with the same crashes the one with the fewest answers is blamed. A loss counts only if the engine sends nothing in the next 100 ms. A blocked part gets one trial of the whole fleet at a time, 1 s, 15 s, 4 min, 1 h after the last crash.

Why it works: a harmful part never gets an answer, a sound one that all requests of a caller carry gets them all the time, also between two crashes.

--- a/packages/decisions/src/gateway/consts.ts
+++ b/packages/decisions/src/gateway/consts.ts
@@ -43,6 +43,12 @@
 /** Bytes that one endpoint that leaves adds to a snapshot: upper bound as for the work on an engine. */
 export const LEAVING_OBSERVATION_BYTES = 48;
 
+/** Bytes that one suspect adds to a snapshot besides its name and its crashes: upper bound as above. */
+export const HARM_OBSERVATION_BYTES = 24;
+
+/** Bytes that one crash adds to a snapshot: upper bound as above. */
+export const CRASH_OBSERVATION_BYTES = 14;
+
 /** Most endpoints that leave in one snapshot; the newest ones are told. */
 export const MAX_LEAVING_OBSERVATIONS = 32;
 
--- a/packages/decisions/src/gateway/create-gateway-record.ts
+++ b/packages/decisions/src/gateway/create-gateway-record.ts
@@ -74,6 +74,7 @@
     hasForwardedHead: false,
     isContinuable: true,
     lastEventId: request.lastEventId,
+    isTrial: false,
     times: { firstAtMs: undefined, lastAtMs: undefined, longestGapMs: 0 },
     placementFields: {},
     placements: [],
--- a/packages/decisions/src/gateway/create-refusal.ts
+++ b/packages/decisions/src/gateway/create-refusal.ts
@@ -35,6 +35,8 @@
   if (record.runs > 0) {
     return { reason: reason === 'timeout' ? 'timeout' : 'broken', retryAfterMs: undefined };
   }
+  // It would be refused again.
+  if (reason === 'harmful') return { reason, retryAfterMs: undefined };
   const isFull = reason === 'noRoom' || reason === 'timeout';
   const baseMs = isFull ? CAPACITY_RETRY_AFTER_MS : RETRY_AFTER_MS;
   const spreadMs = Math.max(baseMs, CLOSED_SPREAD_FRACTION * closedForMs);
--- a/packages/decisions/src/gateway/fleet-load-tracker.ts
+++ b/packages/decisions/src/gateway/fleet-load-tracker.ts
@@ -33,7 +33,7 @@
 }
 
 /** What a snapshot tells besides the work. */
-export type SnapshotFields = Pick<WorkSnapshot, 'limits' | 'leaving' | 'configuration'>;
+export type SnapshotFields = Pick<WorkSnapshot, 'limits' | 'leaving' | 'harm' | 'configuration'>;
 
 /** Loads by engine; engines without any work are missing. */
 export type EngineLoads = ReadonlyMap<EndpointId, EngineLoad>;
@@ -173,7 +173,7 @@
   }
 
   createSnapshot(
-    { limits, leaving, configuration }: SnapshotFields,
+    { limits, leaving, harm, configuration }: SnapshotFields,
     nowMs: MonotonicMs,
   ): WorkSnapshot {
     this.sequence += 1;
@@ -190,6 +190,6 @@
       readMs: Math.round(load.readMs),
     }));
     const { self: from, incarnation, sequence } = this;
-    return { from, incarnation, sequence, work, configuration, limits, leaving };
+    return { from, incarnation, sequence, work, configuration, limits, leaving, harm };
   }
 }
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -19,6 +19,8 @@
 import { CredentialLease } from './credential-lease.js';
 import { DomainReachability } from './domain-reachability.js';
 import { EndpointLimits, type LimitUsage } from './permits/endpoint-limits.js';
+import { HarmfulRequests } from './harm/harmful-requests.js';
+import type { HarmUsage } from './harm/types.js';
 import { EndpointHealth } from './endpoint-health.js';
 import { EndpointTable } from './endpoint-table.js';
 import { FleetLoadTracker } from './fleet-load-tracker.js';
@@ -102,6 +104,8 @@
 
   private readonly health = new EndpointHealth();
 
+  private readonly harmful: HarmfulRequests;
+
   private readonly limits: EndpointLimits;
 
   private readonly availability: EndpointAvailability;
@@ -158,6 +162,12 @@
     this.reservations = new MemoryReservations(this.context, contract, (id) =>
       this.availability.isOpen(id),
     );
+    this.harmful = new HarmfulRequests({
+      context: this.context,
+      self,
+      peers: this.fleetLoad.peers,
+      onChanged: () => this.snapshots.handleWorkChanged(),
+    });
     this.limits = new EndpointLimits(this.context, () => this.snapshots.handleWorkChanged());
     this.snapshots = new SnapshotSender(
       this.context,
@@ -165,6 +175,7 @@
       () => ({
         limits: this.limits.listObservations(),
         leaving: this.availability.listObservations(),
+        harm: this.harmful.listObservations(),
         configuration: this.proof.describeNewest(this.context.nowMs),
       }),
       contract.linkBytesPerMs,
@@ -201,6 +212,11 @@
     return this.availability.usage;
   }
 
+  /** What metrics show of requests that crash engines. */
+  get harmUsage(): HarmUsage {
+    return this.harmful.usage;
+  }
+
   private createCoordinator(self: GatewayPeer): PermitCoordinator {
     const { context, table, limits, fleetLoad } = this;
     return new PermitCoordinator({ context, self, peers: fleetLoad.peers, table, limits });
@@ -215,6 +231,7 @@
   private createRequests(self: GatewayPeer, callerWait: CallerWaitLimits): GatewayRequests {
     const { context, availability, health, limits, permits, fleetLoad, budget, reservations } =
       this;
+    const { harmful } = this;
     const { failureDomain } = self;
     const reachability = new DomainReachability(fleetLoad.peers);
     const placementPolicy = new PlacementPolicy({
@@ -231,6 +248,7 @@
       context,
       availability,
       health,
+      harmful,
       limits,
       reachability,
       fleetLoad,
@@ -302,7 +320,7 @@
   }
 
   private applySnapshotFields(snapshot: WorkSnapshot): void {
-    const { from, limits = [], leaving = [], configuration } = snapshot;
+    const { from, limits = [], leaving = [], harm = [], configuration } = snapshot;
     if (configuration !== undefined) {
       const knownSinceMs = this.context.nowMs - configuration.ageMs;
       const isDisproved = this.proof.recordCommitted(configuration.version, knownSinceMs);
@@ -312,6 +330,7 @@
       .filter(({ endpoint }) => this.table.find(endpoint) !== undefined)
       .forEach((observation) => this.limits.applyObservation(observation));
     this.availability.applyObservations(from.id, leaving);
+    this.harmful.applyObservations(harm);
   }
 
   private handleConfirmation(event: EventOf<'configuration.confirmed'>): void {
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -11,6 +11,7 @@
 import { createGatewayRecord, type ResolvedRoute } from './create-gateway-record.js';
 import { createRefusal } from './create-refusal.js';
 import type { DomainReachability } from './domain-reachability.js';
+import type { HarmfulRequests } from './harm/harmful-requests.js';
 import type { EndpointLimits } from './permits/endpoint-limits.js';
 import type { EndpointHealth } from './endpoint-health.js';
 import { logIfLate, recordEvent } from './event-times.js';
@@ -51,6 +52,7 @@
   readonly context: GatewayContext;
   readonly availability: EndpointAvailability;
   readonly health: EndpointHealth;
+  readonly harmful: HarmfulRequests;
   readonly limits: EndpointLimits;
   readonly reachability: DomainReachability;
   readonly fleetLoad: FleetLoadTracker;
@@ -278,6 +280,7 @@
     const { id: failedId } = findFailedEndpoint(attempt, atFault);
     logFailure(context, record, { failed: failedId, failure, detail });
     if (CONNECTION_FAILURES.has(failure)) this.reportLoss(record, attempt);
+    if (failure === 'broken') this.options.harmful.recordLoss(record, attempt);
     this.attempts.detach(record);
     releaseReservations(record);
     if (failure !== 'withdrawn') {
@@ -289,8 +292,9 @@
 
   /** Records that the endpoint's failure domain is reachable, because the endpoint sent data. */
   private reportResponse({ endpoint }: GatewayAttempt): void {
-    const { reachability, context } = this.options;
+    const { reachability, harmful, context } = this.options;
     reachability.reportResponse(endpoint.failureDomain, context.nowMs);
+    harmful.recordResponse(endpoint);
   }
 
   private reportLoss(record: GatewayRecord, { endpoint }: GatewayAttempt): void {
@@ -323,6 +327,10 @@
     const { context, placement } = this.options;
     this.removeFromQueue(record);
     releaseReservations(record);
+    if (!this.options.harmful.mayRun(record)) {
+      this.fail(record, 'harmful');
+      return;
+    }
     const minFirstEventMs = estimateLeastWaitMs(record);
     const endMs = record.hasForwardedHead ? record.deadlineMs : record.firstEventDeadlineMs;
     if (context.nowMs + minFirstEventMs >= endMs) {
@@ -442,6 +450,8 @@
   private relay(record: GatewayRecord, attempt: GatewayAttempt): void {
     const { requestId } = record.request;
     if (record.hasForwardedHead) logContinued(this.options.context, record, attempt);
+    if (attempt.head !== undefined && isSuccess(attempt.head.status))
+      this.options.harmful.recordBegun(record);
     record.hasForwardedHead = true;
     record.isContinuable = attempt.head?.content === 'events';
     this.options.context.emit({
--- /dev/null
+++ b/packages/decisions/src/gateway/harm/consts.ts
@@ -0,0 +1,76 @@
+/**
+ * Independent crashes without an answer in between from which requests with a suspect are refused. The users
+ * permit the third crash under one request, and the fifth under one part, before they count.
+ */
+export const MIN_CRASHES = 3;
+
+/**
+ * Crashes closer to each other than this count once, in milliseconds: one event, such as a cut failure domain
+ * or a suspended entry VM that reads all its broken connections at once, must not look like several. Such a burst
+ * lasts some ten milliseconds; an engine needs about as long as this to begin an answer, so that a request
+ * which ends one engine after the other counts twice.
+ */
+export const MIN_CRASH_SPACING_MS = 100;
+
+/**
+ * A lost attempt is evidence of a crash only if the engine sends this entry VM nothing for this long, in
+ * milliseconds. Data that was on the way arrives well within it.
+ */
+export const CRASH_CONFIRMATION_MS = 100;
+
+/** An answer this shortly before a crash still contradicts it: what peers tell is this late, in milliseconds. */
+export const TOLD_DELAY_MS = 50;
+
+/**
+ * Time from the last crash or trial of a blocked suspect to the next trial, in milliseconds: a sound request
+ * that is blocked by mistake is refused for about this long.
+ */
+export const FIRST_TRIAL_DELAY_MS = 1_000;
+
+/**
+ * Factor by which each further crash delays the next trial. A suspect that does harm gets a trial 1 s after
+ * the third crash, then after 15 s, 4 minutes and one hour: three from 3 s after the third crash within an
+ * hour, which is what the users permit.
+ */
+export const TRIAL_DELAY_FACTOR = 15;
+
+export const MAX_TRIAL_DELAY_MS = 3_600_000;
+
+/**
+ * Time by which the entry VMs' turns for a trial are apart, in milliseconds: the word of a trial reaches the
+ * next one before its turn, so that seldom two are sent.
+ */
+export const TRIAL_TURN_MS = 500;
+
+/** Time for which crashes are remembered as long as the suspect is not blocked, in milliseconds. */
+export const SUSPICION_MEMORY_MS = 600_000;
+
+/**
+ * Time for which a suspect is kept that an answer has acquitted, in milliseconds, so that crashes from before
+ * it that peers still tell of are recognised. Several snapshots of each peer arrive in it.
+ */
+export const ACQUITTAL_MEMORY_MS = 10_000;
+
+/** Time after the last crash or trial for which a suspect stays blocked, in milliseconds. */
+export const BLOCK_MEMORY_MS = 2 * MAX_TRIAL_DELAY_MS;
+
+/** Most suspects. Those with the fewest crashes are dropped first, of them the oldest. */
+export const MAX_SUSPECTS = 256;
+
+/** Most crashes kept of one suspect. */
+export const MAX_CRASHES = 12;
+
+/** Parts whose last answer is remembered; the one that was used the longest time ago is dropped first. */
+export const MAX_REMEMBERED_PARTS = 4_096;
+
+/** Time for which changed evidence is in each snapshot, so that lost datagrams don't matter. */
+export const CHANGE_REPORT_MS = 2_000;
+
+/** Interval at which blocked suspects are told again, for entry VMs that have started, in milliseconds. */
+export const BLOCK_REPORT_INTERVAL_MS = 1_000;
+
+/** Most suspects in one snapshot: those that are blocked, then those with most crashes. */
+export const MAX_TOLD_SUSPECTS = 12;
+
+/** Longest name of a service or model in the key of a suspect, in characters; longer ones are hashed. */
+export const MAX_NAME_LENGTH = 64;
--- /dev/null
+++ b/packages/decisions/src/gateway/harm/harmful-requests.ts
@@ -0,0 +1,241 @@
+import {
+  logEvents,
+  type GatewayPeer,
+  type HarmObservation,
+  type MonotonicMs,
+} from '@savorywind/model';
+import { hashText, rankOwners } from '../../membership/rendezvous.js';
+import type { GatewayContext } from '../gateway-context.js';
+import type { PeerTable } from '../peer-table.js';
+import type { GatewayAttempt, GatewayRecord } from '../request-record.js';
+import type { EndpointProcess } from '../types.js';
+import { addCrashTo } from './add-crash-to.js';
+import { BegunHistory } from './begun-history.js';
+import {
+  BLOCK_REPORT_INTERVAL_MS,
+  CHANGE_REPORT_MS,
+  CRASH_CONFIRMATION_MS,
+  MAX_TOLD_SUSPECTS,
+  TOLD_DELAY_MS,
+  TRIAL_TURN_MS,
+} from './consts.js';
+import { findBlockedSuspects } from './find-blocked-suspects.js';
+import { listSuspectKeys } from './list-suspect-keys.js';
+import { SuspectTable } from './suspect-table.js';
+import type { BlockedSuspect, HarmUsage, Suspect } from './types.js';
+
+export interface HarmfulRequestsOptions {
+  readonly context: GatewayContext;
+  readonly self: GatewayPeer;
+  readonly peers: PeerTable;
+  /** Called when the peers have to know something at once. */
+  readonly onChanged: () => void;
+}
+
+const hashProcess = ({ id, startedAtMs }: EndpointProcess): number =>
+  hashText(`${id}@${startedAtMs ?? ''}`);
+
+/** Converts a time to its age for a message; undefined if there is none. */
+const describeAge = (atMs: MonotonicMs, nowMs: MonotonicMs): number | undefined =>
+  atMs === Number.NEGATIVE_INFINITY ? undefined : Math.round(nowMs - atMs);
+
+const describeSuspect = (suspect: Suspect, nowMs: MonotonicMs): HarmObservation => ({
+  suspect: suspect.key,
+  crashes: [...suspect.crashes].map(([process, atMs]) => ({
+    process,
+    ageMs: Math.round(nowMs - atMs),
+  })),
+  begunAgeMs: describeAge(suspect.ownBegunAtMs, nowMs),
+  triedAgeMs: describeAge(suspect.ownTriedAtMs, nowMs),
+});
+
+/**
+ * Recognises requests that crash each engine that begins to answer them, by what they have in common, and
+ * refuses them. The evidence of all entry VMs counts: they tell each other which engines were lost under
+ * which suspects, and when answers with a suspect have begun. An answer acquits; without one, a blocked
+ * suspect gets a trial now and then, one request of the whole fleet at a time.
+ *
+ * @example
+ * harmful.recordLoss(record, attempt); // at each of several engines
+ * harmful.mayRun(record); // false
+ */
+export class HarmfulRequests {
+  private readonly table = new SuspectTable();
+
+  private readonly history = new BegunHistory();
+
+  /** When each engine process last sent this entry VM something. Only of processes with a recent loss. */
+  private readonly lossesMs = new Map<number, MonotonicMs>();
+
+  private blocked: ReadonlyMap<string, BlockedSuspect> = new Map();
+
+  private blocksToldAtMs = Number.NEGATIVE_INFINITY;
+
+  private readonly counts = { crashes: 0, refused: 0, trials: 0 };
+
+  constructor(private readonly options: HarmfulRequestsOptions) {}
+
+  get usage(): HarmUsage {
+    return { suspects: this.table.size, blocked: this.blocked.size, ...this.counts };
+  }
+
+  /** Records that the answer to a request has begun, which no engine does for a harmful one. */
+  recordBegun(record: GatewayRecord): void {
+    const { nowMs } = this.options.context;
+    listSuspectKeys(record).forEach((key) => {
+      this.history.record(key);
+      const suspect = this.table.find(key);
+      if (suspect === undefined) return;
+      suspect.ownBegunAtMs = nowMs;
+      this.acquit(suspect, nowMs);
+    });
+  }
+
+  /** Records that an endpoint has sent something, which it would not do after a crash. */
+  recordResponse(endpoint: EndpointProcess): void {
+    if (this.lossesMs.size > 0) this.lossesMs.delete(hashProcess(endpoint));
+  }
+
+  /**
+   * Records that the connection of an attempt broke before its answer had begun. It counts as a crash unless
+   * the engine sends something afterwards.
+   */
+  recordLoss(record: GatewayRecord, { endpoint }: GatewayAttempt): void {
+    const keys = listSuspectKeys(record);
+    if (keys.length === 0 || record.times.firstAtMs !== undefined) return;
+    const { context } = this.options;
+    const lostAtMs = context.nowMs;
+    const process = hashProcess(endpoint);
+    this.lossesMs.set(process, lostAtMs);
+    context.schedule(CRASH_CONFIRMATION_MS, () => {
+      if (!this.lossesMs.has(process)) return;
+      this.counts.crashes += 1;
+      keys.forEach((key, depth) => this.addCrash(this.open(key, depth), process, lostAtMs));
+      this.assess();
+      this.options.onChanged();
+    });
+    context.schedule(2 * CRASH_CONFIRMATION_MS, () => {
+      if (this.lossesMs.get(process) === lostAtMs) this.lossesMs.delete(process);
+    });
+  }
+
+  /**
+   * Whether a request may be sent to an engine. Takes the trial of a blocked suspect if it is this entry VM's
+   * turn.
+   */
+  mayRun(record: GatewayRecord): boolean {
+    if (this.blocked.size === 0 || record.times.firstAtMs !== undefined) return true;
+    if (record.isTrial && record.sends === 0) return true;
+    const found = listSuspectKeys(record).flatMap((key) => this.blocked.get(key) ?? []);
+    if (found.length === 0) return true;
+    if (found.every((blocked) => this.isTrialDue(blocked))) {
+      found.forEach((blocked) => this.startTrial(record, blocked));
+      return true;
+    }
+    this.counts.refused += 1;
+    return false;
+  }
+
+  /** Lists what this entry VM knows, for the peers. */
+  listObservations(): HarmObservation[] | undefined {
+    if (this.table.size === 0) return undefined;
+    const { nowMs } = this.options.context;
+    const tellsBlocks = nowMs - this.blocksToldAtMs >= BLOCK_REPORT_INTERVAL_MS;
+    if (tellsBlocks) this.blocksToldAtMs = nowMs;
+    const told = this.table
+      .list()
+      .filter(({ key, changedAtMs }) => {
+        const isRecent = nowMs - changedAtMs < CHANGE_REPORT_MS;
+        return isRecent || (tellsBlocks && this.blocked.has(key));
+      })
+      .sort(
+        (a, b) =>
+          Number(this.blocked.has(b.key)) - Number(this.blocked.has(a.key)) ||
+          b.crashes.size - a.crashes.size,
+      )
+      .slice(0, MAX_TOLD_SUSPECTS);
+    return told.length === 0 ? undefined : told.map((suspect) => describeSuspect(suspect, nowMs));
+  }
+
+  /** Applies what a peer knows. */
+  applyObservations(observations: readonly HarmObservation[]): void {
+    if (observations.length === 0) return;
+    observations.forEach((observation) => this.applyObservation(observation));
+    this.assess();
+  }
+
+  private applyObservation({
+    suspect: key,
+    crashes,
+    begunAgeMs,
+    triedAgeMs,
+  }: HarmObservation): void {
+    const { nowMs } = this.options.context;
+    const suspect = this.open(key, 0);
+    if (triedAgeMs !== undefined)
+      suspect.triedAtMs = Math.max(suspect.triedAtMs, nowMs - triedAgeMs);
+    if (begunAgeMs !== undefined) this.acquit(suspect, nowMs - begunAgeMs);
+    crashes.forEach(({ process, ageMs }) => this.addCrash(suspect, process, nowMs - ageMs));
+  }
+
+  private open(key: string, depth: number): Suspect {
+    return this.table.open(key, depth, this.options.context.nowMs);
+  }
+
+  private addCrash(suspect: Suspect, process: number, atMs: MonotonicMs): void {
+    if (atMs <= suspect.begunAtMs + TOLD_DELAY_MS) return;
+    if (addCrashTo(suspect.crashes, process, atMs))
+      suspect.changedAtMs = this.options.context.nowMs;
+  }
+
+  /** Drops the crashes that an answer which began later contradicts. */
+  private acquit(suspect: Suspect, begunAtMs: MonotonicMs): void {
+    if (begunAtMs <= suspect.begunAtMs) return;
+    suspect.begunAtMs = begunAtMs;
+    const contradicted = [...suspect.crashes].filter(
+      ([, atMs]) => atMs <= begunAtMs + TOLD_DELAY_MS,
+    );
+    if (contradicted.length === 0) return;
+    contradicted.forEach(([process]) => suspect.crashes.delete(process));
+    suspect.changedAtMs = this.options.context.nowMs;
+    this.assess();
+    this.options.onChanged();
+  }
+
+  private isTrialDue({ suspect, trialMs }: BlockedSuspect): boolean {
+    const { context, self, peers } = this.options;
+    if (context.nowMs < trialMs) return false;
+    const active = peers.listActive(context.nowMs).map(({ peer }) => peer.id);
+    const turn = rankOwners(suspect.key, [self.id, ...active]).indexOf(self.id);
+    return context.nowMs >= trialMs + turn * TRIAL_TURN_MS;
+  }
+
+  private startTrial(record: GatewayRecord, { suspect, crashes }: BlockedSuspect): void {
+    const { context, onChanged } = this.options;
+    record.isTrial = true;
+    this.counts.trials += 1;
+    suspect.triedAtMs = context.nowMs;
+    suspect.ownTriedAtMs = context.nowMs;
+    suspect.changedAtMs = context.nowMs;
+    const { callerAttempt } = record.request;
+    context.log(logEvents.suspectTried, { suspect: suspect.key, crashes, request: callerAttempt });
+    this.assess();
+    onChanged();
+  }
+
+  /** Decides anew which suspects are blocked. */
+  private assess(): void {
+    const { context } = this.options;
+    const previous = this.blocked;
+    this.table.dropOutdated((key) => previous.has(key), context.nowMs);
+    this.blocked = findBlockedSuspects(this.table.list(), (key) => this.history.count(key));
+    this.blocked.forEach(({ suspect, crashes }, key) => {
+      if (previous.has(key)) return;
+      const { size: engines } = suspect.crashes;
+      context.log(logEvents.suspectBlocked, { suspect: key, crashes, engines });
+    });
+    previous.forEach((_blocked, key) => {
+      if (!this.blocked.has(key)) context.log(logEvents.suspectAcquitted, { suspect: key });
+    });
+  }
+}
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -88,6 +88,8 @@
    */
   isContinuable: boolean;
   lastEventId: string | undefined;
+  /** Whether it was let through although something that it has in common with others is blocked. */
+  isTrial: boolean;
   readonly times: EventTimes;
   /** Estimates behind the last placement, as log fields. */
   placementFields: LogFields;
--- a/packages/decisions/src/gateway/snapshot-sender.ts
+++ b/packages/decisions/src/gateway/snapshot-sender.ts
@@ -3,6 +3,8 @@
 import {
   DATAGRAM_HEADER_BYTES,
   ENGINE_WORK_BYTES,
+  CRASH_OBSERVATION_BYTES,
+  HARM_OBSERVATION_BYTES,
   IDLE_SNAPSHOT_BYTES,
   LEAVING_OBSERVATION_BYTES,
   LIMIT_OBSERVATION_BYTES,
@@ -28,12 +30,22 @@
  * @example
  * estimateDatagramBytes(snapshot); // 578 for work on ten engines
  */
-export const estimateDatagramBytes = ({ work, limits = [], leaving = [] }: WorkSnapshot): number =>
+export const estimateDatagramBytes = ({
+  work,
+  limits = [],
+  leaving = [],
+  harm = [],
+}: WorkSnapshot): number =>
   DATAGRAM_HEADER_BYTES +
   IDLE_SNAPSHOT_BYTES +
   work.length * ENGINE_WORK_BYTES +
   limits.length * LIMIT_OBSERVATION_BYTES +
-  leaving.length * LEAVING_OBSERVATION_BYTES;
+  leaving.length * LEAVING_OBSERVATION_BYTES +
+  harm.reduce(
+    (sum, { suspect, crashes }) =>
+      sum + HARM_OBSERVATION_BYTES + suspect.length + crashes.length * CRASH_OBSERVATION_BYTES,
+    0,
+  );
 
 /**
  * Sends the work of this entry VM, the limits of endpoints that it knows of, those that
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -207,6 +207,8 @@
   | 'endpointsClosed'
   | 'noRoom'
   | 'rejected'
+  /** Engines crashed under requests that have something in common with this one. */
+  | 'harmful'
   /** The process stops before the response could be complete. */
   | 'stopping'
   | 'broken'
--- a/packages/entry/src/gateway/callers/refusal-statuses.ts
+++ b/packages/entry/src/gateway/callers/refusal-statuses.ts
@@ -13,6 +13,7 @@
   endpointsClosed: 503,
   noRoom: 503,
   rejected: 503,
+  harmful: 503,
   stopping: 503,
   broken: 502,
   timeout: 504,
--- a/packages/entry/src/gateway/compact-snapshot.ts
+++ b/packages/entry/src/gateway/compact-snapshot.ts
@@ -1,5 +1,6 @@
 import type {
   EngineWork,
+  HarmObservation,
   LeavingObservation,
   LimitObservation,
   WorkSnapshot,
@@ -10,7 +11,8 @@
  * host and port of the sender, incarnation, sequence, the work, {@link VALUES_PER_ENGINE} values an
  * engine, the limits of endpoints, {@link VALUES_PER_LIMIT} values each, and the version
  * and age of the configuration, and if there are any the endpoints that leave,
- * {@link VALUES_PER_LEAVING} values each. Earlier builds send and read only the first elements.
+ * {@link VALUES_PER_LEAVING} values each, and the suspects, {@link VALUES_PER_SUSPECT} values each. Earlier
+ * builds send and read only the first elements.
  */
 export type CompactSnapshot = readonly [
   version: number,
@@ -24,8 +26,8 @@
   limits: readonly (string | number)[],
   configurationVersion: number | undefined,
   configurationAgeMs: number | undefined,
-  /** One element, or none if no endpoint leaves. */
-  ...leaving: (readonly (string | number)[])[],
+  /** Endpoints that leave, and suspects: none, the first, or both elements. */
+  ...optional: (readonly unknown[])[],
 ];
 
 /** First element of a compact snapshot. */
@@ -37,6 +39,10 @@
 
 const VALUES_PER_LEAVING = 3;
 
+const VALUES_PER_SUSPECT = 4;
+
+const VALUES_PER_CRASH = 2;
+
 /** Stands for the requests per second of a limit that has ended. */
 const ENDED = -1;
 
@@ -52,6 +58,20 @@
   observation.ageMs,
 ];
 
+const listSuspectValues = (observation: HarmObservation): unknown[] => [
+  observation.suspect,
+  observation.begunAgeMs,
+  observation.triedAgeMs,
+  observation.crashes.flatMap(({ process, ageMs }) => [process, ageMs]),
+];
+
+/** Lists the elements at the end that are left out where there is nothing to tell. */
+const listOptional = ({ leaving = [], harm = [] }: WorkSnapshot): unknown[][] => {
+  const elements = [leaving.flatMap(listLeavingValues), harm.flatMap(listSuspectValues)];
+  while (elements.at(-1)?.length === 0) elements.pop();
+  return elements;
+};
+
 const listWorkValues = (work: EngineWork): (string | number)[] => [
   work.endpoint,
   work.writers,
@@ -70,7 +90,7 @@
  * packr.pack(encodeCompactSnapshot(snapshot));
  */
 export const encodeCompactSnapshot = (snapshot: WorkSnapshot): CompactSnapshot => {
-  const { from, incarnation, sequence, work, limits = [], configuration, leaving = [] } = snapshot;
+  const { from, incarnation, sequence, work, limits = [], configuration } = snapshot;
   const { host, port } = from.address;
   return [
     COMPACT_VERSION,
@@ -84,7 +104,7 @@
     limits.flatMap(listLimitValues),
     configuration?.version,
     configuration?.ageMs,
-    ...(leaving.length === 0 ? [] : [leaving.flatMap(listLeavingValues)]),
+    ...listOptional(snapshot),
   ];
 };
 
@@ -130,6 +150,28 @@
   return leaving;
 };
 
+const decodeCrashes = (values: unknown): unknown => {
+  if (!Array.isArray(values)) return undefined;
+  const crashes: unknown[] = [];
+  for (let index = 0; index < values.length; index += VALUES_PER_CRASH) {
+    crashes.push({ process: values[index] as unknown, ageMs: values[index + 1] as unknown });
+  }
+  return crashes;
+};
+
+const decodeHarm = (values: readonly unknown[]): unknown[] => {
+  const harm: unknown[] = [];
+  for (let index = 0; index < values.length; index += VALUES_PER_SUSPECT) {
+    harm.push({
+      suspect: values[index],
+      begunAgeMs: values[index + 1],
+      triedAgeMs: values[index + 2],
+      crashes: decodeCrashes(values[index + 3]),
+    });
+  }
+  return harm;
+};
+
 const decodeConfiguration = ([version, ageMs]: readonly unknown[]): unknown =>
   version === undefined ? undefined : { version, ageMs };
 
@@ -152,6 +194,7 @@
     configurationVersion,
     configurationAgeMs,
     leaving,
+    harm,
   ] = datagram;
   if (version !== COMPACT_VERSION || !Array.isArray(work)) return undefined;
   const from = { id, failureDomain, address: { host, port } };
@@ -163,5 +206,6 @@
     limits: Array.isArray(limits) ? decodeLimits(limits) : undefined,
     configuration: decodeConfiguration([configurationVersion, configurationAgeMs]),
     leaving: Array.isArray(leaving) ? decodeLeaving(leaving) : undefined,
+    harm: Array.isArray(harm) ? decodeHarm(harm) : undefined,
   };
 };
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -11,6 +11,7 @@
 import { EndpointAttempt } from './endpoints/endpoint-attempt.js';
 import { ReservationCalls } from './endpoints/reservation-calls.js';
 import { listControlGauges } from './metrics/control-gauges.js';
+import { listHarmGauges } from './metrics/harm-gauges.js';
 import { GatewayMetrics } from './metrics/gateway-metrics.js';
 import { MetricsServer } from './metrics/metrics-server.js';
 import type { PermitMessage } from './permit-messages.js';
@@ -391,6 +392,7 @@
         storeEras: this.era.raises,
         longestTimerDelayMs: this.runner.takeLongestTimerDelayMs(),
       }),
+      ...listHarmGauges(this.node.harmUsage),
       ...listProcessGauges(this.logSink.droppedLines),
     ]);
   }
--- a/packages/entry/src/gateway/snapshot-codec.ts
+++ b/packages/entry/src/gateway/snapshot-codec.ts
@@ -2,8 +2,10 @@
 import {
   Err,
   Ok,
+  type CrashObservation,
   type EngineWork,
   type GatewayPeer,
+  type HarmObservation,
   type KnownConfiguration,
   type LeavingObservation,
   type Result,
@@ -46,6 +48,10 @@
 /** Engines that one snapshot may list; a larger fleet needs another message format. */
 const MAX_ENGINES = 4_096;
 
+/** Suspects that one snapshot may list, and crashes of one suspect; more would not fit a datagram. */
+const MAX_SUSPECTS = 64;
+const MAX_CRASHES = 64;
+
 const isPeer = (value: Partial<GatewayPeer> | undefined): boolean =>
   isShortText(value?.id) && isShortText(value.failureDomain) && isAddress(value.address);
 
@@ -74,6 +80,22 @@
   leaving === undefined ||
   (Array.isArray(leaving) && leaving.length <= MAX_ENGINES && leaving.every(isLeaving));
 
+const isAge = (value: unknown): boolean => value === undefined || isNonNegative(value);
+
+const isCrash = (value: Partial<CrashObservation> | undefined): boolean =>
+  isNonNegative(value?.process) && isNonNegative(value.ageMs);
+
+const isHarm = (value: Partial<HarmObservation> | undefined): boolean =>
+  isShortText(value?.suspect) &&
+  isAge(value.begunAgeMs) &&
+  isAge(value.triedAgeMs) &&
+  Array.isArray(value.crashes) &&
+  value.crashes.length <= MAX_CRASHES &&
+  value.crashes.every(isCrash);
+
+const areHarm = (harm: WorkSnapshot['harm']): boolean =>
+  harm === undefined || (Array.isArray(harm) && harm.length <= MAX_SUSPECTS && harm.every(isHarm));
+
 /**
  * Checked by hand: hundreds of snapshots arrive per second, and a schema library would cost more time
  * than placing requests does.
@@ -89,6 +111,7 @@
     snapshot.work.every(isWork) &&
     areLimits(snapshot.limits) &&
     areLeaving(snapshot.leaving) &&
+    areHarm(snapshot.harm) &&
     (snapshot.configuration === undefined || isKnownConfiguration(snapshot.configuration))
   );
 };
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -213,6 +213,25 @@
   readonly ageMs: number;
 }
 
+/** An engine process that was lost under unanswered requests. */
+export interface CrashObservation {
+  /** Hash of the identity of the process. */
+  readonly process: number;
+  /** Time from the loss to the sending of this message, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** What an entry VM knows of something that requests have in common, under which engines were lost. */
+export interface HarmObservation {
+  /** Service, model and part of the prompt, separated by slashes. */
+  readonly suspect: string;
+  readonly crashes: readonly CrashObservation[];
+  /** Time since an answer with it last began at this entry VM, in milliseconds; undefined if none did. */
+  readonly begunAgeMs: number | undefined;
+  /** Time since this entry VM last let a request with it through as a trial, in milliseconds. */
+  readonly triedAgeMs: number | undefined;
+}
+
 /** Asks the coordinator of an endpoint with a limit for the permit to send it one request. */
 export interface PermitRequest {
   /** Chosen by the asking entry VM; unique. */
@@ -252,4 +271,6 @@
   readonly limits?: readonly LimitObservation[] | undefined;
   /** Undefined if the sender knows none, or from builds that do not send them. */
   readonly leaving?: readonly LeavingObservation[] | undefined;
+  /** Undefined if the sender has nothing to tell, or from builds that do not send it. */
+  readonly harm?: readonly HarmObservation[] | undefined;
 }
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -80,6 +80,21 @@
     'info',
     'a request was refused because the gateway stops before its body has arrived',
   ],
+  suspectBlocked: [
+    844,
+    'warn',
+    'engines crashed under requests with this in common; such requests are refused',
+  ],
+  suspectTried: [
+    845,
+    'info',
+    'a request with a blocked suspect is let through to see whether engines still crash under it',
+  ],
+  suspectAcquitted: [
+    846,
+    'info',
+    'a suspect is no longer blocked: an answer has begun, another one explains its crashes, or they are old',
+  ],
   logLinesDropped: [827, 'warn', 'log lines were dropped because the log reader was too slow'],
   peerUnreadable: [
     825,
