--- a/packages/entry/test/gateway/broken-off-response-that-looks-complete.test.ts
+++ b/packages/entry/test/gateway/broken-off-response-that-looks-complete.test.ts
@@ -168,6 +168,26 @@
     const { isComplete } = await runStream(withoutLength, withoutLength);
     expect(isComplete).toBe(false);
   });
+
+  it.each([STREAM, { ...STREAM, resumable: false }])(
+    'does not look complete if it had no length and ends inside an event, %j',
+    async (route) => {
+      const endInsideEvent: Script = (socket) =>
+        socket.end(`${STREAM_HEAD}\r\n${createEvent(1)}id: 2\ndata: piece 2\n`);
+      const gateway = await startGateway([endInsideEvent, endInsideEvent], route);
+      const { body, isComplete } = await callGateway(gateway);
+      expect(body).toBe(createEvent(1));
+      expect(isComplete).toBe(false);
+    },
+  );
+});
+
+describe('a stream without a length', () => {
+  it('is complete if its connection ends after an event', async () => {
+    const events = [1, 2].map(createEvent).join('');
+    const whole: Script = (socket) => socket.end(`${STREAM_HEAD}\r\n${events}`);
+    expect(await runStream(whole)).toEqual({ body: events, isComplete: true });
+  });
 });
 
 describe('a stream for a caller without chunks, by HTTP/1.0', () => {
