Blame the later part of a prompt of which no more answers are known than of the earlier

Found by a test of the first fix: with two harmful parts behind the same first one, and no answer with it yet, the first part had most crashes, was blamed and explained all of them, so that all its callers were refused until its trial.

If the earlier part is the cause, engines go on ending under others with it, and it is found by those.

--- a/packages/decisions/src/gateway/harm/find-blocked-suspects.ts
+++ b/packages/decisions/src/gateway/harm/find-blocked-suspects.ts
@@ -36,8 +36,9 @@
 /**
  * Finds the suspects under which enough engines were lost. The requests of a crash have several parts in
  * common with it, of which one is the cause: the part with the fewest answers so far is the likeliest, then
- * the one with most crashes, then the later one in the prompt, which fewer requests share. The crashes that a
- * blocked suspect explains do not count against the others.
+ * the one that comes later in the prompt, as fewer requests share it, then the one with most crashes. The
+ * crashes that a blocked suspect explains do not count against the others; if the real cause is an earlier
+ * part, engines go on ending under others with it.
  *
  * @param countBegun returns how many answers with a suspect have begun lately
  * @returns the blocked suspects by key
@@ -57,8 +58,8 @@
     .sort(
       (a, b) =>
         a.begun - b.begun ||
-        b.suspect.crashes.size - a.suspect.crashes.size ||
-        b.suspect.depth - a.suspect.depth,
+        b.suspect.depth - a.suspect.depth ||
+        b.suspect.crashes.size - a.suspect.crashes.size,
     )
     .forEach(({ suspect }) => {
       const unexplained = [...suspect.crashes].filter(([process]) => !explained.has(process));
--- a/packages/decisions/src/gateway/harm/harmful-requests.ts
+++ b/packages/decisions/src/gateway/harm/harmful-requests.ts
@@ -41,6 +41,7 @@
 
 const describeSuspect = (suspect: Suspect, nowMs: MonotonicMs): HarmObservation => ({
   suspect: suspect.key,
+  depth: suspect.depth,
   crashes: [...suspect.crashes].map(([process, atMs]) => ({
     process,
     ageMs: Math.round(nowMs - atMs),
@@ -166,12 +167,13 @@
 
   private applyObservation({
     suspect: key,
+    depth,
     crashes,
     begunAgeMs,
     triedAgeMs,
   }: HarmObservation): void {
     const { nowMs } = this.options.context;
-    const suspect = this.open(key, 0);
+    const suspect = this.open(key, depth);
     if (triedAgeMs !== undefined)
       suspect.triedAtMs = Math.max(suspect.triedAtMs, nowMs - triedAgeMs);
     if (begunAgeMs !== undefined) this.acquit(suspect, nowMs - begunAgeMs);
--- /dev/null
+++ b/packages/decisions/test/gateway/harm/harmful-prompt-parts.test.ts
@@ -0,0 +1,244 @@
+import { describe, expect, it } from 'vitest';
+import {
+  APART_MS,
+  CrashingEngines,
+  createCrashes,
+  createHarm,
+} from '../../fixtures/crashing-engines.js';
+
+const HARMFUL = { reason: 'harmful', retryAfterMs: undefined } as const;
+const BAD = ['aa', 'bad'];
+
+/** Has three engines end under requests with a part. */
+const block = (driver: CrashingEngines, parts: readonly string[] = BAD): void => {
+  for (let crash = 0; crash < 3; crash += 1) driver.crashOnce(parts);
+};
+
+describe('a part under which three engines were lost', () => {
+  it('is refused at once, as not executed and without a time to come back', () => {
+    const driver = new CrashingEngines();
+    block(driver);
+    expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
+  });
+
+  it('is not refused as not executed to a caller whose request may have run', () => {
+    const driver = new CrashingEngines();
+    driver.crashTwice(BAD);
+    const requestId = driver.crash(BAD);
+    driver.advance(APART_MS);
+    driver.loseEngine(requestId);
+    expect(driver.findRefusal(requestId)).toEqual({ reason: 'broken', retryAfterMs: undefined });
+  });
+
+  it('is not refused after two', () => {
+    const driver = new CrashingEngines();
+    for (let crash = 0; crash < 2; crash += 1) driver.crashOnce(BAD);
+    expect(driver.findRefusalOf(BAD)).toBeUndefined();
+  });
+
+  it('is not refused for another model or service', () => {
+    const driver = new CrashingEngines();
+    block(driver);
+    expect(driver.findRefusalOf(BAD, { model: 'other' })).toBeUndefined();
+    expect(driver.findRefusalOf(BAD, { model: undefined })).toBeUndefined();
+  });
+
+  it('blocks neither the first part that all requests of a caller have nor the other ones', () => {
+    const driver = new CrashingEngines();
+    driver.answer(['aa', 'bb']);
+    block(driver);
+    expect(driver.findRefusalOf(['aa', 'bb'])).toBeUndefined();
+    expect(driver.findRefusalOf(['aa', 'cc'])).toBeUndefined();
+    expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
+  });
+
+  it('is blamed rather than a first part of which nothing is known yet', () => {
+    const driver = new CrashingEngines();
+    block(driver);
+    expect(driver.findRefusalOf(['aa', 'cc'])).toBeUndefined();
+  });
+
+  it('is found although another harmful part crashes engines at the same time', () => {
+    const driver = new CrashingEngines();
+    for (let crash = 0; crash < 3; crash += 1) {
+      driver.crashOnce(['aa', 'bad']);
+      driver.crashOnce(['aa', 'worse']);
+      driver.answer(['aa', 'good']);
+    }
+    expect(driver.findRefusalOf(['aa', 'bad'])).toEqual(HARMFUL);
+    expect(driver.findRefusalOf(['aa', 'worse'])).toEqual(HARMFUL);
+    expect(driver.findRefusalOf(['aa', 'good'])).toBeUndefined();
+  });
+});
+
+describe('a part is not blamed', () => {
+  it('for engines that ended while others with it were answered', () => {
+    const driver = new CrashingEngines();
+    for (let round = 0; round < 6; round += 1) {
+      driver.crashTwice(['aa', 'bb']);
+      driver.answer(['aa', 'bb']);
+    }
+    expect(driver.findRefusalOf(['aa', 'bb'])).toBeUndefined();
+  });
+
+  it('for engines that ended after its answer had begun', () => {
+    const driver = new CrashingEngines();
+    for (let round = 0; round < 6; round += 1) {
+      const requestId = driver.answer([`a${round}`, 'bb']);
+      driver.advance(APART_MS);
+      driver.loseEngine(requestId);
+      driver.advance(APART_MS);
+      driver.loseEngine(requestId);
+      driver.advance(APART_MS);
+    }
+    expect(driver.findRefusalOf(['aa', 'bb'])).toBeUndefined();
+  });
+
+  it('for connections that all break at one moment, as in a cut', () => {
+    const driver = new CrashingEngines();
+    const requests = [1, 2, 3, 4, 5, 6].map(() => driver.chat(['aa', 'bb']));
+    requests.forEach((requestId) => driver.loseEngine(requestId));
+    driver.advance(APART_MS);
+    expect(driver.findRefusalOf(['aa', 'bb'])).toBeUndefined();
+  });
+
+  it('for responses that break while the engine goes on answering others', () => {
+    const driver = new CrashingEngines();
+    let answered = 0;
+    const others = Array.from({ length: 20 }, () => driver.answer(['aa', 'bb']));
+    for (let round = 0; round < 4; round += 1) {
+      // The engine of one of them breaks the response to another request.
+      const requestId = driver.chat(['aa', 'cc']);
+      const endpointId = driver.findAttempt(requestId)!.endpoint.id;
+      const other = others.find((id) => driver.findAttempt(id)!.endpoint.id === endpointId);
+      driver.fail(requestId, 'broken');
+      driver.dispatch({ kind: 'request.abandoned', requestId });
+      if (other !== undefined) driver.sendEvent(other, String(round + 2));
+      answered += Number(other !== undefined);
+      driver.advance(APART_MS);
+    }
+    expect(answered).toBe(4);
+    expect(driver.findRefusalOf(['aa', 'cc'])).toBeUndefined();
+  });
+
+  it('for rejections, stalls and connections that could not be opened', () => {
+    const driver = new CrashingEngines();
+    (['rejected', 'notSent', 'invalid', 'otherEndpoint'] as const).forEach((failure) => {
+      for (let round = 0; round < 4; round += 1) {
+        const requestId = driver.chat(['aa', 'bb']);
+        driver.fail(requestId, failure);
+        driver.dispatch({ kind: 'request.abandoned', requestId });
+        driver.advance(APART_MS);
+      }
+    });
+    expect(driver.findRefusalOf(['aa', 'bb'])).toBeUndefined();
+  });
+});
+
+describe('a blocked part', () => {
+  it('gets one trial after a second, and is free when that is answered', () => {
+    const driver = new CrashingEngines();
+    block(driver);
+    driver.advance(1_000);
+    const trial = driver.chat(BAD);
+    expect(driver.findAttempt(trial)).toBeDefined();
+    expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
+    driver.sendEvent(trial, '1');
+    expect(driver.findRefusalOf(BAD)).toBeUndefined();
+  });
+
+  it('gets the next trials after 15 s and 225 s if engines still end', () => {
+    const driver = new CrashingEngines();
+    block(driver);
+    const trialsMs: number[] = [];
+    const startedMs = driver.nowMs;
+    while (driver.nowMs - startedMs < 600_000) {
+      const requestId = driver.chat(BAD);
+      if (driver.findAttempt(requestId) !== undefined) {
+        trialsMs.push(driver.nowMs - startedMs);
+        driver.loseEngine(requestId);
+      }
+      driver.advance(500);
+      driver.confirm();
+    }
+    expect(trialsMs.map((atMs) => Math.round(atMs / 1_000))).toEqual([1, 16, 241]);
+  });
+
+  it('is free when an answer with it begins at a peer', () => {
+    const driver = new CrashingEngines();
+    block(driver);
+    const begun = { begunAgeMs: 10 };
+    driver.receiveHarm(['aa', 'bad'].map((part) => createHarm(`pool/llm/${part}`, [], begun)));
+    expect(driver.findRefusalOf(BAD)).toBeUndefined();
+  });
+
+  it('gets no trial while the one of a peer may still run', () => {
+    const driver = new CrashingEngines();
+    block(driver);
+    driver.advance(900);
+    driver.receiveHarm([createHarm('pool/llm/bad', [], { triedAgeMs: 1 })]);
+    driver.advance(900);
+    expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
+    driver.advance(1_000);
+    expect(driver.findRefusalOf(BAD)).toBeUndefined();
+  });
+});
+
+describe('what peers tell of a part', () => {
+  it('blocks it after three losses at different entry VMs', () => {
+    const driver = new CrashingEngines();
+    createCrashes(3).forEach((crash, index) =>
+      driver.receiveHarm([createHarm('pool/llm/bad', [crash])], `vm-${index + 2}`),
+    );
+    expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
+  });
+
+  it('counts an engine once that two of them saw end', () => {
+    const driver = new CrashingEngines();
+    const [first, second] = createCrashes(2);
+    driver.receiveHarm([createHarm('pool/llm/bad', [first!, second!])]);
+    driver.receiveHarm([createHarm('pool/llm/bad', [first!, second!])], 'vm-3');
+    expect(driver.findRefusalOf(BAD)).toBeUndefined();
+  });
+
+  it('does not block it by losses from before an answer, also if it comes late', () => {
+    const driver = new CrashingEngines();
+    driver.crashTwice(BAD);
+    driver.answer(BAD);
+    driver.advance(1_000);
+    driver.receiveHarm([createHarm('pool/llm/bad', createCrashes(3, 1_000))]);
+    expect(driver.findRefusalOf(BAD)).toBeUndefined();
+  });
+
+  it('is told on, so that a process that starts learns it from any peer', () => {
+    const driver = new CrashingEngines();
+    driver.receiveHarm([createHarm('pool/llm/bad', createCrashes(3))]);
+    driver.advance(10_000);
+    const told = driver.list('peers.send').filter(({ snapshot }) => snapshot.harm !== undefined);
+    const lastMs = told.at(-1)?.snapshot.harm?.[0]?.crashes[0]?.ageMs ?? 0;
+    expect(lastMs).toBeGreaterThan(8_000);
+    const started = new CrashingEngines();
+    started.receiveHarm(told.at(-1)!.snapshot.harm!);
+    // The first one may be a trial.
+    started.chat(BAD);
+    expect(started.findRefusalOf(BAD)).toEqual(HARMFUL);
+  });
+});
+
+describe('the memory for suspects', () => {
+  it('is bounded, and keeps the part under which engines go on ending', () => {
+    const driver = new CrashingEngines();
+    for (let round = 0; round < 400; round += 1) {
+      const own = Array.from({ length: 3 }, (_, index) => `x${round}-${index}`);
+      driver.receiveHarm(
+        own.map((part, index) =>
+          createHarm(`pool/llm/${part}`, [{ process: 3 * round + index, ageMs: 0 }]),
+        ),
+      );
+      driver.advance(APART_MS);
+    }
+    expect(driver.harmUsage.suspects).toBeLessThanOrEqual(256);
+    driver.receiveHarm([createHarm('pool/llm/bad', createCrashes(3))]);
+    expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
+  });
+});
--- a/packages/entry/src/gateway/compact-snapshot.ts
+++ b/packages/entry/src/gateway/compact-snapshot.ts
@@ -39,7 +39,7 @@
 
 const VALUES_PER_LEAVING = 3;
 
-const VALUES_PER_SUSPECT = 4;
+const VALUES_PER_SUSPECT = 5;
 
 const VALUES_PER_CRASH = 2;
 
@@ -60,6 +60,7 @@
 
 const listSuspectValues = (observation: HarmObservation): unknown[] => [
   observation.suspect,
+  observation.depth,
   observation.begunAgeMs,
   observation.triedAgeMs,
   observation.crashes.flatMap(({ process, ageMs }) => [process, ageMs]),
@@ -164,9 +165,10 @@
   for (let index = 0; index < values.length; index += VALUES_PER_SUSPECT) {
     harm.push({
       suspect: values[index],
-      begunAgeMs: values[index + 1],
-      triedAgeMs: values[index + 2],
-      crashes: decodeCrashes(values[index + 3]),
+      depth: values[index + 1],
+      begunAgeMs: values[index + 2],
+      triedAgeMs: values[index + 3],
+      crashes: decodeCrashes(values[index + 4]),
     });
   }
   return harm;
--- a/packages/entry/src/gateway/snapshot-codec.ts
+++ b/packages/entry/src/gateway/snapshot-codec.ts
@@ -87,6 +87,7 @@
 
 const isHarm = (value: Partial<HarmObservation> | undefined): boolean =>
   isShortText(value?.suspect) &&
+  isNonNegative(value.depth) &&
   isAge(value.begunAgeMs) &&
   isAge(value.triedAgeMs) &&
   Array.isArray(value.crashes) &&
--- a/packages/entry/test/gateway/snapshot-codec.test.ts
+++ b/packages/entry/test/gateway/snapshot-codec.test.ts
@@ -100,6 +100,40 @@
     expect(codec.decode(codec.encode(snapshot, 'compact')).err).toBe(true);
   });
 
+  it.each<SnapshotFormat>(['named', 'compact'])('tells what crashes engines, %s', (format) => {
+    const harm = [
+      {
+        suspect: 'savorywind-pool/llm/91bd3f06',
+        depth: 1,
+        crashes: [
+          { process: 4_294_967_295, ageMs: 3_600_000 },
+          { process: 7, ageMs: 40 },
+        ],
+        begunAgeMs: undefined,
+        triedAgeMs: 1_000,
+      },
+      { suspect: 'b/m/5c', depth: 0, crashes: [], begunAgeMs: 5, triedAgeMs: undefined },
+    ];
+    const snapshot = { ...createSnapshot(3), harm };
+    const bytes = codec.encode(snapshot, format);
+    expect(codec.decode(bytes).unwrap()).toMatchObject({ snapshot });
+    if (format === 'compact')
+      expect(bytes.length + DATAGRAM_HEADER_BYTES).toBeLessThan(estimateDatagramBytes(snapshot));
+  });
+
+  it.each([
+    [{ suspect: 'x'.repeat(256), depth: 1, crashes: [] }],
+    [{ suspect: 's', depth: -1, crashes: [] }],
+    [{ suspect: 's', depth: 1, crashes: [{ process: 'p', ageMs: 1 }] }],
+    [{ suspect: 's', depth: 1, crashes: [{ process: 1, ageMs: -1 }] }],
+    [{ suspect: 's', depth: 1, crashes: [], begunAgeMs: Number.NaN }],
+    [{ suspect: 's', depth: 1, crashes: Array(65).fill({ process: 1, ageMs: 1 }) }],
+  ])('with an invalid suspect is refused, %j', (observation) => {
+    const snapshot = { ...createSnapshot(1), harm: [observation] } as unknown as WorkSnapshot;
+    expect(codec.decode(codec.encode(snapshot, 'named')).err).toBe(true);
+    expect(codec.decode(codec.encode(snapshot, 'compact')).err).toBe(true);
+  });
+
   it('in the compact form takes a third of the bytes of the named form, or less', () => {
     const named = codec.encode(createSnapshot(30), 'named').length;
     const compact = codec.encode(createSnapshot(30), 'compact').length;
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -225,6 +225,8 @@
 export interface HarmObservation {
   /** Service, model and part of the prompt, separated by slashes. */
   readonly suspect: string;
+  /** Position of the part in the prompt; later parts are common to fewer requests. */
+  readonly depth: number;
   readonly crashes: readonly CrashObservation[];
   /** Time since an answer with it last began at this entry VM, in milliseconds; undefined if none did. */
   readonly begunAgeMs: number | undefined;
