--- a/packages/bench/src/experiments/snapshot-traffic/gateway-fleet.ts
+++ b/packages/bench/src/experiments/snapshot-traffic/gateway-fleet.ts
@@ -147,6 +147,7 @@
         callerAttempt: requestId,
         host: 'chat.example',
         path: '/chat/',
+        fingerprint: requestId,
         credential: undefined,
         waitsMs: 10_000,
         promptTokens: prompt.tokens,
--- a/packages/decisions/src/gateway/request-log.ts
+++ b/packages/decisions/src/gateway/request-log.ts
@@ -38,6 +38,7 @@
     ...failureFields,
     sends,
     hasEvents: times.firstAtMs !== undefined,
+    fingerprint: request.fingerprint,
     parts: request.sharedParts.slice(0, MAX_LOGGED_PARTS).join(' '),
   });
 };
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -25,6 +25,11 @@
   readonly host: string;
   /** Path without the query. */
   readonly path: string;
+  /**
+   * The same for requests with the same method, host, path, query, credential and body: 16 hexadecimal
+   * digits.
+   */
+  readonly fingerprint: string;
   readonly credential: string | undefined;
   /** The caller's timeout from arrival, in milliseconds; undefined if it sent none. */
   readonly waitsMs: number | undefined;
--- a/packages/entry/src/gateway/callers/body-reader.ts
+++ b/packages/entry/src/gateway/callers/body-reader.ts
@@ -15,6 +15,8 @@
   readonly budget: BodyBudget;
   readonly maxBytes: number;
   readonly timeoutMs: number;
+  /** Called with the bytes of the body as they arrive. */
+  readonly onChunkRead: (chunk: Buffer) => void;
   /** Called at most once, and never after `onRead`. */
   readonly onFailed: (failure: BodyFailure) => void;
   readonly onRead: (body: Buffer) => void;
@@ -57,6 +59,7 @@
     } else if (budget.reserve(chunk.length)) {
       this.bytes += chunk.length;
       this.chunks.push(chunk);
+      this.options.onChunkRead(chunk);
     } else {
       this.fail('noRoom');
     }
--- a/packages/entry/src/gateway/callers/caller-exchange.ts
+++ b/packages/entry/src/gateway/callers/caller-exchange.ts
@@ -15,16 +15,31 @@
 /** The gateway sets this header itself when it resumes a stream at another endpoint. */
 const LAST_EVENT_ID_HEADER = 'last-event-id';
 
+/** What was received of a request. */
+export interface ReceivedRequest {
+  readonly metadata: RequestMetadata;
+  readonly body: Buffer;
+  /** The same for requests with the same method, host, path, query, credential and body. */
+  readonly fingerprint: string;
+}
+
 /** A caller's request with its complete body, and the response to it. */
 export class CallerExchange {
   constructor(
     readonly requestId: string,
-    readonly metadata: RequestMetadata,
-    readonly body: Buffer,
+    readonly received: ReceivedRequest,
     private readonly incoming: IncomingMessage,
     private readonly outgoing: ServerResponse,
   ) {}
 
+  get metadata(): RequestMetadata {
+    return this.received.metadata;
+  }
+
+  get body(): Buffer {
+    return this.received.body;
+  }
+
   get method(): string {
     return this.incoming.method ?? 'GET';
   }
--- a/packages/entry/src/gateway/callers/request-server.ts
+++ b/packages/entry/src/gateway/callers/request-server.ts
@@ -4,7 +4,8 @@
 import { BodyBudget } from '../../callers/body-budget.js';
 import type { GatewayWire, RequestMetadata } from '../types.js';
 import { BodyReader, type BodyFailure } from './body-reader.js';
-import { CallerExchange } from './caller-exchange.js';
+import { CallerExchange, type ReceivedRequest } from './caller-exchange.js';
+import { RequestFingerprint } from './request-fingerprint.js';
 
 /**
  * Largest request head that the parser accepts, in bytes. The configured limit is checked in
@@ -209,18 +210,26 @@
 
   private readBody(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const metadata = this.options.wire.readRequest(incoming.headers);
+    const fingerprint = new RequestFingerprint({
+      method: incoming.method ?? '',
+      host: incoming.headers.host ?? '',
+      url: incoming.url ?? '',
+      credential: metadata.credential,
+    });
     const reader = new BodyReader({
       incoming,
       budget: this.bodyBudget,
       maxBytes: this.limits.maxBodyBytes,
       timeoutMs: Math.min(metadata.waitsMs ?? MAX_BODY_READ_MS, MAX_BODY_READ_MS),
+      onChunkRead: (chunk) => fingerprint.add(chunk),
       onFailed: (failure) => {
         this.unreadRequests.delete(outgoing);
         this.refuse(incoming, outgoing, BODY_FAILURE_STATUS[failure]);
       },
       onRead: (body) => {
         this.unreadRequests.delete(outgoing);
-        this.openExchange(incoming, outgoing, metadata, body);
+        const received = { metadata, body, fingerprint: fingerprint.finish() };
+        this.openExchange(incoming, outgoing, received);
       },
     });
     const unread = { incoming, metadata, reader };
@@ -276,13 +285,12 @@
   private openExchange(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
-    metadata: RequestMetadata,
-    body: Buffer,
+    received: ReceivedRequest,
   ): void {
     const { onRequestReceived, onDisconnected } = this.options;
     const requestId = String(this.nextRequestNumber);
     this.nextRequestNumber += 1;
-    const exchange = new CallerExchange(requestId, metadata, body, incoming, outgoing);
+    const exchange = new CallerExchange(requestId, received, incoming, outgoing);
     outgoing.on('error', () => {});
     outgoing.on('close', () => {
       if (!outgoing.writableFinished) onDisconnected(requestId);
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -291,7 +291,8 @@
   }
 
   private openExchange(exchange: CallerExchange, path: string, host: string): void {
-    const { requestId, metadata } = exchange;
+    const { requestId, received } = exchange;
+    const { metadata, fingerprint } = received;
     if (this.isStopped) {
       exchange.refuse({ reason: 'notReady', retryAfterMs: 0 });
       return;
@@ -299,7 +300,7 @@
     this.exchanges.set(requestId, exchange);
     this.dispatch({
       kind: 'request.arrived',
-      request: { requestId, host, path, ...metadata },
+      request: { requestId, host, path, fingerprint, ...metadata },
     });
   }
 
--- a/packages/entry/test/gateway/body-reader.test.ts
+++ b/packages/entry/test/gateway/body-reader.test.ts
@@ -20,6 +20,7 @@
       budget,
       maxBytes,
       timeoutMs: 10_000,
+      onChunkRead: () => {},
       onFailed: resolve,
       onRead: (bytes) => resolve(bytes.toString()),
     });
