Refuse a request that comes again and under which engines crash

Cause: only parts of prompts were remembered, not the request itself. Class: a failure that belongs to the request is booked on the endpoint, and then on what is at hand rather than on what has failed.

Change: what a request has in common with others are its shared parts and, deeper than all of them, its fingerprint. A fingerprint under which three endpoints were lost independently is blocked first, and explains its crashes. A part is blamed only if different requests with it were lost, where one that a blocked request explains counts only if that request has the part. Crashes carry a hash of the request, also between entry VMs.

Ruled out: that client retries keep it going (the same fingerprint comes from many attempts of many callers), and that replicas end by load (it stands at each of 16).

--- a/packages/decisions/src/gateway/harm/consts.ts
+++ b/packages/decisions/src/gateway/harm/consts.ts
@@ -72,5 +72,14 @@
 /** Most suspects in one snapshot: those that are blocked, then those with most crashes. */
 export const MAX_TOLD_SUSPECTS = 12;
 
+/** Depth of a request as a whole, which is deeper than all parts of its prompt. */
+export const REQUEST_DEPTH = 1_000;
+
+/**
+ * Different requests under which engines have to be lost for a part that they share to be blamed. With one
+ * alone, the request itself is.
+ */
+export const MIN_REQUESTS_OF_PART = 2;
+
 /** Longest name of a service or model in the key of a suspect, in characters; longer ones are hashed. */
 export const MAX_NAME_LENGTH = 64;
--- a/packages/decisions/src/gateway/harm/find-blocked-suspects.ts
+++ b/packages/decisions/src/gateway/harm/find-blocked-suspects.ts
@@ -4,9 +4,11 @@
   MAX_TRIAL_DELAY_MS,
   MIN_CRASHES,
   MIN_CRASH_SPACING_MS,
+  MIN_REQUESTS_OF_PART,
+  REQUEST_DEPTH,
   TRIAL_DELAY_FACTOR,
 } from './consts.js';
-import type { BlockedSuspect, Suspect } from './types.js';
+import type { BlockedSuspect, Crash, Suspect } from './types.js';
 
 /** Counts the crashes that are far enough apart in time to be independent of each other. */
 export const countIndependent = (crashesMs: readonly MonotonicMs[]): number => {
@@ -29,44 +31,78 @@
   );
 
 const createBlocked = (suspect: Suspect, crashes: number): BlockedSuspect => {
-  const lastMs = Math.max(suspect.triedAtMs, ...suspect.crashes.values());
+  const crashesMs = [...suspect.crashes.values()].map(({ atMs }) => atMs);
+  const lastMs = Math.max(suspect.triedAtMs, ...crashesMs);
   return { suspect, crashes, trialMs: lastMs + estimateTrialDelayMs(crashes) };
 };
 
+/** What the suspects that are blocked so far explain. */
+class Explanations {
+  private readonly byPart = new Set<number>();
+
+  /** Hash of the request by process. */
+  private readonly byRequest = new Map<number, number>();
+
+  /**
+   * Whether a crash counts against another suspect. One that a request explains counts against the parts of
+   * that request, as they may be the cause of both.
+   */
+  isOpen(process: number, { request }: Crash): boolean {
+    const explaining = this.byRequest.get(process);
+    return !this.byPart.has(process) && (explaining === undefined || explaining === request);
+  }
+
+  add({ crashes, depth }: Suspect): void {
+    crashes.forEach(({ request }, process) => {
+      if (depth === REQUEST_DEPTH) this.byRequest.set(process, request);
+      else this.byPart.add(process);
+    });
+  }
+}
+
+const countRequests = (crashes: readonly Crash[]): number =>
+  new Set(crashes.map(({ request }) => request)).size;
+
 /**
- * Finds the suspects under which enough engines were lost. The requests of a crash have several parts in
- * common with it, of which one is the cause: the part with the fewest answers so far is the likeliest, then
- * the one that comes later in the prompt, as fewer requests share it, then the one with most crashes. The
- * crashes that a blocked suspect explains do not count against the others; if the real cause is an earlier
- * part, engines go on ending under others with it.
+ * Finds the suspects under which enough endpoints were lost. The requests of a crash have several features,
+ * of which one is the cause. A request that comes again is blamed first, and a part of prompts only if
+ * different requests with it were lost. Of the parts, the one with the fewest answers so far is the likeliest,
+ * then the one that comes later in the prompt, as fewer requests share it, then the one with most crashes. The
+ * crashes that a blocked suspect explains do not count against the others; if the real cause is another one,
+ * endpoints go on ending under other requests with it.
  *
- * @param countBegun returns how many answers with a suspect have begun lately
+ * @param countBegun returns how many answers with a part have begun lately
  * @returns the blocked suspects by key
  *
  * @example
- * findBlockedSuspects(suspects, (key) => history.count(key)).get('pool/llm/91bd3f06')?.trialMs;
+ * findBlockedSuspects(suspects, (key) => history.count(key)).get('part/pool/llm/91bd3f06')?.trialMs;
  */
 export const findBlockedSuspects = (
   suspects: readonly Suspect[],
   countBegun: (key: string) => number,
 ): ReadonlyMap<string, BlockedSuspect> => {
   const blocked = new Map<string, BlockedSuspect>();
-  const explained = new Set<number>();
+  const explanations = new Explanations();
   suspects
-    .filter(({ crashes }) => countIndependent([...crashes.values()]) >= MIN_CRASHES)
+    .filter(({ crashes }) => crashes.size >= MIN_CRASHES)
     .map((suspect) => ({ suspect, begun: countBegun(suspect.key) }))
     .sort(
       (a, b) =>
+        Number(b.suspect.depth === REQUEST_DEPTH) - Number(a.suspect.depth === REQUEST_DEPTH) ||
         a.begun - b.begun ||
         b.suspect.depth - a.suspect.depth ||
         b.suspect.crashes.size - a.suspect.crashes.size,
     )
     .forEach(({ suspect }) => {
-      const unexplained = [...suspect.crashes].filter(([process]) => !explained.has(process));
-      const crashes = countIndependent(unexplained.map(([, atMs]) => atMs));
-      if (crashes < MIN_CRASHES) return;
+      const open = [...suspect.crashes].filter(([process, crash]) =>
+        explanations.isOpen(process, crash),
+      );
+      const openCrashes = open.map(([, crash]) => crash);
+      const crashes = countIndependent(openCrashes.map(({ atMs }) => atMs));
+      const minRequests = suspect.depth === REQUEST_DEPTH ? 1 : MIN_REQUESTS_OF_PART;
+      if (crashes < MIN_CRASHES || countRequests(openCrashes) < minRequests) return;
       blocked.set(suspect.key, createBlocked(suspect, crashes));
-      suspect.crashes.forEach((_atMs, process) => explained.add(process));
+      explanations.add(suspect);
     });
   return blocked;
 };
--- a/packages/decisions/src/gateway/harm/harmful-requests.ts
+++ b/packages/decisions/src/gateway/harm/harmful-requests.ts
@@ -16,13 +16,14 @@
   CHANGE_REPORT_MS,
   CRASH_CONFIRMATION_MS,
   MAX_TOLD_SUSPECTS,
+  REQUEST_DEPTH,
   TOLD_DELAY_MS,
   TRIAL_TURN_MS,
 } from './consts.js';
 import { findBlockedSuspects } from './find-blocked-suspects.js';
-import { listSuspectKeys } from './list-suspect-keys.js';
+import { listCommonFeatures } from './list-common-features.js';
 import { SuspectTable } from './suspect-table.js';
-import type { BlockedSuspect, HarmUsage, Suspect } from './types.js';
+import type { BlockedSuspect, CommonFeature, Crash, HarmUsage, Suspect } from './types.js';
 
 export interface HarmfulRequestsOptions {
   readonly context: GatewayContext;
@@ -42,8 +43,9 @@
 const describeSuspect = (suspect: Suspect, nowMs: MonotonicMs): HarmObservation => ({
   suspect: suspect.key,
   depth: suspect.depth,
-  crashes: [...suspect.crashes].map(([process, atMs]) => ({
+  crashes: [...suspect.crashes].map(([process, { atMs, request }]) => ({
     process,
+    request,
     ageMs: Math.round(nowMs - atMs),
   })),
   begunAgeMs: describeAge(suspect.ownBegunAtMs, nowMs),
@@ -83,8 +85,8 @@
   /** Records that the answer to a request has begun, which no engine does for a harmful one. */
   recordBegun(record: GatewayRecord): void {
     const { nowMs } = this.options.context;
-    listSuspectKeys(record).forEach((key) => {
-      this.history.record(key);
+    listCommonFeatures(record).forEach(({ key, depth }) => {
+      if (depth !== REQUEST_DEPTH) this.history.record(key);
       const suspect = this.table.find(key);
       if (suspect === undefined) return;
       suspect.ownBegunAtMs = nowMs;
@@ -102,16 +104,18 @@
    * the engine sends something afterwards.
    */
   recordLoss(record: GatewayRecord, { endpoint }: GatewayAttempt): void {
-    const keys = listSuspectKeys(record);
-    if (keys.length === 0 || record.times.firstAtMs !== undefined) return;
+    if (record.times.firstAtMs !== undefined) return;
     const { context } = this.options;
     const lostAtMs = context.nowMs;
+    const crash = { atMs: lostAtMs, request: hashText(record.request.fingerprint) };
     const process = hashProcess(endpoint);
     this.lossesMs.set(process, lostAtMs);
     context.schedule(CRASH_CONFIRMATION_MS, () => {
       if (!this.lossesMs.has(process)) return;
       this.counts.crashes += 1;
-      keys.forEach((key, depth) => this.addCrash(this.open(key, depth), process, lostAtMs));
+      listCommonFeatures(record).forEach((feature) =>
+        this.addCrash(this.open(feature), process, crash),
+      );
       this.assess();
       this.options.onChanged();
     });
@@ -127,7 +131,7 @@
   mayRun(record: GatewayRecord): boolean {
     if (this.blocked.size === 0 || record.times.firstAtMs !== undefined) return true;
     if (record.isTrial && record.sends === 0) return true;
-    const found = listSuspectKeys(record).flatMap((key) => this.blocked.get(key) ?? []);
+    const found = listCommonFeatures(record).flatMap(({ key }) => this.blocked.get(key) ?? []);
     if (found.length === 0) return true;
     if (found.every((blocked) => this.isTrialDue(blocked))) {
       found.forEach((blocked) => this.startTrial(record, blocked));
@@ -152,7 +156,8 @@
       .sort(
         (a, b) =>
           Number(this.blocked.has(b.key)) - Number(this.blocked.has(a.key)) ||
-          b.crashes.size - a.crashes.size,
+          b.crashes.size - a.crashes.size ||
+          b.changedAtMs - a.changedAtMs,
       )
       .slice(0, MAX_TOLD_SUSPECTS);
     return told.length === 0 ? undefined : told.map((suspect) => describeSuspect(suspect, nowMs));
@@ -173,20 +178,22 @@
     triedAgeMs,
   }: HarmObservation): void {
     const { nowMs } = this.options.context;
-    const suspect = this.open(key, depth);
+    const suspect = this.open({ key, depth });
     if (triedAgeMs !== undefined)
       suspect.triedAtMs = Math.max(suspect.triedAtMs, nowMs - triedAgeMs);
     if (begunAgeMs !== undefined) this.acquit(suspect, nowMs - begunAgeMs);
-    crashes.forEach(({ process, ageMs }) => this.addCrash(suspect, process, nowMs - ageMs));
+    crashes.forEach(({ process, request, ageMs }) =>
+      this.addCrash(suspect, process, { atMs: nowMs - ageMs, request }),
+    );
   }
 
-  private open(key: string, depth: number): Suspect {
-    return this.table.open(key, depth, this.options.context.nowMs);
+  private open(feature: CommonFeature): Suspect {
+    return this.table.open(feature, this.options.context.nowMs);
   }
 
-  private addCrash(suspect: Suspect, process: number, atMs: MonotonicMs): void {
-    if (atMs <= suspect.begunAtMs + TOLD_DELAY_MS) return;
-    if (addCrashTo(suspect.crashes, process, atMs))
+  private addCrash(suspect: Suspect, process: number, crash: Crash): void {
+    if (crash.atMs <= suspect.begunAtMs + TOLD_DELAY_MS) return;
+    if (addCrashTo(suspect.crashes, process, crash))
       suspect.changedAtMs = this.options.context.nowMs;
   }
 
@@ -195,7 +202,7 @@
     if (begunAtMs <= suspect.begunAtMs) return;
     suspect.begunAtMs = begunAtMs;
     const contradicted = [...suspect.crashes].filter(
-      ([, atMs]) => atMs <= begunAtMs + TOLD_DELAY_MS,
+      ([, { atMs }]) => atMs <= begunAtMs + TOLD_DELAY_MS,
     );
     if (contradicted.length === 0) return;
     contradicted.forEach(([process]) => suspect.crashes.delete(process));
--- a/packages/decisions/src/gateway/harm/suspect-table.ts
+++ b/packages/decisions/src/gateway/harm/suspect-table.ts
@@ -6,10 +6,10 @@
   MAX_SUSPECTS,
   SUSPICION_MEMORY_MS,
 } from './consts.js';
-import type { Suspect } from './types.js';
+import type { CommonFeature, Suspect } from './types.js';
 
 const findLastCrashMs = ({ crashes }: Suspect): MonotonicMs =>
-  Math.max(Number.NEGATIVE_INFINITY, ...crashes.values());
+  Math.max(Number.NEGATIVE_INFINITY, ...[...crashes.values()].map(({ atMs }) => atMs));
 
 const estimateMemoryMs = ({ crashes }: Suspect, isBlocked: boolean): number => {
   if (isBlocked) return BLOCK_MEMORY_MS;
@@ -33,7 +33,7 @@
   }
 
   /** Finds a suspect, or adds it without any evidence. */
-  open(key: string, depth: number, nowMs: MonotonicMs): Suspect {
+  open({ key, depth }: CommonFeature, nowMs: MonotonicMs): Suspect {
     const existing = this.suspects.get(key);
     if (existing !== undefined) return existing;
     const never = Number.NEGATIVE_INFINITY;
--- a/packages/decisions/src/gateway/harm/types.ts
+++ b/packages/decisions/src/gateway/harm/types.ts
@@ -1,17 +1,28 @@
 import type { MonotonicMs } from '@savorywind/model';
 
-/**
- * Something that requests have in common, under which engines were lost: a part of their prompts. What is
- * known of it is evidence for harm (engines that were lost before they had begun to answer a request with
- * it) and against (answers with it that have begun since).
- */
-export interface Suspect {
-  /** Names the service, the model and the part, for operators too. */
+/** Something that requests may have in common. */
+export interface CommonFeature {
+  /** Names the service and, for a part, the model, for operators too. */
   readonly key: string;
-  /** Position of the part in the prompt. Later parts are common to fewer requests. */
+  /** Position of the part in the prompt. Deeper features are common to fewer requests. */
   readonly depth: number;
-  /** When each engine process was lost, by the hash of its identity. */
-  readonly crashes: Map<number, MonotonicMs>;
+}
+
+/** The loss of an endpoint process under unanswered requests. */
+export interface Crash {
+  readonly atMs: MonotonicMs;
+  /** Hash of the fingerprint of one of the requests. */
+  readonly request: number;
+}
+
+/**
+ * A common feature of requests under which endpoints were lost. What is known of it is evidence for harm
+ * (endpoints that were lost before they had begun to answer a request with it) and against (answers with it
+ * that have begun since).
+ */
+export interface Suspect extends CommonFeature {
+  /** The losses of endpoint processes, by the hash of their identity. */
+  readonly crashes: Map<number, Crash>;
   /** When an answer with it last began, here or at a peer; negative infinity if none is known. */
   begunAtMs: MonotonicMs;
   /** The same for answers of this entry VM, which alone are told to peers. */
--- a/packages/entry/src/gateway/compact-snapshot.ts
+++ b/packages/entry/src/gateway/compact-snapshot.ts
@@ -41,7 +41,7 @@
 
 const VALUES_PER_SUSPECT = 5;
 
-const VALUES_PER_CRASH = 2;
+const VALUES_PER_CRASH = 3;
 
 /** Stands for the requests per second of a limit that has ended. */
 const ENDED = -1;
@@ -63,7 +63,7 @@
   observation.depth,
   observation.begunAgeMs,
   observation.triedAgeMs,
-  observation.crashes.flatMap(({ process, ageMs }) => [process, ageMs]),
+  observation.crashes.flatMap(({ process, request, ageMs }) => [process, request, ageMs]),
 ];
 
 /** Lists the elements at the end that are left out where there is nothing to tell. */
@@ -155,7 +155,11 @@
   if (!Array.isArray(values)) return undefined;
   const crashes: unknown[] = [];
   for (let index = 0; index < values.length; index += VALUES_PER_CRASH) {
-    crashes.push({ process: values[index] as unknown, ageMs: values[index + 1] as unknown });
+    crashes.push({
+      process: values[index] as unknown,
+      request: values[index + 1] as unknown,
+      ageMs: values[index + 2] as unknown,
+    });
   }
   return crashes;
 };
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -217,15 +217,17 @@
 export interface CrashObservation {
   /** Hash of the identity of the process. */
   readonly process: number;
+  /** Hash of the fingerprint of one of the requests. */
+  readonly request: number;
   /** Time from the loss to the sending of this message, in milliseconds. */
   readonly ageMs: number;
 }
 
 /** What an entry VM knows of something that requests have in common, under which engines were lost. */
 export interface HarmObservation {
-  /** Service, model and part of the prompt, separated by slashes. */
+  /** `part`, service, model and part of the prompt, or `request`, service and fingerprint, with slashes. */
   readonly suspect: string;
-  /** Position of the part in the prompt; later parts are common to fewer requests. */
+  /** Position of the part in the prompt; deeper suspects are common to fewer requests. */
   readonly depth: number;
   readonly crashes: readonly CrashObservation[];
   /** Time since an answer with it last began at this entry VM, in milliseconds; undefined if none did. */
