Tell independent crashes by the start of their attempts, not by the time between them

A replica ends 40 ms after it got the call, and its retry ends the next one: both counted once, as crashes had to be 100 ms apart, so that up to 8 harmful calls came after the third crash.

Change: a crash is independent of the one before if its attempt started after that loss was known, less 20 ms for what peers tell. One event (a cut, a suspended VM that reads all ends at once) breaks only attempts that have started before it. A crash carries how long its attempt took, also between entry VMs.

--- a/packages/decisions/src/gateway/consts.ts
+++ b/packages/decisions/src/gateway/consts.ts
@@ -47,7 +47,7 @@
 export const HARM_OBSERVATION_BYTES = 24;
 
 /** Bytes that one crash adds to a snapshot: upper bound as above. */
-export const CRASH_OBSERVATION_BYTES = 20;
+export const CRASH_OBSERVATION_BYTES = 25;
 
 /** Most endpoints that leave in one snapshot; the newest ones are told. */
 export const MAX_LEAVING_OBSERVATIONS = 32;
--- a/packages/decisions/src/gateway/harm/add-crash-to.ts
+++ b/packages/decisions/src/gateway/harm/add-crash-to.ts
@@ -1,29 +1,35 @@
-import { MAX_CRASHES, MIN_CRASH_SPACING_MS } from './consts.js';
+import { MAX_CRASHES } from './consts.js';
+import { listIndependent } from './list-independent.js';
 import type { Crash } from './types.js';
 
-type Entry = readonly [process: number, crash: Crash];
-
-/** Finds a crash that counts together with an earlier one; without any, the oldest crash. */
-const findLeastUseful = (sorted: readonly Entry[]): Entry | undefined =>
-  sorted.find(([, { atMs }], index) => {
-    const previousMs = sorted[index - 1]?.[1].atMs ?? Number.NEGATIVE_INFINITY;
-    return atMs - previousMs < MIN_CRASH_SPACING_MS;
-  }) ?? sorted[0];
+/** Finds a process whose loss counts together with an earlier one; without any, the one lost first. */
+const findLeastUseful = (crashes: ReadonlyMap<number, Crash>): number | undefined => {
+  const sorted = [...crashes].sort(([, a], [, b]) => a.atMs - b.atMs);
+  const independent = new Set(listIndependent([...crashes.values()]));
+  const [process] = sorted.find(([, crash]) => !independent.has(crash)) ?? sorted[0] ?? [];
+  return process;
+};
 
 /**
- * Adds the loss of an engine process to those of a suspect, whose number is bounded. Where all places are
- * taken, the one that adds least to the evidence is dropped, which may be the new one.
+ * Adds the loss of an endpoint process to those of a suspect, whose number is bounded. Of two attempts that the
+ * same process lost, the shorter one counts: it started last. Where all places are taken, the loss that adds
+ * least to the evidence is dropped, which may be the new one.
  *
- * @returns whether the crash was new and is kept
+ * @returns whether the evidence has changed
  *
  * @example
- * addCrashTo(suspect.crashes, hashText('engine-1@5'), { atMs, request }); // true
+ * addCrashTo(suspect.crashes, hashText('engine-1@5'), { atMs, tookMs, request }); // true
  */
 export const addCrashTo = (crashes: Map<number, Crash>, process: number, crash: Crash): boolean => {
-  if (crashes.has(process)) return false;
+  const known = crashes.get(process);
+  if (known !== undefined) {
+    if (crash.tookMs >= known.tookMs) return false;
+    crashes.set(process, { ...known, tookMs: crash.tookMs });
+    return true;
+  }
   crashes.set(process, crash);
   if (crashes.size <= MAX_CRASHES) return true;
-  const dropped = findLeastUseful([...crashes].sort(([, a], [, b]) => a.atMs - b.atMs));
-  if (dropped !== undefined) crashes.delete(dropped[0]);
-  return dropped?.[0] !== process;
+  const dropped = findLeastUseful(crashes);
+  if (dropped !== undefined) crashes.delete(dropped);
+  return dropped !== process;
 };
--- a/packages/decisions/src/gateway/harm/consts.ts
+++ b/packages/decisions/src/gateway/harm/consts.ts
@@ -4,20 +4,18 @@
  */
 export const MIN_CRASHES = 3;
 
-/**
- * Crashes closer to each other than this count once, in milliseconds: one event, such as a cut failure domain
- * or a suspended entry VM that reads all its broken connections at once, must not look like several. Such a burst
- * lasts some ten milliseconds; an engine needs about as long as this to begin an answer, so that a request
- * which ends one engine after the other counts twice.
- */
-export const MIN_CRASH_SPACING_MS = 100;
-
 /**
  * A lost attempt is evidence of a crash only if the engine sends this entry VM nothing for this long, in
  * milliseconds. Data that was on the way arrives well within it.
  */
 export const CRASH_CONFIRMATION_MS = 100;
 
+/**
+ * By how much the times of two losses that peers told may be off against each other, in milliseconds: the
+ * delay of a datagram and of the process that reads it.
+ */
+export const TIME_TOLERANCE_MS = 20;
+
 /** An answer this shortly before a crash still contradicts it: what peers tell is this late, in milliseconds. */
 export const TOLD_DELAY_MS = 50;
 
--- a/packages/decisions/src/gateway/harm/find-blocked-suspects.ts
+++ b/packages/decisions/src/gateway/harm/find-blocked-suspects.ts
@@ -1,29 +1,14 @@
-import type { MonotonicMs } from '@savorywind/model';
 import {
   FIRST_TRIAL_DELAY_MS,
   MAX_TRIAL_DELAY_MS,
   MIN_CRASHES,
-  MIN_CRASH_SPACING_MS,
   MIN_REQUESTS_OF_PART,
   REQUEST_DEPTH,
   TRIAL_DELAY_FACTOR,
 } from './consts.js';
+import { listIndependent } from './list-independent.js';
 import type { BlockedSuspect, Crash, Suspect } from './types.js';
 
-/** Counts the crashes that are far enough apart in time to be independent of each other. */
-export const countIndependent = (crashesMs: readonly MonotonicMs[]): number => {
-  let count = 0;
-  let lastMs = Number.NEGATIVE_INFINITY;
-  [...crashesMs]
-    .sort((a, b) => a - b)
-    .forEach((atMs) => {
-      if (atMs - lastMs < MIN_CRASH_SPACING_MS) return;
-      count += 1;
-      lastMs = atMs;
-    });
-  return count;
-};
-
 const estimateTrialDelayMs = (crashes: number): number =>
   Math.min(
     MAX_TRIAL_DELAY_MS,
@@ -98,7 +83,7 @@
         explanations.isOpen(process, crash),
       );
       const openCrashes = open.map(([, crash]) => crash);
-      const crashes = countIndependent(openCrashes.map(({ atMs }) => atMs));
+      const crashes = listIndependent(openCrashes).length;
       const minRequests = suspect.depth === REQUEST_DEPTH ? 1 : MIN_REQUESTS_OF_PART;
       if (crashes < MIN_CRASHES || countRequests(openCrashes) < minRequests) return;
       blocked.set(suspect.key, createBlocked(suspect, crashes));
--- a/packages/decisions/src/gateway/harm/harmful-requests.ts
+++ b/packages/decisions/src/gateway/harm/harmful-requests.ts
@@ -43,9 +43,10 @@
 const describeSuspect = (suspect: Suspect, nowMs: MonotonicMs): HarmObservation => ({
   suspect: suspect.key,
   depth: suspect.depth,
-  crashes: [...suspect.crashes].map(([process, { atMs, request }]) => ({
+  crashes: [...suspect.crashes].map(([process, { atMs, tookMs, request }]) => ({
     process,
     request,
+    tookMs,
     ageMs: Math.round(nowMs - atMs),
   })),
   begunAgeMs: describeAge(suspect.ownBegunAtMs, nowMs),
@@ -103,11 +104,15 @@
    * Records that the connection of an attempt broke before its answer had begun. It counts as a crash unless
    * the engine sends something afterwards.
    */
-  recordLoss(record: GatewayRecord, { endpoint }: GatewayAttempt): void {
+  recordLoss(record: GatewayRecord, { endpoint, startedAtMs }: GatewayAttempt): void {
     if (record.times.firstAtMs !== undefined) return;
     const { context } = this.options;
     const lostAtMs = context.nowMs;
-    const crash = { atMs: lostAtMs, request: hashText(record.request.fingerprint) };
+    const crash: Crash = {
+      atMs: lostAtMs,
+      tookMs: Math.round(lostAtMs - startedAtMs),
+      request: hashText(record.request.fingerprint),
+    };
     const process = hashProcess(endpoint);
     this.lossesMs.set(process, lostAtMs);
     context.schedule(CRASH_CONFIRMATION_MS, () => {
@@ -182,8 +187,8 @@
     if (triedAgeMs !== undefined)
       suspect.triedAtMs = Math.max(suspect.triedAtMs, nowMs - triedAgeMs);
     if (begunAgeMs !== undefined) this.acquit(suspect, nowMs - begunAgeMs);
-    crashes.forEach(({ process, request, ageMs }) =>
-      this.addCrash(suspect, process, { atMs: nowMs - ageMs, request }),
+    crashes.forEach(({ process, request, tookMs, ageMs }) =>
+      this.addCrash(suspect, process, { atMs: nowMs - ageMs, tookMs, request }),
     );
   }
 
--- a/packages/decisions/src/gateway/harm/types.ts
+++ b/packages/decisions/src/gateway/harm/types.ts
@@ -11,6 +11,8 @@
 /** The loss of an endpoint process under unanswered requests. */
 export interface Crash {
   readonly atMs: MonotonicMs;
+  /** Time from the start of the attempt to the loss, in milliseconds. */
+  readonly tookMs: number;
   /** Hash of the fingerprint of one of the requests. */
   readonly request: number;
 }
--- a/packages/decisions/test/gateway/harm/harmful-prompt-parts.test.ts
+++ b/packages/decisions/test/gateway/harm/harmful-prompt-parts.test.ts
@@ -97,6 +97,7 @@
   it('for connections that all break at one moment, as in a cut', () => {
     const driver = new CrashingEngines();
     const requests = [1, 2, 3, 4, 5, 6].map(() => driver.chat(['aa', 'bb']));
+    driver.advance(50);
     requests.forEach((requestId) => driver.loseEngine(requestId));
     driver.advance(APART_MS);
     expect(driver.findRefusalOf(['aa', 'bb'])).toBeUndefined();
@@ -233,7 +234,7 @@
       driver.receiveHarm(
         own.map((part, index) =>
           createHarm(`part/pool/llm/${part}`, [
-            { process: 3 * round + index, request: round, ageMs: 0 },
+            { process: 3 * round + index, request: round, tookMs: 100, ageMs: 0 },
           ]),
         ),
       );
--- a/packages/entry/src/gateway/compact-snapshot.ts
+++ b/packages/entry/src/gateway/compact-snapshot.ts
@@ -41,7 +41,7 @@
 
 const VALUES_PER_SUSPECT = 5;
 
-const VALUES_PER_CRASH = 3;
+const VALUES_PER_CRASH = 4;
 
 /** Stands for the requests per second of a limit that has ended. */
 const ENDED = -1;
@@ -63,7 +63,12 @@
   observation.depth,
   observation.begunAgeMs,
   observation.triedAgeMs,
-  observation.crashes.flatMap(({ process, request, ageMs }) => [process, request, ageMs]),
+  observation.crashes.flatMap(({ process, request, tookMs, ageMs }) => [
+    process,
+    request,
+    tookMs,
+    ageMs,
+  ]),
 ];
 
 /** Lists the elements at the end that are left out where there is nothing to tell. */
@@ -158,7 +163,8 @@
     crashes.push({
       process: values[index] as unknown,
       request: values[index + 1] as unknown,
-      ageMs: values[index + 2] as unknown,
+      tookMs: values[index + 2] as unknown,
+      ageMs: values[index + 3] as unknown,
     });
   }
   return crashes;
--- a/packages/entry/src/gateway/snapshot-codec.ts
+++ b/packages/entry/src/gateway/snapshot-codec.ts
@@ -83,7 +83,10 @@
 const isAge = (value: unknown): boolean => value === undefined || isNonNegative(value);
 
 const isCrash = (value: Partial<CrashObservation> | undefined): boolean =>
-  isNonNegative(value?.process) && isNonNegative(value.request) && isNonNegative(value.ageMs);
+  isNonNegative(value?.process) &&
+  isNonNegative(value.request) &&
+  isNonNegative(value.tookMs) &&
+  isNonNegative(value.ageMs);
 
 const isHarm = (value: Partial<HarmObservation> | undefined): boolean =>
   isShortText(value?.suspect) &&
--- a/packages/entry/test/gateway/snapshot-codec.test.ts
+++ b/packages/entry/test/gateway/snapshot-codec.test.ts
@@ -106,8 +106,8 @@
         suspect: 'savorywind-pool/llm/91bd3f06',
         depth: 1,
         crashes: [
-          { process: 4_294_967_295, request: 4_294_967_294, ageMs: 3_600_000 },
-          { process: 7, request: 8, ageMs: 40 },
+          { process: 4_294_967_295, request: 4_294_967_294, tookMs: 900_000, ageMs: 3_600_000 },
+          { process: 7, request: 8, tookMs: 125, ageMs: 40 },
         ],
         begunAgeMs: undefined,
         triedAgeMs: 1_000,
@@ -124,11 +124,18 @@
   it.each([
     [{ suspect: 'x'.repeat(256), depth: 1, crashes: [] }],
     [{ suspect: 's', depth: -1, crashes: [] }],
-    [{ suspect: 's', depth: 1, crashes: [{ process: 'p', request: 1, ageMs: 1 }] }],
-    [{ suspect: 's', depth: 1, crashes: [{ process: 1, ageMs: 1 }] }],
-    [{ suspect: 's', depth: 1, crashes: [{ process: 1, request: 1, ageMs: -1 }] }],
+    [{ suspect: 's', depth: 1, crashes: [{ process: 'p', request: 1, tookMs: 1, ageMs: 1 }] }],
+    [{ suspect: 's', depth: 1, crashes: [{ process: 1, request: 1, ageMs: 1 }] }],
+    [{ suspect: 's', depth: 1, crashes: [{ process: 1, tookMs: 1, ageMs: 1 }] }],
+    [{ suspect: 's', depth: 1, crashes: [{ process: 1, request: 1, tookMs: 1, ageMs: -1 }] }],
     [{ suspect: 's', depth: 1, crashes: [], begunAgeMs: Number.NaN }],
-    [{ suspect: 's', depth: 1, crashes: Array(65).fill({ process: 1, request: 1, ageMs: 1 }) }],
+    [
+      {
+        suspect: 's',
+        depth: 1,
+        crashes: Array(65).fill({ process: 1, request: 1, tookMs: 1, ageMs: 1 }),
+      },
+    ],
   ])('with an invalid suspect is refused, %j', (observation) => {
     const snapshot = { ...createSnapshot(1), harm: [observation] } as unknown as WorkSnapshot;
     expect(codec.decode(codec.encode(snapshot, 'named')).err).toBe(true);
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -219,6 +219,8 @@
   readonly process: number;
   /** Hash of the fingerprint of one of the requests. */
   readonly request: number;
+  /** Time from the start of the attempt to the loss, in milliseconds. */
+  readonly tookMs: number;
   /** Time from the loss to the sending of this message, in milliseconds. */
   readonly ageMs: number;
 }
