--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -172,10 +172,10 @@
     this.snapshots = new SnapshotSender(
       this.context,
       this.fleetLoad,
-      () => ({
+      (frequency) => ({
         limits: this.limits.listObservations(),
         leaving: this.availability.listObservations(),
-        harm: this.harmful.listObservations(),
+        harm: this.harmful.listObservations(frequency),
         configuration: this.proof.describeNewest(this.context.nowMs),
       }),
       contract.linkBytesPerMs,
@@ -299,8 +299,10 @@
         this.snapshots.handlePeersAdded();
       },
       'peer.received': ({ snapshot }) => {
-        if (this.fleetLoad.applySnapshot(snapshot, this.context.nowMs))
-          this.applySnapshotFields(snapshot);
+        const hasStarted = !this.fleetLoad.peers.hasHeard(snapshot);
+        if (!this.fleetLoad.applySnapshot(snapshot, this.context.nowMs)) return;
+        this.applySnapshotFields(snapshot);
+        if (hasStarted) this.harmful.handlePeerStarted();
       },
       'permit.requested': ({ request }) => this.coordinator.handleRequest(request),
       'permit.answered': ({ answer }) => this.permits.handleAnswer(answer),
--- a/packages/decisions/src/gateway/harm/consts.ts
+++ b/packages/decisions/src/gateway/harm/consts.ts
@@ -1,3 +1,5 @@
+import type { SnapshotFrequency } from '../peer-table.js';
+
 /**
  * Independent crashes without an answer in between from which requests with a suspect are refused. The users
  * permit the third crash under one request, and the fifth under one part, before they count.
@@ -61,8 +63,14 @@
 /** Parts whose last answer is remembered; the one that was used the longest time ago is dropped first. */
 export const MAX_REMEMBERED_PARTS = 4_096;
 
-/** Time for which changed evidence is in each snapshot, so that lost datagrams don't matter. */
-export const CHANGE_REPORT_MS = 2_000;
+/**
+ * Time for which changed evidence is in each snapshot, so that lost datagrams don't matter, in milliseconds.
+ * Peers that get snapshots at intervals get several of them in it, also in the largest planned fleet.
+ */
+export const CHANGE_REPORT_MS: Readonly<Record<SnapshotFrequency, number>> = {
+  frequent: 2_000,
+  periodic: 10_000,
+};
 
 /** Interval at which blocked suspects are told again, for entry VMs that have started, in milliseconds. */
 export const BLOCK_REPORT_INTERVAL_MS = 1_000;
--- a/packages/decisions/src/gateway/harm/harmful-requests.ts
+++ b/packages/decisions/src/gateway/harm/harmful-requests.ts
@@ -6,21 +6,14 @@
 } from '@savorywind/model';
 import { hashText, rankOwners } from '../../membership/rendezvous.js';
 import type { GatewayContext } from '../gateway-context.js';
-import type { PeerTable } from '../peer-table.js';
+import type { PeerTable, SnapshotFrequency } from '../peer-table.js';
 import type { GatewayAttempt, GatewayRecord } from '../request-record.js';
 import type { EndpointProcess } from '../types.js';
 import { addCrashTo } from './add-crash-to.js';
 import { BegunHistory } from './begun-history.js';
-import {
-  BLOCK_REPORT_INTERVAL_MS,
-  CHANGE_REPORT_MS,
-  CRASH_CONFIRMATION_MS,
-  MAX_TOLD_SUSPECTS,
-  REQUEST_DEPTH,
-  TOLD_DELAY_MS,
-  TRIAL_TURN_MS,
-} from './consts.js';
+import { CRASH_CONFIRMATION_MS, REQUEST_DEPTH, TOLD_DELAY_MS, TRIAL_TURN_MS } from './consts.js';
 import { findBlockedSuspects } from './find-blocked-suspects.js';
+import { HarmReport } from './harm-report.js';
 import { listCommonFeatures } from './list-common-features.js';
 import { SuspectTable } from './suspect-table.js';
 import type { BlockedSuspect, CommonFeature, Crash, HarmUsage, Suspect } from './types.js';
@@ -36,23 +29,6 @@
 const hashProcess = ({ id, startedAtMs }: EndpointProcess): number =>
   hashText(`${id}@${startedAtMs ?? ''}`);
 
-/** Converts a time to its age for a message; undefined if there is none. */
-const describeAge = (atMs: MonotonicMs, nowMs: MonotonicMs): number | undefined =>
-  atMs === Number.NEGATIVE_INFINITY ? undefined : Math.round(nowMs - atMs);
-
-const describeSuspect = (suspect: Suspect, nowMs: MonotonicMs): HarmObservation => ({
-  suspect: suspect.key,
-  depth: suspect.depth,
-  crashes: [...suspect.crashes].map(([process, { atMs, tookMs, request }]) => ({
-    process,
-    request,
-    tookMs,
-    ageMs: Math.round(nowMs - atMs),
-  })),
-  begunAgeMs: describeAge(suspect.ownBegunAtMs, nowMs),
-  triedAgeMs: describeAge(suspect.ownTriedAtMs, nowMs),
-});
-
 /**
  * Recognises requests that crash each engine that begins to answer them, by what they have in common, and
  * refuses them. The evidence of all entry VMs counts: they tell each other which engines were lost under
@@ -73,7 +49,7 @@
 
   private blocked: ReadonlyMap<string, BlockedSuspect> = new Map();
 
-  private blocksToldAtMs = Number.NEGATIVE_INFINITY;
+  private readonly report = new HarmReport();
 
   private readonly counts = { crashes: 0, refused: 0, trials: 0 };
 
@@ -146,26 +122,18 @@
     return false;
   }
 
-  /** Lists what this entry VM knows, for the peers. */
-  listObservations(): HarmObservation[] | undefined {
+  /** Lists what this entry VM knows, for a snapshot to the peers. */
+  listObservations(frequency: SnapshotFrequency): HarmObservation[] | undefined {
     if (this.table.size === 0) return undefined;
     const { nowMs } = this.options.context;
-    const tellsBlocks = nowMs - this.blocksToldAtMs >= BLOCK_REPORT_INTERVAL_MS;
-    if (tellsBlocks) this.blocksToldAtMs = nowMs;
-    const told = this.table
-      .list()
-      .filter(({ key, changedAtMs }) => {
-        const isRecent = nowMs - changedAtMs < CHANGE_REPORT_MS;
-        return isRecent || (tellsBlocks && this.blocked.has(key));
-      })
-      .sort(
-        (a, b) =>
-          Number(this.blocked.has(b.key)) - Number(this.blocked.has(a.key)) ||
-          b.crashes.size - a.crashes.size ||
-          b.changedAtMs - a.changedAtMs,
-      )
-      .slice(0, MAX_TOLD_SUSPECTS);
-    return told.length === 0 ? undefined : told.map((suspect) => describeSuspect(suspect, nowMs));
+    return this.report.list(this.table.list(), this.blocked, frequency, nowMs);
+  }
+
+  /** Tells a peer whose process has just started what is blocked. */
+  handlePeerStarted(): void {
+    if (this.blocked.size === 0) return;
+    this.report.tellBlocks();
+    this.options.onChanged();
   }
 
   /** Applies what a peer knows. */
--- a/packages/decisions/src/gateway/peer-table.ts
+++ b/packages/decisions/src/gateway/peer-table.ts
@@ -95,6 +95,12 @@
     return true;
   }
 
+  /** Whether a snapshot of the same process, or of a later one, has been applied. */
+  hasHeard({ from, incarnation }: Pick<WorkSnapshot, 'from' | 'incarnation'>): boolean {
+    const state = this.peers.get(from.id);
+    return state?.receivedAtMs !== undefined && state.incarnation >= incarnation;
+  }
+
   /** Lists the peers whose last snapshot is recent enough to be counted. */
   listActive(nowMs: MonotonicMs): PeerState[] {
     return [...this.peers.values()].filter((state) => this.isActive(state, nowMs));
--- a/packages/decisions/src/gateway/snapshot-sender.ts
+++ b/packages/decisions/src/gateway/snapshot-sender.ts
@@ -69,7 +69,7 @@
     private readonly context: GatewayContext,
     private readonly fleetLoad: FleetLoadTracker,
     /** Returns what a snapshot tells besides the work. */
-    private readonly describeFields: () => SnapshotFields,
+    private readonly describeFields: (frequency: SnapshotFrequency) => SnapshotFields,
     linkBytesPerMs: number,
   ) {
     const bytesPerMs = LINK_FRACTION * linkBytesPerMs;
@@ -129,7 +129,7 @@
     const { context, fleetLoad } = this;
     const peers = fleetLoad.peers.takeRecipients(frequency, context.nowMs);
     if (peers.length === 0) return;
-    const snapshot = fleetLoad.createSnapshot(this.describeFields(), context.nowMs);
+    const snapshot = fleetLoad.createSnapshot(this.describeFields(frequency), context.nowMs);
     this.budgets[frequency].take(peers.length * estimateDatagramBytes(snapshot), context.nowMs);
     context.emit({ kind: 'peers.send', snapshot, peers });
   }
--- a/packages/decisions/test/gateway/harm/harmful-prompt-parts.test.ts
+++ b/packages/decisions/test/gateway/harm/harmful-prompt-parts.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { LARGE_FLEET } from '../../fixtures/fleet-driver.js';
 import {
   APART_MS,
   CrashingEngines,
@@ -226,6 +227,47 @@
   });
 });
 
+describe('a fleet in which most peers get snapshots only at intervals', () => {
+  const SUSPECT = 'part/pool/llm/bad';
+  const peers = LARGE_FLEET;
+
+  /** Has the work of this entry VM change all the time, so that it sends many snapshots. */
+  const run = (driver: CrashingEngines, durationMs: number): void => {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 20) {
+      driver.answer(['aa', 'bb']);
+      driver.advance(20);
+      driver.confirm();
+    }
+  };
+
+  it('is told of a blocked suspect, each peer, and again after a while', () => {
+    const driver = new CrashingEngines();
+    driver.dispatch({ kind: 'peers.read', peers });
+    driver.receiveHarm([createHarm(SUSPECT, createCrashes(3))]);
+    run(driver, 4_000);
+    const hosts = new Set(peers.map(({ address }) => address.host));
+    const isTold = (host: string, told: ReadonlySet<string>): boolean => told.has(host);
+    const first = driver.listHostsTold(SUSPECT);
+    expect([...hosts].filter((host) => !isTold(host, first))).toEqual([]);
+    const fromEffect = driver.effects.length;
+    run(driver, 4_000);
+    const again = driver.listHostsTold(SUSPECT, fromEffect);
+    expect([...hosts].filter((host) => !isTold(host, again))).toEqual([]);
+  });
+});
+
+describe('a process that has just started', () => {
+  it('is told of blocked suspects with the next snapshot', () => {
+    const driver = new CrashingEngines();
+    driver.receiveHarm([createHarm('part/pool/llm/bad', createCrashes(3))]);
+    driver.advance(5_000);
+    const fromEffect = driver.effects.length;
+    driver.receiveHarm([], 'vm-9');
+    driver.advance(5);
+    expect(driver.listHostsTold('part/pool/llm/bad', fromEffect)).toContain('vm-9');
+  });
+});
+
 describe('the memory for suspects', () => {
   it('is bounded, and keeps the part under which engines go on ending', () => {
     const driver = new CrashingEngines();
