Count no loss as evidence of harm after a part of the response was forwarded

Evidence: 'for calls that break after a part of their long response was forwarded' in harmful-prompt-parts.test.ts counted 6 crashes before, and none now; the other tests of harm passed.

--- a/packages/decisions/src/gateway/harm/harmful-requests.ts
+++ b/packages/decisions/src/gateway/harm/harmful-requests.ts
@@ -81,7 +81,7 @@
    * the engine sends something afterwards.
    */
   recordLoss(record: GatewayRecord, { endpoint, startedAtMs }: GatewayAttempt): void {
-    if (record.times.firstAtMs !== undefined) return;
+    if (record.hasForwardedHead) return;
     const { context } = this.options;
     const lostAtMs = context.nowMs;
     const crash: Crash = {
@@ -110,7 +110,7 @@
    * turn.
    */
   mayRun(record: GatewayRecord): boolean {
-    if (this.blocked.size === 0 || record.times.firstAtMs !== undefined) return true;
+    if (this.blocked.size === 0 || record.hasForwardedHead) return true;
     if (record.isTrial && record.sends === 0) return true;
     const found = listCommonFeatures(record).flatMap(({ key }) => this.blocked.get(key) ?? []);
     if (found.length === 0) return true;
--- a/packages/decisions/test/gateway/harm/harmful-prompt-parts.test.ts
+++ b/packages/decisions/test/gateway/harm/harmful-prompt-parts.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { LARGE_FLEET } from '../../fixtures/fleet-driver.js';
+import { createEndpoint, createHead } from '../../fixtures/gateway-driver.js';
 import {
   APART_MS,
   CrashingEngines,
@@ -95,6 +96,27 @@
     expect(driver.findRefusalOf(['aa', 'bb'])).toBeUndefined();
   });
 
+  it('for calls that break after a part of their long response was forwarded', () => {
+    const driver = new CrashingEngines();
+    const replicas = [0, 1, 2, 3, 4, 5, 6, 7].map((index) =>
+      createEndpoint(`r${index}`, { service: 'booking', slots: 6 }),
+    );
+    driver.dispatch({ kind: 'endpoints.read', endpoints: replicas });
+    const callOnce = (): string => driver.request('/balance/', { fingerprint: 'same' });
+    for (let round = 0; round < 6; round += 1) {
+      const requestId = callOnce();
+      const { attemptId } = driver.findAttempt(requestId)!;
+      const head = createHead({ content: 'whole' });
+      driver.advance(APART_MS);
+      driver.dispatch({ kind: 'attempt.headReceived', attemptId, head });
+      driver.advance(APART_MS);
+      driver.loseEngine(requestId);
+      driver.advance(APART_MS);
+    }
+    expect(driver.findRefusal(callOnce())).toBeUndefined();
+    expect(driver.harmUsage.crashes).toBe(0);
+  });
+
   it('for connections that all break at one moment, as in a cut', () => {
     const driver = new CrashingEngines();
     const requests = [1, 2, 3, 4, 5, 6].map(() => driver.chat(['aa', 'bb']));
