--- a/packages/decisions/src/gateway/harm/harmful-requests.ts
+++ b/packages/decisions/src/gateway/harm/harmful-requests.ts
@@ -49,6 +49,8 @@
 
   private blocked: ReadonlyMap<string, BlockedSuspect> = new Map();
 
+  private readonly blockedSinceMs = new Map<string, MonotonicMs>();
+
   private readonly report = new HarmReport();
 
   private readonly counts = { crashes: 0, refused: 0, trials: 0 };
@@ -56,7 +58,12 @@
   constructor(private readonly options: HarmfulRequestsOptions) {}
 
   get usage(): HarmUsage {
-    return { suspects: this.table.size, blocked: this.blocked.size, ...this.counts };
+    const { nowMs } = this.options.context;
+    const blocked = [...this.blockedSinceMs].map(([suspect, sinceMs]) => ({
+      suspect,
+      blockedForMs: nowMs - sinceMs,
+    }));
+    return { suspects: this.table.size, blocked, ...this.counts };
   }
 
   /** Records that the answer to a request has begun, which no engine does for a harmful one. */
@@ -213,11 +220,14 @@
     this.blocked = findBlockedSuspects(this.table.list(), (key) => this.history.count(key));
     this.blocked.forEach(({ suspect, crashes }, key) => {
       if (previous.has(key)) return;
+      this.blockedSinceMs.set(key, context.nowMs);
       const { size: engines } = suspect.crashes;
       context.log(logEvents.suspectBlocked, { suspect: key, crashes, engines });
     });
     previous.forEach((_blocked, key) => {
-      if (!this.blocked.has(key)) context.log(logEvents.suspectAcquitted, { suspect: key });
+      if (this.blocked.has(key)) return;
+      this.blockedSinceMs.delete(key);
+      context.log(logEvents.suspectAcquitted, { suspect: key });
     });
   }
 }
--- a/packages/decisions/src/gateway/harm/types.ts
+++ b/packages/decisions/src/gateway/harm/types.ts
@@ -46,10 +46,18 @@
   readonly trialMs: MonotonicMs;
 }
 
+/** A blocked suspect as operators see it. */
+export interface BlockedUsage {
+  readonly suspect: string;
+  /** Time since this entry VM has blocked it, in milliseconds. */
+  readonly blockedForMs: number;
+}
+
 /** What metrics show of requests that crash engines. */
 export interface HarmUsage {
   readonly suspects: number;
-  readonly blocked: number;
+  /** In the order in which they were blocked. */
+  readonly blocked: readonly BlockedUsage[];
   /** Engine processes that this entry VM saw end under unanswered requests. */
   readonly crashes: number;
   readonly refused: number;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -21,6 +21,6 @@
 export { DATAGRAM_HEADER_BYTES } from './gateway/consts.js';
 export { estimateDatagramBytes } from './gateway/snapshot-sender.js';
 export type { AvailabilityUsage } from './gateway/availability/endpoint-availability.js';
-export type { HarmUsage } from './gateway/harm/types.js';
+export type { BlockedUsage, HarmUsage } from './gateway/harm/types.js';
 export type { LimitUsage } from './gateway/permits/endpoint-limits.js';
 export type * from './gateway/types.js';
--- a/packages/entry/src/gateway/metrics/harm-gauges.ts
+++ b/packages/entry/src/gateway/metrics/harm-gauges.ts
@@ -1,17 +1,30 @@
 import type { HarmUsage } from '@savorywind/decisions';
 import type { Gauge } from '../../observe/render-metrics.js';
 
+const MS_PER_S = 1_000;
+
+/** Most suspects that are shown by name, so that the metrics stay small. */
+const MAX_SHOWN_SUSPECTS = 32;
+
 /** Lists what shows which requests are refused because engines crashed under them. */
 export const listHarmGauges = (usage: HarmUsage): Gauge[] => [
   {
     metric: 'savorywind_harm_suspects',
-    help: 'Parts of prompts under which engines were lost, here or at a peer, and no answer has begun since.',
+    help: 'Requests and parts of prompts under which endpoints were lost, here or at a peer.',
     value: usage.suspects,
   },
   {
     metric: 'savorywind_harm_blocked_suspects',
     help: 'Suspects whose requests are refused.',
-    value: usage.blocked,
+    value: usage.blocked.length,
+  },
+  {
+    metric: 'savorywind_harm_blocked_seconds',
+    help: 'Time since this VM has blocked a suspect; the longest blocked ones are shown.',
+    value: usage.blocked.slice(0, MAX_SHOWN_SUSPECTS).map(({ suspect, blockedForMs }) => ({
+      labels: { suspect },
+      value: blockedForMs / MS_PER_S,
+    })),
   },
   {
     metric: 'savorywind_harm_crashes_total',
--- a/packages/entry/src/observe/render-metrics.ts
+++ b/packages/entry/src/observe/render-metrics.ts
@@ -2,11 +2,17 @@
 import { METRICS, type MeasureName } from './metric-names.js';
 import type { RequestMetrics, Series, SeriesLabels } from './request-metrics.js';
 
-/** A value of the process, without labels. */
+/** One value of a metric that has labels. */
+export interface LabelledValue {
+  readonly labels: Readonly<Record<string, string>>;
+  readonly value: number;
+}
+
+/** A value of the process, or values with labels. */
 export interface Gauge {
   readonly metric: string;
   readonly help: string;
-  readonly value: number;
+  readonly value: number | readonly LabelledValue[];
   /** `counter` if the value never decreases while the process runs; `gauge` if not given. */
   readonly type?: 'gauge' | 'counter';
 }
@@ -14,7 +20,7 @@
 const formatLabelValue = (value: string): string =>
   value.replaceAll('\\', '\\\\').replaceAll('"', '\\"').replaceAll('\n', '\\n');
 
-const formatLabels = (labels: SeriesLabels, extra = ''): string => {
+const formatLabels = (labels: SeriesLabels | LabelledValue['labels'], extra = ''): string => {
   const pairs = Object.entries(labels).map(
     ([name, value]) => `${name}="${formatLabelValue(value)}"`,
   );
@@ -65,6 +71,11 @@
   `# TYPE ${metric} ${type}`,
 ];
 
+const formatValues = (metric: string, value: Gauge['value']): string[] =>
+  typeof value === 'number'
+    ? [`${metric} ${value}`]
+    : value.map((item) => `${metric}${formatLabels(item.labels)} ${item.value}`);
+
 const formatOutcomes = (series: readonly Series[]): string[] => {
   const metric = 'savorywind_requests_total';
   const help = 'Requests by outcome: finished, abandoned by the caller, or a result code.';
@@ -98,7 +109,7 @@
   ]);
   const gaugeLines = gauges.flatMap(({ metric, help, value, type }) => [
     ...formatHead(metric, help, type ?? 'gauge'),
-    `${metric} ${value}`,
+    ...formatValues(metric, value),
   ]);
   const counters = [...formatOutcomes(series), ...formatRejections(metrics.rejections)];
   return `${[...histograms, ...counters, ...gaugeLines].join('\n')}\n`;
