Assess suspects again only if evidence has changed

A trial that a peer repeats seems a few milliseconds later in each message; that is no new evidence.

--- a/packages/decisions/src/gateway/harm/harmful-requests.ts
+++ b/packages/decisions/src/gateway/harm/harmful-requests.ts
@@ -11,7 +11,13 @@
 import type { EndpointProcess } from '../types.js';
 import { addCrashTo } from './add-crash-to.js';
 import { BegunHistory } from './begun-history.js';
-import { CRASH_CONFIRMATION_MS, REQUEST_DEPTH, TOLD_DELAY_MS, TRIAL_TURN_MS } from './consts.js';
+import {
+  CRASH_CONFIRMATION_MS,
+  REQUEST_DEPTH,
+  TIME_TOLERANCE_MS,
+  TOLD_DELAY_MS,
+  TRIAL_TURN_MS,
+} from './consts.js';
 import { findBlockedSuspects } from './find-blocked-suspects.js';
 import { HarmReport } from './harm-report.js';
 import { listCommonFeatures } from './list-common-features.js';
@@ -53,6 +59,9 @@
 
   private readonly report = new HarmReport();
 
+  /** Whether evidence was added since the suspects were assessed. */
+  private hasNewEvidence = false;
+
   private readonly counts = { crashes: 0, refused: 0, trials: 0 };
 
   constructor(private readonly options: HarmfulRequestsOptions) {}
@@ -145,9 +154,8 @@
 
   /** Applies what a peer knows. */
   applyObservations(observations: readonly HarmObservation[]): void {
-    if (observations.length === 0) return;
     observations.forEach((observation) => this.applyObservation(observation));
-    this.assess();
+    if (this.hasNewEvidence) this.assess();
   }
 
   private applyObservation({
@@ -159,8 +167,7 @@
   }: HarmObservation): void {
     const { nowMs } = this.options.context;
     const suspect = this.open({ key, depth });
-    if (triedAgeMs !== undefined)
-      suspect.triedAtMs = Math.max(suspect.triedAtMs, nowMs - triedAgeMs);
+    if (triedAgeMs !== undefined) this.recordToldTrial(suspect, nowMs - triedAgeMs);
     if (begunAgeMs !== undefined) this.acquit(suspect, nowMs - begunAgeMs);
     crashes.forEach(({ process, request, tookMs, ageMs }) =>
       this.addCrash(suspect, process, { atMs: nowMs - ageMs, tookMs, request }),
@@ -173,8 +180,16 @@
 
   private addCrash(suspect: Suspect, process: number, crash: Crash): void {
     if (crash.atMs <= suspect.begunAtMs + TOLD_DELAY_MS) return;
-    if (addCrashTo(suspect.crashes, process, crash))
-      suspect.changedAtMs = this.options.context.nowMs;
+    if (!addCrashTo(suspect.crashes, process, crash)) return;
+    suspect.changedAtMs = this.options.context.nowMs;
+    this.hasNewEvidence = true;
+  }
+
+  /** Records a trial of a peer. The same one seems a little later in each message. */
+  private recordToldTrial(suspect: Suspect, triedAtMs: MonotonicMs): void {
+    if (triedAtMs <= suspect.triedAtMs + TIME_TOLERANCE_MS) return;
+    suspect.triedAtMs = triedAtMs;
+    this.hasNewEvidence = true;
   }
 
   /** Drops the crashes that an answer which began later contradicts. */
@@ -215,6 +230,7 @@
   /** Decides anew which suspects are blocked. */
   private assess(): void {
     const { context } = this.options;
+    this.hasNewEvidence = false;
     const previous = this.blocked;
     this.table.dropOutdated((key) => previous.has(key), context.nowMs);
     this.blocked = findBlockedSuspects(this.table.list(), (key) => this.history.count(key));
