--- a/packages/decisions/src/gateway/harm/begun-history.ts
+++ b/packages/decisions/src/gateway/harm/begun-history.ts
@@ -8,6 +8,10 @@
   /** In order of use, the least recent first. */
   private readonly counts = new Map<string, number>();
 
+  get size(): number {
+    return this.counts.size;
+  }
+
   record(key: string): void {
     const count = this.count(key) + 1;
     this.counts.delete(key);
--- a/packages/decisions/test/gateway/harm/harmful-prompt-parts.test.ts
+++ b/packages/decisions/test/gateway/harm/harmful-prompt-parts.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { LARGE_FLEET } from '../../fixtures/fleet-driver.js';
 import { createEndpoint, createHead } from '../../fixtures/gateway-driver.js';
+import { BegunHistory } from '../../../src/gateway/harm/begun-history.js';
 import {
   APART_MS,
   CrashingEngines,
@@ -309,3 +310,15 @@
     expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
   });
 });
+
+describe('what is remembered of requests', () => {
+  it('stays bounded with a million unlike ones', () => {
+    const history = new BegunHistory();
+    for (let request = 0; request < 1_000_000; request += 1) {
+      history.record(`part/pool/llm/${request}`);
+      if (request % 100 === 0) history.record('part/pool/llm/shared');
+    }
+    expect(history.size).toBeLessThanOrEqual(4_096);
+    expect(history.count('part/pool/llm/shared')).toBe(10_000);
+  });
+});
--- a/packages/decisions/test/gateway/randomised.test.ts
+++ b/packages/decisions/test/gateway/randomised.test.ts
@@ -9,7 +9,10 @@
 describe('randomised simulations of the gateway', () => {
   const openAtStops = { unplaced: 0, sent: 0, streaming: 0 };
 
-  const countOpen = ({ openAtStop }: GatewaySimulation): void => {
+  let harmfulRefusals = 0;
+
+  const countOpen = ({ openAtStop, harmfulRefusals: refusals }: GatewaySimulation): void => {
+    harmfulRefusals += refusals;
     openAtStops.unplaced += openAtStop.unplaced;
     openAtStops.sent += openAtStop.sent;
     openAtStops.streaming += openAtStop.streaming;
@@ -29,6 +32,10 @@
     expect(simulation.violations).toEqual([]);
   });
 
+  it('refused requests because endpoints were lost under others like them', () => {
+    expect(harmfulRefusals).toBeGreaterThan(0);
+  });
+
   it('ended stops with requests in every state', () => {
     expect(Object.entries(openAtStops).filter(([, count]) => count === 0)).toEqual([]);
   });
