--- a/packages/decisions/src/gateway/harm/harmful-requests.ts
+++ b/packages/decisions/src/gateway/harm/harmful-requests.ts
@@ -50,7 +50,7 @@
 
   private readonly history = new BegunHistory();
 
-  /** When each engine process last sent this entry VM something. Only of processes with a recent loss. */
+  /** When this entry VM last lost an attempt at each engine process that has sent it nothing since. */
   private readonly lossesMs = new Map<number, MonotonicMs>();
 
   private blocked: ReadonlyMap<string, BlockedSuspect> = new Map();
