Have the tests of harm bite where parts of the rule are taken out

Trials by hand in a copy: of eight parts taken out one by one, three failed no test. Now each of them does: a sign of life of the engine (a loss is counted), one request that blames the parts it shares, entry VMs without turns for a trial.

--- a/packages/decisions/test/gateway/harm/harmful-prompt-parts.test.ts
+++ b/packages/decisions/test/gateway/harm/harmful-prompt-parts.test.ts
@@ -74,6 +74,24 @@
   });
 });
 
+describe('a request that comes again and under which three engines were lost', () => {
+  it('is refused, and not the parts that it shares with others', () => {
+    const driver = new CrashingEngines();
+    const again = { fingerprint: 'same' };
+    for (let crash = 0; crash < 3; crash += 1) driver.crashOnce(BAD, again);
+    expect(driver.findRefusalOf(BAD, again)).toEqual(HARMFUL);
+    expect(driver.findRefusalOf(BAD)).toBeUndefined();
+  });
+
+  it('does not hide a part that crashes engines under other requests, too', () => {
+    const driver = new CrashingEngines();
+    const again = { fingerprint: 'same' };
+    for (let crash = 0; crash < 3; crash += 1) driver.crashOnce(BAD, again);
+    driver.crashOnce(BAD);
+    expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
+  });
+});
+
 describe('a part is not blamed', () => {
   it('for engines that ended while others with it were answered', () => {
     const driver = new CrashingEngines();
@@ -143,6 +161,7 @@
       driver.advance(APART_MS);
     }
     expect(answered).toBe(4);
+    expect(driver.harmUsage.crashes).toBe(0);
     expect(driver.findRefusalOf(['aa', 'cc'])).toBeUndefined();
   });
 
@@ -209,6 +228,30 @@
   });
 });
 
+describe('entry VMs that know the same', () => {
+  it('take turns for the trial of a part', () => {
+    const parts = Array.from({ length: 20 }, (_, index) => `p${index}`);
+    const driver = new CrashingEngines();
+    const tell = (): void =>
+      parts.forEach((part, index) => {
+        const crashes = createCrashes(3, 1_000).map((crash) => ({
+          ...crash,
+          process: crash.process + 10 * index,
+        }));
+        driver.receiveHarm([createHarm(`part/pool/llm/${part}`, crashes)]);
+      });
+    const listTried = (): string[] =>
+      parts.filter((part) => driver.findRefusalOf([part]) === undefined);
+    tell();
+    const atOnce = listTried();
+    expect(atOnce.length).toBeGreaterThan(0);
+    expect(atOnce.length).toBeLessThan(parts.length);
+    driver.receiveHarm([]);
+    driver.advance(600);
+    expect([...atOnce, ...listTried()].sort()).toEqual([...parts].sort());
+  });
+});
+
 describe('what peers tell of a part', () => {
   it('blocks it after three losses at different entry VMs', () => {
     const driver = new CrashingEngines();
