Tell a cut of the own VM from an outage of the store, and read again in time after both

Beside it, the read of the registrations was repeated only after 2.7 s.

A failure says only that the store did not answer after the read had left. When the store answers again all tables are read at once; after a failure no read is held. The waits follow from the contract (read-timing), with contact_ms as its new field; the retention takes at most three quarters of it.

--- a/packages/decisions/src/gateway/endpoint-table.ts
+++ b/packages/decisions/src/gateway/endpoint-table.ts
@@ -27,7 +27,8 @@
 /**
  * The registered endpoints. During an outage of the store, registrations expire although their
  * endpoints are alive. An endpoint whose registration disappears during the outage, or within
- * `reregistrationMs` after it, is therefore retained until that time has passed.
+ * `reregistrationMs` after it, is therefore retained until that time has passed, unless the store turns out
+ * to have been there all the while.
  *
  * A store that has come back from an older copy of itself begins a new era. Registrations that the copy
  * lacks are retained as after an outage. Those of endpoints that had left or announced that they leave are
@@ -52,13 +53,17 @@
 
   private hasLoaded = false;
 
-  private graceEndsAtMs: MonotonicMs = 0;
+  /** Until when missing registrations are retained after an outage of the store. */
+  private outageGraceEndsAtMs: MonotonicMs = 0;
+
+  /** Until when missing registrations are retained after the begin of an era. */
+  private eraGraceEndsAtMs: MonotonicMs = 0;
 
   private isStoreUnavailable = false;
 
   constructor(
     /** Time within which live endpoints register again after an outage of the store. */
-    private readonly reregistrationMs: number,
+    private reregistrationMs: number,
     /** Called when an endpoint is removed, or restarted under the same id. */
     private readonly onInvalidated: (endpoint: EndpointId) => void,
   ) {}
@@ -73,16 +78,30 @@
     this.isStoreUnavailable = true;
   }
 
-  reportStoreAvailable(nowMs: MonotonicMs): void {
+  /**
+   * @param mayHaveExpired whether the store itself may have been away; false if only this entry VM was cut
+   *   off from it, so that registrations did not expire
+   */
+  reportStoreAvailable(nowMs: MonotonicMs, mayHaveExpired: boolean): void {
     if (!this.isStoreUnavailable) return;
     this.isStoreUnavailable = false;
-    this.graceEndsAtMs = nowMs + this.reregistrationMs;
+    if (mayHaveExpired) this.outageGraceEndsAtMs = nowMs + this.reregistrationMs;
     if (this.withheld.size > 0) this.withheldUntilMs = nowMs + WITHHOLD_MS;
   }
 
+  /** Handles that the store was there while this entry VM could not reach it: no registration expired. */
+  endOutageGrace(nowMs: MonotonicMs): void {
+    this.outageGraceEndsAtMs = Math.min(this.outageGraceEndsAtMs, nowMs);
+    this.expire(nowMs);
+  }
+
+  changeReregistration(reregistrationMs: number): void {
+    this.reregistrationMs = reregistrationMs;
+  }
+
   /** Handles that the store has come back from an older copy of itself. */
   handleEraRaised(nowMs: MonotonicMs): void {
-    this.graceEndsAtMs = nowMs + this.reregistrationMs;
+    this.eraGraceEndsAtMs = nowMs + this.reregistrationMs;
     this.withheldUntilMs = nowMs + WITHHOLD_MS;
     this.withheld.clear();
     this.changedInEra.clear();
@@ -134,6 +153,10 @@
     return nextMs === Number.POSITIVE_INFINITY ? undefined : nextMs;
   }
 
+  private get graceEndsAtMs(): MonotonicMs {
+    return Math.max(this.outageGraceEndsAtMs, this.eraGraceEndsAtMs);
+  }
+
   find(id: EndpointId): GatewayEndpoint | undefined {
     return this.endpoints.get(id);
   }
--- a/packages/decisions/src/gateway/fleet-load-tracker.ts
+++ b/packages/decisions/src/gateway/fleet-load-tracker.ts
@@ -33,7 +33,7 @@
 }
 
 /** What a snapshot tells besides the work. */
-export type SnapshotFields = Pick<WorkSnapshot, 'limits' | 'leaving' | 'harm' | 'configuration'>;
+export type SnapshotFields = Omit<WorkSnapshot, 'from' | 'incarnation' | 'sequence' | 'work'>;
 
 /** Loads by engine; engines without any work are missing. */
 export type EngineLoads = ReadonlyMap<EndpointId, EngineLoad>;
@@ -172,10 +172,7 @@
     return loads;
   }
 
-  createSnapshot(
-    { limits, leaving, harm, configuration }: SnapshotFields,
-    nowMs: MonotonicMs,
-  ): WorkSnapshot {
+  createSnapshot(fields: SnapshotFields, nowMs: MonotonicMs): WorkSnapshot {
     this.sequence += 1;
     const byEngine = new Map<EndpointId, EngineLoad>();
     this.localWork.forEach((work) => {
@@ -190,6 +187,6 @@
       readMs: Math.round(load.readMs),
     }));
     const { self: from, incarnation, sequence } = this;
-    return { from, incarnation, sequence, work, configuration, limits, leaving, harm };
+    return { from, incarnation, sequence, work, ...fields };
   }
 }
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -36,7 +36,14 @@
 import { PlacementPolicy } from './placement-policy.js';
 import { RouteIndex } from './route-index.js';
 import { SnapshotSender } from './snapshot-sender.js';
-import type { GatewayEffect, GatewayEvent, GatewayRefusalReason, GatewayRequest } from './types.js';
+import { StoreContact } from './store-contact.js';
+import type {
+  GatewayEffect,
+  GatewayEvent,
+  GatewayRefusalReason,
+  GatewayRequest,
+  StoreReadTime,
+} from './types.js';
 
 export interface GatewayNodeOptions {
   readonly self: GatewayPeer;
@@ -77,6 +84,16 @@
 const estimateLeaseMs = ({ credentialFreshnessMs }: GatewayContract): number =>
   credentialFreshnessMs - LEASE_MARGIN_MS;
 
+/**
+ * Fraction of the time in which an entry VM must act on the store's current state again for which it may
+ * retain registrations that are missing after an outage. The rest is for noticing that the outage is over.
+ */
+const RETENTION_FRACTION = 0.75;
+
+/** Time for which registrations that are missing after an outage are retained, in milliseconds. */
+const computeRetentionMs = ({ reregistrationMs, resyncMs }: GatewayContract): number =>
+  Math.min(reregistrationMs, RETENTION_FRACTION * resyncMs);
+
 const createBudgetOptions = (contract: GatewayContract): FleetRetryBudgetOptions => ({
   ratio: contract.retryRatio,
   allowance: contract.retryAllowance,
@@ -99,9 +116,11 @@
 
   private readonly table: EndpointTable;
 
-  /** Time after an outage or an older copy of the store by which what it lost is written again. */
+  /** Time after an older copy of the store by which what it lost is written again. */
   private readonly reregistrationMs: number;
 
+  private readonly contact = new StoreContact();
+
   private readonly health = new EndpointHealth();
 
   private readonly harmful: HarmfulRequests;
@@ -141,14 +160,12 @@
 
   private renewalTimer: Timer | undefined;
 
-  private isStoreUnavailable = false;
-
   constructor(options: GatewayNodeOptions) {
     const { self, incarnation, contract } = options;
     this.context = new GatewayContext(`${self.id}.${incarnation}`, options.seed);
     this.lease = new CredentialLease(estimateLeaseMs(contract));
     this.reregistrationMs = contract.reregistrationMs;
-    this.table = new EndpointTable(contract.reregistrationMs, (id) => this.removeEndpoint(id));
+    this.table = new EndpointTable(computeRetentionMs(contract), (id) => this.removeEndpoint(id));
     this.availability = new EndpointAvailability({
       context: this.context,
       table: this.table,
@@ -177,6 +194,7 @@
         leaving: this.availability.listObservations(),
         harm: this.harmful.listObservations(frequency),
         configuration: this.proof.describeNewest(this.context.nowMs),
+        storeAvailableMs: this.contact.describe(this.context.nowMs),
       }),
       contract.linkBytesPerMs,
     );
@@ -269,6 +287,7 @@
       'time.lost': ({ lostMs }) => {
         this.lease.addLostTime(lostMs);
         this.proof.addLostTime(lostMs);
+        this.contact.addLostTime(lostMs);
         this.limits.addLostTime(lostMs);
         this.availability.addLostTime(lostMs);
         this.permits.clear();
@@ -277,22 +296,23 @@
         this.lease.changeDuration(estimateLeaseMs(contract));
         this.budget.changeOptions(createBudgetOptions(contract));
         this.snapshots.changeLink(contract.linkBytesPerMs);
+        this.table.changeReregistration(computeRetentionMs(contract));
         this.context.log(logEvents.contractChanged);
       },
       'configuration.confirmed': (event) => {
         this.handleConfirmation(event);
-        this.handleStoreResponse();
+        this.handleStoreResponse(event);
       },
-      'endpoints.read': ({ endpoints }) => {
-        this.handleStoreResponse();
-        this.table.setAll(endpoints, this.context.nowMs);
+      'endpoints.read': (event) => {
+        this.handleStoreResponse(event);
+        this.table.setAll(event.endpoints, this.context.nowMs);
       },
-      'endpoints.changed': ({ changes }) => {
-        this.handleStoreResponse();
-        this.table.apply(changes, this.context.nowMs);
+      'endpoints.changed': (event) => {
+        this.handleStoreResponse(event);
+        this.table.apply(event.changes, this.context.nowMs);
       },
       'store.eraRaised': (event) => this.handleEraRaised(event),
-      'store.failed': ({ detail }) => this.handleStoreFailure(detail),
+      'store.failed': (event) => this.handleStoreFailure(event),
       'peers.read': ({ peers }) => {
         peers.forEach((peer) => this.fleetLoad.peers.add(peer, this.context.nowMs));
         this.budget.setEntryVmCount(this.fleetLoad.entryVmCount);
@@ -322,7 +342,15 @@
   }
 
   private applySnapshotFields(snapshot: WorkSnapshot): void {
-    const { from, limits = [], leaving = [], harm = [], configuration } = snapshot;
+    const {
+      from,
+      limits = [],
+      leaving = [],
+      harm = [],
+      configuration,
+      storeAvailableMs,
+    } = snapshot;
+    if (storeAvailableMs !== undefined) this.handlePeerContact(storeAvailableMs);
     if (configuration !== undefined) {
       const knownSinceMs = this.context.nowMs - configuration.ageMs;
       const isDisproved = this.proof.recordCommitted(configuration.version, knownSinceMs);
@@ -372,20 +400,31 @@
     );
   }
 
-  private handleStoreResponse(): void {
-    this.table.reportStoreAvailable(this.context.nowMs);
-    if (!this.isStoreUnavailable) return;
-    this.isStoreUnavailable = false;
-    this.context.log(logEvents.storeRegained);
+  private handleStoreResponse({ requestedAtMs }: StoreReadTime): void {
+    const { context, contact } = this;
+    const isRegained = contact.recordAnswer(requestedAtMs ?? context.nowMs);
+    if (!isRegained) return;
+    const mayHaveExpired = contact.mayHaveBeenAway(context.nowMs);
+    this.table.reportStoreAvailable(context.nowMs, mayHaveExpired);
+    context.log(logEvents.storeRegained, { mayHaveExpired });
+    // Other reads may still wait for the answer to a question that was lost.
+    context.emit({ kind: 'tables.readNow' });
   }
 
-  private handleStoreFailure(detail: string): void {
+  private handleStoreFailure({ detail, requestedAtMs }: EventOf<'store.failed'>): void {
+    if (!this.contact.recordFailure(requestedAtMs ?? this.context.nowMs)) return;
     this.table.reportStoreUnavailable();
-    if (this.isStoreUnavailable) return;
-    this.isStoreUnavailable = true;
     this.context.log(logEvents.storeLost, { detail });
   }
 
+  /** A peer says for how long the store has answered it: missing registrations may not have expired. */
+  private handlePeerContact(storeAvailableMs: number): void {
+    const { context, contact } = this;
+    if (!contact.recordPeer(storeAvailableMs, context.nowMs)) return;
+    contact.closeOutage();
+    this.table.endOutageGrace(context.nowMs);
+  }
+
   private handleRequest(request: GatewayRequest): void {
     const resolved = this.resolve(request);
     if (this.isClosed()) this.refuse(request, 'notReady');
--- /dev/null
+++ b/packages/decisions/src/gateway/table-reads/read-timing.ts
@@ -0,0 +1,79 @@
+import type { GatewayContract } from '@savorywind/model';
+
+/** Waits and pauses of the reads of one table of the store, in milliseconds. */
+export interface ReadTiming {
+  /** How long the store may hold a read until there is a change. */
+  readonly longPollMs: number;
+  /** Pause between reads that are answered at once; undefined for none. */
+  readonly pollIntervalMs: number | undefined;
+  /** Time within which the store answers, beside the time for which it may hold a read. */
+  readonly responseTimeoutMs: number;
+  /** Longest pause after a failed read. */
+  readonly maxBackoffMs: number;
+}
+
+/** Timing of the reads of both tables. */
+export interface TableReadTimings {
+  readonly configuration: ReadTiming;
+  readonly endpoints: ReadTiming;
+}
+
+/**
+ * Credentials count as stale if no read of the configuration succeeds for their freshness; in that time
+ * this many are made.
+ */
+const POLLS_PER_FRESHNESS_PERIOD = 3;
+
+/** Length of a long poll for the configuration, in poll intervals: polls return changes as well. */
+const POLLS_PER_LONG_POLL = 6;
+
+/**
+ * Fraction of the resynchronisation time for which the store may hold a read of the registrations. One that
+ * is lost is noticed after it, and must be repeated within the rest.
+ */
+const LONG_POLL_FRACTION = 0.5;
+
+/** Fraction of the resynchronisation time within which the store answers a read that it does not hold. */
+const RESPONSE_TIMEOUT_FRACTION = 0.25;
+
+/** Longest time for an answer of the store, however long the resynchronisation time is, in milliseconds. */
+const MAX_RESPONSE_TIMEOUT_MS = 700;
+
+/** Fraction of the resynchronisation time that a pause after a failed read may take. */
+const BACKOFF_FRACTION = 0.125;
+
+/** Longest pause after a failed read, however long the resynchronisation time is, in milliseconds. */
+const MAX_BACKOFF_MS = 400;
+
+/**
+ * Derives the waits of the reads of the store from the contract, so that a read that is lost in a
+ * disturbance is noticed and repeated within the time by which this VM must act on the current state again.
+ *
+ * @example
+ * deriveReadTimings(contract).endpoints.longPollMs; // 1,500 for a notice of 2,000 and a resync of 3,000
+ */
+export const deriveReadTimings = ({
+  credentialFreshnessMs,
+  leavingNoticeMs,
+  resyncMs,
+}: GatewayContract): TableReadTimings => {
+  const responseTimeoutMs = Math.min(MAX_RESPONSE_TIMEOUT_MS, RESPONSE_TIMEOUT_FRACTION * resyncMs);
+  const maxBackoffMs = Math.min(MAX_BACKOFF_MS, BACKOFF_FRACTION * resyncMs);
+  const pollIntervalMs = Math.floor(
+    Math.min(credentialFreshnessMs / POLLS_PER_FRESHNESS_PERIOD, LONG_POLL_FRACTION * resyncMs),
+  );
+  return {
+    configuration: {
+      longPollMs: POLLS_PER_LONG_POLL * pollIntervalMs,
+      pollIntervalMs,
+      responseTimeoutMs,
+      maxBackoffMs,
+    },
+    endpoints: {
+      longPollMs: Math.floor(Math.min(leavingNoticeMs, LONG_POLL_FRACTION * resyncMs)),
+      pollIntervalMs: undefined,
+      responseTimeoutMs,
+      maxBackoffMs,
+    },
+  };
+};
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -101,6 +101,12 @@
   readonly endpoint: GatewayEndpoint | undefined;
 }
 
+/** When a read of the store was sent. */
+export interface StoreReadTime {
+  /** Undefined for a read that was sent just now. */
+  readonly requestedAtMs?: MonotonicMs;
+}
+
 /** Input of the gateway's decisions. */
 export type GatewayEvent =
   /** A timer is due. */
@@ -127,15 +133,21 @@
       /** Whether the configuration was read with all rows of its table, or because it changed. */
       readonly source: 'snapshot' | 'change';
     }
-  | { readonly kind: 'endpoints.read'; readonly endpoints: readonly GatewayEndpoint[] }
-  | { readonly kind: 'endpoints.changed'; readonly changes: readonly EndpointChange[] }
+  | ({
+      readonly kind: 'endpoints.read';
+      readonly endpoints: readonly GatewayEndpoint[];
+    } & StoreReadTime)
+  | ({
+      readonly kind: 'endpoints.changed';
+      readonly changes: readonly EndpointChange[];
+    } & StoreReadTime)
   /**
    * The store came back from an older copy of itself. Comes before all reads of the new era, and none of
    * an older one comes after it.
    */
   | { readonly kind: 'store.eraRaised'; readonly previousEra: number; readonly era: number }
   /** A call to the store got no response or was refused. */
-  | { readonly kind: 'store.failed'; readonly detail: string }
+  | ({ readonly kind: 'store.failed'; readonly detail: string } & StoreReadTime)
   | { readonly kind: 'peers.read'; readonly peers: readonly GatewayPeer[] }
   | { readonly kind: 'peer.received'; readonly snapshot: WorkSnapshot }
   /** A peer asks for a permit. */
@@ -321,6 +333,8 @@
       readonly to: NetworkAddress;
     }
   | { readonly kind: 'permit.answer'; readonly answer: PermitAnswer; readonly to: NetworkAddress }
+  /** Reads the changes of all watched tables at once: the store answers again after an outage. */
+  | { readonly kind: 'tables.readNow' }
   /** Checks the row of this entry VM in the store, writes it again if needed, and reads the peers. */
   | { readonly kind: 'registration.renew' }
   | { readonly kind: 'callerLimits.changed'; readonly limits: CallerLimits }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -19,6 +19,11 @@
 export type * from './recovery/types.js';
 export { GatewayNode, type GatewayNodeOptions } from './gateway/gateway-node.js';
 export { DATAGRAM_HEADER_BYTES } from './gateway/consts.js';
+export {
+  deriveReadTimings,
+  type ReadTiming,
+  type TableReadTimings,
+} from './gateway/table-reads/read-timing.js';
 export { estimateDatagramBytes } from './gateway/snapshot-sender.js';
 export type { AvailabilityUsage } from './gateway/availability/endpoint-availability.js';
 export type { BlockedUsage, HarmUsage } from './gateway/harm/types.js';
--- a/packages/entry/src/gateway/compact-snapshot.ts
+++ b/packages/entry/src/gateway/compact-snapshot.ts
@@ -11,8 +11,8 @@
  * host and port of the sender, incarnation, sequence, the work, {@link VALUES_PER_ENGINE} values an
  * engine, the limits of endpoints, {@link VALUES_PER_LIMIT} values each, and the version
  * and age of the configuration, and if there are any the endpoints that leave,
- * {@link VALUES_PER_LEAVING} values each, and the suspects, {@link VALUES_PER_SUSPECT} values each. Earlier
- * builds send and read only the first elements.
+ * {@link VALUES_PER_LEAVING} values each, the suspects, {@link VALUES_PER_SUSPECT} values each, and for how
+ * long the store has answered. Earlier builds send and read only the first elements.
  */
 export type CompactSnapshot = readonly [
   version: number,
@@ -26,7 +26,7 @@
   limits: readonly (string | number)[],
   configurationVersion: number | undefined,
   configurationAgeMs: number | undefined,
-  /** Endpoints that leave, and suspects: none, the first, or both elements. */
+  /** Endpoints that leave, suspects, and contact with the store: as many as the last one that is not empty. */
   ...optional: (readonly unknown[])[],
 ];
 
@@ -72,8 +72,12 @@
 ];
 
 /** Lists the elements at the end that are left out where there is nothing to tell. */
-const listOptional = ({ leaving = [], harm = [] }: WorkSnapshot): unknown[][] => {
-  const elements = [leaving.flatMap(listLeavingValues), harm.flatMap(listSuspectValues)];
+const listOptional = ({ leaving = [], harm = [], storeAvailableMs }: WorkSnapshot): unknown[][] => {
+  const elements: unknown[][] = [
+    leaving.flatMap(listLeavingValues),
+    harm.flatMap(listSuspectValues),
+    storeAvailableMs === undefined ? [] : [storeAvailableMs],
+  ];
   while (elements.at(-1)?.length === 0) elements.pop();
   return elements;
 };
@@ -207,6 +211,7 @@
     configurationAgeMs,
     leaving,
     harm,
+    storeContact,
   ] = datagram;
   if (version !== COMPACT_VERSION || !Array.isArray(work)) return undefined;
   const from = { id, failureDomain, address: { host, port } };
@@ -219,5 +224,6 @@
     configuration: decodeConfiguration([configurationVersion, configurationAgeMs]),
     leaving: Array.isArray(leaving) ? decodeLeaving(leaving) : undefined,
     harm: Array.isArray(harm) ? decodeHarm(harm) : undefined,
+    storeAvailableMs: Array.isArray(storeContact) ? (storeContact[0] as unknown) : undefined,
   };
 };
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -1,4 +1,9 @@
-import { GatewayNode, type GatewayEffect, type GatewayEvent } from '@savorywind/decisions';
+import {
+  deriveReadTimings,
+  GatewayNode,
+  type GatewayEffect,
+  type GatewayEvent,
+} from '@savorywind/decisions';
 import { logEvents, type GatewayEndpoint, type LogEvent, type LogFields } from '@savorywind/model';
 import { createStdoutSink } from '../observe/log-sink.js';
 import { createEventLogger } from '../observe/logger.js';
@@ -23,18 +28,6 @@
 import type { TableRow } from './store/types.js';
 import type { GatewayAdapter, GatewaySettings } from './types.js';
 
-/**
- * Configuration polls per credential freshness period: credentials count as stale if no read of the
- * configuration succeeds for that long.
- */
-const POLLS_PER_FRESHNESS_PERIOD = 3;
-
-/**
- * Length of a long poll for configuration changes, in poll intervals. It may be long, because the
- * polls return changes as well.
- */
-const POLLS_PER_LONG_POLL = 6;
-
 /** Open requests are ended this long before the platform kills the process, in milliseconds. */
 const STOP_MARGIN_MS = 400;
 
@@ -208,15 +201,13 @@
   private createTableWatchers(): TableWatcher[] {
     const { rows, tables } = this.adapter;
     const { era } = this;
-    const { credentialFreshnessMs, leavingNoticeMs } = this.settings.contract;
-    const pollIntervalMs = Math.floor(credentialFreshnessMs / POLLS_PER_FRESHNESS_PERIOD);
+    const timings = deriveReadTimings(this.settings.contract);
     const readClockMs = (): number => this.clock.readMs();
     return [
       new TableWatcher({
         tables,
         table: rows.configurationTable,
-        longPollMs: POLLS_PER_LONG_POLL * pollIntervalMs,
-        pollIntervalMs,
+        timing: timings.configuration,
         era,
         readClockMs,
         onUpdated: (update) => this.handleConfigurationUpdate(update),
@@ -224,9 +215,7 @@
       new TableWatcher({
         tables,
         table: rows.endpointTable,
-        // If a long poll is lost, the next one is sent while leaving endpoints still serve requests.
-        longPollMs: leavingNoticeMs,
-        pollIntervalMs: undefined,
+        timing: timings.endpoints,
         era,
         readClockMs,
         onUpdated: (update) => this.handleEndpointUpdate(update),
@@ -239,8 +228,9 @@
   }
 
   private handleConfigurationUpdate(update: TableUpdate): void {
+    const requestedAtMs = this.convertToMonotonic(update.requestedAtMs);
     if (update.kind === 'failed') {
-      this.dispatch({ kind: 'store.failed', detail: update.detail });
+      this.dispatch({ kind: 'store.failed', detail: update.detail, requestedAtMs });
       return;
     }
     const { rows } = this.adapter;
@@ -251,14 +241,20 @@
     if (row !== undefined && configuration === undefined) this.logUndecodableRow(row);
     this.dispatch({
       kind: 'configuration.confirmed',
-      // On the monotonic clock, moved back by suspensions since the request, so that they count towards
-      // the age of the configuration.
-      requestedAtMs: performance.now() - (this.clock.readMs() - update.requestedAtMs),
+      requestedAtMs,
       configuration,
       source: update.kind === 'changes' ? 'change' : 'snapshot',
     });
   }
 
+  /**
+   * Converts a time of the elapsed clock to the monotonic clock, moved back by suspensions since then, so
+   * that they count towards the age of what was read.
+   */
+  private convertToMonotonic(elapsedMs: number): number {
+    return performance.now() - (this.clock.readMs() - elapsedMs);
+  }
+
   private handlePermitMessage(message: PermitMessage): void {
     if (message.kind === 'permit.request')
       this.dispatch({ kind: 'permit.requested', request: message.request });
@@ -266,17 +262,18 @@
   }
 
   private handleEndpointUpdate(update: TableUpdate): void {
+    const requestedAtMs = this.convertToMonotonic(update.requestedAtMs);
     if (update.kind === 'failed') {
-      this.dispatch({ kind: 'store.failed', detail: update.detail });
+      this.dispatch({ kind: 'store.failed', detail: update.detail, requestedAtMs });
       return;
     }
     const changes = update.rows.map((row) => ({ id: row.key, endpoint: this.decodeEndpoint(row) }));
     if (update.kind === 'changes') {
-      this.dispatch({ kind: 'endpoints.changed', changes });
+      this.dispatch({ kind: 'endpoints.changed', changes, requestedAtMs });
       return;
     }
     const endpoints = changes.flatMap(({ endpoint }) => endpoint ?? []);
-    this.dispatch({ kind: 'endpoints.read', endpoints });
+    this.dispatch({ kind: 'endpoints.read', endpoints, requestedAtMs });
   }
 
   private decodeEndpoint(row: TableRow): GatewayEndpoint | undefined {
@@ -354,6 +351,7 @@
         this.peerSocket.sendMessage({ kind: 'permit.request', request }, to),
       'permit.answer': ({ answer, to }) =>
         this.peerSocket.sendMessage({ kind: 'permit.answer', answer }, to),
+      'tables.readNow': () => this.tableWatchers.forEach((watcher) => watcher.readNow()),
       'registration.renew': () => {
         this.registration.renew();
       },
--- a/packages/entry/src/gateway/snapshot-codec.ts
+++ b/packages/entry/src/gateway/snapshot-codec.ts
@@ -116,6 +116,7 @@
     areLimits(snapshot.limits) &&
     areLeaving(snapshot.leaving) &&
     areHarm(snapshot.harm) &&
+    isAge(snapshot.storeAvailableMs) &&
     (snapshot.configuration === undefined || isKnownConfiguration(snapshot.configuration))
   );
 };
--- a/packages/entry/src/gateway/store/peer-registration.ts
+++ b/packages/entry/src/gateway/store/peer-registration.ts
@@ -10,6 +10,9 @@
   readonly onRead: (peers: readonly GatewayPeer[]) => void;
 }
 
+/** Time for each response to a read of the entry VMs, in milliseconds. */
+const READ_TIMEOUT_MS = 700;
+
 /** Pause before a failed call is repeated, in milliseconds. */
 const RETRY_MS = 500;
 
@@ -30,7 +33,7 @@
   async register(): Promise<void> {
     const { rows, tables, self } = this.options;
     const written = await tables.putRow(rows.peerTable, self.id, rows.encodePeer(self));
-    const read = written.err ? undefined : await tables.readAll(rows.peerTable);
+    const read = written.err ? undefined : await tables.readAll(rows.peerTable, READ_TIMEOUT_MS);
     if (read === undefined || read.err) this.retry(() => this.register());
     else this.report(read.val.rows);
   }
@@ -38,7 +41,7 @@
   /** Reads the rows of all entry VMs, and writes the own one again if it is missing or differs. */
   async renew(): Promise<void> {
     const { rows, tables, self } = this.options;
-    const read = await tables.readAll(rows.peerTable);
+    const read = await tables.readAll(rows.peerTable, READ_TIMEOUT_MS);
     if (read.err) {
       this.retry(() => this.renew());
       return;
--- a/packages/entry/src/gateway/store/table-watcher.ts
+++ b/packages/entry/src/gateway/store/table-watcher.ts
@@ -1,3 +1,4 @@
+import type { ReadTiming } from '@savorywind/decisions';
 import csp, { type Channel } from 'js-csp';
 import type { Result } from '@savorywind/model';
 import type { StoreEra } from './store-era.js';
@@ -7,27 +8,19 @@
  * One result of watching a table: all rows, the rows that changed, or a failed read. `requestedAtMs`
  * is the time at which the read was sent, on the watcher's clock.
  */
-export type TableUpdate =
-  | {
-      readonly kind: 'snapshot';
-      readonly rows: readonly TableRow[];
-      readonly requestedAtMs: number;
-    }
-  | { readonly kind: 'changes'; readonly rows: readonly TableRow[]; readonly requestedAtMs: number }
-  | { readonly kind: 'failed'; readonly detail: string };
+export type TableUpdate = { readonly requestedAtMs: number } & (
+  | { readonly kind: 'snapshot' | 'changes'; readonly rows: readonly TableRow[] }
+  | { readonly kind: 'failed'; readonly detail: string }
+);
 
 export interface TableWatcherOptions {
   readonly tables: TableClient;
   readonly table: string;
-  /** How long the store may wait for a change before it answers a read, in milliseconds. */
-  readonly longPollMs: number;
   /**
-   * Pause between additional reads that the store answers immediately, in milliseconds; undefined for
-   * none. Each result proves that the rows were current when it was requested; the result of a long
-   * poll proves this only for the beginning of its wait. Results may arrive out of order, so the rows
-   * of the table must tell which one is newer.
+   * Waits and pauses. Each result proves that the rows were current when it was requested; the result of a
+   * long poll proves this only for the beginning of its wait.
    */
-  readonly pollIntervalMs: number | undefined;
+  readonly timing: ReadTiming;
   /** The era of the store, for all watchers of the process. */
   readonly era: StoreEra;
   readonly readClockMs: () => number;
@@ -38,14 +31,8 @@
 /** Pause after a failed read, in milliseconds; doubles with each consecutive failure. */
 const INITIAL_BACKOFF_MS = 60;
 
-/**
- * Longest pause after a failed read, in milliseconds. Much shorter than the time within which changes
- * must apply, so that a store that is available again is noticed early enough.
- */
-const MAX_BACKOFF_MS = 400;
-
-const computeBackoffMs = (failures: number): number =>
-  Math.min(INITIAL_BACKOFF_MS * 2 ** (failures - 1), MAX_BACKOFF_MS);
+const computeBackoffMs = (failures: number, maxMs: number): number =>
+  Math.min(INITIAL_BACKOFF_MS * 2 ** (failures - 1), maxMs);
 
 type ReadResult = Result<TableRows, TableFailure>;
 
@@ -79,17 +66,20 @@
 /**
  * Watches one table: reads all rows first, then only changes. Reads all rows again when the store's
  * history no longer covers the last known version, or when the store has begun a new era. Responses of an
- * older era are discarded. Retries failed reads until it is stopped.
+ * older era are discarded. After a failed read the store is asked for an immediate answer, as what was lost
+ * meanwhile must be known soon. Retries failed reads until it is stopped.
  */
 export class TableWatcher {
   private isStopped = false;
 
   private position: Position | undefined;
 
+  private isReadingNow = false;
+
   constructor(private readonly options: TableWatcherOptions) {}
 
   start(): void {
-    const { longPollMs, pollIntervalMs } = this.options;
+    const { longPollMs, pollIntervalMs } = this.options.timing;
     this.startPolling(longPollMs, { initialPauseMs: 0, pauseMs: 0 });
     if (pollIntervalMs === undefined) return;
     this.startPolling(0, { initialPauseMs: pollIntervalMs, pauseMs: pollIntervalMs });
@@ -99,25 +89,37 @@
     this.isStopped = true;
   }
 
+  /** Sends one more read, which the store answers immediately, unless one of these is under way. */
+  readNow(): void {
+    if (this.isReadingNow || this.isStopped) return;
+    this.isReadingNow = true;
+    const read = this.startRead(0);
+    read.result.then((result) => {
+      this.isReadingNow = false;
+      if (!this.isStopped) this.handleResult(read, result);
+    });
+  }
+
   /**
    * Reads repeatedly, one read at a time.
    *
    * @param waitMs how long the store may wait for a change; 0 for an immediate answer
    */
   private startPolling(waitMs: number, { initialPauseMs, pauseMs }: PollTiming): void {
-    const startRead = (): PendingRead => this.startRead(waitMs);
+    const startRead = (pollMs: number): PendingRead => this.startRead(pollMs);
     const handleResult = (read: PendingRead, result: ReadResult): boolean =>
       this.handleResult(read, result);
     const isStopped = (): boolean => this.isStopped;
+    const { maxBackoffMs } = this.options.timing;
     csp.go(function* pollTable() {
       let failures = 0;
       if (initialPauseMs > 0) yield csp.take(csp.timeout(initialPauseMs));
       while (!isStopped()) {
-        const read = startRead();
+        const read = startRead(failures > 0 ? 0 : waitMs);
         const result: ReadResult = yield csp.take(openChannel(read.result));
         const hasFailed = !isStopped() && !handleResult(read, result);
         failures = hasFailed ? failures + 1 : 0;
-        const nextPauseMs = hasFailed ? computeBackoffMs(failures) : pauseMs;
+        const nextPauseMs = hasFailed ? computeBackoffMs(failures, maxBackoffMs) : pauseMs;
         if (nextPauseMs > 0 && !isStopped()) yield csp.take(csp.timeout(nextPauseMs));
       }
     });
@@ -125,13 +127,14 @@
 
   private startRead(waitMs: number): PendingRead {
     const { tables, table, readClockMs, era } = this.options;
+    const { responseTimeoutMs } = this.options.timing;
     const requestedAtMs = readClockMs();
     const { position } = this;
     if (position === undefined || position.era !== era.current) {
-      const result = tables.readAll(table);
+      const result = tables.readAll(table, responseTimeoutMs);
       return { kind: 'snapshot', era: era.current, requestedAtMs, result };
     }
-    const result = tables.readChanges(table, position.version, waitMs);
+    const result = tables.readChanges(table, position.version, waitMs, responseTimeoutMs);
     return { kind: 'changes', era: position.era, requestedAtMs, result };
   }
 
@@ -142,31 +145,41 @@
     if (relation === 'older') return false;
     if (result.err) return this.handleFailure(read, result.val);
     if (relation === 'missing') {
-      onUpdated({ kind: 'failed', detail: 'response names no era of the store' });
+      const detail = 'response names no era of the store';
+      onUpdated({ kind: 'failed', detail, requestedAtMs: read.requestedAtMs });
       return false;
     }
     // Changes since a version of an older era: rows may be missing.
     if (read.kind === 'changes' && read.era !== era.current) return true;
-    const { rows } = result.val;
-    this.advance(result.val);
-    onUpdated({ kind: read.kind, rows, requestedAtMs: read.requestedAtMs });
+    const { requestedAtMs } = read;
+    if (this.advance(result.val))
+      onUpdated({ kind: read.kind, rows: result.val.rows, requestedAtMs });
+    else onUpdated({ kind: 'changes', rows: [], requestedAtMs });
     return true;
   }
 
-  /** Of two overlapping reads, the older result may arrive last. */
-  private advance({ version, era }: TableRows): void {
-    const isSameEra = this.position !== undefined && this.position.era === era;
-    const known = isSameEra ? this.position!.version : version;
-    this.position = { version: Math.max(known, version), era };
+  /**
+   * Of two overlapping reads, the older result may arrive last. Its rows may have changed since.
+   *
+   * @returns whether the rows are at least as new as those that are known
+   */
+  private advance({ version, era }: TableRows): boolean {
+    const { position } = this;
+    if (position !== undefined && position.era === era && version < position.version) return false;
+    this.position = { version, era };
+    return true;
   }
 
   /** A store that has no history for a read of all rows is asked again only after a pause. */
-  private handleFailure(read: PendingRead, { kind, detail }: TableFailure): boolean {
+  private handleFailure(
+    { kind: readKind, requestedAtMs }: PendingRead,
+    { kind, detail }: TableFailure,
+  ): boolean {
     if (kind === 'historyLost') {
       this.position = undefined;
-      return read.kind === 'changes';
+      return readKind === 'changes';
     }
-    this.options.onUpdated({ kind: 'failed', detail });
+    this.options.onUpdated({ kind: 'failed', detail, requestedAtMs });
     return false;
   }
 }
--- a/packages/entry/src/gateway/store/types.ts
+++ b/packages/entry/src/gateway/store/types.ts
@@ -30,17 +30,23 @@
 
 /** Client of the tables in the platform's store. */
 export interface TableClient {
-  /** Reads all rows of a table, in one era of the store. */
-  readAll(table: string): Promise<Result<TableRows, TableFailure>>;
+  /**
+   * Reads all rows of a table, in one era of the store.
+   *
+   * @param timeoutMs time for each response, in milliseconds
+   */
+  readAll(table: string, timeoutMs: number): Promise<Result<TableRows, TableFailure>>;
   /**
    * Reads the rows that changed after a version.
    *
    * @param waitMs how long the store waits for a change, in milliseconds; then there are no rows
+   * @param timeoutMs time for the response beside the wait, in milliseconds
    */
   readChanges(
     table: string,
     sinceVersion: number,
     waitMs: number,
+    timeoutMs: number,
   ): Promise<Result<TableRows, TableFailure>>;
   putRow(table: string, key: string, value: Uint8Array): Promise<Result<void, TableFailure>>;
   removeRow(table: string, key: string): Promise<Result<void, TableFailure>>;
--- a/packages/entry/test/gateway/table-watcher.test.ts
+++ b/packages/entry/test/gateway/table-watcher.test.ts
@@ -1,3 +1,4 @@
+import type { ReadTiming } from '@savorywind/decisions';
 import { Err, Ok, type Result } from '@savorywind/model';
 import { afterEach, describe, expect, it } from 'vitest';
 import { StoreEra } from '../../src/gateway/store/store-era.js';
@@ -21,6 +22,13 @@
 const createFailure = (kind: TableFailure['kind'], era?: number): ReadResult =>
   Err({ kind, detail: 'test', era });
 
+const createTiming = (longPollMs: number, pollIntervalMs: number | undefined): ReadTiming => ({
+  longPollMs,
+  pollIntervalMs,
+  responseTimeoutMs: 700,
+  maxBackoffMs: 400,
+});
+
 let watcher: TableWatcher | undefined;
 
 afterEach(() => watcher?.stop());
@@ -64,8 +72,7 @@
     watcher = new TableWatcher({
       tables,
       table: 'endpoints',
-      longPollMs: 1_000,
-      pollIntervalMs: undefined,
+      timing: createTiming(1_000, undefined),
       era: new StoreEra((previous, current) => raisedEras.push([previous, current])),
       readClockMs: () => performance.now(),
       onUpdated: (update) => updates.push(update),
@@ -195,8 +202,7 @@
       watcher = new TableWatcher({
         tables,
         table: 'configuration',
-        longPollMs: 10_000,
-        pollIntervalMs: 1,
+        timing: createTiming(10_000, 1),
         era: new StoreEra(() => {}),
         readClockMs: () => performance.now(),
         onUpdated: (update) => {
@@ -237,8 +243,7 @@
       watcher = new TableWatcher({
         tables,
         table: 'configuration',
-        longPollMs: 10_000,
-        pollIntervalMs: 1,
+        timing: createTiming(10_000, 1),
         era: new StoreEra(() => answerLongPoll(createRowsOf(2, 31, 'skipped others'))),
         readClockMs: () => performance.now(),
         onUpdated: (update) => {
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -136,6 +136,11 @@
   readonly leavingNoticeMs: number;
   /** Time from the acceptance of a configuration change by which it is applied. */
   readonly applyMs: number;
+  /**
+   * Time from the end of a disturbance by which this VM acts on what the store holds, and on what holds
+   * between it and its peers.
+   */
+  readonly resyncMs: number;
   /** Retries per request that all entry VMs together may send to a service in a window. */
   readonly retryRatio: number;
   readonly retryWindowMs: number;
@@ -279,4 +284,9 @@
   readonly leaving?: readonly LeavingObservation[] | undefined;
   /** Undefined if the sender has nothing to tell, or from builds that do not send it. */
   readonly harm?: readonly HarmObservation[] | undefined;
+  /**
+   * For how long the store has answered the sender without an outage, in milliseconds; undefined while it
+   * does not, or from builds that do not send it.
+   */
+  readonly storeAvailableMs?: number | undefined;
 }
--- a/packages/stand-ins/src/gateway/gateway-fixtures.ts
+++ b/packages/stand-ins/src/gateway/gateway-fixtures.ts
@@ -10,6 +10,7 @@
   credentialFreshnessMs: 5_000,
   leavingNoticeMs: 2_000,
   applyMs: 2_000,
+  resyncMs: 5_000,
   retryRatio: 0.2,
   retryWindowMs: 10_000,
   retryAllowance: 100,
