Read the store in one entry VM of a failure domain and pass on what it reads

Cause: each VM asks the store all questions for itself, and each change wakes all.

Change: of a failure domain with four or more VMs that hear each other the first one by rendezvous hashing reads the store, the second one stands by, and the others ask these two, and the store itself only if both fail (table-sources). What is passed on carries the age of its last answered read when it is sent; the receiver counts it from its own question (judge-relayed-rows), so no clock is compared and a delay only makes it look older. One WebSocket connection a follower, questions at a quarter of the tightest bound, changes without a question. Rows, position and era stand in one mirror from which both ways go on.

Domains of three keep today's way.

--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -37,6 +37,7 @@
 import { RouteIndex } from './route-index.js';
 import { SnapshotSender } from './snapshot-sender.js';
 import { StoreContact } from './store-contact.js';
+import { TableSources } from './table-reads/table-sources.js';
 import type {
   GatewayEffect,
   GatewayEvent,
@@ -141,6 +142,8 @@
 
   private readonly snapshots: SnapshotSender;
 
+  private readonly tableSources: TableSources;
+
   private readonly requests: GatewayRequests;
 
   private readonly handlers: EventHandlers;
@@ -198,6 +201,11 @@
       }),
       contract.linkBytesPerMs,
     );
+    this.tableSources = new TableSources({
+      context: this.context,
+      self,
+      peers: this.fleetLoad.peers,
+    });
     this.coordinator = this.createCoordinator(self);
     this.permits = this.createPermits(self);
     this.requests = this.createRequests(self, contract.callerWait);
@@ -317,12 +325,20 @@
         peers.forEach((peer) => this.fleetLoad.peers.add(peer, this.context.nowMs));
         this.budget.setEntryVmCount(this.fleetLoad.entryVmCount);
         this.snapshots.handlePeersAdded();
+        this.tableSources.start();
+      },
+      'tables.sourceFailed': ({ peer, detail }) => {
+        this.context.log(logEvents.tableSourceFailed, { peer, detail });
+        this.tableSources.handleFailure(peer);
       },
+      'tables.asked': () => this.tableSources.handleAsked(),
       'peer.received': ({ snapshot }) => {
         const hasStarted = !this.fleetLoad.peers.hasHeard(snapshot);
         if (!this.fleetLoad.applySnapshot(snapshot, this.context.nowMs)) return;
         this.applySnapshotFields(snapshot);
-        if (hasStarted) this.harmful.handlePeerStarted();
+        if (!hasStarted) return;
+        this.harmful.handlePeerStarted();
+        this.tableSources.start();
       },
       'permit.requested': ({ request }) => this.coordinator.handleRequest(request),
       'permit.answered': ({ answer }) => this.permits.handleAnswer(answer),
@@ -502,6 +518,7 @@
   private startDrain(timeLeftMs: number): void {
     if (this.closesAtMs !== undefined) return;
     const { context } = this;
+    this.tableSources.stop();
     const noticeMs = Math.min(DRAIN_NOTICE_MS, timeLeftMs);
     this.closesAtMs = context.nowMs + noticeMs;
     context.schedule(noticeMs, () => {
--- a/packages/decisions/src/gateway/peer-table.ts
+++ b/packages/decisions/src/gateway/peer-table.ts
@@ -106,6 +106,13 @@
     return [...this.peers.values()].filter((state) => this.isActive(state, nowMs));
   }
 
+  /** Lists the peers of a failure domain whose last snapshot is recent enough to be counted. */
+  listActiveOf(domain: FailureDomainId, nowMs: MonotonicMs): GatewayPeer[] {
+    return [...this.peers.values()]
+      .filter((state) => state.peer.failureDomain === domain && this.isActive(state, nowMs))
+      .map(({ peer }) => peer);
+  }
+
   /** Lists the peers that were heard, or added, recently enough not to count as removed for good. */
   listPresent(nowMs: MonotonicMs): PeerState[] {
     return [...this.peers.values()].filter(
--- a/packages/decisions/src/gateway/table-reads/read-timing.ts
+++ b/packages/decisions/src/gateway/table-reads/read-timing.ts
@@ -12,10 +12,23 @@
   readonly maxBackoffMs: number;
 }
 
+/** Timing of what entry VMs that read the store pass on to others, in milliseconds. */
+export interface RelayTiming {
+  /** Interval at which an entry VM asks its source whether it knows all changes. */
+  readonly askIntervalMs: number;
+  /** Time for the answer of the source, and for the connection to it. */
+  readonly answerTimeoutMs: number;
+  /** Age from which what the source passes on is too old. */
+  readonly maxAgeMs: number;
+  /** Interval at which the source itself reads the store. */
+  readonly readIntervalMs: number;
+}
+
 /** Timing of the reads of both tables. */
 export interface TableReadTimings {
   readonly configuration: ReadTiming;
   readonly endpoints: ReadTiming;
+  readonly relay: RelayTiming;
 }
 
 /**
@@ -45,6 +58,31 @@
 /** Longest pause after a failed read, however long the resynchronisation time is, in milliseconds. */
 const MAX_BACKOFF_MS = 400;
 
+/**
+ * Fractions of the tightest bound on a change. A source that has stopped reading is noticed when what it
+ * passes on is too old, at the next question; two sources that do not answer, and then a read of the store,
+ * fit in the rest.
+ */
+const ASK_INTERVAL_FRACTION = 1 / 4;
+const ANSWER_TIMEOUT_FRACTION = 1 / 10;
+const MAX_AGE_FRACTION = 1 / 3;
+const READ_INTERVAL_FRACTION = 1 / 6;
+
+const deriveRelayTiming = ({
+  credentialFreshnessMs,
+  leavingNoticeMs,
+  applyMs,
+  resyncMs,
+}: GatewayContract): RelayTiming => {
+  const boundMs = Math.min(credentialFreshnessMs, leavingNoticeMs, applyMs, resyncMs);
+  return {
+    askIntervalMs: ASK_INTERVAL_FRACTION * boundMs,
+    answerTimeoutMs: ANSWER_TIMEOUT_FRACTION * boundMs,
+    maxAgeMs: MAX_AGE_FRACTION * boundMs,
+    readIntervalMs: READ_INTERVAL_FRACTION * boundMs,
+  };
+};
+
 /**
  * Derives the waits of the reads of the store from the contract, so that a read that is lost in a
  * disturbance is noticed and repeated within the time by which this VM must act on the current state again.
@@ -52,11 +90,8 @@
  * @example
  * deriveReadTimings(contract).endpoints.longPollMs; // 1,500 for a notice of 2,000 and a resync of 3,000
  */
-export const deriveReadTimings = ({
-  credentialFreshnessMs,
-  leavingNoticeMs,
-  resyncMs,
-}: GatewayContract): TableReadTimings => {
+export const deriveReadTimings = (contract: GatewayContract): TableReadTimings => {
+  const { credentialFreshnessMs, leavingNoticeMs, resyncMs } = contract;
   const responseTimeoutMs = Math.min(MAX_RESPONSE_TIMEOUT_MS, RESPONSE_TIMEOUT_FRACTION * resyncMs);
   const maxBackoffMs = Math.min(MAX_BACKOFF_MS, BACKOFF_FRACTION * resyncMs);
   const pollIntervalMs = Math.floor(
@@ -75,5 +110,6 @@
       responseTimeoutMs,
       maxBackoffMs,
     },
+    relay: deriveRelayTiming(contract),
   };
 };
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -2,6 +2,7 @@
   AttemptId,
   CallerLimits,
   EndpointId,
+  EntryVmId,
   GatewayConfiguration,
   GatewayContract,
   GatewayEndpoint,
@@ -16,6 +17,7 @@
   Route,
   WorkSnapshot,
 } from '@savorywind/model';
+import type { TableSource } from './table-reads/table-sources.js';
 
 /** A caller's request, with the body received completely. */
 export interface GatewayRequest {
@@ -148,6 +150,10 @@
   | { readonly kind: 'store.eraRaised'; readonly previousEra: number; readonly era: number }
   /** A call to the store got no response or was refused. */
   | ({ readonly kind: 'store.failed'; readonly detail: string } & StoreReadTime)
+  /** The peer that passed on the tables of the store did not answer, refused, or knows too little. */
+  | { readonly kind: 'tables.sourceFailed'; readonly peer: EntryVmId; readonly detail: string }
+  /** A peer asked for the tables of the store. */
+  | { readonly kind: 'tables.asked' }
   | { readonly kind: 'peers.read'; readonly peers: readonly GatewayPeer[] }
   | { readonly kind: 'peer.received'; readonly snapshot: WorkSnapshot }
   /** A peer asks for a permit. */
@@ -335,6 +341,8 @@
   | { readonly kind: 'permit.answer'; readonly answer: PermitAnswer; readonly to: NetworkAddress }
   /** Reads the changes of all watched tables at once: the store answers again after an outage. */
   | { readonly kind: 'tables.readNow' }
+  /** From now on the tables of the store are read from another source, or passed on to peers. */
+  | { readonly kind: 'tables.sourceChanged'; readonly source: TableSource }
   /** Checks the row of this entry VM in the store, writes it again if needed, and reads the peers. */
   | { readonly kind: 'registration.renew' }
   | { readonly kind: 'callerLimits.changed'; readonly limits: CallerLimits }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -22,8 +22,11 @@
 export {
   deriveReadTimings,
   type ReadTiming,
+  type RelayTiming,
   type TableReadTimings,
 } from './gateway/table-reads/read-timing.js';
+export { judgeRelayedRows } from './gateway/table-reads/judge-relayed-rows.js';
+export type { TableSource } from './gateway/table-reads/table-sources.js';
 export { estimateDatagramBytes } from './gateway/snapshot-sender.js';
 export type { AvailabilityUsage } from './gateway/availability/endpoint-availability.js';
 export type { BlockedUsage, HarmUsage } from './gateway/harm/types.js';
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -3,6 +3,7 @@
   GatewayNode,
   type GatewayEffect,
   type GatewayEvent,
+  type TableSource,
 } from '@savorywind/decisions';
 import { logEvents, type GatewayEndpoint, type LogEvent, type LogFields } from '@savorywind/model';
 import { createStdoutSink } from '../observe/log-sink.js';
@@ -24,7 +25,8 @@
 import { ReadinessServer } from './readiness-server.js';
 import { PeerRegistration } from './store/peer-registration.js';
 import { StoreEra } from './store/store-era.js';
-import { TableWatcher, type TableUpdate } from './store/table-watcher.js';
+import { StoreTables } from './store/store-tables.js';
+import type { TableUpdate } from './store/table-watcher.js';
 import type { TableRow } from './store/types.js';
 import type { GatewayAdapter, GatewaySettings } from './types.js';
 
@@ -63,7 +65,7 @@
 
   private readonly registration: PeerRegistration;
 
-  private readonly tableWatchers: TableWatcher[];
+  private readonly storeTables: StoreTables;
 
   private readonly logSink = createStdoutSink();
 
@@ -129,7 +131,7 @@
       self,
       onRead: (peers) => this.dispatch({ kind: 'peers.read', peers }),
     });
-    this.tableWatchers = this.createTableWatchers();
+    this.storeTables = this.createStoreTables();
   }
 
   async start(): Promise<void> {
@@ -140,7 +142,7 @@
     ]);
     this.startMetrics();
     this.logger.write(logEvents.gatewayStarted, { callers: this.settings.callers.port });
-    this.tableWatchers.forEach((watcher) => watcher.start());
+    this.storeTables.start();
     await this.registration.register();
   }
 
@@ -170,7 +172,7 @@
   stopImmediately(): void {
     if (this.isStopped) return;
     this.isStopped = true;
-    this.tableWatchers.forEach((watcher) => watcher.stop());
+    this.storeTables.stop();
     this.registration.stop();
     this.requestServer.stop();
     this.close();
@@ -198,29 +200,26 @@
     this.runner.dispatch(event);
   }
 
-  private createTableWatchers(): TableWatcher[] {
+  private createStoreTables(): StoreTables {
     const { rows, tables } = this.adapter;
-    const { era } = this;
-    const timings = deriveReadTimings(this.settings.contract);
-    const readClockMs = (): number => this.clock.readMs();
-    return [
-      new TableWatcher({
-        tables,
-        table: rows.configurationTable,
-        timing: timings.configuration,
-        era,
-        readClockMs,
-        onUpdated: (update) => this.handleConfigurationUpdate(update),
-      }),
-      new TableWatcher({
-        tables,
-        table: rows.endpointTable,
-        timing: timings.endpoints,
-        era,
-        readClockMs,
-        onUpdated: (update) => this.handleEndpointUpdate(update),
-      }),
-    ];
+    const { self, contract } = this.settings;
+    return new StoreTables({
+      tables,
+      names: { configuration: rows.configurationTable, endpoints: rows.endpointTable },
+      address: self.address,
+      timings: deriveReadTimings(contract),
+      era: this.era,
+      readClockMs: () => this.clock.readMs(),
+      onConfigurationUpdated: (update) => this.handleConfigurationUpdate(update),
+      onEndpointsUpdated: (update) => this.handleEndpointUpdate(update),
+      dispatch: (event) => this.dispatch(event),
+      onServerFailed: (detail) => this.logger.write(logEvents.peerUnreadable, { detail }),
+    });
+  }
+
+  private changeTableSource(source: TableSource): void {
+    this.logger.write(logEvents.tableSourceChanged, { peer: source.peer?.id, role: source.role });
+    this.storeTables.changeSource(source);
   }
 
   private handleEraRaised(previousEra: number, era: number): void {
@@ -351,7 +350,8 @@
         this.peerSocket.sendMessage({ kind: 'permit.request', request }, to),
       'permit.answer': ({ answer, to }) =>
         this.peerSocket.sendMessage({ kind: 'permit.answer', answer }, to),
-      'tables.readNow': () => this.tableWatchers.forEach((watcher) => watcher.readNow()),
+      'tables.readNow': () => this.storeTables.readNow(),
+      'tables.sourceChanged': ({ source }) => this.changeTableSource(source),
       'registration.renew': () => {
         this.registration.renew();
       },
@@ -399,7 +399,7 @@
   private stop(): void {
     if (this.isStopped) return;
     this.isStopped = true;
-    this.tableWatchers.forEach((watcher) => watcher.stop());
+    this.storeTables.stop();
     this.registration.stop();
     this.requestServer.stop();
     setTimeout(() => this.requestServer.waitForResponses(() => this.close()), FINAL_WRITES_MS);
--- /dev/null
+++ b/packages/entry/src/gateway/store/table-feed-messages.ts
@@ -0,0 +1,90 @@
+import { Packr } from 'msgpackr';
+import { Err, Ok, type Result } from '@savorywind/model';
+import * as z from 'zod';
+
+const MAX_TABLES = 8;
+
+const isBytes = (value: unknown): boolean => value instanceof Uint8Array;
+
+const eraSchema = z.number().nonnegative().optional();
+
+const requestSchema = z.object({
+  kind: z.literal('request'),
+  id: z.number(),
+  /** What the sender knows of each table; without a version it gets all rows. */
+  positions: z
+    .array(
+      z.object({
+        table: z.string(),
+        era: eraSchema,
+        version: z.number().nonnegative().optional(),
+      }),
+    )
+    .max(MAX_TABLES),
+});
+
+const contentSchema = z.object({
+  table: z.string(),
+  kind: z.enum(['snapshot', 'changes']),
+  era: eraSchema,
+  version: z.number().nonnegative(),
+  /** Time since the sender's newest read that was answered had been sent, in milliseconds. */
+  ageMs: z.number().nonnegative(),
+  rows: z.array(
+    z.object({ key: z.string(), value: z.custom<Uint8Array>(isBytes), removed: z.boolean() }),
+  ),
+});
+
+const responseSchema = z.object({
+  kind: z.literal('response'),
+  /** That of the request; undefined if the rows have changed without a request. */
+  id: z.number().optional(),
+  tables: z.array(contentSchema).max(MAX_TABLES),
+});
+
+/** The sender does not read the store itself, or has not read all tables yet. */
+const refusalSchema = z.object({ kind: z.literal('refusal'), id: z.number() });
+
+const messageSchema = z.discriminatedUnion('kind', [requestSchema, responseSchema, refusalSchema]);
+
+/** A message between an entry VM and the peer that passes on to it what it reads of the store. */
+export type TableFeedMessage = z.infer<typeof messageSchema>;
+
+export type TableFeedRequest = z.infer<typeof requestSchema>;
+
+export type TableFeedResponse = z.infer<typeof responseSchema>;
+
+/** Rows of one table that a peer passes on. */
+export type TableFeedContent = z.infer<typeof contentSchema>;
+
+/** Path of the WebSocket endpoint. */
+export const TABLE_FEED_PATH = '/tables';
+
+/** Largest message, in bytes: 900 registrations and a configuration of 1 MB. */
+export const MAX_TABLE_FEED_BYTES = 4_194_304;
+
+const packr = new Packr({ useRecords: false });
+
+/**
+ * Encodes a message for one WebSocket frame.
+ *
+ * @example
+ * socket.send(encodeTableFeedMessage({ kind: 'refusal', id: 1 }));
+ */
+export const encodeTableFeedMessage = (message: TableFeedMessage): Uint8Array =>
+  Uint8Array.from(packr.pack(message));
+
+/**
+ * Decodes a received frame.
+ *
+ * @example
+ * const message = decodeTableFeedMessage(frame); // Err with what is wrong
+ */
+export const decodeTableFeedMessage = (frame: Uint8Array): Result<TableFeedMessage, string> => {
+  try {
+    const parsed = messageSchema.safeParse(packr.unpack(frame));
+    return parsed.success ? Ok(parsed.data) : Err(z.prettifyError(parsed.error));
+  } catch (error) {
+    return Err((error as Error).message);
+  }
+};
--- /dev/null
+++ b/packages/entry/src/gateway/store/table-feed-server.ts
@@ -0,0 +1,142 @@
+import type { NetworkAddress } from '@savorywind/model';
+import type { RawData, WebSocket, WebSocketServer } from 'ws';
+import {
+  decodeTableFeedMessage,
+  encodeTableFeedMessage,
+  MAX_TABLE_FEED_BYTES,
+  TABLE_FEED_PATH,
+  type TableFeedContent,
+  type TableFeedMessage,
+  type TableFeedRequest,
+} from './table-feed-messages.js';
+import type { TableMirror, TablePosition } from './table-mirror.js';
+
+export interface TableFeedServerOptions {
+  readonly address: NetworkAddress;
+  readonly mirrors: readonly TableMirror[];
+  readonly readClockMs: () => number;
+  /** Called for each request of a peer. */
+  readonly onAsked: () => void;
+  /** Called when the server can't accept connections. */
+  readonly onFailed: (detail: string) => void;
+}
+
+/** A peer that reads the tables from this entry VM. */
+interface Reader {
+  readonly socket: WebSocket;
+  /** What the peer knows of each table, by what was sent to it; undefined before its first request. */
+  positions: Map<string, TablePosition> | undefined;
+}
+
+/** A reader that does not take what is sent to it is disconnected at this many bytes. */
+const MAX_QUEUED_BYTES = 8_388_608;
+
+const listPositions = ({ positions }: TableFeedRequest): Map<string, TablePosition> =>
+  new Map(
+    positions.flatMap(({ table, era, version }) =>
+      version === undefined ? [] : [[table, { era, version }]],
+    ),
+  );
+
+const sendTo = ({ socket }: Reader, message: TableFeedMessage): void => {
+  if (socket.bufferedAmount > MAX_QUEUED_BYTES) socket.terminate();
+  else socket.send(encodeTableFeedMessage(message));
+};
+
+/**
+ * Passes on to peers what this entry VM reads of the store: an answer to each request, and changes as they
+ * come, without a request. It accepts connections only while it has a role in passing on, and it refuses
+ * requests while this entry VM does not read the store itself.
+ */
+export class TableFeedServer {
+  private server: Promise<WebSocketServer> | undefined;
+
+  private readonly readers = new Set<Reader>();
+
+  private isServing = false;
+
+  constructor(private readonly options: TableFeedServerOptions) {}
+
+  /** Whether some peers read from this entry VM. */
+  get hasReaders(): boolean {
+    return [...this.readers].some(({ positions }) => positions !== undefined);
+  }
+
+  /** Accepts connections, and answers requests if `isServing`. */
+  open(isServing: boolean): void {
+    this.isServing = isServing;
+    this.server ??= this.listen();
+  }
+
+  /** Closes all connections, and accepts none. */
+  close(): void {
+    this.isServing = false;
+    this.readers.forEach(({ socket }) => socket.terminate());
+    this.readers.clear();
+    this.server?.then((server) => server.close());
+    this.server = undefined;
+  }
+
+  /** Sends the peers what has changed since what was sent to them before. */
+  pushChanges(): void {
+    if (!this.isServing) return;
+    this.readers.forEach((reader) => {
+      if (reader.positions === undefined) return;
+      const tables = this.listContents(reader).filter(({ rows }) => rows.length > 0);
+      if (tables.length > 0) sendTo(reader, { kind: 'response', tables });
+    });
+  }
+
+  /** The library is loaded only by entry VMs that pass on, as it takes a part of the start. */
+  private async listen(): Promise<WebSocketServer> {
+    const { host, port } = this.options.address;
+    const { WebSocketServer: Server } = await import('ws');
+    const server = new Server({
+      host,
+      port,
+      path: TABLE_FEED_PATH,
+      maxPayload: MAX_TABLE_FEED_BYTES,
+      perMessageDeflate: false,
+    });
+    server.on('error', (error) => this.options.onFailed(error.message));
+    server.on('connection', (socket) => this.addReader(socket));
+    return server;
+  }
+
+  private addReader(socket: WebSocket): void {
+    const reader: Reader = { socket, positions: undefined };
+    this.readers.add(reader);
+    socket.on('message', (data) => this.handleFrame(reader, data));
+    socket.on('error', () => socket.terminate());
+    socket.on('close', () => this.readers.delete(reader));
+  }
+
+  private handleFrame(reader: Reader, data: RawData): void {
+    const message = decodeTableFeedMessage(data as Buffer);
+    if (message.err || message.val.kind !== 'request') {
+      reader.socket.terminate();
+      return;
+    }
+    this.options.onAsked();
+    const { id } = message.val;
+    if (!this.isServing || this.options.mirrors.some(({ position }) => position === undefined)) {
+      sendTo(reader, { kind: 'refusal', id });
+      return;
+    }
+    const { positions: known = new Map<string, TablePosition>() } = reader;
+    reader.positions = new Map([...listPositions(message.val), ...known]);
+    sendTo(reader, { kind: 'response', id, tables: this.listContents(reader) });
+  }
+
+  /** Lists what the reader lacks of each table, and records it as sent. */
+  private listContents(reader: Reader): TableFeedContent[] {
+    const nowMs = this.options.readClockMs();
+    return this.options.mirrors.flatMap((mirror) => {
+      const { table, position, confirmedAtMs } = mirror;
+      if (position === undefined || confirmedAtMs === undefined) return [];
+      const { kind, rows } = mirror.readSince(reader.positions?.get(table));
+      reader.positions?.set(table, position);
+      return [{ table, kind, ...position, ageMs: nowMs - confirmedAtMs, rows: [...rows] }];
+    });
+  }
+}
--- a/packages/entry/src/gateway/store/table-watcher.ts
+++ b/packages/entry/src/gateway/store/table-watcher.ts
@@ -2,6 +2,7 @@
 import csp, { type Channel } from 'js-csp';
 import type { Result } from '@savorywind/model';
 import type { StoreEra } from './store-era.js';
+import type { TableMirror } from './table-mirror.js';
 import type { TableClient, TableFailure, TableRow, TableRows } from './types.js';
 
 /**
@@ -15,7 +16,8 @@
 
 export interface TableWatcherOptions {
   readonly tables: TableClient;
-  readonly table: string;
+  /** The rows as they were read last. Reads go on from its position. */
+  readonly mirror: TableMirror;
   /**
    * Waits and pauses. Each result proves that the rows were current when it was requested; the result of a
    * long poll proves this only for the beginning of its wait.
@@ -36,12 +38,6 @@
 
 type ReadResult = Result<TableRows, TableFailure>;
 
-/** A version of the store, and the era in which it counts. */
-interface Position {
-  readonly version: number;
-  readonly era: number | undefined;
-}
-
 interface PendingRead {
   readonly kind: 'snapshot' | 'changes';
   /** Era of the version from which changes are read. */
@@ -72,26 +68,39 @@
 export class TableWatcher {
   private isStopped = false;
 
-  private position: Position | undefined;
+  /** Number of the current polls: those of an earlier number end after their read. */
+  private pollNumber = 0;
+
+  private isPaused = false;
 
   private isReadingNow = false;
 
   constructor(private readonly options: TableWatcherOptions) {}
 
+  /** Begins to read, or goes on after a pause, with a read that is answered immediately. */
   start(): void {
     const { longPollMs, pollIntervalMs } = this.options.timing;
+    this.isPaused = false;
+    this.pollNumber += 1;
     this.startPolling(longPollMs, { initialPauseMs: 0, pauseMs: 0 });
     if (pollIntervalMs === undefined) return;
     this.startPolling(0, { initialPauseMs: pollIntervalMs, pauseMs: pollIntervalMs });
   }
 
+  /** Sends no more reads until {@link start} is called again. */
+  pause(): void {
+    this.isPaused = true;
+    this.pollNumber += 1;
+  }
+
   stop(): void {
     this.isStopped = true;
+    this.pause();
   }
 
   /** Sends one more read, which the store answers immediately, unless one of these is under way. */
   readNow(): void {
-    if (this.isReadingNow || this.isStopped) return;
+    if (this.isReadingNow || this.isPaused) return;
     this.isReadingNow = true;
     const read = this.startRead(0);
     read.result.then((result) => {
@@ -109,13 +118,16 @@
     const startRead = (pollMs: number): PendingRead => this.startRead(pollMs);
     const handleResult = (read: PendingRead, result: ReadResult): boolean =>
       this.handleResult(read, result);
-    const isStopped = (): boolean => this.isStopped;
+    const { pollNumber } = this;
+    const isStopped = (): boolean => this.pollNumber !== pollNumber;
     const { maxBackoffMs } = this.options.timing;
     csp.go(function* pollTable() {
       let failures = 0;
+      let isFirst = true;
       if (initialPauseMs > 0) yield csp.take(csp.timeout(initialPauseMs));
       while (!isStopped()) {
-        const read = startRead(failures > 0 ? 0 : waitMs);
+        const read = startRead(failures > 0 || isFirst ? 0 : waitMs);
+        isFirst = false;
         const result: ReadResult = yield csp.take(openChannel(read.result));
         const hasFailed = !isStopped() && !handleResult(read, result);
         failures = hasFailed ? failures + 1 : 0;
@@ -126,10 +138,10 @@
   }
 
   private startRead(waitMs: number): PendingRead {
-    const { tables, table, readClockMs, era } = this.options;
+    const { tables, mirror, readClockMs, era } = this.options;
     const { responseTimeoutMs } = this.options.timing;
     const requestedAtMs = readClockMs();
-    const { position } = this;
+    const { table, position } = mirror;
     if (position === undefined || position.era !== era.current) {
       const result = tables.readAll(table, responseTimeoutMs);
       return { kind: 'snapshot', era: era.current, requestedAtMs, result };
@@ -151,32 +163,25 @@
     }
     // Changes since a version of an older era: rows may be missing.
     if (read.kind === 'changes' && read.era !== era.current) return true;
-    const { requestedAtMs } = read;
-    if (this.advance(result.val))
-      onUpdated({ kind: read.kind, rows: result.val.rows, requestedAtMs });
+    const { kind, requestedAtMs } = read;
+    const { rows, version } = result.val;
+    const isNew = this.options.mirror.apply(
+      { kind, rows },
+      { version, era: result.val.era },
+      requestedAtMs,
+    );
+    if (isNew) onUpdated({ kind, rows, requestedAtMs });
     else onUpdated({ kind: 'changes', rows: [], requestedAtMs });
     return true;
   }
 
-  /**
-   * Of two overlapping reads, the older result may arrive last. Its rows may have changed since.
-   *
-   * @returns whether the rows are at least as new as those that are known
-   */
-  private advance({ version, era }: TableRows): boolean {
-    const { position } = this;
-    if (position !== undefined && position.era === era && version < position.version) return false;
-    this.position = { version, era };
-    return true;
-  }
-
   /** A store that has no history for a read of all rows is asked again only after a pause. */
   private handleFailure(
     { kind: readKind, requestedAtMs }: PendingRead,
     { kind, detail }: TableFailure,
   ): boolean {
     if (kind === 'historyLost') {
-      this.position = undefined;
+      this.options.mirror.reset();
       return readKind === 'changes';
     }
     this.options.onUpdated({ kind: 'failed', detail, requestedAtMs });
--- a/packages/entry/test/gateway/table-watcher.test.ts
+++ b/packages/entry/test/gateway/table-watcher.test.ts
@@ -2,6 +2,7 @@
 import { Err, Ok, type Result } from '@savorywind/model';
 import { afterEach, describe, expect, it } from 'vitest';
 import { StoreEra } from '../../src/gateway/store/store-era.js';
+import { TableMirror } from '../../src/gateway/store/table-mirror.js';
 import { TableWatcher, type TableUpdate } from '../../src/gateway/store/table-watcher.js';
 import type { TableClient, TableFailure, TableRows } from '../../src/gateway/store/types.js';
 
@@ -71,7 +72,7 @@
     });
     watcher = new TableWatcher({
       tables,
-      table: 'endpoints',
+      mirror: new TableMirror('endpoints'),
       timing: createTiming(1_000, undefined),
       era: new StoreEra((previous, current) => raisedEras.push([previous, current])),
       readClockMs: () => performance.now(),
@@ -201,7 +202,7 @@
       });
       watcher = new TableWatcher({
         tables,
-        table: 'configuration',
+        mirror: new TableMirror('configuration'),
         timing: createTiming(10_000, 1),
         era: new StoreEra(() => {}),
         readClockMs: () => performance.now(),
@@ -242,7 +243,7 @@
       });
       watcher = new TableWatcher({
         tables,
-        table: 'configuration',
+        mirror: new TableMirror('configuration'),
         timing: createTiming(10_000, 1),
         era: new StoreEra(() => answerLongPoll(createRowsOf(2, 31, 'skipped others'))),
         readClockMs: () => performance.now(),
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -101,4 +101,19 @@
     'warn',
     'a datagram of a peer cannot be decoded and is ignored, or the socket for peers failed',
   ],
+  tableSourceChanged: [
+    847,
+    'info',
+    'the tables of the store are read from another source, or are passed on to peers',
+  ],
+  tableSourceFailed: [
+    848,
+    'info',
+    'a peer does not pass on the tables of the store; another source is used',
+  ],
+  tablesResynchronised: [
+    849,
+    'info',
+    'after an outage or a cut the tables of the store have been read again',
+  ],
 });
