--- a/packages/decisions/src/gateway/consts.ts
+++ b/packages/decisions/src/gateway/consts.ts
@@ -23,10 +23,16 @@
 export const MAX_PERIODIC_RECIPIENTS = 36;
 
 /**
- * A peer is inactive, and its work is not counted, after this many of its snapshot intervals without a
- * snapshot.
+ * Most unchanged snapshots that an entry VM sends in a second to the peers that get each change. With more
+ * peers each of them gets one less often.
  */
-export const PEER_TIMEOUT_INTERVALS = 6;
+export const MAX_REPEATS_PER_S = 40;
+
+/** A peer is inactive, and its work is not counted, after this time without a snapshot, in milliseconds. */
+export const MIN_PEER_TIMEOUT_MS = 1_500;
+
+/** The same in snapshot intervals of the peer, where they are long: two may be lost. */
+export const PEER_TIMEOUT_INTERVALS = 3;
 
 /** Headers of IPv4 and UDP, in bytes. */
 export const DATAGRAM_HEADER_BYTES = 28;
--- a/packages/decisions/src/gateway/peer-table.ts
+++ b/packages/decisions/src/gateway/peer-table.ts
@@ -12,10 +12,14 @@
   MAX_FREQUENT_PEERS,
   MAX_PEER_ABSENCE_MS,
   MAX_PERIODIC_RECIPIENTS,
+  MAX_REPEATS_PER_S,
+  MIN_PEER_TIMEOUT_MS,
   PEER_TIMEOUT_INTERVALS,
   SNAPSHOT_INTERVAL_MS,
 } from './consts.js';
 
+const MS_PER_S = 1_000;
+
 /** Another entry VM, and the last snapshot of its work. */
 export interface PeerState {
   readonly peer: GatewayPeer;
@@ -127,9 +131,16 @@
 
   /** Estimates the longest time between two snapshots from a failure domain, in milliseconds. */
   estimateDomainIntervalMs(domain: FailureDomainId): number {
-    if (this.findDomainFrequency(domain) === 'frequent') return SNAPSHOT_INTERVAL_MS;
     const count = this.domains.get(domain)?.count ?? 1;
-    return Math.max(SNAPSHOT_INTERVAL_MS, this.estimatePeriodicIntervalMs() / count);
+    const intervalMs = this.estimateIntervalMs(this.findDomainFrequency(domain));
+    return Math.max(SNAPSHOT_INTERVAL_MS, intervalMs / count);
+  }
+
+  /** Estimates the time after which an unchanged snapshot is sent to a peer again, in milliseconds. */
+  estimateIntervalMs(frequency: SnapshotFrequency): number {
+    return frequency === 'frequent'
+      ? this.estimateRepeatIntervalMs()
+      : this.estimatePeriodicIntervalMs();
   }
 
   /** Whether some peers only get snapshots periodically. */
@@ -163,9 +174,9 @@
 
   /** Whether the last snapshot of a peer is recent enough to be counted. */
   isActive({ peer, receivedAtMs }: PeerState, nowMs: MonotonicMs): boolean {
-    const isFrequent = this.findDomainFrequency(peer.failureDomain) === 'frequent';
-    const intervalMs = isFrequent ? SNAPSHOT_INTERVAL_MS : this.estimatePeriodicIntervalMs();
-    return receivedAtMs !== undefined && nowMs - receivedAtMs < PEER_TIMEOUT_INTERVALS * intervalMs;
+    const intervalMs = this.estimateIntervalMs(this.findDomainFrequency(peer.failureDomain));
+    const timeoutMs = Math.max(MIN_PEER_TIMEOUT_MS, PEER_TIMEOUT_INTERVALS * intervalMs);
+    return receivedAtMs !== undefined && nowMs - receivedAtMs < timeoutMs;
   }
 
   private findDomainFrequency(domain: FailureDomainId): SnapshotFrequency {
@@ -178,6 +189,11 @@
     return this.size - (this.domains.get(this.self.failureDomain)?.count ?? 0);
   }
 
+  private estimateRepeatIntervalMs(): number {
+    const frequentCount = this.size - this.countPeriodic();
+    return Math.max(SNAPSHOT_INTERVAL_MS, (frequentCount * MS_PER_S) / MAX_REPEATS_PER_S);
+  }
+
   /** Estimates the time in which each periodic peer gets one snapshot, in milliseconds. */
   private estimatePeriodicIntervalMs(): number {
     const rounds = Math.ceil(this.countPeriodic() / MAX_PERIODIC_RECIPIENTS);
--- a/packages/decisions/src/gateway/snapshot-sender.ts
+++ b/packages/decisions/src/gateway/snapshot-sender.ts
@@ -112,7 +112,7 @@
   private sendFrequent(): void {
     this.hasPendingChange = false;
     this.send('frequent');
-    this.armFrequentTimer(SNAPSHOT_INTERVAL_MS);
+    this.armFrequentTimer(this.fleetLoad.peers.estimateIntervalMs('frequent'));
     if (this.fleetLoad.peers.hasPeriodicPeers) this.periodicTimer ??= this.armPeriodicTimer();
   }
 
