Have the reader of a failure domain ask the store once for both tables

That it still reaches the store shows in one table. Change: it asks for the configuration at a quarter of the tightest bound, and long polls for registrations as before; the age of what is passed on is bounded for each table.

--- a/packages/decisions/src/gateway/table-reads/read-timing.ts
+++ b/packages/decisions/src/gateway/table-reads/read-timing.ts
@@ -10,6 +10,8 @@
   readonly responseTimeoutMs: number;
   /** Longest pause after a failed read. */
   readonly maxBackoffMs: number;
+  /** Age from which what a peer passes on of the table is too old. */
+  readonly maxRelayedAgeMs: number;
 }
 
 /** Timing of what entry VMs that read the store pass on to others, in milliseconds. */
@@ -18,9 +20,7 @@
   readonly askIntervalMs: number;
   /** Time for the answer of the source, and for the connection to it. */
   readonly answerTimeoutMs: number;
-  /** Age from which what the source passes on is too old. */
-  readonly maxAgeMs: number;
-  /** Interval at which the source itself reads the store. */
+  /** Interval at which the source itself asks the store whether it knows the newest configuration. */
   readonly readIntervalMs: number;
 }
 
@@ -65,23 +65,15 @@
  */
 const ASK_INTERVAL_FRACTION = 1 / 4;
 const ANSWER_TIMEOUT_FRACTION = 1 / 10;
-const MAX_AGE_FRACTION = 1 / 3;
-const READ_INTERVAL_FRACTION = 1 / 6;
+const MAX_AGE_FRACTION = 0.4;
+const READ_INTERVAL_FRACTION = 1 / 4;
 
-const deriveRelayTiming = ({
+const findTightestBoundMs = ({
   credentialFreshnessMs,
   leavingNoticeMs,
   applyMs,
   resyncMs,
-}: GatewayContract): RelayTiming => {
-  const boundMs = Math.min(credentialFreshnessMs, leavingNoticeMs, applyMs, resyncMs);
-  return {
-    askIntervalMs: ASK_INTERVAL_FRACTION * boundMs,
-    answerTimeoutMs: ANSWER_TIMEOUT_FRACTION * boundMs,
-    maxAgeMs: MAX_AGE_FRACTION * boundMs,
-    readIntervalMs: READ_INTERVAL_FRACTION * boundMs,
-  };
-};
+}: GatewayContract): number => Math.min(credentialFreshnessMs, leavingNoticeMs, applyMs, resyncMs);
 
 /**
  * Derives the waits of the reads of the store from the contract, so that a read that is lost in a
@@ -94,6 +86,8 @@
   const { credentialFreshnessMs, leavingNoticeMs, resyncMs } = contract;
   const responseTimeoutMs = Math.min(MAX_RESPONSE_TIMEOUT_MS, RESPONSE_TIMEOUT_FRACTION * resyncMs);
   const maxBackoffMs = Math.min(MAX_BACKOFF_MS, BACKOFF_FRACTION * resyncMs);
+  const boundMs = findTightestBoundMs(contract);
+  const longPollMs = Math.floor(Math.min(leavingNoticeMs, LONG_POLL_FRACTION * resyncMs));
   const pollIntervalMs = Math.floor(
     Math.min(credentialFreshnessMs / POLLS_PER_FRESHNESS_PERIOD, LONG_POLL_FRACTION * resyncMs),
   );
@@ -103,13 +97,20 @@
       pollIntervalMs,
       responseTimeoutMs,
       maxBackoffMs,
+      maxRelayedAgeMs: MAX_AGE_FRACTION * boundMs,
     },
     endpoints: {
-      longPollMs: Math.floor(Math.min(leavingNoticeMs, LONG_POLL_FRACTION * resyncMs)),
+      longPollMs,
       pollIntervalMs: undefined,
       responseTimeoutMs,
       maxBackoffMs,
+      // Answered before the next long poll ends. That the source still reads shows in the configuration.
+      maxRelayedAgeMs: 2 * longPollMs + responseTimeoutMs,
+    },
+    relay: {
+      askIntervalMs: ASK_INTERVAL_FRACTION * boundMs,
+      answerTimeoutMs: ANSWER_TIMEOUT_FRACTION * boundMs,
+      readIntervalMs: READ_INTERVAL_FRACTION * boundMs,
     },
-    relay: deriveRelayTiming(contract),
   };
 };
--- a/packages/entry/src/gateway/store/store-tables.ts
+++ b/packages/entry/src/gateway/store/store-tables.ts
@@ -30,6 +30,9 @@
   readonly ageMs: number | undefined;
 }
 
+/** Fraction of the reading interval from which a confirmation is renewed: another read may have done so. */
+const MIN_AGE_FRACTION = 0.5;
+
 /** One table: its rows, its reads of the store, and who is told. */
 interface WatchedTable {
   readonly mirror: TableMirror;
@@ -43,7 +46,8 @@
  * same position, so that nothing is read twice when they change.
  */
 export class StoreTables {
-  private readonly watched: readonly WatchedTable[];
+  /** The configuration, and the registrations of endpoints. */
+  private readonly watched: readonly [WatchedTable, WatchedTable];
 
   private readonly server: TableFeedServer;
 
@@ -76,6 +80,10 @@
     });
     this.client = new TableFeedClient({
       mirrors,
+      maxAgesMs: new Map([
+        [names.configuration, timings.configuration.maxRelayedAgeMs],
+        [names.endpoints, timings.endpoints.maxRelayedAgeMs],
+      ]),
       timing: timings.relay,
       readClockMs,
       onRows: (content, requestedAtMs) => this.handleRelayed(content, requestedAtMs),
@@ -157,13 +165,19 @@
     this.start();
   }
 
-  /** Those that read from this entry VM need to know more often that it knows all changes. */
+  /**
+   * Those that read from this entry VM need to know more often that it still reaches the store. One table
+   * shows it for both.
+   */
   private changeServing(isServing: boolean): void {
     clearInterval(this.serveTimer);
     if (!isServing) return;
+    const { readIntervalMs } = this.options.timings.relay;
+    const [{ mirror, watcher }] = this.watched;
     this.serveTimer = setInterval(() => {
-      if (this.server.hasReaders) this.readNow();
-    }, this.options.timings.relay.readIntervalMs);
+      const ageMs = this.options.readClockMs() - (mirror.confirmedAtMs ?? 0);
+      if (this.server.hasReaders && ageMs >= MIN_AGE_FRACTION * readIntervalMs) watcher.readNow();
+    }, readIntervalMs);
   }
 
   /** @returns an error if the rows can't be used */
--- a/packages/entry/src/gateway/store/table-feed-client.ts
+++ b/packages/entry/src/gateway/store/table-feed-client.ts
@@ -13,6 +13,8 @@
 
 export interface TableFeedClientOptions {
   readonly mirrors: readonly TableMirror[];
+  /** Age from which what a peer passes on of a table is too old, in milliseconds. */
+  readonly maxAgesMs: ReadonlyMap<string, number>;
   readonly timing: RelayTiming;
   readonly readClockMs: () => number;
   /**
@@ -134,9 +136,11 @@
 
   /** @returns an error if the answer can't be used */
   private acceptAnswer(session: Session, tables: readonly TableFeedContent[]): string | undefined {
-    const { maxAgeMs } = this.options.timing;
+    const { maxAgesMs } = this.options;
     const { askedAtMs } = session;
-    const times = tables.map(({ ageMs }) => judgeRelayedRows({ askedAtMs, ageMs, maxAgeMs }));
+    const times = tables.map(({ table, ageMs }) =>
+      judgeRelayedRows({ askedAtMs, ageMs, maxAgeMs: maxAgesMs.get(table) ?? 0 }),
+    );
     const errors = tables.map((content, index) => {
       const requestedAtMs = times[index];
       return requestedAtMs === undefined
--- a/packages/entry/test/gateway/table-watcher.test.ts
+++ b/packages/entry/test/gateway/table-watcher.test.ts
@@ -28,6 +28,7 @@
   pollIntervalMs,
   responseTimeoutMs: 700,
   maxBackoffMs: 400,
+  maxRelayedAgeMs: 1_000,
 });
 
 let watcher: TableWatcher | undefined;
