--- /dev/null
+++ b/packages/entry/test/gateway/table-feed.test.ts
@@ -0,0 +1,249 @@
+import { createServer } from 'node:net';
+import { deriveReadTimings, type GatewayEvent } from '@savorywind/decisions';
+import type { GatewayPeer } from '@savorywind/model';
+import { createGatewayContract, reservePort } from '@savorywind/stand-ins';
+import { afterEach, describe, expect, it } from 'vitest';
+import { WebSocketServer } from 'ws';
+import { StoreEra } from '../../src/gateway/store/store-era.js';
+import {
+  decodeTableFeedMessage,
+  encodeTableFeedMessage,
+  TABLE_FEED_PATH,
+  type TableFeedRequest,
+} from '../../src/gateway/store/table-feed-messages.js';
+import { StoreTables } from '../../src/gateway/store/store-tables.js';
+import type { TableUpdate } from '../../src/gateway/store/table-watcher.js';
+import type { TableRow } from '../../src/gateway/store/types.js';
+import { FakeStore } from '../fixtures/fake-store.js';
+
+const HOST = '127.0.0.1';
+
+/** Bounds that are short enough to see a source replaced, in milliseconds. */
+const CONTRACT = createGatewayContract({ leavingNoticeMs: 1_000, applyMs: 1_000, resyncMs: 1_500 });
+
+const createRow = (key: string, text = key): TableRow => ({
+  key,
+  value: Buffer.from(text),
+  removed: false,
+});
+
+/** The tables of one entry VM, and what it was told. */
+class Member {
+  readonly updates: TableUpdate[] = [];
+
+  readonly events: GatewayEvent[] = [];
+
+  readonly tables: StoreTables;
+
+  /** Added to the clock, as a suspension is. */
+  clockOffsetMs = 0;
+
+  constructor(
+    readonly peer: GatewayPeer,
+    store: FakeStore,
+  ) {
+    this.tables = new StoreTables({
+      tables: store.createClient(),
+      names: { configuration: 'configuration', endpoints: 'endpoints' },
+      address: peer.address,
+      timings: deriveReadTimings(CONTRACT),
+      era: new StoreEra(() => {}),
+      readClockMs: () => performance.now() + this.clockOffsetMs,
+      onConfigurationUpdated: () => {},
+      onEndpointsUpdated: (update) => this.updates.push(update),
+      dispatch: (event) => this.events.push(event),
+      onServerFailed: (detail) => this.events.push({ kind: 'store.failed', detail }),
+    });
+  }
+
+  listKeys(): string[] {
+    return this.updates.flatMap((update) =>
+      update.kind === 'failed' ? [] : update.rows.map(({ key }) => key),
+    );
+  }
+
+  findFailure(): string | undefined {
+    const failure = this.events.find(({ kind }) => kind === 'tables.sourceFailed');
+    return failure?.kind === 'tables.sourceFailed' ? failure.detail : undefined;
+  }
+}
+
+const members: Member[] = [];
+
+afterEach(() => {
+  members.splice(0).forEach(({ tables }) => tables.stop());
+});
+
+const createMember = async (id: string, store: FakeStore): Promise<Member> => {
+  const address = { host: HOST, port: await reservePort() };
+  const member = new Member({ id, failureDomain: 'a', address }, store);
+  members.push(member);
+  member.tables.start();
+  return member;
+};
+
+const waitUntil = async (isDone: () => boolean, timeoutMs = 5_000): Promise<void> => {
+  const endMs = performance.now() + timeoutMs;
+  while (!isDone()) {
+    if (performance.now() > endMs) throw new Error('timed out');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 5);
+    });
+  }
+};
+
+const pause = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
+interface Pair {
+  readonly store: FakeStore;
+  /** The store that the follower reads itself. */
+  readonly ownStore: FakeStore;
+  readonly source: Member;
+  readonly follower: Member;
+}
+
+/** Starts a source and a VM that follows it; each has a view of the store of its own. */
+const startPair = async (): Promise<Pair> => {
+  const store = new FakeStore();
+  const ownStore = new FakeStore();
+  store.put('endpoints', createRow('e1'));
+  const source = await createMember('a-1', store);
+  const follower = await createMember('a-2', ownStore);
+  source.tables.changeSource({ peer: undefined, role: 'serves' });
+  await waitUntil(() => source.listKeys().includes('e1'));
+  await pause(50);
+  follower.tables.changeSource({ peer: source.peer, role: 'none' });
+  await waitUntil(() => follower.listKeys().includes('e1') || follower.findFailure() !== undefined);
+  expect(follower.findFailure()).toBeUndefined();
+  return { store, ownStore, source, follower };
+};
+
+describe('tables that a peer passes on', () => {
+  it('arrive with all rows first, then with each change at once, without calls to the store', async () => {
+    const { store, ownStore, follower } = await startPair();
+    await pause(100);
+    const { calls } = ownStore;
+    store.put('endpoints', createRow('e2'));
+    await waitUntil(() => follower.listKeys().includes('e2'), 100);
+    await pause(1_500);
+    expect(follower.findFailure()).toBeUndefined();
+    expect(ownStore.calls).toBe(calls);
+  });
+
+  it('carry a time of confirmation that goes on, and is never in the future', async () => {
+    const { follower } = await startPair();
+    const before = Math.max(...follower.updates.map(({ requestedAtMs }) => requestedAtMs));
+    await pause(1_500);
+    const after = Math.max(...follower.updates.map(({ requestedAtMs }) => requestedAtMs));
+    expect(after - before).toBeGreaterThan(400);
+    expect(after).toBeLessThanOrEqual(performance.now());
+  });
+
+  it('are counted from the question, however late the answer comes', async () => {
+    const port = await reservePort();
+    const delayMs = 60;
+    const server = new WebSocketServer({ host: HOST, port, path: TABLE_FEED_PATH });
+    server.on('connection', (socket) =>
+      socket.on('message', (data) => {
+        const request = decodeTableFeedMessage(data as Buffer).unwrap();
+        const { id } = request as TableFeedRequest;
+        const tables = ['configuration', 'endpoints'].map((table) => ({
+          table,
+          kind: 'snapshot' as const,
+          era: 1,
+          version: 1,
+          ageMs: 0,
+          rows: [createRow('late')],
+        }));
+        const answer = encodeTableFeedMessage({ kind: 'response', id, tables });
+        setTimeout(() => socket.send(answer), delayMs);
+      }),
+    );
+    const follower = await createMember('a-2', new FakeStore());
+    await pause(50);
+    const peer = { id: 'a-9', failureDomain: 'a', address: { host: HOST, port } };
+    follower.tables.changeSource({ peer, role: 'none' });
+    let arrivedAtMs = 0;
+    await waitUntil(() => {
+      arrivedAtMs = performance.now();
+      return follower.updates.some(
+        (update) => update.kind === 'snapshot' && update.rows[0]?.key === 'late',
+      );
+    });
+    const update = follower.updates.find(
+      (other) => other.kind === 'snapshot' && other.rows[0]?.key === 'late',
+    );
+    expect(update!.requestedAtMs).toBeLessThanOrEqual(arrivedAtMs - delayMs + 5);
+    server.close();
+    server.clients.forEach((socket) => socket.terminate());
+  });
+
+  it('are not used once the source has lost the store for too long', async () => {
+    const { store, follower } = await startPair();
+    store.isSilent = true;
+    const lostAtMs = performance.now();
+    await waitUntil(() => follower.findFailure() !== undefined);
+    expect(follower.findFailure()).toContain('ms old');
+    expect(performance.now() - lostAtMs).toBeLessThan(1_000);
+  });
+
+  it('count a suspension of the source towards their age', async () => {
+    const { store, source, follower } = await startPair();
+    store.isSilent = true;
+    source.clockOffsetMs += 60_000;
+    await waitUntil(() => follower.findFailure() !== undefined, 400);
+    expect(follower.findFailure()).toContain('ms old');
+  });
+
+  it('are not used from a source whose era of the store is older', async () => {
+    const { source, follower } = await startPair();
+    const ownStore = new FakeStore();
+    ownStore.era = 2;
+    const later = await createMember('a-3', ownStore);
+    await waitUntil(() => later.updates.length > 0);
+    later.tables.changeSource({ peer: source.peer, role: 'none' });
+    await waitUntil(() => later.findFailure() !== undefined);
+    expect(later.findFailure()).toContain('era');
+    expect(follower.findFailure()).toBeUndefined();
+  });
+
+  it('are refused by a VM that stands by, which is told that it was asked', async () => {
+    const { source, follower } = await startPair();
+    const standby = await createMember('a-3', new FakeStore());
+    standby.tables.changeSource({ peer: source.peer, role: 'standsBy' });
+    await pause(100);
+    follower.tables.changeSource({ peer: standby.peer, role: 'none' });
+    await waitUntil(() => follower.findFailure() !== undefined);
+    expect(follower.findFailure()).toBe('refused');
+    expect(standby.events.map(({ kind }) => kind)).toContain('tables.asked');
+  });
+
+  it('are replaced by the store when there is no source any more', async () => {
+    const { ownStore, source, follower } = await startPair();
+    source.tables.stop();
+    await waitUntil(() => follower.findFailure() !== undefined);
+    follower.tables.changeSource({ peer: undefined, role: 'none' });
+    ownStore.put('endpoints', createRow('e7'));
+    ownStore.put('endpoints', createRow('e8'));
+    await waitUntil(() => follower.listKeys().includes('e8'));
+  });
+
+  it('fail if the source accepts connections and does not answer', async () => {
+    const store = new FakeStore();
+    const follower = await createMember('a-2', store);
+    const silent = createServer(() => {});
+    const port = await reservePort();
+    await new Promise<void>((resolve) => {
+      silent.listen(port, HOST, resolve);
+    });
+    const peer = { id: 'a-9', failureDomain: 'a', address: { host: HOST, port } };
+    const startedAtMs = performance.now();
+    follower.tables.changeSource({ peer, role: 'none' });
+    await waitUntil(() => follower.findFailure() !== undefined);
+    expect(performance.now() - startedAtMs).toBeLessThan(300);
+    silent.close();
+  });
+});
