Log how old the tables are after an outage, and show who reads the store

Operators could not see what an entry VM knows when it returns from a cut, nor from whom. 849 names the age of both tables when the store answers again; metrics show the ages, whether the VM reads the store itself and whether it passes on. Two functions renamed after docs/verbs.md.

--- a/packages/decisions/src/gateway/table-reads/judge-relayed-rows.ts
+++ b/packages/decisions/src/gateway/table-reads/compute-relayed-read-ms.ts
@@ -15,13 +15,13 @@
  * suspension of either process or a repeated answer can only make the rows look older than they are.
  *
  * @example
- * judgeRelayedRows({ askedAtMs: 10_000, ageMs: 400, maxAgeMs: 1_000 }); // 9,600
- * judgeRelayedRows({ askedAtMs: 10_000, ageMs: 1_400, maxAgeMs: 1_000 }); // undefined
+ * computeRelayedReadMs({ askedAtMs: 10_000, ageMs: 400, maxAgeMs: 1_000 }); // 9,600
+ * computeRelayedReadMs({ askedAtMs: 10_000, ageMs: 1_400, maxAgeMs: 1_000 }); // undefined
  *
  * @returns the time at which a read of the store must have been sent to prove the same; undefined if the
  *   rows are too old
  */
-export const judgeRelayedRows = ({
+export const computeRelayedReadMs = ({
   askedAtMs,
   ageMs,
   maxAgeMs,
--- a/packages/decisions/src/gateway/table-reads/read-timing.ts
+++ b/packages/decisions/src/gateway/table-reads/read-timing.ts
@@ -80,9 +80,9 @@
  * disturbance is noticed and repeated within the time by which this VM must act on the current state again.
  *
  * @example
- * deriveReadTimings(contract).endpoints.longPollMs; // 1,500 for a notice of 2,000 and a resync of 3,000
+ * computeReadTimings(contract).endpoints.longPollMs; // 1,500 for a notice of 2,000 and a resync of 3,000
  */
-export const deriveReadTimings = (contract: GatewayContract): TableReadTimings => {
+export const computeReadTimings = (contract: GatewayContract): TableReadTimings => {
   const { credentialFreshnessMs, leavingNoticeMs, resyncMs } = contract;
   const responseTimeoutMs = Math.min(MAX_RESPONSE_TIMEOUT_MS, RESPONSE_TIMEOUT_FRACTION * resyncMs);
   const maxBackoffMs = Math.min(MAX_BACKOFF_MS, BACKOFF_FRACTION * resyncMs);
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -20,12 +20,12 @@
 export { GatewayNode, type GatewayNodeOptions } from './gateway/gateway-node.js';
 export { DATAGRAM_HEADER_BYTES } from './gateway/consts.js';
 export {
-  deriveReadTimings,
+  computeReadTimings,
   type ReadTiming,
   type RelayTiming,
   type TableReadTimings,
 } from './gateway/table-reads/read-timing.js';
-export { judgeRelayedRows } from './gateway/table-reads/judge-relayed-rows.js';
+export { computeRelayedReadMs } from './gateway/table-reads/compute-relayed-read-ms.js';
 export type { TableSource } from './gateway/table-reads/table-sources.js';
 export { estimateDatagramBytes } from './gateway/snapshot-sender.js';
 export type { AvailabilityUsage } from './gateway/availability/endpoint-availability.js';
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -1,5 +1,5 @@
 import {
-  deriveReadTimings,
+  computeReadTimings,
   GatewayNode,
   type GatewayEffect,
   type GatewayEvent,
@@ -19,6 +19,7 @@
 import { listControlGauges } from './metrics/control-gauges.js';
 import { listHarmGauges } from './metrics/harm-gauges.js';
 import { GatewayMetrics } from './metrics/gateway-metrics.js';
+import { listTableGauges } from './metrics/table-gauges.js';
 import { MetricsServer } from './metrics/metrics-server.js';
 import type { PermitMessage } from './permit-messages.js';
 import { PeerSocket } from './peer-socket.js';
@@ -207,7 +208,7 @@
       tables,
       names: { configuration: rows.configurationTable, endpoints: rows.endpointTable },
       address: self.address,
-      timings: deriveReadTimings(contract),
+      timings: computeReadTimings(contract),
       era: this.era,
       readClockMs: () => this.clock.readMs(),
       onConfigurationUpdated: (update) => this.handleConfigurationUpdate(update),
@@ -217,6 +218,16 @@
     });
   }
 
+  /** Reads all tables after an outage, and logs how old what is known of each has become. */
+  private readTablesAgain(): void {
+    const [configuration, endpoints] = this.storeTables.listAges();
+    this.logger.write(logEvents.tablesReadAgain, {
+      configurationAgeMs: Math.round(configuration.ageMs ?? 0),
+      endpointsAgeMs: Math.round(endpoints.ageMs ?? 0),
+    });
+    this.storeTables.readNow();
+  }
+
   private changeTableSource(source: TableSource): void {
     this.logger.write(logEvents.tableSourceChanged, { peer: source.peer?.id, role: source.role });
     this.storeTables.changeSource(source);
@@ -350,7 +361,7 @@
         this.peerSocket.sendMessage({ kind: 'permit.request', request }, to),
       'permit.answer': ({ answer, to }) =>
         this.peerSocket.sendMessage({ kind: 'permit.answer', answer }, to),
-      'tables.readNow': () => this.storeTables.readNow(),
+      'tables.readNow': () => this.readTablesAgain(),
       'tables.sourceChanged': ({ source }) => this.changeTableSource(source),
       'registration.renew': () => {
         this.registration.renew();
@@ -391,6 +402,7 @@
         storeEras: this.era.raises,
         longestTimerDelayMs: this.runner.takeLongestTimerDelayMs(),
       }),
+      ...listTableGauges(this.storeTables.source, this.storeTables.listAges()),
       ...listHarmGauges(this.node.harmUsage),
       ...listProcessGauges(this.logSink.droppedLines),
     ]);
--- a/packages/entry/src/gateway/store/store-tables.ts
+++ b/packages/entry/src/gateway/store/store-tables.ts
@@ -127,13 +127,16 @@
     else if (isOtherPeer) this.client.connect(peer);
   }
 
-  /** Lists how long ago the newest answered read of each table was sent. */
-  listAges(): TableAge[] {
-    const nowMs = this.options.readClockMs();
-    return this.watched.map(({ mirror: { table, confirmedAtMs } }) => ({
-      table,
-      ageMs: confirmedAtMs === undefined ? undefined : nowMs - confirmedAtMs,
-    }));
+  /** Returns how long ago the newest answered read of each table was sent, the configuration first. */
+  listAges(): readonly [TableAge, TableAge] {
+    const [configuration, endpoints] = this.watched;
+    return [this.describeAge(configuration), this.describeAge(endpoints)];
+  }
+
+  private describeAge({ mirror: { table, confirmedAtMs } }: WatchedTable): TableAge {
+    const ageMs =
+      confirmedAtMs === undefined ? undefined : this.options.readClockMs() - confirmedAtMs;
+    return { table, ageMs };
   }
 
   private createWatched(
--- a/packages/entry/src/gateway/store/table-feed-client.ts
+++ b/packages/entry/src/gateway/store/table-feed-client.ts
@@ -1,4 +1,4 @@
-import { judgeRelayedRows, type RelayTiming } from '@savorywind/decisions';
+import { computeRelayedReadMs, type RelayTiming } from '@savorywind/decisions';
 import type { GatewayPeer } from '@savorywind/model';
 import type { RawData, WebSocket } from 'ws';
 import {
@@ -139,7 +139,7 @@
     const { maxAgesMs } = this.options;
     const { askedAtMs } = session;
     const times = tables.map(({ table, ageMs }) =>
-      judgeRelayedRows({ askedAtMs, ageMs, maxAgeMs: maxAgesMs.get(table) ?? 0 }),
+      computeRelayedReadMs({ askedAtMs, ageMs, maxAgeMs: maxAgesMs.get(table) ?? 0 }),
     );
     const errors = tables.map((content, index) => {
       const requestedAtMs = times[index];
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -111,9 +111,9 @@
     'info',
     'a peer does not pass on the tables of the store; another source is used',
   ],
-  tablesResynchronised: [
+  tablesReadAgain: [
     849,
     'info',
-    'after an outage or a cut the tables of the store have been read again',
+    'after an outage or a cut the tables of the store are read again; how old they were',
   ],
 });
