Tell no contact with the store that a suspended process did not see

Found by reading the change as a newcomer: a VM that was suspended while the store was away told its peers, until its next read, that the store had answered it all the while; they would have dropped endpoints whose registrations had expired. It now begins anew with the next answer. The test fails without that line (trial by hand). At most 512 peers may be connected to a reader of the store.

--- a/packages/decisions/src/gateway/store-contact.ts
+++ b/packages/decisions/src/gateway/store-contact.ts
@@ -60,8 +60,12 @@
     return true;
   }
 
-  /** Counts time that the clock missed: what was known before it lies further back. */
+  /**
+   * Counts time that the clock missed: what was known before it lies further back. A process that was
+   * suspended can't tell whether the store was there meanwhile.
+   */
   addLostTime(lostMs: number): void {
+    this.availableSinceMs = undefined;
     if (this.answeredAtMs !== undefined) this.answeredAtMs -= lostMs;
     if (this.lostAtMs !== undefined) this.lostAtMs -= lostMs;
     this.peerContactUntilMs = undefined;
--- a/packages/decisions/test/gateway/cut-off-from-the-store.test.ts
+++ b/packages/decisions/test/gateway/cut-off-from-the-store.test.ts
@@ -120,6 +120,34 @@
   });
 });
 
+/** What the last snapshot tells of the contact with the store. */
+const findToldContact = (driver: GatewayDriver): number | undefined =>
+  driver.list('peers.send').at(-1)?.snapshot.storeAvailableMs;
+
+describe('what an entry VM tells of its contact with the store', () => {
+  it('grows while the store answers, and ends with an outage', () => {
+    const driver = createDriver({});
+    driver.dispatch({ kind: 'peers.read', peers: createPeers('b', 1) });
+    driver.advance(1_000);
+    expect(findToldContact(driver)).toBeGreaterThanOrEqual(1_000);
+    driver.dispatch({ kind: 'store.failed', detail: 'test' });
+    driver.advance(1_000);
+    expect(findToldContact(driver)).toBeUndefined();
+  });
+
+  it('begins anew after a suspension, in which the store may have been away', () => {
+    const driver = createDriver({});
+    driver.dispatch({ kind: 'peers.read', peers: createPeers('b', 1) });
+    driver.advance(1_000);
+    driver.dispatch({ kind: 'time.lost', lostMs: 10_000 });
+    driver.advance(500);
+    expect(findToldContact(driver)).toBeUndefined();
+    driver.confirm();
+    driver.advance(500);
+    expect(findToldContact(driver)).toBeLessThanOrEqual(500);
+  });
+});
+
 describe.each(CONTRACTS)('the reads of the store, with %s', (_, changes) => {
   const contract = createGatewayContract(changes);
   const timings = computeReadTimings(contract);
--- a/packages/entry/src/gateway/store/table-feed-server.ts
+++ b/packages/entry/src/gateway/store/table-feed-server.ts
@@ -38,6 +38,9 @@
     ),
   );
 
+/** Connections that may be open at once: more than the entry VMs of a failure domain. */
+const MAX_READERS = 512;
+
 const sendTo = ({ socket }: Reader, message: TableFeedMessage): void => {
   if (socket.bufferedAmount > MAX_QUEUED_BYTES) socket.terminate();
   else socket.send(encodeTableFeedMessage(message));
@@ -104,6 +107,10 @@
   }
 
   private addReader(socket: WebSocket): void {
+    if (this.readers.size >= MAX_READERS) {
+      socket.terminate();
+      return;
+    }
     const reader: Reader = { socket, positions: undefined };
     this.readers.add(reader);
     socket.on('message', (data) => this.handleFrame(reader, data));
