Log and measure whether an entry VM has a path to any endpoint

The logs name failed attempts one by one; whether the VM itself has lost its path, since when, and what it tried, could not be told from them, nor whether it takes a lost path for dead endpoints.

A sign of trouble (a connection that can't be opened or breaks, a stalled stream, silence of all endpoints while attempts are open) now starts a round of probes: connections to up to four endpoints of all failure domains. Log events 850 and 851 and four metrics tell when none connects and when they do again. No request is placed otherwise than before.

--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -30,6 +30,7 @@
 import { GatewayRequests } from './gateway-requests.js';
 import { measureRefused } from './measure-request.js';
 import { MemoryReservations } from './memory-reservations.js';
+import { EndpointPath, type PathUsage } from './path/endpoint-path.js';
 import { PermitCoordinator } from './permits/permit-coordinator.js';
 import { PermitHolder } from './permits/permit-holder.js';
 import { PermittedPlacement } from './permits/permitted-placement.js';
@@ -130,6 +131,8 @@
 
   private readonly availability: EndpointAvailability;
 
+  private readonly path: EndpointPath;
+
   private readonly coordinator: PermitCoordinator;
 
   private readonly permits: PermitHolder;
@@ -177,6 +180,12 @@
         this.snapshots.handleWorkChanged();
       },
     });
+    this.path = new EndpointPath({
+      context: this.context,
+      table: this.table,
+      onLost: () => {},
+      onRegained: () => {},
+    });
     this.fleetLoad = new FleetLoadTracker(self, incarnation);
     this.budget = new FleetRetryBudget(createBudgetOptions(contract));
     this.reservations = new MemoryReservations(this.context, contract, (id) =>
@@ -243,6 +252,11 @@
     return this.harmful.usage;
   }
 
+  /** What metrics show of the path to the endpoints. */
+  get pathUsage(): PathUsage {
+    return this.path.usage;
+  }
+
   private createCoordinator(self: GatewayPeer): PermitCoordinator {
     const { context, table, limits, fleetLoad } = this;
     return new PermitCoordinator({ context, self, peers: fleetLoad.peers, table, limits });
@@ -257,7 +271,7 @@
   private createRequests(self: GatewayPeer, callerWait: CallerWaitLimits): GatewayRequests {
     const { context, availability, health, limits, permits, fleetLoad, budget, reservations } =
       this;
-    const { harmful } = this;
+    const { harmful, path } = this;
     const { failureDomain } = self;
     const reachability = new DomainReachability(fleetLoad.peers);
     const placementPolicy = new PlacementPolicy({
@@ -277,6 +291,7 @@
       harmful,
       limits,
       reachability,
+      path,
       fleetLoad,
       budget,
       placement: new PermittedPlacement({ context, placementPolicy, permits }),
@@ -352,6 +367,7 @@
       'attempt.flowChanged': ({ attemptId, flow }) => requests.handleFlow(attemptId, flow),
       'attempt.ended': ({ attemptId }) => requests.handleEnd(attemptId),
       'attempt.failed': (event) => requests.handleFailure(event),
+      'path.probed': ({ endpoint, outcome }) => this.path.handleProbed(endpoint, outcome),
       'reservation.answered': ({ reservationId, outcome }) =>
         this.reservations.handleOutcome(reservationId, outcome),
     };
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -17,6 +17,7 @@
   Route,
   WorkSnapshot,
 } from '@savorywind/model';
+import type { ProbeOutcome } from './path/probe-round.js';
 import type { TableSource } from './table-reads/table-sources.js';
 
 /** A caller's request, with the body received completely. */
@@ -201,6 +202,12 @@
       /** Address of the endpoint that failed, helpers included, if the response names it. */
       readonly atFault?: NetworkAddress | undefined;
     }
+  /** A probe of the path to the endpoints has ended. */
+  | {
+      readonly kind: 'path.probed';
+      readonly endpoint: EndpointId;
+      readonly outcome: ProbeOutcome;
+    }
   | {
       readonly kind: 'reservation.answered';
       readonly reservationId: string;
@@ -328,6 +335,13 @@
       readonly reservationId: string;
       readonly endpoint: GatewayEndpoint;
     }
+  /** Opens a connection to an endpoint and closes it again, to see whether there is a path to it. */
+  | {
+      readonly kind: 'path.probe';
+      readonly endpoint: GatewayEndpoint;
+      /** Time within which the connection must be open. */
+      readonly timeoutMs: number;
+    }
   | {
       readonly kind: 'peers.send';
       readonly snapshot: WorkSnapshot;
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -15,6 +15,7 @@
 import { ElapsedClock } from './elapsed-clock.js';
 import { ConnectionPools } from './endpoints/connection-pools.js';
 import { EndpointAttempt } from './endpoints/endpoint-attempt.js';
+import { probeEndpoint } from './endpoints/probe-endpoint.js';
 import { ReservationCalls } from './endpoints/reservation-calls.js';
 import { listControlGauges } from './metrics/control-gauges.js';
 import { listHarmGauges } from './metrics/harm-gauges.js';
@@ -356,6 +357,10 @@
       'caller.refuse': ({ requestId, refusal }) => this.takeExchange(requestId)?.refuse(refusal),
       'reservation.ask': (request) => this.reservationCalls.reserve(request),
       'reservation.release': (request) => this.reservationCalls.release(request),
+      'path.probe': ({ endpoint, timeoutMs }) =>
+        probeEndpoint(endpoint.address, timeoutMs, (outcome) =>
+          this.dispatch({ kind: 'path.probed', endpoint: endpoint.id, outcome }),
+        ),
       'peers.send': ({ snapshot, peers }) => this.peerSocket.send(snapshot, peers),
       'permit.request': ({ request, to }) =>
         this.peerSocket.sendMessage({ kind: 'permit.request', request }, to),
@@ -399,6 +404,7 @@
         linkBytesPerMs: this.settings.contract.linkBytesPerMs,
         limits: this.node.limitUsage,
         availability: this.node.availabilityUsage,
+        path: this.node.pathUsage,
         storeEras: this.era.raises,
         longestTimerDelayMs: this.runner.takeLongestTimerDelayMs(),
       }),
--- a/packages/entry/src/gateway/metrics/control-gauges.ts
+++ b/packages/entry/src/gateway/metrics/control-gauges.ts
@@ -1,4 +1,4 @@
-import type { AvailabilityUsage, LimitUsage } from '@savorywind/decisions';
+import type { AvailabilityUsage, LimitUsage, PathUsage } from '@savorywind/decisions';
 import type { Gauge } from '../../observe/render-metrics.js';
 import type { PeerTraffic } from '../peer-socket.js';
 
@@ -9,6 +9,7 @@
   readonly linkBytesPerMs: number;
   readonly limits: LimitUsage;
   readonly availability: AvailabilityUsage;
+  readonly path: PathUsage;
   /** How often the store has come back from an older copy of itself. */
   readonly storeEras: number;
   /** By how much a timer was late at most since the last reading, in milliseconds. */
@@ -56,6 +57,31 @@
   },
 ];
 
+const listPathGauges = ({ isLost, lostForMs, losses, probes }: PathUsage): Gauge[] => [
+  {
+    metric: 'savorywind_endpoint_path_lost',
+    help: 'Whether this VM can connect to no endpoint: 1 if so, else 0.',
+    value: Number(isLost),
+  },
+  {
+    metric: 'savorywind_endpoint_path_lost_seconds',
+    help: 'Time since this VM could last connect to an endpoint; 0 while it can.',
+    value: lostForMs / MS_PER_S,
+  },
+  {
+    metric: 'savorywind_endpoint_path_losses_total',
+    help: 'How often this VM could no longer connect to any endpoint.',
+    type: 'counter',
+    value: losses,
+  },
+  {
+    metric: 'savorywind_endpoint_probes_total',
+    help: 'Connections that this VM has opened, or tried to open, only to see whether there is a path.',
+    type: 'counter',
+    value: probes,
+  },
+];
+
 /**
  * Lists what shows whether control work delays requests: the traffic with peers beside the rate of the
  * link, the limits of endpoints, the eras of the store, and how long events wait for the process.
@@ -90,6 +116,7 @@
     value: load.limits.attempts,
   },
   ...listAvailabilityGauges(load.availability),
+  ...listPathGauges(load.path),
   {
     metric: 'savorywind_store_eras_total',
     help: 'How often the store has come back from an older copy of itself, as seen by this VM.',
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -116,4 +116,10 @@
     'info',
     'after an outage or a cut the tables of the store are read again; how old they were',
   ],
+  endpointPathLost: [
+    850,
+    'warn',
+    'no endpoint can be connected to: this VM, and not an endpoint, has lost its path',
+  ],
+  endpointPathRegained: [851, 'warn', 'endpoints can be connected to again'],
 });
