--- a/packages/decisions/src/gateway/endpoint-table.ts
+++ b/packages/decisions/src/gateway/endpoint-table.ts
@@ -165,11 +165,6 @@
     return [...this.endpoints.keys()];
   }
 
-  /** Lists the serving endpoints of all services. */
-  listAllServing(): GatewayEndpoint[] {
-    return [...this.endpoints.values()].filter(({ state }) => state === 'serving');
-  }
-
   listServing(service: ServiceId): GatewayEndpoint[] {
     return [...this.endpoints.values()].filter(
       (endpoint) => endpoint.service === service && endpoint.state === 'serving',
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -5,7 +5,7 @@
 import type { EndpointLimits } from './permits/endpoint-limits.js';
 import type { FleetLoadTracker, LocalWork } from './fleet-load-tracker.js';
 import type { GatewayContext } from './gateway-context.js';
-import type { EndpointPath } from './path/endpoint-path.js';
+import type { EndpointPaths } from './path/endpoint-paths.js';
 import type { MemoryReservation } from './memory-reservations.js';
 import { mayRerun, type GatewayAttempt, type GatewayRecord } from './request-record.js';
 import type { ConnectionChoice, PrefillHelper } from './types.js';
@@ -58,7 +58,7 @@
   readonly fleetLoad: FleetLoadTracker;
   readonly limits: EndpointLimits;
   readonly availability: EndpointAvailability;
-  readonly path: EndpointPath;
+  readonly paths: EndpointPaths;
   /** Called when an attempt starts, gets its first event or ends. */
   readonly onWorkChanged: () => void;
   readonly onStalled: (record: GatewayRecord, attempt: GatewayAttempt) => void;
@@ -93,7 +93,7 @@
     record.firstPlacedAtMs ??= this.options.context.nowMs;
     record.sends += 1;
     this.options.limits.recordAttempt(plan.endpoint.id);
-    this.options.path.recordAttempt();
+    this.options.paths.find(record.service.name).recordAttempt();
     const involved = [attempt.endpoint, ...attempt.helpers];
     this.options.availability.recordStart(attempt.attemptId, involved);
     this.records.set(attempt.attemptId, record);
@@ -129,7 +129,7 @@
     attempt.stallTimer?.cancel();
     attempt.work.forEach((work) => this.options.fleetLoad.removeLocalWork(work));
     this.options.availability.recordEnd(attempt.attemptId);
-    this.options.path.recordAttemptEnd();
+    this.options.paths.find(record.service.name).recordAttemptEnd();
     this.records.delete(attempt.attemptId);
     record.attempt = undefined;
     this.options.onWorkChanged();
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -30,7 +30,8 @@
 import { GatewayRequests } from './gateway-requests.js';
 import { measureRefused } from './measure-request.js';
 import { MemoryReservations } from './memory-reservations.js';
-import { EndpointPath, type PathUsage } from './path/endpoint-path.js';
+import type { PathUsage } from './path/endpoint-path.js';
+import { EndpointPaths } from './path/endpoint-paths.js';
 import { PermitCoordinator } from './permits/permit-coordinator.js';
 import { PermitHolder } from './permits/permit-holder.js';
 import { PermittedPlacement } from './permits/permitted-placement.js';
@@ -131,7 +132,7 @@
 
   private readonly availability: EndpointAvailability;
 
-  private readonly path: EndpointPath;
+  private readonly paths: EndpointPaths;
 
   private readonly coordinator: PermitCoordinator;
 
@@ -180,7 +181,7 @@
         this.snapshots.handleWorkChanged();
       },
     });
-    this.path = new EndpointPath({
+    this.paths = new EndpointPaths({
       context: this.context,
       table: this.table,
       onLost: () => {},
@@ -252,9 +253,9 @@
     return this.harmful.usage;
   }
 
-  /** What metrics show of the path to the endpoints. */
-  get pathUsage(): PathUsage {
-    return this.path.usage;
+  /** What metrics show of the paths to the endpoints of each service. */
+  get pathUsage(): PathUsage[] {
+    return this.paths.usage;
   }
 
   private createCoordinator(self: GatewayPeer): PermitCoordinator {
@@ -271,7 +272,7 @@
   private createRequests(self: GatewayPeer, callerWait: CallerWaitLimits): GatewayRequests {
     const { context, availability, health, limits, permits, fleetLoad, budget, reservations } =
       this;
-    const { harmful, path } = this;
+    const { harmful, paths } = this;
     const { failureDomain } = self;
     const reachability = new DomainReachability(fleetLoad.peers);
     const placementPolicy = new PlacementPolicy({
@@ -291,7 +292,7 @@
       harmful,
       limits,
       reachability,
-      path,
+      paths,
       fleetLoad,
       budget,
       placement: new PermittedPlacement({ context, placementPolicy, permits }),
@@ -367,7 +368,7 @@
       'attempt.flowChanged': ({ attemptId, flow }) => requests.handleFlow(attemptId, flow),
       'attempt.ended': ({ attemptId }) => requests.handleEnd(attemptId),
       'attempt.failed': (event) => requests.handleFailure(event),
-      'path.probed': ({ endpoint, outcome }) => this.path.handleProbed(endpoint, outcome),
+      'path.probed': ({ endpoint, outcome }) => this.paths.handleProbed(endpoint, outcome),
       'reservation.answered': ({ reservationId, outcome }) =>
         this.reservations.handleOutcome(reservationId, outcome),
     };
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -21,7 +21,7 @@
 import type { GatewayContext } from './gateway-context.js';
 import { measureRequest } from './measure-request.js';
 import type { MemoryReservations } from './memory-reservations.js';
-import type { EndpointPath } from './path/endpoint-path.js';
+import type { EndpointPaths } from './path/endpoint-paths.js';
 import type { PermittedPlacement } from './permits/permitted-placement.js';
 import { estimateMinFirstEventMs, type WaitDecision } from './placement-policy.js';
 import { mayRerun, type GatewayAttempt, type GatewayRecord } from './request-record.js';
@@ -56,7 +56,7 @@
   readonly harmful: HarmfulRequests;
   readonly limits: EndpointLimits;
   readonly reachability: DomainReachability;
-  readonly path: EndpointPath;
+  readonly paths: EndpointPaths;
   readonly fleetLoad: FleetLoadTracker;
   readonly placement: PermittedPlacement;
   readonly budget: FleetRetryBudget;
@@ -160,13 +160,13 @@
   private readonly stopDeadline = new StopDeadline();
 
   constructor(private readonly options: GatewayRequestsOptions) {
-    const { context, availability, fleetLoad, limits, path, onWorkChanged } = options;
+    const { context, availability, fleetLoad, limits, paths, onWorkChanged } = options;
     this.attempts = new GatewayAttempts({
       context,
       availability,
       fleetLoad,
       limits,
-      path,
+      paths,
       onWorkChanged,
       onStalled: (record, attempt) => this.handleStall(record, attempt),
     });
@@ -283,7 +283,7 @@
     const { id: failedId } = findFailedEndpoint(attempt, atFault);
     logFailure(context, record, { failed: failedId, failure, detail });
     if (CONNECTION_FAILURES.has(failure)) this.reportLoss(record, attempt);
-    if (failure === 'rejected') this.options.path.recordResponse();
+    if (failure === 'rejected') this.options.paths.find(record.service.name).recordResponse();
     if (failure === 'broken') this.options.harmful.recordLoss(record, attempt);
     this.attempts.detach(record);
     releaseReservations(record);
@@ -296,15 +296,15 @@
 
   /** Records that the endpoint's failure domain is reachable, because the endpoint sent data. */
   private reportResponse({ endpoint }: GatewayAttempt): void {
-    const { reachability, harmful, path, context } = this.options;
-    path.recordResponse();
+    const { reachability, harmful, paths, context } = this.options;
+    paths.find(endpoint.service).recordResponse();
     reachability.reportResponse(endpoint.failureDomain, context.nowMs);
     harmful.recordResponse(endpoint);
   }
 
   private reportLoss(record: GatewayRecord, { endpoint }: GatewayAttempt): void {
-    const { reachability, path, context } = this.options;
-    path.recordLoss();
+    const { reachability, paths, context } = this.options;
+    paths.find(endpoint.service).recordLoss();
     record.hasLostEndpoint = true;
     reachability.reportLoss(endpoint.failureDomain, endpoint.id, context.nowMs);
   }
--- a/packages/decisions/src/gateway/path/endpoint-path.ts
+++ b/packages/decisions/src/gateway/path/endpoint-path.ts
@@ -3,6 +3,7 @@
   type EndpointId,
   type GatewayEndpoint,
   type MonotonicMs,
+  type ServiceId,
 } from '@savorywind/model';
 import type { Timer } from '../../timers/timer-queue.js';
 import type { EndpointTable } from '../endpoint-table.js';
@@ -20,8 +21,9 @@
 } from './consts.js';
 import { ProbeRound, type ProbeOutcome } from './probe-round.js';
 
-/** What metrics show of the path to the endpoints. */
+/** What metrics show of the path to the endpoints of a service. */
 export interface PathUsage {
+  readonly service: ServiceId;
   readonly isLost: boolean;
   /** Time since the path was lost, in milliseconds; 0 while it is open. */
   readonly lostForMs: number;
@@ -34,6 +36,7 @@
 export interface EndpointPathOptions {
   readonly context: GatewayContext;
   readonly table: EndpointTable;
+  readonly service: ServiceId;
   /** Called when no endpoint can be connected to any more. */
   readonly onLost: () => void;
   /** Called when endpoints can be connected to again. */
@@ -41,9 +44,9 @@
 }
 
 /**
- * Tells a lost network path of this entry VM from endpoints that fail. One endpoint that refuses
- * connections, is silent or resets a stream says nothing of the others, so each such sign only starts a
- * round of probes: connections to a few endpoints of all failure domains. The path is lost when none of
+ * Tells a lost network path of this entry VM to the endpoints of a service from endpoints that fail. One
+ * endpoint that refuses connections, is silent or resets a stream says nothing of the others, so each such
+ * sign only starts a round of probes: connections to a few endpoints of all failure domains. The path is lost when none of
  * them connects. It is open again when rounds of probes succeed, more of them if it was lost repeatedly.
  *
  * Responses on open connections don't count: a firewall or a router that refuses new connections may
@@ -93,8 +96,9 @@
 
   get usage(): PathUsage {
     const { isLost, losses, probes } = this;
-    const { nowMs } = this.options.context;
-    return { isLost, lostForMs: nowMs - (this.lostAtMs ?? nowMs), losses, probes };
+    const { context, service } = this.options;
+    const { nowMs } = context;
+    return { service, isLost, lostForMs: nowMs - (this.lostAtMs ?? nowMs), losses, probes };
   }
 
   /** Records that a request was sent to an endpoint. */
@@ -130,7 +134,7 @@
   }
 
   private lose(failed: number): void {
-    const { context, onLost } = this.options;
+    const { context, service, onLost } = this.options;
     const isRepeated = context.nowMs - this.regainedAtMs < REPEATED_LOSS_MS;
     this.roundsToRegain = isRepeated
       ? Math.min(2 * this.roundsToRegain, MAX_ROUNDS_TO_REGAIN)
@@ -139,6 +143,7 @@
     this.successes = 0;
     this.losses += 1;
     context.log(logEvents.endpointPathLost, {
+      service,
       failed,
       openAttempts: this.openAttempts,
       silentMs: Math.round(context.nowMs - this.heardAtMs),
@@ -153,11 +158,11 @@
       this.armRoundTimer(LOST_ROUND_INTERVAL_MS);
       return;
     }
-    const { context, onRegained } = this.options;
+    const { context, service, onRegained } = this.options;
     const lostForMs = Math.round(this.usage.lostForMs);
     this.lostAtMs = undefined;
     this.regainedAtMs = context.nowMs;
-    context.log(logEvents.endpointPathRegained, { lostForMs });
+    context.log(logEvents.endpointPathRegained, { service, lostForMs });
     onRegained();
   }
 
@@ -195,9 +200,9 @@
 
   /** Picks endpoints at random, of as many failure domains as there are. */
   private pickEndpoints(): GatewayEndpoint[] {
-    const { context, table } = this.options;
+    const { context, table, service } = this.options;
     const shuffled = table
-      .listAllServing()
+      .listServing(service)
       .map((endpoint) => ({ endpoint, random: context.drawRandom() }))
       .sort((a, b) => a.random - b.random)
       .map(({ endpoint }) => endpoint);
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -404,7 +404,7 @@
         linkBytesPerMs: this.settings.contract.linkBytesPerMs,
         limits: this.node.limitUsage,
         availability: this.node.availabilityUsage,
-        path: this.node.pathUsage,
+        paths: this.node.pathUsage,
         storeEras: this.era.raises,
         longestTimerDelayMs: this.runner.takeLongestTimerDelayMs(),
       }),
--- a/packages/entry/src/gateway/metrics/control-gauges.ts
+++ b/packages/entry/src/gateway/metrics/control-gauges.ts
@@ -9,7 +9,7 @@
   readonly linkBytesPerMs: number;
   readonly limits: LimitUsage;
   readonly availability: AvailabilityUsage;
-  readonly path: PathUsage;
+  readonly paths: readonly PathUsage[];
   /** How often the store has come back from an older copy of itself. */
   readonly storeEras: number;
   /** By how much a timer was late at most since the last reading, in milliseconds. */
@@ -57,28 +57,31 @@
   },
 ];
 
-const listPathGauges = ({ isLost, lostForMs, losses, probes }: PathUsage): Gauge[] => [
+const sumUp = (paths: readonly PathUsage[], read: (usage: PathUsage) => number): number =>
+  paths.reduce((sum, usage) => sum + read(usage), 0);
+
+const listPathGauges = (paths: readonly PathUsage[]): Gauge[] => [
   {
-    metric: 'savorywind_endpoint_path_lost',
-    help: 'Whether this VM can connect to no endpoint: 1 if so, else 0.',
-    value: Number(isLost),
+    metric: 'savorywind_lost_endpoint_paths',
+    help: 'Services none of whose endpoints this VM can connect to.',
+    value: paths.filter(({ isLost }) => isLost).length,
   },
   {
     metric: 'savorywind_endpoint_path_lost_seconds',
-    help: 'Time since this VM could last connect to an endpoint; 0 while it can.',
-    value: lostForMs / MS_PER_S,
+    help: 'Time since this VM could last connect to an endpoint of a service: the longest of all services.',
+    value: Math.max(0, ...paths.map(({ lostForMs }) => lostForMs)) / MS_PER_S,
   },
   {
     metric: 'savorywind_endpoint_path_losses_total',
-    help: 'How often this VM could no longer connect to any endpoint.',
+    help: 'How often this VM could no longer connect to any endpoint of a service.',
     type: 'counter',
-    value: losses,
+    value: sumUp(paths, ({ losses }) => losses),
   },
   {
     metric: 'savorywind_endpoint_probes_total',
     help: 'Connections that this VM has opened, or tried to open, only to see whether there is a path.',
     type: 'counter',
-    value: probes,
+    value: sumUp(paths, ({ probes }) => probes),
   },
 ];
 
@@ -116,7 +119,7 @@
     value: load.limits.attempts,
   },
   ...listAvailabilityGauges(load.availability),
-  ...listPathGauges(load.path),
+  ...listPathGauges(load.paths),
   {
     metric: 'savorywind_store_eras_total',
     help: 'How often the store has come back from an older copy of itself, as seen by this VM.',
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -119,7 +119,7 @@
   endpointPathLost: [
     850,
     'warn',
-    'no endpoint can be connected to: this VM, and not an endpoint, has lost its path',
+    'no endpoint of a service can be connected to: this VM, and not an endpoint, has lost its path',
   ],
-  endpointPathRegained: [851, 'warn', 'endpoints can be connected to again'],
+  endpointPathRegained: [851, 'warn', 'endpoints of the service can be connected to again'],
 });
