--- a/packages/decisions/src/gateway/create-gateway-record.ts
+++ b/packages/decisions/src/gateway/create-gateway-record.ts
@@ -46,18 +46,23 @@
   nowMs: MonotonicMs,
   callerWait: CallerWaitLimits,
 ): GatewayRecord => {
+  const { forwardedFrom } = request;
   const waitMs = Math.min(request.waitsMs ?? DEFAULT_CALLER_WAIT_MS, route.timeoutMs);
+  const arrivedAtMs = nowMs - (forwardedFrom?.elapsedMs ?? 0);
+  const hasBegun = forwardedFrom?.hasBegun === true;
   const traits = service.engine;
   const prefillMs = traits === undefined ? 0 : estimatePrefillMs(traits, request.promptTokens);
   return {
     request,
-    route,
+    // The entry VM that forwards a request decides on its retries.
+    route: forwardedFrom === undefined ? route : { ...route, maxAttempts: 1 },
     service,
     team,
     priority: team?.priority ?? route.priority,
-    arrivedAtMs: nowMs,
-    deadlineMs: nowMs + waitMs,
-    firstEventDeadlineMs: nowMs + Math.min(waitMs, estimateEventWaitMs(route, callerWait)),
+    arrivedAtMs,
+    deadlineMs: arrivedAtMs + waitMs,
+    firstEventDeadlineMs:
+      arrivedAtMs + (hasBegun ? waitMs : Math.min(waitMs, estimateEventWaitMs(route, callerWait))),
     prefillMs,
     memoryTokens: request.promptTokens + request.maxOutputTokens,
     isLong: prefillMs > SHORT_PREFILL_GAP_FRACTION * (tightestGapMs ?? Number.POSITIVE_INFINITY),
@@ -69,7 +74,13 @@
     runs: 0,
     unsent: 0,
     attemptedEndpoints: new Set(),
-    failedEndpoints: new Set(),
+    failedEndpoints: new Set(forwardedFrom?.failedEndpoints),
+    forwardedFrom,
+    forwards: 0,
+    triedPeers: new Set(),
+    refusedPeers: new Set(),
+    peerRefusal: undefined,
+    isStalled: false,
     hasLostEndpoint: false,
     hasForwardedHead: false,
     isContinuable: true,
--- a/packages/decisions/src/gateway/create-refusal.ts
+++ b/packages/decisions/src/gateway/create-refusal.ts
@@ -23,6 +23,24 @@
   readonly jitter: number;
 }
 
+/** Describes what became of a request that a peer has forwarded. */
+const describeOutcome = ({
+  forwardedFrom,
+  runs,
+  sends,
+  unsent,
+  attemptedEndpoints,
+}: GatewayRecord): Pick<GatewayRefusal, 'forwarding'> =>
+  forwardedFrom === undefined
+    ? {}
+    : {
+        forwarding: {
+          hasRun: runs > 0,
+          hasArrived: sends > unsent,
+          endpoint: [...attemptedEndpoints].at(-1),
+        },
+      };
+
 /**
  * Creates the final response of a request that fails. It has a retry-after time only if the request
  * certainly has not run.
@@ -32,14 +50,24 @@
   reason: GatewayRefusalReason,
   { closedForMs, jitter }: RetryAfterOptions,
 ): GatewayRefusal => {
+  const forwarding = describeOutcome(record);
   if (record.runs > 0) {
-    return { reason: reason === 'timeout' ? 'timeout' : 'broken', retryAfterMs: undefined };
+    return {
+      reason: reason === 'timeout' ? 'timeout' : 'broken',
+      retryAfterMs: undefined,
+      ...forwarding,
+    };
+  }
+  // The peer knows better than this entry VM when to come back.
+  if (record.peerRefusal !== undefined) {
+    const { reason: peerReason, retryAfterMs } = record.peerRefusal;
+    return { reason: peerReason, retryAfterMs };
   }
   // It would be refused again.
-  if (reason === 'harmful') return { reason, retryAfterMs: undefined };
+  if (reason === 'harmful') return { reason, retryAfterMs: undefined, ...forwarding };
   const isFull = reason === 'noRoom' || reason === 'timeout';
   const baseMs = isFull ? CAPACITY_RETRY_AFTER_MS : RETRY_AFTER_MS;
   const spreadMs = Math.max(baseMs, CLOSED_SPREAD_FRACTION * closedForMs);
   const retryAfterMs = Math.max(baseMs, closedForMs) + spreadMs * jitter;
-  return { reason: isFull ? 'noRoom' : reason, retryAfterMs };
+  return { reason: isFull ? 'noRoom' : reason, retryAfterMs, ...forwarding };
 };
--- a/packages/decisions/src/gateway/event-times.ts
+++ b/packages/decisions/src/gateway/event-times.ts
@@ -1,7 +1,7 @@
 import { logEvents, type MonotonicMs } from '@savorywind/model';
 import type { GatewayContext } from './gateway-context.js';
 import { logPlacements } from './request-log.js';
-import type { EventTimes, GatewayRecord } from './request-record.js';
+import { describeTarget, type EventTimes, type GatewayRecord } from './request-record.js';
 
 /** Records that a stream's event was forwarded to the caller. */
 export const recordEvent = (times: EventTimes, nowMs: MonotonicMs): void => {
@@ -24,7 +24,7 @@
   logPlacements(context, record);
   context.log(logEvents.answerLate, {
     request: request.callerAttempt,
-    endpoint: attempt?.endpoint.id,
+    endpoint: attempt === undefined ? undefined : describeTarget(attempt),
     tookMs: Math.round(tookMs),
     longestGapMs: Math.round(times.longestGapMs),
     promptReadMs: Math.round(prefillMs),
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -1,4 +1,10 @@
-import type { EndpointId, GatewayEndpoint } from '@savorywind/model';
+import type {
+  EndpointId,
+  EntryVmId,
+  GatewayEndpoint,
+  GatewayPeer,
+  ServiceId,
+} from '@savorywind/model';
 import type { EndpointAvailability } from './availability/endpoint-availability.js';
 import { CONNECT_TIMEOUT_MS } from './consts.js';
 import type { PlacedHelper } from './placement-estimates.js';
@@ -7,7 +13,16 @@
 import type { GatewayContext } from './gateway-context.js';
 import type { EndpointPaths } from './path/endpoint-paths.js';
 import type { MemoryReservation } from './memory-reservations.js';
-import { mayRerun, type GatewayAttempt, type GatewayRecord } from './request-record.js';
+import { FORWARDED_STALL_MARGIN_MS } from './forwarding/consts.js';
+import type { RequestForwarder } from './forwarding/request-forwarder.js';
+import type { ForwardedFrom } from './forwarding/types.js';
+import {
+  mayRerun,
+  type EndpointAttempt,
+  type GatewayAttempt,
+  type GatewayRecord,
+  type PeerAttempt,
+} from './request-record.js';
 import type { ConnectionChoice, PrefillHelper } from './types.js';
 
 /**
@@ -55,10 +70,13 @@
 
 export interface GatewayAttemptsOptions {
   readonly context: GatewayContext;
+  /** Id of this entry VM. */
+  readonly self: EntryVmId;
   readonly fleetLoad: FleetLoadTracker;
   readonly limits: EndpointLimits;
   readonly availability: EndpointAvailability;
   readonly paths: EndpointPaths;
+  readonly forwarder: RequestForwarder;
   /** Called when an attempt starts, gets its first event or ends. */
   readonly onWorkChanged: () => void;
   readonly onStalled: (record: GatewayRecord, attempt: GatewayAttempt) => void;
@@ -79,7 +97,8 @@
   }
 
   start(record: GatewayRecord, plan: AttemptPlan): void {
-    const attempt: GatewayAttempt = {
+    const attempt: EndpointAttempt = {
+      target: 'endpoint',
       attemptId: this.options.context.createId(),
       endpoint: plan.endpoint,
       helpers: plan.helpers.map(({ endpoint }) => endpoint),
@@ -103,9 +122,41 @@
     this.options.onWorkChanged();
   }
 
+  /** Sends the request to a peer, which sends it to one endpoint. */
+  forward(record: GatewayRecord, peer: GatewayPeer, version: number): void {
+    const { context, forwarder } = this.options;
+    const attempt: PeerAttempt = {
+      target: 'peer',
+      attemptId: context.createId(),
+      peer,
+      startedAtMs: context.nowMs,
+      stallTimer: undefined,
+      head: undefined,
+      isPaused: false,
+    };
+    record.attempt = attempt;
+    record.firstPlacedAtMs ??= context.nowMs;
+    this.records.set(attempt.attemptId, record);
+    forwarder.recordStart(record, peer.id);
+    const timeoutMs = Math.max(1, Math.floor(record.deadlineMs - context.nowMs));
+    context.emit({
+      kind: 'attempt.forward',
+      attemptId: attempt.attemptId,
+      requestId: record.request.requestId,
+      peer,
+      forwardedFrom: this.describeForwarded(record, version),
+      connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, timeoutMs),
+      lastEventId: record.lastEventId,
+      connection: mayRerun(record) ? 'kept' : 'new',
+      delivery: record.route.kind === 'streaming' ? 'events' : 'whole',
+    });
+    const stallMs = this.estimateStallTimeoutMs(record, record.prefillMs);
+    this.armStallTimer(record, attempt, stallMs + FORWARDED_STALL_MARGIN_MS);
+  }
+
   /** Handles an event of the stream; the first one ends the prefill. */
   handleEvent(record: GatewayRecord, attempt: GatewayAttempt): void {
-    const [primary, ...helpers] = attempt.work;
+    const [primary, ...helpers] = attempt.target === 'endpoint' ? attempt.work : [];
     if (primary?.state === 'prefill') {
       primary.state = 'decode';
       // The helpers' prefill is finished; memory that they hold for the primary engine still
@@ -127,11 +178,15 @@
     const { attempt } = record;
     if (attempt === undefined) return;
     attempt.stallTimer?.cancel();
+    this.records.delete(attempt.attemptId);
+    record.attempt = undefined;
+    if (attempt.target === 'peer') {
+      this.options.forwarder.recordEnd(attempt.peer.id);
+      return;
+    }
     attempt.work.forEach((work) => this.options.fleetLoad.removeLocalWork(work));
     this.options.availability.recordEnd(attempt.attemptId);
     this.options.paths.find(record.service.name).recordAttemptEnd();
-    this.records.delete(attempt.attemptId);
-    record.attempt = undefined;
     this.options.onWorkChanged();
   }
 
@@ -145,13 +200,39 @@
   /** Withdraws the attempts that involve an endpoint, where their requests are not sent yet. */
   withdraw(endpoint: EndpointId): void {
     this.records.forEach(({ attempt }) => {
-      if (attempt === undefined || attempt.head !== undefined) return;
+      if (attempt?.target !== 'endpoint' || attempt.head !== undefined) return;
       const involved = [attempt.endpoint, ...attempt.helpers];
       if (!involved.some(({ id }) => id === endpoint)) return;
       this.options.context.emit({ kind: 'attempt.withdraw', attemptId: attempt.attemptId });
     });
   }
 
+  /** Withdraws all attempts at endpoints of a service, where their requests are not sent yet. */
+  withdrawAll(service: ServiceId): void {
+    this.listAt(service).forEach(({ attempt }) => {
+      if (attempt?.head !== undefined) return;
+      this.options.context.emit({ kind: 'attempt.withdraw', attemptId: attempt!.attemptId });
+    });
+  }
+
+  /** Lists the requests that are open at endpoints of a service. */
+  listAt(service: ServiceId): GatewayRecord[] {
+    return [...this.records.values()].filter(
+      (record) => record.service.name === service && record.attempt?.target === 'endpoint',
+    );
+  }
+
+  private describeForwarded(record: GatewayRecord, version: number): ForwardedFrom {
+    const { context, self } = this.options;
+    return {
+      by: self,
+      version,
+      elapsedMs: Math.max(0, Math.round(context.nowMs - record.arrivedAtMs)),
+      hasBegun: record.hasForwardedHead,
+      failedEndpoints: [...record.failedEndpoints],
+    };
+  }
+
   private finishPrefill(work: LocalWork): void {
     if (work.memoryTokens > 0) work.state = 'decode';
     else this.options.fleetLoad.removeLocalWork(work);
@@ -173,7 +254,7 @@
     return work;
   }
 
-  private emitStart(record: GatewayRecord, attempt: GatewayAttempt, plan: AttemptPlan): void {
+  private emitStart(record: GatewayRecord, attempt: EndpointAttempt, plan: AttemptPlan): void {
     const { request, route, team, reservations } = record;
     const { attemptId, endpoint } = attempt;
     const timeoutMs = Math.max(1, Math.floor(record.deadlineMs - this.options.context.nowMs));
@@ -215,11 +296,9 @@
 
   private armGapTimer(record: GatewayRecord, attempt: GatewayAttempt): void {
     const gapMs = record.route.maxEventGapMs ?? 0;
-    this.armStallTimer(
-      record,
-      attempt,
-      Math.max(MIN_STALL_TIMEOUT_MS, EVENT_STALL_GAP_MULTIPLE * gapMs),
-    );
+    const marginMs = attempt.target === 'peer' ? FORWARDED_STALL_MARGIN_MS : 0;
+    const stallMs = Math.max(MIN_STALL_TIMEOUT_MS, EVENT_STALL_GAP_MULTIPLE * gapMs);
+    this.armStallTimer(record, attempt, stallMs + marginMs);
   }
 
   private armStallTimer(record: GatewayRecord, attempt: GatewayAttempt, delayMs: number): void {
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -7,6 +7,7 @@
   type GatewayPeer,
   type MonotonicMs,
   type Route,
+  type ServiceId,
   type WorkSnapshot,
 } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
@@ -22,6 +23,9 @@
 import { HarmfulRequests } from './harm/harmful-requests.js';
 import type { HarmUsage } from './harm/types.js';
 import { EndpointHealth } from './endpoint-health.js';
+import { MAX_RECEIVED_REQUESTS } from './forwarding/consts.js';
+import { RequestForwarder } from './forwarding/request-forwarder.js';
+import type { ForwardedFrom, ForwardingOutcome, ForwardingUsage } from './forwarding/types.js';
 import { EndpointTable } from './endpoint-table.js';
 import { FleetLoadTracker } from './fleet-load-tracker.js';
 import { FleetRetryBudget, type FleetRetryBudgetOptions } from './fleet-retry-budget.js';
@@ -93,6 +97,9 @@
  */
 const RETENTION_FRACTION = 0.75;
 
+/** Outcome of a request that was refused before it was sent anywhere. */
+const NOT_SENT: ForwardingOutcome = { hasRun: false, hasArrived: false, endpoint: undefined };
+
 /** Time for which registrations that are missing after an outage are retained, in milliseconds. */
 const computeRetentionMs = ({ reregistrationMs, resyncMs }: GatewayContract): number =>
   Math.min(reregistrationMs, RETENTION_FRACTION * resyncMs);
@@ -148,6 +155,11 @@
 
   private readonly tableSources: TableSources;
 
+  private readonly forwarder: RequestForwarder;
+
+  /** Requests of peers that were received. */
+  private receivedForwards = 0;
+
   private readonly requests: GatewayRequests;
 
   private readonly handlers: EventHandlers;
@@ -184,8 +196,8 @@
     this.paths = new EndpointPaths({
       context: this.context,
       table: this.table,
-      onLost: () => {},
-      onRegained: () => {},
+      onLost: (service) => this.handlePathLost(service),
+      onRegained: (service) => this.handlePathRegained(service),
     });
     this.fleetLoad = new FleetLoadTracker(self, incarnation);
     this.budget = new FleetRetryBudget(createBudgetOptions(contract));
@@ -208,6 +220,10 @@
         harm: this.harmful.listObservations(frequency),
         configuration: this.proof.describeNewest(this.context.nowMs),
         storeAvailableMs: this.contact.describe(this.context.nowMs),
+        forwarding: {
+          isAccepting: this.closesAtMs === undefined,
+          lostServices: this.paths.listLost(),
+        },
       }),
       contract.linkBytesPerMs,
     );
@@ -216,6 +232,13 @@
       self,
       peers: this.fleetLoad.peers,
     });
+    this.forwarder = new RequestForwarder({
+      context: this.context,
+      peers: this.fleetLoad.peers,
+      paths: this.paths,
+      failureDomain: self.failureDomain,
+      readVersion: () => this.routeIndex?.version ?? 0,
+    });
     this.coordinator = this.createCoordinator(self);
     this.permits = this.createPermits(self);
     this.requests = this.createRequests(self, contract.callerWait);
@@ -258,6 +281,11 @@
     return this.paths.usage;
   }
 
+  /** What metrics show of requests that are forwarded between entry VMs. */
+  get forwardingUsage(): ForwardingUsage {
+    return { forwarded: this.forwarder.forwarded, received: this.receivedForwards };
+  }
+
   private createCoordinator(self: GatewayPeer): PermitCoordinator {
     const { context, table, limits, fleetLoad } = this;
     return new PermitCoordinator({ context, self, peers: fleetLoad.peers, table, limits });
@@ -272,7 +300,7 @@
   private createRequests(self: GatewayPeer, callerWait: CallerWaitLimits): GatewayRequests {
     const { context, availability, health, limits, permits, fleetLoad, budget, reservations } =
       this;
-    const { harmful, paths } = this;
+    const { harmful, paths, forwarder } = this;
     const { failureDomain } = self;
     const reachability = new DomainReachability(fleetLoad.peers);
     const placementPolicy = new PlacementPolicy({
@@ -293,6 +321,9 @@
       limits,
       reachability,
       paths,
+      forwarder,
+      self: self.id,
+      readVersion: () => this.routeIndex?.version ?? 0,
       fleetLoad,
       budget,
       placement: new PermittedPlacement({ context, placementPolicy, permits }),
@@ -338,7 +369,10 @@
       'store.eraRaised': (event) => this.handleEraRaised(event),
       'store.failed': (event) => this.handleStoreFailure(event),
       'peers.read': ({ peers }) => {
-        peers.forEach((peer) => this.fleetLoad.peers.add(peer, this.context.nowMs));
+        peers.forEach((peer) => {
+          this.fleetLoad.peers.add(peer, this.context.nowMs);
+          this.fleetLoad.peers.recordRegistered(peer);
+        });
         this.budget.setEntryVmCount(this.fleetLoad.entryVmCount);
         this.snapshots.handlePeersAdded();
         this.tableSources.start();
@@ -360,7 +394,8 @@
       'permit.answered': ({ answer }) => this.permits.handleAnswer(answer),
       'request.arrived': ({ request }) => this.handleRequest(request),
       'request.abandoned': ({ requestId }) => requests.abandon(requestId),
-      'attempt.limitReported': ({ attemptId, limit }) => requests.handleLimit(attemptId, limit),
+      'attempt.limitReported': ({ attemptId, limit, endpoint }) =>
+        requests.handleLimit(attemptId, limit, endpoint),
       'endpoint.noticeReported': ({ endpoint, notice }) =>
         this.availability.report(endpoint, notice),
       'attempt.headReceived': ({ attemptId, head }) => requests.handleHead(attemptId, head),
@@ -460,11 +495,34 @@
 
   private handleRequest(request: GatewayRequest): void {
     const resolved = this.resolve(request);
-    if (this.isClosed()) this.refuse(request, 'notReady');
+    const { forwardedFrom } = request;
+    const refusal = forwardedFrom === undefined ? undefined : this.checkForwarded(forwardedFrom);
+    if (refusal !== undefined) this.refuse(request, refusal);
+    else if (this.isClosed()) this.refuse(request, 'notReady');
     else if (typeof resolved === 'string') this.refuse(request, resolved);
     else this.requests.admit(request, resolved);
   }
 
+  /** Checks whether a request of a peer may be served here; the peer then looks for another one. */
+  private checkForwarded({ version }: ForwardedFrom): GatewayRefusalReason | undefined {
+    this.receivedForwards += 1;
+    if ((this.routeIndex?.version ?? 0) < version) return 'notReady';
+    return this.requests.inFlightOfPeers >= MAX_RECEIVED_REQUESTS ? 'noRoom' : undefined;
+  }
+
+  private handlePathLost(service: ServiceId): void {
+    // Peers that have registered since the last reading can be forwarded to as well.
+    this.context.emit({ kind: 'registration.renew' });
+    this.snapshots.handleWorkChanged();
+    this.requests.handlePathLost(service);
+  }
+
+  /** The endpoints were sound all the while. */
+  private handlePathRegained(service: ServiceId): void {
+    this.table.listServing(service).forEach(({ id }) => this.health.remove(id));
+    this.snapshots.handleWorkChanged();
+  }
+
   private resolve(request: GatewayRequest): ResolvedRoute | GatewayRefusalReason {
     const { routeIndex } = this;
     if (routeIndex === undefined || !this.table.isLoaded) return 'notReady';
@@ -492,13 +550,13 @@
 
   private refuse(request: GatewayRequest, reason: GatewayRefusalReason): void {
     const isFinal = reason === 'noRoute' || reason === 'wrongCredential';
-    const retryAfterMs = isFinal ? undefined : NOT_READY_RETRY_AFTER_MS;
+    const refusal = { reason, retryAfterMs: isFinal ? undefined : NOT_READY_RETRY_AFTER_MS };
     this.context.log(logEvents.requestTurnedAway, { request: request.callerAttempt, reason });
     this.context.emit({ kind: 'request.measured', measured: measureRefused(request, reason) });
     this.context.emit({
       kind: 'caller.refuse',
       requestId: request.requestId,
-      refusal: { reason, retryAfterMs },
+      refusal: request.forwardedFrom === undefined ? refusal : { ...refusal, forwarding: NOT_SENT },
     });
   }
 
@@ -538,6 +596,7 @@
     this.tableSources.stop();
     const noticeMs = Math.min(DRAIN_NOTICE_MS, timeLeftMs);
     this.closesAtMs = context.nowMs + noticeMs;
+    this.snapshots.handleWorkChanged();
     context.schedule(noticeMs, () => {
       context.emit({ kind: 'callers.close' });
       this.finishDrainIfIdle();
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -1,9 +1,11 @@
 import type {
   CallerWaitLimits,
   EndpointId,
+  EntryVmId,
   GatewayEndpoint,
   MonotonicMs,
   NetworkAddress,
+  ServiceId,
 } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
 import type { EndpointAvailability } from './availability/endpoint-availability.js';
@@ -11,6 +13,14 @@
 import { createGatewayRecord, type ResolvedRoute } from './create-gateway-record.js';
 import { createRefusal } from './create-refusal.js';
 import type { DomainReachability } from './domain-reachability.js';
+import { WITHDRAWAL_MS } from './forwarding/consts.js';
+import {
+  logForwarded,
+  logForwardedReceived,
+  logForwardingFailed,
+} from './forwarding/forwarding-log.js';
+import type { RequestForwarder } from './forwarding/request-forwarder.js';
+import type { PeerRefusal } from './forwarding/types.js';
 import type { HarmfulRequests } from './harm/harmful-requests.js';
 import type { EndpointLimits } from './permits/endpoint-limits.js';
 import type { EndpointHealth } from './endpoint-health.js';
@@ -24,7 +34,13 @@
 import type { EndpointPaths } from './path/endpoint-paths.js';
 import type { PermittedPlacement } from './permits/permitted-placement.js';
 import { estimateMinFirstEventMs, type WaitDecision } from './placement-policy.js';
-import { mayRerun, type GatewayAttempt, type GatewayRecord } from './request-record.js';
+import {
+  mayRerun,
+  type EndpointAttempt,
+  type GatewayAttempt,
+  type GatewayRecord,
+  type PeerAttempt,
+} from './request-record.js';
 import type {
   GatewayResponseHead,
   GatewayAttemptFailure,
@@ -57,6 +73,11 @@
   readonly limits: EndpointLimits;
   readonly reachability: DomainReachability;
   readonly paths: EndpointPaths;
+  readonly forwarder: RequestForwarder;
+  /** Id of this entry VM. */
+  readonly self: EntryVmId;
+  /** Returns the version of the configuration in force. */
+  readonly readVersion: () => number;
   readonly fleetLoad: FleetLoadTracker;
   readonly placement: PermittedPlacement;
   readonly budget: FleetRetryBudget;
@@ -111,7 +132,7 @@
  * Finds the endpoint that failed an attempt: the helper that the response names, else the endpoint.
  */
 const findFailedEndpoint = (
-  { endpoint, helpers }: GatewayAttempt,
+  { endpoint, helpers }: EndpointAttempt,
   atFault: NetworkAddress | undefined,
 ): GatewayEndpoint => {
   const named = helpers.find(
@@ -159,14 +180,19 @@
 
   private readonly stopDeadline = new StopDeadline();
 
+  private peerRequests = 0;
+
   constructor(private readonly options: GatewayRequestsOptions) {
-    const { context, availability, fleetLoad, limits, paths, onWorkChanged } = options;
+    const { context, self, availability, fleetLoad, limits, paths, forwarder } = options;
+    const { onWorkChanged } = options;
     this.attempts = new GatewayAttempts({
       context,
+      self,
       availability,
       fleetLoad,
       limits,
       paths,
+      forwarder,
       onWorkChanged,
       onStalled: (record, attempt) => this.handleStall(record, attempt),
     });
@@ -176,13 +202,24 @@
     return this.records.size;
   }
 
+  /** Requests of peers without a final response. */
+  get inFlightOfPeers(): number {
+    return this.peerRequests;
+  }
+
   admit(request: GatewayRequest, resolved: ResolvedRoute): void {
     const { context, callerWait } = this.options;
     const record = createGatewayRecord(request, resolved, context.nowMs, callerWait);
     const waitMs = record.deadlineMs - context.nowMs;
     record.deadlineTimer = context.schedule(waitMs, () => this.expire(request.requestId));
     this.records.set(request.requestId, record);
-    this.options.budget.recordRequest(record.service.name, context.nowMs);
+    if (record.forwardedFrom === undefined) {
+      this.options.budget.recordRequest(record.service.name, context.nowMs);
+    } else {
+      // The entry VM that forwards a request has counted it for the budget.
+      this.peerRequests += 1;
+      logForwardedReceived(context, record);
+    }
     this.place(record);
   }
 
@@ -190,6 +227,7 @@
     const record = this.records.get(requestId);
     if (record === undefined) return;
     logAbandoned(this.options.context, record);
+    this.reportAbandonedStall(record);
     this.attempts.cancel(record);
     this.close(record, 'abandoned');
   }
@@ -210,10 +248,29 @@
     open.forEach((record) => this.end(record, 'stopping'));
   }
 
-  handleLimit(attemptId: string, limit: RequestLimitReport): void {
+  handleLimit(attemptId: string, limit: RequestLimitReport, servedBy?: EndpointId): void {
     const attempt = this.attempts.find(attemptId)?.attempt;
     if (attempt === undefined) return;
-    this.options.limits.report(attempt.endpoint.id, limit, attempt.startedAtMs);
+    const endpoint = attempt.target === 'peer' ? servedBy : attempt.endpoint.id;
+    if (endpoint !== undefined) this.options.limits.report(endpoint, limit, attempt.startedAtMs);
+  }
+
+  /**
+   * Has requests that are on the way to endpoints of a service go to peers instead, as no endpoint can be
+   * connected to: those that are not sent yet, and those that wait for endpoints that are silent.
+   */
+  handlePathLost(service: ServiceId): void {
+    const { context, harmful, paths } = this.options;
+    harmful.discardLosses();
+    this.attempts.withdrawAll(service);
+    context.schedule(WITHDRAWAL_MS, () => {
+      if (!paths.find(service).isSilent) return;
+      this.attempts.listAt(service).forEach((record) => {
+        if (mayRerun(record) && record.attempt !== undefined)
+          this.handleStall(record, record.attempt);
+      });
+    });
+    this.placeQueued();
   }
 
   /** Takes back the requests that are on the way to an endpoint that takes no more, where possible. */
@@ -226,9 +283,7 @@
     const attempt = record?.attempt;
     if (record === undefined || attempt === undefined) return;
     attempt.head = head;
-    this.options.availability.recordResponse(attemptId);
-    this.options.health.reportResponse(attempt.endpoint.id);
-    this.reportResponse(attempt);
+    this.reportHead(attempt);
     if (!isForwardable(record, head)) {
       this.rejectResponse(record, attempt, head);
       return;
@@ -275,16 +330,26 @@
     this.close(record, isLate ? 'late' : 'served');
   }
 
-  handleFailure({ attemptId, failure, detail, atFault }: AttemptFailed): void {
-    const record = this.attempts.find(attemptId);
+  handleFailure(event: AttemptFailed): void {
+    const record = this.attempts.find(event.attemptId);
     const attempt = record?.attempt;
     if (record === undefined || attempt === undefined) return;
-    const { context, health } = this.options;
+    if (attempt.target === 'peer') this.handlePeerFailure(record, attempt, event);
+    else this.handleEndpointFailure(record, attempt, event);
+  }
+
+  private handleEndpointFailure(
+    record: GatewayRecord,
+    attempt: EndpointAttempt,
+    { failure, detail, atFault }: AttemptFailed,
+  ): void {
+    const { context, health, paths } = this.options;
+    const isPathLost = paths.isLost(record.service.name);
     const { id: failedId } = findFailedEndpoint(attempt, atFault);
     logFailure(context, record, { failed: failedId, failure, detail });
     if (CONNECTION_FAILURES.has(failure)) this.reportLoss(record, attempt);
     if (failure === 'rejected') this.options.paths.find(record.service.name).recordResponse();
-    if (failure === 'broken') this.options.harmful.recordLoss(record, attempt);
+    if (failure === 'broken' && !isPathLost) this.options.harmful.recordLoss(record, attempt);
     this.attempts.detach(record);
     releaseReservations(record);
     if (failure !== 'withdrawn') {
@@ -294,15 +359,60 @@
     this.retryOrFail(record, failure);
   }
 
+  /** Handles that a peer did not serve a request: another peer or endpoint may. */
+  private handlePeerFailure(
+    record: GatewayRecord,
+    { peer }: PeerAttempt,
+    { failure, detail, refusal }: AttemptFailed,
+  ): void {
+    const { context, forwarder } = this.options;
+    logForwardingFailed(context, record, { peer: peer.id, failure, detail, refusal });
+    this.attempts.detach(record);
+    if (refusal !== undefined) {
+      this.handlePeerRefusal(record, peer.id, refusal);
+    } else if (failure === 'notSent') {
+      forwarder.recordUnreachable(record, peer.id);
+      this.place(record);
+    } else {
+      // A lost response of a peer is as unknown as one of an endpoint.
+      this.retryOrFail(record, failure);
+    }
+  }
+
+  private handlePeerRefusal(record: GatewayRecord, peer: EntryVmId, refusal: PeerRefusal): void {
+    const { context, forwarder, budget } = this.options;
+    if (refusal.endpoint !== undefined) record.failedEndpoints.add(refusal.endpoint);
+    if (refusal.hasRun) {
+      this.retryOrFail(record, 'broken');
+      return;
+    }
+    record.refusedPeers.add(peer);
+    record.peerRefusal = refusal;
+    const mayRetryElsewhere =
+      forwarder.mayTryAnother(refusal) &&
+      (!refusal.hasArrived || budget.takeRetry(record.service.name, context.nowMs));
+    if (mayRetryElsewhere) this.place(record);
+    else this.fail(record, refusal.reason);
+  }
+
+  private reportHead(attempt: GatewayAttempt): void {
+    if (attempt.target === 'peer') return;
+    this.options.availability.recordResponse(attempt.attemptId);
+    this.options.health.reportResponse(attempt.endpoint.id);
+    this.reportResponse(attempt);
+  }
+
   /** Records that the endpoint's failure domain is reachable, because the endpoint sent data. */
-  private reportResponse({ endpoint }: GatewayAttempt): void {
+  private reportResponse(attempt: GatewayAttempt): void {
+    if (attempt.target === 'peer') return;
+    const { endpoint } = attempt;
     const { reachability, harmful, paths, context } = this.options;
     paths.find(endpoint.service).recordResponse();
     reachability.reportResponse(endpoint.failureDomain, context.nowMs);
     harmful.recordResponse(endpoint);
   }
 
-  private reportLoss(record: GatewayRecord, { endpoint }: GatewayAttempt): void {
+  private reportLoss(record: GatewayRecord, { endpoint }: EndpointAttempt): void {
     const { reachability, paths, context } = this.options;
     paths.find(endpoint.service).recordLoss();
     record.hasLostEndpoint = true;
@@ -312,23 +422,42 @@
   private handleStall(record: GatewayRecord, attempt: GatewayAttempt): void {
     if (record.attempt !== attempt) return;
     const { context, health, budget } = this.options;
+    record.isStalled = true;
     // The stalled endpoint may have executed the request.
     if (!mayRetry({ ...record, runs: record.runs + 1 })) return;
     // A stopping process leaves the silent endpoint the rest of the time if no other could answer in it.
     if (!this.mayStartBeforeStop(record)) return;
     if (!budget.takeRetry(record.service.name, context.nowMs)) return;
-    health.reportFailure(attempt.endpoint.id, context.nowMs);
-    this.reportLoss(record, attempt);
-    // Keep-alive connections to the endpoint may be dead.
-    context.emit({ kind: 'endpoint.forgotten', endpoint: attempt.endpoint.id });
+    if (attempt.target === 'endpoint') {
+      health.reportFailure(attempt.endpoint.id, context.nowMs);
+      this.reportLoss(record, attempt);
+      // Keep-alive connections to the endpoint may be dead.
+      context.emit({ kind: 'endpoint.forgotten', endpoint: attempt.endpoint.id });
+    }
     this.attempts.cancel(record);
     releaseReservations(record);
-    record.failedEndpoints.add(attempt.endpoint.id);
+    this.excludeTarget(record, attempt);
+    record.isStalled = false;
     record.runs += 1;
     logRetry(this.options.context, record, 'silent');
     this.place(record);
   }
 
+  /** Has the request go to another endpoint, if there is one. */
+  // eslint-disable-next-line class-methods-use-this
+  private excludeTarget(record: GatewayRecord, attempt: GatewayAttempt): void {
+    const failed = attempt.target === 'peer' ? attempt.head?.servedBy : attempt.endpoint.id;
+    if (failed !== undefined) record.failedEndpoints.add(failed);
+  }
+
+  /** Records a silent endpoint whose request the peer that forwarded it has taken back. */
+  private reportAbandonedStall({ isStalled, attempt, forwardedFrom }: GatewayRecord): void {
+    if (!isStalled || forwardedFrom === undefined || attempt?.target !== 'endpoint') return;
+    const { context, health } = this.options;
+    health.reportFailure(attempt.endpoint.id, context.nowMs);
+    context.emit({ kind: 'endpoint.forgotten', endpoint: attempt.endpoint.id });
+  }
+
   private place(record: GatewayRecord): void {
     const { context, placement } = this.options;
     this.removeFromQueue(record);
@@ -347,6 +476,7 @@
       this.fail(record, 'stopping');
       return;
     }
+    if (this.forwardOrFail(record)) return;
     const latestMs = endMs - minFirstEventMs;
     const queued = this.queue.count(record.service.name);
     const decision = placement.decide(record, latestMs, queued);
@@ -368,6 +498,26 @@
     }
   }
 
+  /**
+   * Forwards a request that this entry VM can send to no endpoint. Without a peer that takes it, it is
+   * refused at once if all endpoints have failed lately.
+   *
+   * @returns whether the request was forwarded or refused
+   */
+  private forwardOrFail(record: GatewayRecord): boolean {
+    const { context, forwarder, paths, placement, readVersion } = this.options;
+    const target = forwarder.pick(record);
+    if (target !== undefined) {
+      logForwarded(context, record, target.peer.id);
+      this.attempts.forward(record, target.peer, readVersion());
+      return true;
+    }
+    const mayTryDirectly = record.forwardedFrom === undefined && placement.hasHealthy(record);
+    const isHopeless = paths.isLost(record.service.name) && !mayTryDirectly;
+    if (isHopeless) this.fail(record, 'noEndpoint');
+    return isHopeless;
+  }
+
   /** Whether a stopping process may still let a request wait. */
   private mayWait(record: GatewayRecord, { permitMs, lateStartMs }: WaitDecision): boolean {
     const startMs = Math.max(this.options.context.nowMs, permitMs ?? 0, lateStartMs ?? 0);
@@ -444,11 +594,11 @@
   /** Discards a response that can't be forwarded, and runs the request elsewhere if it may. */
   private rejectResponse(
     record: GatewayRecord,
-    { endpoint }: GatewayAttempt,
+    attempt: GatewayAttempt,
     head: GatewayResponseHead,
   ): void {
     logUnforwardable(this.options.context, record, head);
-    record.failedEndpoints.add(endpoint.id);
+    this.excludeTarget(record, attempt);
     this.attempts.cancel(record);
     this.retryOrFail(record, 'invalid');
   }
@@ -464,6 +614,7 @@
       kind: 'caller.relay',
       requestId,
       attemptId: attempt.attemptId,
+      endpoint: attempt.target === 'endpoint' ? attempt.endpoint : undefined,
     });
   }
 
@@ -481,7 +632,7 @@
     // The endpoint's own answer is better than a refusal because all endpoints are closed.
     if (availability.findOpeningMs(record.service.name) !== undefined) return false;
     if (!budget.takeRetry(record.service.name, context.nowMs)) return false;
-    record.failedEndpoints.add(record.attempt.endpoint.id);
+    this.excludeTarget(record, record.attempt);
     return true;
   }
 
@@ -549,8 +700,13 @@
     this.attempts.detach(record);
     releaseReservations(record);
     this.records.delete(record.request.requestId);
-    const measured = measureRequest(record, outcome, context.nowMs);
-    context.emit({ kind: 'request.measured', measured });
+    // A forwarded request is measured where its caller is.
+    if (record.forwardedFrom !== undefined) {
+      this.peerRequests -= 1;
+    } else {
+      const measured = measureRequest(record, outcome, context.nowMs);
+      context.emit({ kind: 'request.measured', measured });
+    }
     if (this.records.size === 0) this.options.onIdle();
   }
 }
--- a/packages/decisions/src/gateway/harm/harmful-requests.ts
+++ b/packages/decisions/src/gateway/harm/harmful-requests.ts
@@ -7,7 +7,7 @@
 import { hashText, rankOwners } from '../../membership/rendezvous.js';
 import type { GatewayContext } from '../gateway-context.js';
 import type { PeerTable, SnapshotFrequency } from '../peer-table.js';
-import type { GatewayAttempt, GatewayRecord } from '../request-record.js';
+import type { EndpointAttempt, GatewayRecord } from '../request-record.js';
 import type { EndpointProcess } from '../types.js';
 import { addCrashTo } from './add-crash-to.js';
 import { BegunHistory } from './begun-history.js';
@@ -96,7 +96,7 @@
    * Records that the connection of an attempt broke before its answer had begun. It counts as a crash unless
    * the engine sends something afterwards.
    */
-  recordLoss(record: GatewayRecord, { endpoint, startedAtMs }: GatewayAttempt): void {
+  recordLoss(record: GatewayRecord, { endpoint, startedAtMs }: EndpointAttempt): void {
     if (record.hasForwardedHead) return;
     const { context } = this.options;
     const lostAtMs = context.nowMs;
@@ -121,6 +121,11 @@
     });
   }
 
+  /** Discards the losses that are not confirmed yet: this entry VM has lost its path, and no engine failed. */
+  discardLosses(): void {
+    this.lossesMs.clear();
+  }
+
   /**
    * Whether a request may be sent to an engine. Takes the trial of a blocked suspect if it is this entry VM's
    * turn.
--- a/packages/decisions/src/gateway/path/endpoint-path.ts
+++ b/packages/decisions/src/gateway/path/endpoint-path.ts
@@ -94,6 +94,12 @@
     return this.lostAtMs !== undefined;
   }
 
+  /** Whether attempts are open and no endpoint has sent anything for a while. */
+  get isSilent(): boolean {
+    const silentMs = this.options.context.nowMs - this.heardAtMs;
+    return this.openAttempts > 0 && silentMs >= SILENCE_MS;
+  }
+
   get usage(): PathUsage {
     const { isLost, losses, probes } = this;
     const { context, service } = this.options;
--- a/packages/decisions/src/gateway/peer-table.ts
+++ b/packages/decisions/src/gateway/peer-table.ts
@@ -2,9 +2,11 @@
   EngineWork,
   EntryVmId,
   FailureDomainId,
+  ForwardingOffer,
   GatewayPeer,
   MonotonicMs,
   NetworkAddress,
+  ServiceId,
   WorkSnapshot,
 } from '@savorywind/model';
 import {
@@ -34,6 +36,11 @@
   /** When the last snapshot was sent to it. */
   sentAtMs: MonotonicMs;
   work: readonly EngineWork[];
+  /** Whether the store has shown its registration, as nobody else can forge that. */
+  isRegistered: boolean;
+  forwarding: ForwardingOffer | undefined;
+  /** Version of the configuration that it has told last. */
+  configurationVersion: number | undefined;
 }
 
 /**
@@ -75,6 +82,9 @@
       receivedAtMs: undefined,
       sentAtMs: Number.NEGATIVE_INFINITY,
       work: [],
+      isRegistered: false,
+      forwarding: undefined,
+      configurationVersion: undefined,
     });
     const domain = this.domains.get(peer.failureDomain) ?? { count: 0, receivedAtMs: undefined };
     domain.count += 1;
@@ -94,6 +104,8 @@
     state.sequence = snapshot.sequence;
     state.receivedAtMs = nowMs;
     state.work = snapshot.work;
+    state.forwarding = snapshot.forwarding;
+    state.configurationVersion = snapshot.configuration?.version;
     state.answersPermits = snapshot.limits !== undefined;
     this.domains.get(state.peer.failureDomain)!.receivedAtMs = nowMs;
     return true;
@@ -105,6 +117,28 @@
     return state?.receivedAtMs !== undefined && state.incarnation >= incarnation;
   }
 
+  /** Records that the store holds the registration of a peer. */
+  recordRegistered({ id, address }: GatewayPeer): void {
+    const state = this.peers.get(id);
+    if (state === undefined) return;
+    state.isRegistered =
+      state.peer.address.host === address.host && state.peer.address.port === address.port;
+  }
+
+  /**
+   * Lists the peers that accept requests of a service from other entry VMs, can connect to its endpoints
+   * and know a version of the configuration. Only registered ones get what callers have sent.
+   */
+  listForwardingTargets(service: ServiceId, version: number, nowMs: MonotonicMs): PeerState[] {
+    return this.listActive(nowMs).filter(
+      ({ isRegistered, forwarding, configurationVersion = version }) =>
+        isRegistered &&
+        forwarding?.isAccepting === true &&
+        !forwarding.lostServices.includes(service) &&
+        configurationVersion >= version,
+    );
+  }
+
   /** Lists the peers whose last snapshot is recent enough to be counted. */
   listActive(nowMs: MonotonicMs): PeerState[] {
     return [...this.peers.values()].filter((state) => this.isActive(state, nowMs));
--- a/packages/decisions/src/gateway/permits/permitted-placement.ts
+++ b/packages/decisions/src/gateway/permits/permitted-placement.ts
@@ -39,6 +39,11 @@
     return hasPermit || needsPermit ? placementPolicy.decide(record) : decision;
   }
 
+  /** Whether an endpoint may get the request that has not failed lately. */
+  hasHealthy(record: GatewayRecord): boolean {
+    return this.options.placementPolicy.hasHealthy(record);
+  }
+
   /** Uses up the permit for the endpoint of an attempt; its helpers need none. */
   usePermit({ endpoint }: AttemptPlan): void {
     this.options.permits.use(endpoint.id);
--- a/packages/decisions/src/gateway/placement-policy.ts
+++ b/packages/decisions/src/gateway/placement-policy.ts
@@ -194,6 +194,12 @@
     return this.decideAmong(record, candidates);
   }
 
+  /** Whether an endpoint may get the request that has not failed lately. */
+  hasHealthy(record: GatewayRecord): boolean {
+    const { health, context } = this.options;
+    return this.listAvailable(record).some(({ id }) => !health.isEjected(id, context.nowMs));
+  }
+
   /**
    * Lists the endpoints that may get the request once a permit for them is held, those of the own failure
    * domain first and otherwise in random order.
--- a/packages/decisions/src/gateway/request-log.ts
+++ b/packages/decisions/src/gateway/request-log.ts
@@ -1,6 +1,6 @@
 import { logEvents } from '@savorywind/model';
 import type { GatewayContext } from './gateway-context.js';
-import type { GatewayAttempt, GatewayRecord } from './request-record.js';
+import { describeTarget, type GatewayAttempt, type GatewayRecord } from './request-record.js';
 import type { GatewayAttemptFailure, GatewayRefusalReason, GatewayResponseHead } from './types.js';
 
 /** Most parts of a prompt that one log line names. */
@@ -34,7 +34,7 @@
   logPlacements(context, record);
   context.log(logEvents.attemptFailed, {
     request: request.callerAttempt,
-    endpoint: attempt?.endpoint.id,
+    endpoint: attempt === undefined ? undefined : describeTarget(attempt),
     ...failureFields,
     sends,
     hasEvents: times.firstAtMs !== undefined,
@@ -51,7 +51,7 @@
   record: GatewayRecord,
   status: number,
 ): void => {
-  const failed = record.attempt?.endpoint.id ?? '';
+  const failed = record.attempt === undefined ? '' : describeTarget(record.attempt);
   logFailure(context, record, { failed, failure: 'serverError', detail: `status ${status}` });
 };
 
@@ -61,7 +61,7 @@
   record: GatewayRecord,
   { status, content, hasReceipt }: GatewayResponseHead,
 ): void => {
-  const failed = record.attempt?.endpoint.id ?? '';
+  const failed = record.attempt === undefined ? '' : describeTarget(record.attempt);
   const receipt = hasReceipt ? '' : ', no receipt';
   const detail = `status ${status}, content ${content}${receipt}, can't be forwarded`;
   logFailure(context, record, { failed, failure: 'invalid', detail });
@@ -85,7 +85,7 @@
   logPlacements(context, record);
   context.log(logEvents.callerLeft, {
     request: request.callerAttempt,
-    endpoint: attempt?.endpoint.id,
+    endpoint: attempt === undefined ? undefined : describeTarget(attempt),
     waitedMs: Math.round(context.nowMs - arrivedAtMs),
     limitMs: Math.round(deadlineMs - arrivedAtMs),
     promptReadMs: Math.round(prefillMs),
@@ -113,11 +113,11 @@
 export const logContinued = (
   context: GatewayContext,
   { request, lastEventId }: GatewayRecord,
-  { endpoint }: GatewayAttempt,
+  attempt: GatewayAttempt,
 ): void =>
   context.log(logEvents.responseContinued, {
     request: request.callerAttempt,
-    endpoint: endpoint.id,
+    endpoint: describeTarget(attempt),
     lastEventId,
   });
 
@@ -129,7 +129,7 @@
   if (attempt?.head?.isDelimited !== false) return;
   context.log(logEvents.responseEndedByClose, {
     request: request.callerAttempt,
-    endpoint: attempt.endpoint.id,
+    endpoint: describeTarget(attempt),
   });
 };
 
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -1,7 +1,9 @@
 import type {
   AttemptId,
   EndpointId,
+  EntryVmId,
   GatewayEndpoint,
+  GatewayPeer,
   GatewayTeam,
   LogFields,
   MonotonicMs,
@@ -9,18 +11,14 @@
   RoutedService,
 } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
+import type { ForwardedFrom, PeerRefusal } from './forwarding/types.js';
 import type { ReservationSet } from './memory-reservations.js';
 import type { LocalWork } from './fleet-load-tracker.js';
 import type { GatewayRequest, GatewayResponseHead } from './types.js';
 
-/** One attempt to have a request served by an endpoint. */
-export interface GatewayAttempt {
+/** State that each attempt has. */
+interface AttemptState {
   readonly attemptId: AttemptId;
-  readonly endpoint: GatewayEndpoint;
-  /** Engines that prefill a part of the prompt. */
-  readonly helpers: readonly GatewayEndpoint[];
-  /** Work of the attempt on the endpoint, and after it on the helpers. */
-  readonly work: readonly LocalWork[];
   readonly startedAtMs: MonotonicMs;
   stallTimer: Timer | undefined;
   /** Head of the response; undefined until it has arrived. */
@@ -29,6 +27,28 @@
   isPaused: boolean;
 }
 
+/** One attempt to have a request served by an endpoint. */
+export interface EndpointAttempt extends AttemptState {
+  readonly target: 'endpoint';
+  readonly endpoint: GatewayEndpoint;
+  /** Engines that prefill a part of the prompt. */
+  readonly helpers: readonly GatewayEndpoint[];
+  /** Work of the attempt on the endpoint, and after it on the helpers. */
+  readonly work: readonly LocalWork[];
+}
+
+/** One attempt to have a request served through a peer. */
+export interface PeerAttempt extends AttemptState {
+  readonly target: 'peer';
+  readonly peer: GatewayPeer;
+}
+
+export type GatewayAttempt = EndpointAttempt | PeerAttempt;
+
+/** Names the endpoint or the peer to which an attempt was sent. */
+export const describeTarget = (attempt: GatewayAttempt): string =>
+  attempt.target === 'peer' ? attempt.peer.id : attempt.endpoint.id;
+
 /** When events of a stream were forwarded to the caller. */
 export interface EventTimes {
   firstAtMs: MonotonicMs | undefined;
@@ -78,6 +98,17 @@
   readonly attemptedEndpoints: Set<EndpointId>;
   /** Endpoints that failed this request; they get it again only if there is no other. */
   readonly failedEndpoints: Set<EndpointId>;
+  /** Undefined if the request came from a caller itself. */
+  readonly forwardedFrom: ForwardedFrom | undefined;
+  /** How often it was forwarded to a peer. */
+  forwards: number;
+  readonly triedPeers: Set<EntryVmId>;
+  /** Peers that did not take it. */
+  readonly refusedPeers: Set<EntryVmId>;
+  /** The last refusal of a peer. */
+  peerRefusal: PeerRefusal | undefined;
+  /** Whether its endpoint is silent for too long, and only the peer that forwarded it may retry it. */
+  isStalled: boolean;
   /** Whether the connection to an endpoint of this request was lost, or the endpoint stalled. */
   hasLostEndpoint: boolean;
   /** Whether the head of a response was forwarded to the caller. */
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -17,6 +17,7 @@
   Route,
   WorkSnapshot,
 } from '@savorywind/model';
+import type { ForwardedFrom, ForwardingOutcome, PeerRefusal } from './forwarding/types.js';
 import type { ProbeOutcome } from './path/probe-round.js';
 import type { TableSource } from './table-reads/table-sources.js';
 
@@ -48,6 +49,8 @@
    * part is the request's own and is missing.
    */
   readonly sharedParts: readonly string[];
+  /** Undefined if it came from a caller itself. */
+  readonly forwardedFrom?: ForwardedFrom | undefined;
 }
 
 /** How an attempt ended without a response that can be forwarded. */
@@ -76,6 +79,8 @@
   readonly content: 'events' | 'whole';
   /** Whether the response says where its body ends, so that it does not end with its connection. */
   readonly isDelimited: boolean;
+  /** The endpoint that sent the response; undefined if the attempt was sent to it directly. */
+  readonly servedBy?: EndpointId | undefined;
 }
 
 /**
@@ -167,6 +172,8 @@
   | {
       readonly kind: 'attempt.limitReported';
       readonly attemptId: AttemptId;
+      /** The endpoint that named it, if the attempt was forwarded to a peer. */
+      readonly endpoint?: EndpointId | undefined;
       readonly limit: RequestLimitReport;
     }
   /** A response of the endpoint carries a notice; comes before what the response means for its request. */
@@ -201,6 +208,8 @@
       readonly detail: string;
       /** Address of the endpoint that failed, helpers included, if the response names it. */
       readonly atFault?: NetworkAddress | undefined;
+      /** What the peer says to which the request was forwarded. */
+      readonly refusal?: PeerRefusal | undefined;
     }
   /** A probe of the path to the endpoints has ended. */
   | {
@@ -249,6 +258,8 @@
   readonly reason: GatewayRefusalReason;
   /** Undefined if a retry does not help, or may execute the request twice. */
   readonly retryAfterMs: number | undefined;
+  /** What became of the request if a peer has forwarded it. */
+  readonly forwarding?: ForwardingOutcome | undefined;
 }
 
 /** How a request ended, for metrics. */
@@ -305,6 +316,20 @@
       /** `whole`: the response is buffered until it is complete. */
       readonly delivery: 'whole' | 'events';
     }
+  /** Sends the request to a peer, which sends it to one endpoint. */
+  | {
+      readonly kind: 'attempt.forward';
+      readonly attemptId: AttemptId;
+      readonly requestId: RequestId;
+      readonly peer: GatewayPeer;
+      readonly forwardedFrom: ForwardedFrom;
+      /** Time within which the connection must be open. */
+      readonly connectTimeoutMs: number;
+      /** Id of the last event that was forwarded; replaces the caller's. */
+      readonly lastEventId: string | undefined;
+      readonly connection: ConnectionChoice;
+      readonly delivery: 'whole' | 'events';
+    }
   | { readonly kind: 'attempt.cancel'; readonly attemptId: AttemptId }
   /** Fails the attempt as `withdrawn` if no byte of the request has left this process. */
   | { readonly kind: 'attempt.withdraw'; readonly attemptId: AttemptId }
@@ -313,6 +338,8 @@
       readonly kind: 'caller.relay';
       readonly requestId: RequestId;
       readonly attemptId: AttemptId;
+      /** The endpoint that sent the response; undefined if a peer has passed it on. */
+      readonly endpoint: EndpointProcess | undefined;
     }
   /** Ends a response that was forwarded completely. */
   | { readonly kind: 'caller.finish'; readonly requestId: RequestId }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -30,6 +30,12 @@
 export { estimateDatagramBytes } from './gateway/snapshot-sender.js';
 export type { AvailabilityUsage } from './gateway/availability/endpoint-availability.js';
 export type { BlockedUsage, HarmUsage } from './gateway/harm/types.js';
+export type {
+  ForwardedFrom,
+  ForwardingOutcome,
+  ForwardingUsage,
+  PeerRefusal,
+} from './gateway/forwarding/types.js';
 export type { PathUsage } from './gateway/path/endpoint-path.js';
 export type { ProbeOutcome } from './gateway/path/probe-round.js';
 export type { LimitUsage } from './gateway/permits/endpoint-limits.js';
--- a/packages/entry/src/gateway/callers/caller-exchange.ts
+++ b/packages/entry/src/gateway/callers/caller-exchange.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { GatewayRefusal } from '@savorywind/decisions';
+import type { EndpointProcess, GatewayRefusal } from '@savorywind/decisions';
+import { isForwardingHeader } from '../peers/forwarding-headers.js';
 import type { RequestMetadata } from '../types.js';
 import { listEndToEndHeaders } from './end-to-end-headers.js';
 import { REFUSAL_STATUS } from './refusal-statuses.js';
@@ -75,7 +76,8 @@
   sendHead(response: IncomingMessage, contentLength: number | undefined): void {
     const { outgoing } = this;
     if (outgoing.headersSent || outgoing.destroyed) return;
-    const headers = listEndToEndHeaders(response.rawHeaders, () => true);
+    const headers = listEndToEndHeaders(response.rawHeaders, (name) => !isForwardingHeader(name));
+    headers.push(...this.listServedHeaders());
     if (contentLength !== undefined) headers.push('Content-Length', String(contentLength));
     outgoing.sendDate = false;
     outgoing.writeHead(response.statusCode ?? 0, headers as never);
@@ -116,7 +118,8 @@
   }
 
   /** Sends an error response that the gateway creates itself. */
-  refuse({ reason, retryAfterMs }: GatewayRefusal): void {
+  refuse(refusal: GatewayRefusal): void {
+    const { reason, retryAfterMs } = refusal;
     const { outgoing } = this;
     if (outgoing.destroyed) return;
     const body = JSON.stringify({ reason });
@@ -124,11 +127,28 @@
       'Content-Type': 'application/json',
       'Content-Length': String(Buffer.byteLength(body)),
     };
+    Object.assign(headers, this.listRefusalHeaders(refusal));
     if (retryAfterMs !== undefined) headers['Retry-After'] = (retryAfterMs / MS_PER_S).toFixed(3);
     outgoing.writeHead(REFUSAL_STATUS[reason], headers);
     outgoing.end(body);
   }
 
+  /** Records which endpoint sends the response; undefined if a peer passes it on. */
+  // eslint-disable-next-line class-methods-use-this
+  recordEndpoint(_endpoint: EndpointProcess | undefined): void {}
+
+  /** Lists headers that this entry VM adds to the response of an endpoint. */
+  // eslint-disable-next-line class-methods-use-this
+  protected listServedHeaders(): string[] {
+    return [];
+  }
+
+  /** Lists headers that describe a refusal besides its status. */
+  // eslint-disable-next-line class-methods-use-this
+  protected listRefusalHeaders(_refusal: GatewayRefusal): Record<string, string> {
+    return {};
+  }
+
   private hasBody(): boolean {
     const { headers } = this.incoming;
     return (
--- a/packages/entry/src/gateway/callers/request-server.ts
+++ b/packages/entry/src/gateway/callers/request-server.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import type { CallerLimits, NetworkAddress } from '@savorywind/model';
 import { BodyBudget } from '../../callers/body-budget.js';
 import type { GatewayWire, RequestMetadata } from '../types.js';
@@ -39,6 +40,9 @@
 /** Memory for the bodies of all requests together: a quarter of the smallest VM's 250 MB. */
 const MAX_BUFFERED_BODY_BYTES = 64_000_000;
 
+/** Creates the memory budget for the bodies of all requests of an entry VM. */
+export const createBodyBudget = (): BodyBudget => new BodyBudget(MAX_BUFFERED_BODY_BYTES);
+
 /** Callers take 408 and 503 as a guarantee that the request has not run. */
 const BODY_FAILURE_STATUS: Readonly<Record<BodyFailure, number>> = {
   tooLarge: 413,
@@ -46,6 +50,7 @@
   noRoom: 503,
 };
 
+const HTTP_FORBIDDEN = 403;
 const HTTP_HEADERS_TOO_LARGE = 431;
 const HTTP_UNAVAILABLE = 503;
 
@@ -64,9 +69,28 @@
 const BAD_REQUEST_RESPONSE =
   'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 
+/** Creates the exchange of a request whose body was read. */
+export type CreateExchange = (
+  requestId: string,
+  received: ReceivedRequest,
+  incoming: IncomingMessage,
+  outgoing: ServerResponse,
+) => CallerExchange;
+
 export interface RequestServerOptions {
   readonly address: NetworkAddress;
   readonly wire: GatewayWire;
+  /** Memory for the bodies of all requests, which several servers may share. */
+  readonly bodyBudget?: BodyBudget;
+  /** Begins the ids of its requests, so that those of several servers differ. */
+  readonly idPrefix?: string;
+  /** Size by which heads may exceed the limit of callers, in bytes. */
+  readonly extraHeadBytes?: number;
+  /** Whether a request is read; others are refused with 403. All are read if this is missing. */
+  readonly isAllowed?: (incoming: IncomingMessage) => boolean;
+  readonly createExchange?: CreateExchange;
+  /** Called when a peer opens a connection for another protocol. */
+  readonly onUpgrade?: (incoming: IncomingMessage, socket: Duplex, head: Buffer) => void;
   /** Called with the complete request, its path without the query, and its Host header. */
   readonly onRequestReceived: (exchange: CallerExchange, path: string, host: string) => void;
   /** Called when a caller's connection closes before its response was sent completely. */
@@ -96,7 +120,7 @@
 
   private nextRequestNumber = 1;
 
-  private readonly bodyBudget = new BodyBudget(MAX_BUFFERED_BODY_BYTES);
+  private readonly bodyBudget: BodyBudget;
 
   /** Responses that are not yet handed to the operating system completely. */
   private readonly openResponses = new Set<ServerResponse>();
@@ -114,6 +138,7 @@
   private onResponsesWritten: (() => void) | undefined;
 
   constructor(private readonly options: RequestServerOptions) {
+    this.bodyBudget = options.bodyBudget ?? createBodyBudget();
     this.server = createServer(
       {
         maxHeaderSize: MAX_PARSED_HEAD_BYTES,
@@ -129,6 +154,7 @@
     this.server.on('connection', (socket) => {
       socket.on('close', () => this.closeQueuedResponses(socket));
     });
+    if (options.onUpgrade !== undefined) this.server.on('upgrade', options.onUpgrade);
     this.server.on('clientError', (_error, socket) => this.handleParseError(socket as Socket));
   }
 
@@ -201,7 +227,12 @@
     if (this.isStopping) outgoing.shouldKeepAlive = false;
     this.openResponses.add(outgoing);
     outgoing.on('close', () => this.removeResponse(outgoing));
-    if (countHeadBytes(incoming.rawHeaders) > this.limits.maxHeaderBytes) {
+    const { isAllowed, extraHeadBytes = 0 } = this.options;
+    if (isAllowed?.(incoming) === false) {
+      this.refuse(incoming, outgoing, HTTP_FORBIDDEN);
+      return;
+    }
+    if (countHeadBytes(incoming.rawHeaders) > this.limits.maxHeaderBytes + extraHeadBytes) {
       this.refuse(incoming, outgoing, HTTP_HEADERS_TOO_LARGE);
       return;
     }
@@ -288,9 +319,12 @@
     received: ReceivedRequest,
   ): void {
     const { onRequestReceived, onDisconnected } = this.options;
-    const requestId = String(this.nextRequestNumber);
+    const { idPrefix = '', createExchange } = this.options;
+    const requestId = `${idPrefix}${this.nextRequestNumber}`;
     this.nextRequestNumber += 1;
-    const exchange = new CallerExchange(requestId, received, incoming, outgoing);
+    const exchange =
+      createExchange?.(requestId, received, incoming, outgoing) ??
+      new CallerExchange(requestId, received, incoming, outgoing);
     outgoing.on('error', () => {});
     outgoing.on('close', () => {
       if (!outgoing.writableFinished) onDisconnected(requestId);
--- a/packages/entry/src/gateway/compact-snapshot.ts
+++ b/packages/entry/src/gateway/compact-snapshot.ts
@@ -1,5 +1,6 @@
 import type {
   EngineWork,
+  ForwardingOffer,
   HarmObservation,
   LeavingObservation,
   LimitObservation,
@@ -11,8 +12,9 @@
  * host and port of the sender, incarnation, sequence, the work, {@link VALUES_PER_ENGINE} values an
  * engine, the limits of endpoints, {@link VALUES_PER_LIMIT} values each, and the version
  * and age of the configuration, and if there are any the endpoints that leave,
- * {@link VALUES_PER_LEAVING} values each, the suspects, {@link VALUES_PER_SUSPECT} values each, and for how
- * long the store has answered. Earlier builds send and read only the first elements.
+ * {@link VALUES_PER_LEAVING} values each, the suspects, {@link VALUES_PER_SUSPECT} values each, for how
+ * long the store has answered, and whether requests of peers are accepted, with the services whose endpoints
+ * can't be connected to. Earlier builds send and read only the first elements.
  */
 export type CompactSnapshot = readonly [
   version: number,
@@ -26,7 +28,7 @@
   limits: readonly (string | number)[],
   configurationVersion: number | undefined,
   configurationAgeMs: number | undefined,
-  /** Endpoints that leave, suspects, and contact with the store: as many as the last one that is not empty. */
+  /** Endpoints that leave, suspects, contact with the store, requests of peers: as many as the last one that is not empty. */
   ...optional: (readonly unknown[])[],
 ];
 
@@ -71,12 +73,21 @@
   ]),
 ];
 
+const listForwardingValues = (offer: ForwardingOffer | undefined): unknown[] =>
+  offer === undefined ? [] : [offer.isAccepting, ...offer.lostServices];
+
 /** Lists the elements at the end that are left out where there is nothing to tell. */
-const listOptional = ({ leaving = [], harm = [], storeAvailableMs }: WorkSnapshot): unknown[][] => {
+const listOptional = ({
+  leaving = [],
+  harm = [],
+  storeAvailableMs,
+  forwarding,
+}: WorkSnapshot): unknown[][] => {
   const elements: unknown[][] = [
     leaving.flatMap(listLeavingValues),
     harm.flatMap(listSuspectValues),
     storeAvailableMs === undefined ? [] : [storeAvailableMs],
+    listForwardingValues(forwarding),
   ];
   while (elements.at(-1)?.length === 0) elements.pop();
   return elements;
@@ -191,6 +202,9 @@
 const decodeConfiguration = ([version, ageMs]: readonly unknown[]): unknown =>
   version === undefined ? undefined : { version, ageMs };
 
+const decodeForwarding = ([isAccepting, ...lostServices]: readonly unknown[]): unknown =>
+  isAccepting === undefined ? undefined : { isAccepting, lostServices };
+
 /**
  * Converts a received array to the fields of a snapshot, which the caller checks.
  *
@@ -212,6 +226,7 @@
     leaving,
     harm,
     storeContact,
+    forwarding,
   ] = datagram;
   if (version !== COMPACT_VERSION || !Array.isArray(work)) return undefined;
   const from = { id, failureDomain, address: { host, port } };
@@ -225,5 +240,6 @@
     leaving: Array.isArray(leaving) ? decodeLeaving(leaving) : undefined,
     harm: Array.isArray(harm) ? decodeHarm(harm) : undefined,
     storeAvailableMs: Array.isArray(storeContact) ? (storeContact[0] as unknown) : undefined,
+    forwarding: Array.isArray(forwarding) ? decodeForwarding(forwarding) : undefined,
   };
 };
--- a/packages/entry/src/gateway/endpoints/connection-pools.ts
+++ b/packages/entry/src/gateway/endpoints/connection-pools.ts
@@ -19,14 +19,19 @@
 const idleSinceMs = new WeakMap<Socket, number>();
 
 /**
- * Pools of keep-alive connections, one per endpoint id. A new endpoint at a known address starts
- * with an empty pool.
+ * Pools of keep-alive connections, one per id of an endpoint or a peer. A new endpoint at a known address
+ * starts with an empty pool.
  */
 export class ConnectionPools {
   private readonly agents = new Map<EndpointId, Agent>();
 
   /** Opens a connection for each request and closes it after the response. */
-  private readonly newConnections = new ProbingAgent({ keepAlive: false });
+  private readonly newConnections: ProbingAgent;
+
+  /** @param localAddress address from which connections are opened; the system picks it if it is missing */
+  constructor(private readonly localAddress?: string) {
+    this.newConnections = new ProbingAgent({ keepAlive: false, localAddress });
+  }
 
   /**
    * Returns the pool of an endpoint, which is created if it does not exist yet. For `new` connections,
@@ -62,6 +67,7 @@
   private createAgent(endpoint: EndpointId): Agent {
     const agent = new ProbingAgent({
       keepAlive: true,
+      localAddress: this.localAddress,
       maxFreeSockets: MAX_IDLE_CONNECTIONS,
       scheduling: 'lifo',
       timeout: IDLE_TIMEOUT_MS,
--- /dev/null
+++ b/packages/entry/src/gateway/endpoints/outgoing-attempt.ts
@@ -0,0 +1,172 @@
+import { request, type ClientRequest, type IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+import type { GatewayAttemptFailure, GatewayEvent } from '@savorywind/decisions';
+import type { CallerExchange } from '../callers/caller-exchange.js';
+import type { DispatchGatewayEvent, AttemptForward, AttemptStart } from '../types.js';
+import type { AttemptTarget, ResponseRejection } from './attempt-target.js';
+import { ResponseRelay } from './response-relay.js';
+import { dropBody } from './drop-body.js';
+import { FramingLimit } from './framing-limit.js';
+
+const HTTP_OK = 200;
+const EVENT_STREAM_TYPE = 'text/event-stream';
+
+export interface OutgoingAttemptOptions {
+  readonly start: Pick<
+    AttemptStart | AttemptForward,
+    'attemptId' | 'connectTimeoutMs' | 'delivery' | 'lastEventId'
+  >;
+  readonly target: AttemptTarget;
+  readonly exchange: CallerExchange;
+  readonly dispatch: DispatchGatewayEvent;
+}
+
+type FailureDetails = Pick<
+  Extract<GatewayEvent, { readonly kind: 'attempt.failed' }>,
+  'atFault' | 'refusal'
+>;
+
+/**
+ * One attempt to have a request served by an endpoint or through a peer, from connecting to the end of the
+ * response.
+ */
+export class OutgoingAttempt {
+  private readonly outgoing: ClientRequest;
+
+  /** Whether bytes of the request may have been sent. */
+  private mayHaveSent = false;
+
+  private connectTimer: NodeJS.Timeout | undefined;
+
+  private relay: ResponseRelay | undefined;
+
+  private framing: FramingLimit | undefined;
+
+  private isEnded = false;
+
+  constructor(private readonly options: OutgoingAttemptOptions) {
+    this.outgoing = this.createRequest();
+    this.outgoing.on('socket', (socket) => this.handleSocket(socket));
+    this.outgoing.on('response', (response) => this.handleResponse(response));
+    this.outgoing.on('error', (error: NodeJS.ErrnoException) => this.handleError(error));
+    this.outgoing.on('close', () => this.framing?.stop());
+    // Without this listener, Node closes the connection and reports nothing.
+    this.outgoing.on('upgrade', () => this.failResponse('invalid', 'endpoint switched protocols'));
+    this.outgoing.end(options.exchange.body.length > 0 ? options.exchange.body : undefined);
+  }
+
+  /** Forwards the response to the caller, from its head on. */
+  startForwarding(): void {
+    this.relay?.startForwarding();
+  }
+
+  /** Fails the attempt unless bytes of the request may have been sent. */
+  withdraw(): void {
+    if (this.mayHaveSent) return;
+    this.fail('withdrawn', 'requests are no longer sent there');
+    this.outgoing.destroy();
+  }
+
+  /** Closes the connection. No further events are dispatched. */
+  cancel(): void {
+    this.isEnded = true;
+    clearTimeout(this.connectTimer);
+    this.relay?.cancel();
+    this.outgoing.destroy();
+  }
+
+  private createRequest(): ClientRequest {
+    const { exchange, target } = this.options;
+    return request({
+      host: target.address.host,
+      port: target.address.port,
+      method: exchange.method,
+      path: exchange.url,
+      headers: target.headers,
+      agent: target.agent,
+      setHost: false,
+    });
+  }
+
+  private handleSocket(socket: Socket): void {
+    this.framing = new FramingLimit(socket, (detail) => this.failResponse('invalid', detail));
+    if (!socket.connecting) {
+      this.mayHaveSent = true;
+      return;
+    }
+    const { connectTimeoutMs } = this.options.start;
+    this.connectTimer = setTimeout(() => {
+      this.fail('notSent', 'connect timeout exceeded');
+      this.outgoing.destroy();
+    }, connectTimeoutMs);
+    socket.once('connect', () => {
+      clearTimeout(this.connectTimer);
+      this.mayHaveSent = true;
+    });
+  }
+
+  private handleResponse(response: IncomingMessage): void {
+    const { target, exchange, start, dispatch } = this.options;
+    this.framing?.attach(response);
+    const read = target.readResponse(response, this.outgoing.reusedSocket);
+    if (read.kind === 'mismatch') {
+      this.drop(response, 'invalid', read.detail);
+      return;
+    }
+    if (!this.isEnded) read.notices.forEach((notice) => dispatch(notice));
+    if (read.kind === 'rejection') {
+      this.handleRejection(response, read);
+      return;
+    }
+    const type = response.headers['content-type'] ?? '';
+    const deliversEvents =
+      start.delivery === 'events' &&
+      response.statusCode === HTTP_OK &&
+      type.startsWith(EVENT_STREAM_TYPE);
+    const { attemptId, lastEventId } = start;
+    const { metadata } = read;
+    this.relay = new ResponseRelay(
+      { attemptId, response, metadata, exchange, dispatch, lastEventId },
+      deliversEvents,
+    );
+  }
+
+  /** Fails the attempt. The connection is reused if the body ends soon. */
+  private handleRejection(
+    response: IncomingMessage,
+    { failure, detail, atFault, refusal }: ResponseRejection,
+  ): void {
+    dropBody(response);
+    this.fail(failure, detail, { atFault, refusal });
+  }
+
+  private drop(response: IncomingMessage, failure: GatewayAttemptFailure, detail: string): void {
+    response.on('error', () => {});
+    response.destroy();
+    this.fail(failure, detail);
+  }
+
+  private handleError(error: NodeJS.ErrnoException): void {
+    clearTimeout(this.connectTimer);
+    const isParseError = error.code?.startsWith('HPE_') === true;
+    if (!this.mayHaveSent) this.fail('notSent', error.message);
+    // Without this report, a response without a length would look complete after a reset.
+    else if (this.relay?.isComplete !== true)
+      this.failResponse(isParseError ? 'invalid' : 'broken', error.message);
+  }
+
+  /** Closes the connection, also if the attempt has already failed. */
+  private failResponse(failure: 'broken' | 'invalid', detail: string): void {
+    if (this.relay !== undefined) this.relay.fail(failure, detail);
+    else this.fail(failure, detail);
+    this.outgoing.destroy();
+  }
+
+  private fail(failure: GatewayAttemptFailure, detail: string, details?: FailureDetails): void {
+    if (this.isEnded) return;
+    this.isEnded = true;
+    clearTimeout(this.connectTimer);
+    const { attemptId } = this.options.start;
+    this.options.dispatch({ kind: 'attempt.failed', attemptId, failure, detail, ...details });
+  }
+}
--- a/packages/entry/src/gateway/endpoints/reservation-calls.ts
+++ b/packages/entry/src/gateway/endpoints/reservation-calls.ts
@@ -5,7 +5,7 @@
   ReservationRequest,
 } from '../types.js';
 import type { ConnectionPools } from './connection-pools.js';
-import { reportNotice } from './report-notice.js';
+import { listNotices } from './list-notices.js';
 
 export interface ReservationCallsOptions {
   readonly reservations: EngineReservations;
@@ -21,7 +21,7 @@
     const { reservations, pools, dispatch } = this.options;
     const { reservationId, endpoint } = request;
     reservations.reserve(request, pools.find(endpoint.id, 'kept')).then(({ outcome, notice }) => {
-      reportNotice(endpoint, notice, dispatch);
+      listNotices(endpoint, notice).forEach((event) => dispatch(event));
       dispatch({ kind: 'reservation.answered', reservationId, outcome });
     });
   }
@@ -31,6 +31,6 @@
     const { endpoint } = request;
     reservations
       .release(request, pools.find(endpoint.id, 'kept'))
-      .then((notice) => reportNotice(endpoint, notice, dispatch));
+      .then((notice) => listNotices(endpoint, notice).forEach((event) => dispatch(event)));
   }
 }
--- a/packages/entry/src/gateway/endpoints/response-relay.ts
+++ b/packages/entry/src/gateway/endpoints/response-relay.ts
@@ -148,9 +148,10 @@
     if (this.isHeadReported || this.isEnded) return;
     this.isHeadReported = true;
     const { attemptId, dispatch, metadata, response } = this.options;
-    const { status, hasReceipt } = metadata;
+    const { status, hasReceipt, servedBy } = metadata;
     const content = this.splitter === undefined ? 'whole' : 'events';
-    const head = { status, hasReceipt, content, isDelimited: hasDelimitedBody(response) } as const;
+    const isDelimited = hasDelimitedBody(response);
+    const head = { status, hasReceipt, content, isDelimited, servedBy } as const;
     dispatch({ kind: 'attempt.headReceived', attemptId, head });
   }
 
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -3,6 +3,7 @@
   GatewayNode,
   type GatewayEffect,
   type GatewayEvent,
+  type EndpointProcess,
   type TableSource,
 } from '@savorywind/decisions';
 import { logEvents, type GatewayEndpoint, type LogEvent, type LogFields } from '@savorywind/model';
@@ -11,10 +12,16 @@
 import { listProcessGauges } from '../observe/process-gauges.js';
 import { StateMachineRunner, type EffectHandlersOf } from '../runtime/state-machine-runner.js';
 import type { CallerExchange } from './callers/caller-exchange.js';
-import { RequestServer } from './callers/request-server.js';
+import {
+  createBodyBudget,
+  RequestServer,
+  type RequestServerOptions,
+} from './callers/request-server.js';
 import { ElapsedClock } from './elapsed-clock.js';
 import { ConnectionPools } from './endpoints/connection-pools.js';
-import { EndpointAttempt } from './endpoints/endpoint-attempt.js';
+import type { AttemptTarget } from './endpoints/attempt-target.js';
+import { createEndpointTarget } from './endpoints/endpoint-target.js';
+import { OutgoingAttempt } from './endpoints/outgoing-attempt.js';
 import { probeEndpoint } from './endpoints/probe-endpoint.js';
 import { ReservationCalls } from './endpoints/reservation-calls.js';
 import { listControlGauges } from './metrics/control-gauges.js';
@@ -25,12 +32,15 @@
 import type { PermitMessage } from './permit-messages.js';
 import { PeerSocket } from './peer-socket.js';
 import { ReadinessServer } from './readiness-server.js';
+import { ForwardedExchange } from './peers/forwarded-exchange.js';
+import { createPeerServer } from './peers/peer-server.js';
+import { createPeerTarget } from './peers/peer-target.js';
 import { PeerRegistration } from './store/peer-registration.js';
 import { StoreEra } from './store/store-era.js';
 import { StoreTables } from './store/store-tables.js';
 import type { TableUpdate } from './store/table-watcher.js';
 import type { TableRow } from './store/types.js';
-import type { GatewayAdapter, GatewaySettings } from './types.js';
+import type { AttemptForward, AttemptStart, GatewayAdapter, GatewaySettings } from './types.js';
 
 /** Open requests are ended this long before the platform kills the process, in milliseconds. */
 const STOP_MARGIN_MS = 400;
@@ -38,6 +48,9 @@
 /** Least time for the last responses to be written before connections close, in milliseconds. */
 const FINAL_WRITES_MS = 100;
 
+/** Least time between two readings of the registrations because of an unknown sender, in milliseconds. */
+const STRANGER_INTERVAL_MS = 1_000;
+
 /**
  * One running gateway. Passes events from sockets, the store and peers to `GatewayNode`, which makes
  * all decisions, and carries out the effects that it returns.
@@ -51,22 +64,32 @@
 
   private readonly requestServer: RequestServer;
 
+  /** Serves requests that peers forward. */
+  private readonly peerServer: RequestServer;
+
   private readonly readinessServer: ReadinessServer;
 
   private readonly peerSocket: PeerSocket;
 
   private readonly pools = new ConnectionPools();
 
+  private readonly peerPools: ConnectionPools;
+
   private readonly reservationCalls: ReservationCalls;
 
   private readonly exchanges = new Map<string, CallerExchange>();
 
-  private readonly attempts = new Map<string, EndpointAttempt>();
+  private readonly attempts = new Map<string, OutgoingAttempt>();
 
   private readonly era = new StoreEra((previousEra, era) => this.handleEraRaised(previousEra, era));
 
   private readonly registration: PeerRegistration;
 
+  /** Addresses of the entry VMs that the store holds. */
+  private peerHosts: ReadonlySet<string> = new Set();
+
+  private strangerSeenAtMs = Number.NEGATIVE_INFINITY;
+
   private readonly storeTables: StoreTables;
 
   private readonly logSink = createStdoutSink();
@@ -99,6 +122,7 @@
     private readonly onStopped: () => void,
   ) {
     const { self, contract } = settings;
+    this.peerPools = new ConnectionPools(self.address.host);
     this.stopGraceMs = contract.stopGraceMs;
     const incarnation = Date.now();
     const { wire } = adapter;
@@ -110,12 +134,19 @@
       pools: this.pools,
       dispatch: (event) => this.dispatch(event),
     });
-    this.requestServer = new RequestServer({
-      address: settings.callers,
+    const requestOptions: Omit<RequestServerOptions, 'address'> = {
       wire,
+      bodyBudget: createBodyBudget(),
       onRequestReceived: (exchange, path, host) => this.openExchange(exchange, path, host),
       onDisconnected: (requestId) => this.abandonExchange(requestId),
       onUnreadRefused: (request) => this.logger.write(logEvents.unreadRequestRefused, { request }),
+    };
+    this.requestServer = new RequestServer({ ...requestOptions, address: settings.callers });
+    this.peerServer = createPeerServer({
+      requestOptions: { ...requestOptions, address: self.address },
+      isPeer: (host) => this.peerHosts.has(host),
+      onStrangerRefused: (host, detail) => this.handleStranger(host, detail),
+      onUpgrade: (incoming, socket, head) => this.storeTables.handleUpgrade(incoming, socket, head),
     });
     this.readinessServer = new ReadinessServer(settings.readiness, wire.readinessPath);
     this.peerSocket = new PeerSocket({
@@ -131,7 +162,10 @@
       tables: adapter.tables,
       rows: adapter.rows,
       self,
-      onRead: (peers) => this.dispatch({ kind: 'peers.read', peers }),
+      onRead: (peers) => {
+        this.peerHosts = new Set(peers.map(({ address }) => address.host));
+        this.dispatch({ kind: 'peers.read', peers });
+      },
     });
     this.storeTables = this.createStoreTables();
   }
@@ -139,6 +173,7 @@
   async start(): Promise<void> {
     await Promise.all([
       this.requestServer.start(),
+      this.peerServer.start(),
       this.readinessServer.start(),
       this.peerSocket.start(),
     ]);
@@ -164,7 +199,7 @@
     if (this.isDraining) return;
     this.isDraining = true;
     this.readinessServer.setReady(false);
-    this.requestServer.stopKeepAlive();
+    this.servers.forEach((server) => server.stopKeepAlive());
     const timeLeftMs = Math.max(0, this.stopGraceMs - STOP_MARGIN_MS);
     this.closesAtMs = performance.now() + timeLeftMs + FINAL_WRITES_MS;
     this.dispatch({ kind: 'drainRequested', timeLeftMs });
@@ -176,7 +211,7 @@
     this.isStopped = true;
     this.storeTables.stop();
     this.registration.stop();
-    this.requestServer.stop();
+    this.servers.forEach((server) => server.stop());
     this.close();
   }
 
@@ -204,18 +239,16 @@
 
   private createStoreTables(): StoreTables {
     const { rows, tables } = this.adapter;
-    const { self, contract } = this.settings;
+    const { contract } = this.settings;
     return new StoreTables({
       tables,
       names: { configuration: rows.configurationTable, endpoints: rows.endpointTable },
-      address: self.address,
       timings: computeReadTimings(contract),
       era: this.era,
       readClockMs: () => this.clock.readMs(),
       onConfigurationUpdated: (update) => this.handleConfigurationUpdate(update),
       onEndpointsUpdated: (update) => this.handleEndpointUpdate(update),
       dispatch: (event) => this.dispatch(event),
-      onServerFailed: (detail) => this.logger.write(logEvents.peerUnreadable, { detail }),
     });
   }
 
@@ -306,9 +339,10 @@
       return;
     }
     this.exchanges.set(requestId, exchange);
+    const forwardedFrom = exchange instanceof ForwardedExchange ? exchange.forwarded : undefined;
     this.dispatch({
       kind: 'request.arrived',
-      request: { requestId, host, path, fingerprint, ...metadata },
+      request: { requestId, host, path, fingerprint, ...metadata, forwardedFrom },
     });
   }
 
@@ -323,35 +357,67 @@
     return exchange;
   }
 
-  private startAttempt(start: Extract<GatewayEffect, { kind: 'attempt.start' }>): void {
+  private startAttempt(start: AttemptStart): void {
+    const { wire } = this.adapter;
+    this.openAttempt(start, (exchange) =>
+      createEndpointTarget({ start, exchange, pools: this.pools, wire }),
+    );
+  }
+
+  private forwardAttempt(forward: AttemptForward): void {
+    const { wire } = this.adapter;
+    this.openAttempt(forward, (exchange) =>
+      createPeerTarget({ forward, exchange, pools: this.peerPools, wire }),
+    );
+  }
+
+  private openAttempt(
+    start: AttemptStart | AttemptForward,
+    createTarget: (exchange: CallerExchange) => AttemptTarget,
+  ): void {
     const exchange = this.exchanges.get(start.requestId);
     if (exchange === undefined) return;
-    const { wire } = this.adapter;
     const dispatchAttempt = (event: GatewayEvent): void => {
       if (event.kind === 'attempt.ended' || event.kind === 'attempt.failed') {
         this.attempts.delete(start.attemptId);
       }
       this.dispatch(event);
     };
-    const attempt = new EndpointAttempt({
-      start,
-      exchange,
-      pools: this.pools,
-      wire,
-      dispatch: dispatchAttempt,
-    });
+    const target = createTarget(exchange);
+    const attempt = new OutgoingAttempt({ start, target, exchange, dispatch: dispatchAttempt });
     this.attempts.set(start.attemptId, attempt);
   }
 
+  private relay(requestId: string, attemptId: string, endpoint: EndpointProcess | undefined): void {
+    this.exchanges.get(requestId)?.recordEndpoint(endpoint);
+    this.attempts.get(attemptId)?.startForwarding();
+  }
+
+  /** Refuses a sender that is not known; an entry VM that has just registered is known the next time. */
+  private handleStranger(host: string, detail: string): void {
+    this.logger.write(logEvents.strangerRefused, { host, detail });
+    const nowMs = performance.now();
+    if (nowMs - this.strangerSeenAtMs < STRANGER_INTERVAL_MS) return;
+    this.strangerSeenAtMs = nowMs;
+    this.registration.renew();
+  }
+
+  /** The servers of callers and of peers. */
+  private get servers(): readonly RequestServer[] {
+    return [this.requestServer, this.peerServer];
+  }
+
   private createHandlers(): EffectHandlersOf<GatewayEffect> {
     return {
       'attempt.start': (effect) => this.startAttempt(effect),
+      'attempt.forward': (effect) => this.forwardAttempt(effect),
       'attempt.cancel': ({ attemptId }) => {
         this.attempts.get(attemptId)?.cancel();
         this.attempts.delete(attemptId);
       },
       'attempt.withdraw': ({ attemptId }) => this.attempts.get(attemptId)?.withdraw(),
-      'caller.relay': ({ attemptId }) => this.attempts.get(attemptId)?.startForwarding(),
+      'caller.relay': ({ requestId, attemptId, endpoint }) =>
+        this.relay(requestId, attemptId, endpoint),
       'caller.finish': ({ requestId }) => this.takeExchange(requestId)?.finish(),
       'caller.breakOff': ({ requestId }) => this.takeExchange(requestId)?.abort(),
       'caller.refuse': ({ requestId, refusal }) => this.takeExchange(requestId)?.refuse(refusal),
@@ -371,10 +437,11 @@
       'registration.renew': () => {
         this.registration.renew();
       },
-      'callerLimits.changed': ({ limits }) => this.requestServer.changeLimits(limits),
+      'callerLimits.changed': ({ limits }) =>
+        this.servers.forEach((server) => server.changeLimits(limits)),
       'endpoint.forgotten': ({ endpoint }) => this.pools.remove(endpoint),
       readiness: ({ ready }) => this.readinessServer.setReady(ready),
-      'callers.close': () => this.requestServer.close(),
+      'callers.close': () => this.servers.forEach((server) => server.close()),
       drained: () => this.stop(),
       'request.measured': ({ measured }) => this.metrics.record(measured),
       log: ({ event, fields }) => this.writeLog(event, fields),
@@ -405,6 +472,7 @@
         limits: this.node.limitUsage,
         availability: this.node.availabilityUsage,
         paths: this.node.pathUsage,
+        forwarding: this.node.forwardingUsage,
         storeEras: this.era.raises,
         longestTimerDelayMs: this.runner.takeLongestTimerDelayMs(),
       }),
@@ -419,21 +487,27 @@
     this.isStopped = true;
     this.storeTables.stop();
     this.registration.stop();
-    this.requestServer.stop();
-    setTimeout(() => this.requestServer.waitForResponses(() => this.close()), FINAL_WRITES_MS);
+    this.servers.forEach((server) => server.stop());
+    setTimeout(() => this.waitForResponses(), FINAL_WRITES_MS);
     // A caller that reads slowly can't keep the process from ending.
     const timeLeftMs = Math.max(FINAL_WRITES_MS, this.closesAtMs - performance.now());
     this.closeTimer = setTimeout(() => this.close(), timeLeftMs);
   }
 
+  /** Closes once all responses to callers and to peers are handed to the operating system. */
+  private waitForResponses(): void {
+    this.requestServer.waitForResponses(() => this.peerServer.waitForResponses(() => this.close()));
+  }
+
   private close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
     clearTimeout(this.closeTimer);
-    const unwritten = this.requestServer.openResponseCount;
-    this.requestServer.closeAllConnections();
+    const unwritten = this.servers.reduce((sum, server) => sum + server.openResponseCount, 0);
+    this.servers.forEach((server) => server.closeAllConnections());
     this.runner.stop();
     this.pools.stop();
+    this.peerPools.stop();
     this.adapter.tables.stop();
     this.peerSocket.stop();
     this.readinessServer.stop();
--- a/packages/entry/src/gateway/metrics/control-gauges.ts
+++ b/packages/entry/src/gateway/metrics/control-gauges.ts
@@ -1,4 +1,9 @@
-import type { AvailabilityUsage, LimitUsage, PathUsage } from '@savorywind/decisions';
+import type {
+  AvailabilityUsage,
+  ForwardingUsage,
+  LimitUsage,
+  PathUsage,
+} from '@savorywind/decisions';
 import type { Gauge } from '../../observe/render-metrics.js';
 import type { PeerTraffic } from '../peer-socket.js';
 
@@ -10,6 +15,7 @@
   readonly limits: LimitUsage;
   readonly availability: AvailabilityUsage;
   readonly paths: readonly PathUsage[];
+  readonly forwarding: ForwardingUsage;
   /** How often the store has come back from an older copy of itself. */
   readonly storeEras: number;
   /** By how much a timer was late at most since the last reading, in milliseconds. */
@@ -85,6 +91,21 @@
   },
 ];
 
+const listForwardingGauges = ({ forwarded, received }: ForwardingUsage): Gauge[] => [
+  {
+    metric: 'savorywind_requests_forwarded_total',
+    help: 'Requests that this VM has forwarded to peers; one counts again for each peer.',
+    type: 'counter',
+    value: forwarded,
+  },
+  {
+    metric: 'savorywind_forwarded_requests_received_total',
+    help: 'Requests that peers have forwarded to this VM.',
+    type: 'counter',
+    value: received,
+  },
+];
+
 /**
  * Lists what shows whether control work delays requests: the traffic with peers beside the rate of the
  * link, the limits of endpoints, the eras of the store, and how long events wait for the process.
@@ -120,6 +141,7 @@
   },
   ...listAvailabilityGauges(load.availability),
   ...listPathGauges(load.paths),
+  ...listForwardingGauges(load.forwarding),
   {
     metric: 'savorywind_store_eras_total',
     help: 'How often the store has come back from an older copy of itself, as seen by this VM.',
--- /dev/null
+++ b/packages/entry/src/gateway/peers/peer-server.ts
@@ -0,0 +1,54 @@
+import type { IncomingMessage } from 'node:http';
+import { RequestServer, type RequestServerOptions } from '../callers/request-server.js';
+import { ForwardedExchange } from './forwarded-exchange.js';
+import { decodeForwarded, forwardingHeaders } from './forwarding-headers.js';
+
+/** Size of the header that describes a forwarded request, with margin, in bytes. */
+const FORWARDED_HEAD_BYTES = 8_192;
+
+export interface PeerServerOptions {
+  /** Options that it has in common with the server of callers; `address` is that for peers. */
+  readonly requestOptions: RequestServerOptions;
+  /** Whether a registered entry VM has the address. */
+  readonly isPeer: (host: string) => boolean;
+  /** Called for each request that is refused because of its sender or because it is malformed. */
+  readonly onStrangerRefused: (host: string, detail: string) => void;
+  /** Called when a peer opens a connection for another protocol. */
+  readonly onUpgrade: NonNullable<RequestServerOptions['onUpgrade']>;
+}
+
+/**
+ * Creates the HTTP server at the address for peers: it takes requests that entry VMs forward, and refuses
+ * those of everybody else.
+ *
+ * @example
+ * const server = createPeerServer({ requestOptions, isPeer, onStrangerRefused, onUpgrade });
+ * await server.start();
+ */
+export const createPeerServer = ({
+  requestOptions,
+  isPeer,
+  onStrangerRefused,
+  onUpgrade,
+}: PeerServerOptions): RequestServer => {
+  const isAllowed = ({ socket, headers }: IncomingMessage): boolean => {
+    const { remoteAddress = '' } = socket;
+    const forwarded = decodeForwarded(headers[forwardingHeaders.forwarded]);
+    const isKnown = isPeer(remoteAddress);
+    if (isKnown && forwarded.ok) return true;
+    const detail = forwarded.ok ? 'sender is not registered' : forwarded.val;
+    onStrangerRefused(remoteAddress, detail);
+    return false;
+  };
+  return new RequestServer({
+    ...requestOptions,
+    idPrefix: 'peer-',
+    extraHeadBytes: FORWARDED_HEAD_BYTES,
+    isAllowed,
+    createExchange: (requestId, received, incoming, outgoing) => {
+      const forwarded = decodeForwarded(incoming.headers[forwardingHeaders.forwarded]).unwrap();
+      return new ForwardedExchange(requestId, received, incoming, outgoing, forwarded);
+    },
+    onUpgrade,
+  });
+};
--- a/packages/entry/src/gateway/snapshot-codec.ts
+++ b/packages/entry/src/gateway/snapshot-codec.ts
@@ -52,6 +52,9 @@
 const MAX_SUSPECTS = 64;
 const MAX_CRASHES = 64;
 
+/** Services that one snapshot may list as lost. */
+const MAX_LOST_SERVICES = 256;
+
 const isPeer = (value: Partial<GatewayPeer> | undefined): boolean =>
   isShortText(value?.id) && isShortText(value.failureDomain) && isAddress(value.address);
 
@@ -100,6 +103,14 @@
 const areHarm = (harm: WorkSnapshot['harm']): boolean =>
   harm === undefined || (Array.isArray(harm) && harm.length <= MAX_SUSPECTS && harm.every(isHarm));
 
+/** Earlier builds send no offer. */
+const isOffer = (offer: WorkSnapshot['forwarding']): boolean =>
+  offer === undefined ||
+  (typeof offer.isAccepting === 'boolean' &&
+    Array.isArray(offer.lostServices) &&
+    offer.lostServices.length <= MAX_LOST_SERVICES &&
+    offer.lostServices.every(isShortText));
+
 /**
  * Checked by hand: hundreds of snapshots arrive per second, and a schema library would cost more time
  * than placing requests does.
@@ -117,6 +128,7 @@
     areLeaving(snapshot.leaving) &&
     areHarm(snapshot.harm) &&
     isAge(snapshot.storeAvailableMs) &&
+    isOffer(snapshot.forwarding) &&
     (snapshot.configuration === undefined || isKnownConfiguration(snapshot.configuration))
   );
 };
--- a/packages/entry/src/gateway/store/store-tables.ts
+++ b/packages/entry/src/gateway/store/store-tables.ts
@@ -1,5 +1,6 @@
+import type { IncomingMessage } from 'node:http';
+import type { Duplex } from 'node:stream';
 import type { GatewayEvent, TableReadTimings, TableSource } from '@savorywind/decisions';
-import type { NetworkAddress } from '@savorywind/model';
 import type { StoreEra } from './store-era.js';
 import { TableFeedClient } from './table-feed-client.js';
 import type { TableFeedContent } from './table-feed-messages.js';
@@ -12,16 +13,12 @@
   readonly tables: TableClient;
   /** Names of the tables. */
   readonly names: { readonly configuration: string; readonly endpoints: string };
-  /** Address at which peers get what this entry VM reads. */
-  readonly address: NetworkAddress;
   readonly timings: TableReadTimings;
   readonly era: StoreEra;
   readonly readClockMs: () => number;
   readonly onConfigurationUpdated: (update: TableUpdate) => void;
   readonly onEndpointsUpdated: (update: TableUpdate) => void;
   readonly dispatch: (event: GatewayEvent) => void;
-  /** Called when peers can't connect. */
-  readonly onServerFailed: (detail: string) => void;
 }
 
 /** Age of what is known of one table, in milliseconds; undefined before the first read. */
@@ -70,13 +67,11 @@
       this.createWatched(names.endpoints, timings.endpoints, options.onEndpointsUpdated),
     ];
     const mirrors = this.watched.map(({ mirror }) => mirror);
-    const { address, readClockMs, dispatch } = options;
+    const { readClockMs, dispatch } = options;
     this.server = new TableFeedServer({
-      address,
       mirrors,
       readClockMs,
       onAsked: () => dispatch({ kind: 'tables.asked' }),
-      onFailed: options.onServerFailed,
     });
     this.client = new TableFeedClient({
       mirrors,
@@ -107,6 +102,11 @@
     clearInterval(this.serveTimer);
   }
 
+  /** Accepts a connection by which a peer reads the tables from this entry VM. */
+  handleUpgrade(incoming: IncomingMessage, socket: Duplex, head: Buffer): void {
+    this.server.handleUpgrade(incoming, socket, head);
+  }
+
   /** Reads the changes of all tables at once, unless a peer passes them on. */
   readNow(): void {
     this.watched.forEach(({ watcher }) => watcher.readNow());
--- a/packages/entry/src/gateway/store/table-feed-server.ts
+++ b/packages/entry/src/gateway/store/table-feed-server.ts
@@ -1,4 +1,5 @@
-import type { NetworkAddress } from '@savorywind/model';
+import type { IncomingMessage } from 'node:http';
+import type { Duplex } from 'node:stream';
 import type { RawData, WebSocket, WebSocketServer } from 'ws';
 import {
   decodeTableFeedMessage,
@@ -12,13 +13,10 @@
 import type { TableMirror, TablePosition } from './table-mirror.js';
 
 export interface TableFeedServerOptions {
-  readonly address: NetworkAddress;
   readonly mirrors: readonly TableMirror[];
   readonly readClockMs: () => number;
   /** Called for each request of a peer. */
   readonly onAsked: () => void;
-  /** Called when the server can't accept connections. */
-  readonly onFailed: (detail: string) => void;
 }
 
 /** A peer that reads the tables from this entry VM. */
@@ -68,7 +66,7 @@
   /** Accepts connections, and answers requests if `isServing`. */
   open(isServing: boolean): void {
     this.isServing = isServing;
-    this.server ??= this.listen();
+    this.server ??= this.createServer();
   }
 
   /** Closes all connections, and accepts none. */
@@ -90,20 +88,28 @@
     });
   }
 
+  /** Accepts a connection of a peer, or closes it if this entry VM passes nothing on. */
+  handleUpgrade(incoming: IncomingMessage, socket: Duplex, head: Buffer): void {
+    socket.on('error', () => socket.destroy());
+    if (this.server === undefined) {
+      socket.destroy();
+      return;
+    }
+    this.server.then((server) =>
+      server.handleUpgrade(incoming, socket, head, (reader) => this.addReader(reader)),
+    );
+  }
+
   /** The library is loaded only by entry VMs that pass on, as it takes a part of the start. */
-  private async listen(): Promise<WebSocketServer> {
-    const { host, port } = this.options.address;
+  // eslint-disable-next-line class-methods-use-this
+  private async createServer(): Promise<WebSocketServer> {
     const { WebSocketServer: Server } = await import('ws');
-    const server = new Server({
-      host,
-      port,
+    return new Server({
+      noServer: true,
       path: TABLE_FEED_PATH,
       maxPayload: MAX_TABLE_FEED_BYTES,
       perMessageDeflate: false,
     });
-    server.on('error', (error) => this.options.onFailed(error.message));
-    server.on('connection', (socket) => this.addReader(socket));
-    return server;
   }
 
   private addReader(socket: WebSocket): void {
--- a/packages/entry/src/gateway/types.ts
+++ b/packages/entry/src/gateway/types.ts
@@ -35,6 +35,8 @@
 
 export type AttemptStart = Extract<GatewayEffect, { readonly kind: 'attempt.start' }>;
 
+export type AttemptForward = Extract<GatewayEffect, { readonly kind: 'attempt.forward' }>;
+
 /** Metadata that a caller sends in headers of its request. */
 export type RequestMetadata = Pick<
   GatewayRequest,
@@ -49,7 +51,10 @@
 >;
 
 /** Metadata that an endpoint sends in the head of its response. */
-export interface ResponseMetadata extends Pick<GatewayResponseHead, 'status' | 'hasReceipt'> {
+export interface ResponseMetadata extends Pick<
+  GatewayResponseHead,
+  'status' | 'hasReceipt' | 'servedBy'
+> {
   /**
    * `rejected`: the endpoint did not run the request. `otherEndpoint`: another endpoint has the address
    * now and did not run it.
--- a/packages/entry/test/gateway/table-feed.test.ts
+++ b/packages/entry/test/gateway/table-feed.test.ts
@@ -1,3 +1,4 @@
+import { createServer as createHttpServer } from 'node:http';
 import { createServer } from 'node:net';
 import { computeReadTimings, type GatewayEvent } from '@savorywind/decisions';
 import type { GatewayPeer } from '@savorywind/model';
@@ -50,17 +51,33 @@
     this.tables = new StoreTables({
       tables: store.createClient(),
       names: { configuration: 'configuration', endpoints: 'endpoints' },
-      address: peer.address,
       timings: computeReadTimings(CONTRACT),
       era: new StoreEra(() => {}),
       readClockMs: () => performance.now() + this.clockOffsetMs,
       onConfigurationUpdated: () => {},
       onEndpointsUpdated: (update) => this.updates.push(update),
       dispatch: (event) => this.events.push(event),
-      onServerFailed: (detail) => this.events.push({ kind: 'store.failed', detail }),
     });
   }
 
+  /** Serves the address for peers. */
+  private readonly server = createHttpServer().on('upgrade', (incoming, socket, head) =>
+    this.tables.handleUpgrade(incoming, socket, head),
+  );
+
+  async start(): Promise<void> {
+    const { host, port } = this.peer.address;
+    await new Promise<void>((resolve) => {
+      this.server.listen(port, host, resolve);
+    });
+    this.tables.start();
+  }
+
+  stop(): void {
+    this.tables.stop();
+    this.server.close();
+  }
+
   listKeys(): string[] {
     return this.updates.flatMap((update) =>
       update.kind === 'failed' ? [] : update.rows.map(({ key }) => key),
@@ -76,14 +93,14 @@
 const members: Member[] = [];
 
 afterEach(() => {
-  members.splice(0).forEach(({ tables }) => tables.stop());
+  members.splice(0).forEach((member) => member.stop());
 });
 
 const createMember = async (id: string, store: FakeStore): Promise<Member> => {
   const address = { host: HOST, port: await reservePort() };
   const member = new Member({ id, failureDomain: 'a', address }, store);
   members.push(member);
-  member.tables.start();
+  await member.start();
   return member;
 };
 
--- a/packages/entry/test/gateway/withdrawn-attempts.test.ts
+++ b/packages/entry/test/gateway/withdrawn-attempts.test.ts
@@ -4,7 +4,8 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { CallerExchange } from '../../src/gateway/callers/caller-exchange.js';
 import { ConnectionPools } from '../../src/gateway/endpoints/connection-pools.js';
-import { EndpointAttempt } from '../../src/gateway/endpoints/endpoint-attempt.js';
+import { createEndpointTarget } from '../../src/gateway/endpoints/endpoint-target.js';
+import { OutgoingAttempt } from '../../src/gateway/endpoints/outgoing-attempt.js';
 import type { AttemptStart, GatewayWire } from '../../src/gateway/types.js';
 
 const HOST = '127.0.0.1';
@@ -14,15 +15,18 @@
 let pools: ConnectionPools;
 let events: GatewayEvent[];
 
-const startAttempt = (): EndpointAttempt => {
+const startAttempt = (): OutgoingAttempt => {
   const { port } = server.address() as AddressInfo;
   const start = { endpoint: { id: 'e1', address: { host: HOST, port } }, attemptId: 'a1' };
   const exchange = { body: Buffer.from('body'), method: 'POST', url: '/' };
-  return new EndpointAttempt({
+  const options = {
     start: { ...start, connection: 'kept', connectTimeoutMs: 1_000 } as unknown as AttemptStart,
     exchange: { ...exchange, listForwardedHeaders: () => [] } as unknown as CallerExchange,
-    pools,
-    wire: { buildAttemptHeaders: () => ['Host', 'a.example'] } as unknown as GatewayWire,
+  };
+  const wire = { buildAttemptHeaders: () => ['Host', 'a.example'] } as unknown as GatewayWire;
+  return new OutgoingAttempt({
+    ...options,
+    target: createEndpointTarget({ ...options, pools, wire }),
     dispatch: (event) => events.push(event),
   });
 };
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -269,6 +269,14 @@
   readonly ageMs: number;
 }
 
+/** What an entry VM says of requests that peers may forward to it. */
+export interface ForwardingOffer {
+  /** False while it stops. */
+  readonly isAccepting: boolean;
+  /** Services none of whose endpoints it can connect to. */
+  readonly lostServices: readonly ServiceId[];
+}
+
 /** Work that an entry VM reports to its peers; each snapshot replaces the previous one. */
 export interface WorkSnapshot {
   readonly from: GatewayPeer;
@@ -289,4 +297,6 @@
    * does not, or from builds that do not send it.
    */
   readonly storeAvailableMs?: number | undefined;
+  /** Undefined from builds that take no requests of peers. */
+  readonly forwarding?: ForwardingOffer | undefined;
 }
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -122,4 +122,20 @@
     'no endpoint of a service can be connected to: this VM, and not an endpoint, has lost its path',
   ],
   endpointPathRegained: [851, 'warn', 'endpoints of the service can be connected to again'],
+  requestForwarded: [
+    852,
+    'info',
+    'a request is forwarded to a peer, because this VM can send it to no endpoint',
+  ],
+  forwardedRequestReceived: [
+    853,
+    'info',
+    'a request of a peer was received that can send it to no endpoint itself',
+  ],
+  forwardingFailed: [854, 'info', 'a peer did not serve a request that was forwarded to it'],
+  strangerRefused: [
+    855,
+    'warn',
+    'a request on the address for peers was refused: it is malformed, or its sender is no registered entry VM',
+  ],
 });
