Keep headers between VMs from endpoints, and count failed connections apart

A test of the forwarded requests showed that the header of a caller that names a sender of its own, and that of a forwarding VM, were passed on to the endpoint by the peer: they are no end-to-end headers, and are dropped both ways now.

A request that was withdrawn, as from an endpoint that leaves, counted towards forwarding like one that could not be sent; only connections that can't be opened do now. The peers are read again at most every 5 s because of lost paths.

--- a/packages/decisions/src/gateway/create-gateway-record.ts
+++ b/packages/decisions/src/gateway/create-gateway-record.ts
@@ -73,6 +73,7 @@
     sends: 0,
     runs: 0,
     unsent: 0,
+    connectFailures: 0,
     attemptedEndpoints: new Set(),
     failedEndpoints: new Set(forwardedFrom?.failedEndpoints),
     forwardedFrom,
--- a/packages/decisions/src/gateway/forwarding/consts.ts
+++ b/packages/decisions/src/gateway/forwarding/consts.ts
@@ -1,8 +1,8 @@
 /** Most peers to which one request is forwarded. */
 export const MAX_FORWARDS = 3;
 
-/** Attempts of one request that can't be sent after which it is forwarded. */
-export const UNSENT_BEFORE_FORWARDING = 2;
+/** Endpoints that can't be connected to for one request after which it is forwarded. */
+export const CONNECT_FAILURES_BEFORE_FORWARDING = 2;
 
 /** A peer that can't be connected to gets no request for this time, in milliseconds. */
 export const UNREACHABLE_PEER_MS = 1_000;
--- a/packages/decisions/src/gateway/forwarding/request-forwarder.ts
+++ b/packages/decisions/src/gateway/forwarding/request-forwarder.ts
@@ -6,10 +6,10 @@
 import type { GatewayRefusalReason } from '../types.js';
 import {
   CANDIDATES_AGE_MS,
+  CONNECT_FAILURES_BEFORE_FORWARDING,
   LOCAL_PREFERENCE_REQUESTS,
   MAX_FORWARDS,
   UNREACHABLE_PEER_MS,
-  UNSENT_BEFORE_FORWARDING,
 } from './consts.js';
 import type { PeerRefusal } from './types.js';
 
@@ -65,8 +65,9 @@
   }
 
   /** Whether this entry VM can't send the request to an endpoint, as far as it knows. */
-  needsPeer({ service, unsent }: GatewayRecord): boolean {
-    return this.options.paths.isLost(service.name) || unsent >= UNSENT_BEFORE_FORWARDING;
+  needsPeer({ service, connectFailures }: GatewayRecord): boolean {
+    const hasFailedOften = connectFailures >= CONNECT_FAILURES_BEFORE_FORWARDING;
+    return this.options.paths.isLost(service.name) || hasFailedOften;
   }
 
   /** Picks the peer that gets a request; undefined if it is not to be forwarded, or there is none. */
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -97,6 +97,9 @@
  */
 const RETENTION_FRACTION = 0.75;
 
+/** Least time between two readings of the peers because paths were lost, in milliseconds. */
+const PEERS_READ_INTERVAL_MS = 5_000;
+
 /** Outcome of a request that was refused before it was sent anywhere. */
 const NOT_SENT: ForwardingOutcome = { hasRun: false, hasArrived: false, endpoint: undefined };
 
@@ -160,6 +163,8 @@
   /** Requests of peers that were received. */
   private receivedForwards = 0;
 
+  private peersReadAtMs = Number.NEGATIVE_INFINITY;
+
   private readonly requests: GatewayRequests;
 
   private readonly handlers: EventHandlers;
@@ -511,8 +516,12 @@
   }
 
   private handlePathLost(service: ServiceId): void {
-    // Peers that have registered since the last reading can be forwarded to as well.
-    this.context.emit({ kind: 'registration.renew' });
+    // Peers that have registered since the last reading can be forwarded to as well. The paths to several
+    // services are mostly lost together.
+    if (this.context.nowMs - this.peersReadAtMs >= PEERS_READ_INTERVAL_MS) {
+      this.peersReadAtMs = this.context.nowMs;
+      this.context.emit({ kind: 'registration.renew' });
+    }
     this.snapshots.handleWorkChanged();
     this.requests.handlePathLost(service);
   }
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -637,6 +637,7 @@
   }
 
   private retryOrFail(record: GatewayRecord, failure: GatewayAttemptFailure): void {
+    if (failure === 'notSent') record.connectFailures += 1;
     if (failure === 'notSent' || failure === 'withdrawn') record.unsent += 1;
     else if (failure === 'broken' || failure === 'invalid') record.runs += 1;
     const hasRun = record.runs > 0;
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -94,6 +94,8 @@
   runs: number;
   /** Attempts that failed before any byte of the request left this process. */
   unsent: number;
+  /** Endpoints to which no connection could be opened for the request. */
+  connectFailures: number;
   /** Endpoints at which an attempt was started. */
   readonly attemptedEndpoints: Set<EndpointId>;
   /** Endpoints that failed this request; they get it again only if there is no other. */
--- a/packages/entry/src/gateway/callers/caller-exchange.ts
+++ b/packages/entry/src/gateway/callers/caller-exchange.ts
@@ -51,7 +51,7 @@
   }
 
   /**
-   * Lists the request headers to forward to an endpoint, as alternating names and values.
+   * Lists the request headers to forward to an endpoint or a peer, as alternating names and values.
    *
    * @param isEventIdReplaced whether the caller's `Last-Event-Id` is left out
    */
@@ -61,7 +61,10 @@
   ): string[] {
     const headers = listEndToEndHeaders(
       this.incoming.rawHeaders,
-      (name) => isForwarded(name) && !(isEventIdReplaced && name === LAST_EVENT_ID_HEADER),
+      (name) =>
+        isForwarded(name) &&
+        !isForwardingHeader(name) &&
+        !(isEventIdReplaced && name === LAST_EVENT_ID_HEADER),
     );
     if (this.hasBody()) headers.push('Content-Length', String(this.body.length));
     return headers;
--- a/packages/entry/src/gateway/peers/peer-target.ts
+++ b/packages/entry/src/gateway/peers/peer-target.ts
@@ -14,7 +14,6 @@
   decodeServed,
   encodeHeader,
   forwardingHeaders,
-  isForwardingHeader,
   type ServedHeader,
 } from './forwarding-headers.js';
 
@@ -36,10 +35,7 @@
 
 const buildHeaders = ({ forward, exchange }: PeerTargetOptions): string[] => {
   const { attemptId, forwardedFrom, lastEventId } = forward;
-  const headers = exchange.listForwardedHeaders(
-    (name) => !isForwardingHeader(name),
-    lastEventId !== undefined,
-  );
+  const headers = exchange.listForwardedHeaders(() => true, lastEventId !== undefined);
   if (lastEventId !== undefined) headers.push('Last-Event-Id', lastEventId);
   const forwarded = encodeHeader({ attempt: attemptId, ...forwardedFrom });
   return [...headers, forwardingHeaders.forwarded, forwarded];
--- a/packages/entry/test/gateway/snapshot-codec.test.ts
+++ b/packages/entry/test/gateway/snapshot-codec.test.ts
@@ -43,6 +43,32 @@
     expect(decoded).toMatchObject({ snapshot: createSnapshot(3), readsCompact: true });
   });
 
+  it.each<SnapshotFormat>(['named', 'compact'])(
+    'tells whether requests of peers are taken, %s',
+    (format) => {
+      const offers = [
+        { isAccepting: true, lostServices: [] },
+        { isAccepting: false, lostServices: ['pool', 'booking'] },
+        undefined,
+      ];
+      offers.forEach((forwarding) => {
+        const bytes = codec.encode({ ...createSnapshot(1), forwarding }, format);
+        const decoded = codec.decode(bytes).unwrap();
+        expect(decoded.kind === 'snapshot' && decoded.snapshot.forwarding).toEqual(forwarding);
+      });
+    },
+  );
+
+  it.each([
+    { isAccepting: 1, lostServices: [] },
+    { isAccepting: true, lostServices: [7] },
+    { isAccepting: true, lostServices: 'pool' },
+    { isAccepting: true },
+  ])('with a malformed offer to take requests is refused, %j', (forwarding) => {
+    const packr = new Packr({ useRecords: false });
+    expect(codec.decode(packr.pack({ ...createSnapshot(1), forwarding })).err).toBe(true);
+  });
+
   it('of a build that knows no limits has none, and is decoded', () => {
     const { limits, configuration, ...snapshot } = createSnapshot(3);
     const packr = new Packr({ useRecords: false });
