Renew reservations only while the engine that needs them can be connected to

Cause, by a test that fails without this change: a joint prefill whose primary engine goes dark keeps its attempt until the stall timeout of the route, twelve seconds for long prompts, and its reservations are renewed all the while; the engines end the work that depends on the dark one after some 1.5 s. Now each renewal probes the primary engine. After two failed probes the memory is no longer renewed, and a request that may run again goes to other engines at once, if the budget permits.

--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -222,6 +222,13 @@
     );
   }
 
+  /** Lists the requests that were sent to an endpoint; those that it only helps with are missing. */
+  listOf(endpoint: EndpointId): GatewayRecord[] {
+    return [...this.records.values()].filter(
+      ({ attempt }) => attempt?.target === 'endpoint' && attempt.endpoint.id === endpoint,
+    );
+  }
+
   private describeForwarded(record: GatewayRecord, version: number): ForwardedFrom {
     const { context, self } = this.options;
     return {
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -35,6 +35,7 @@
 import { measureRefused } from './measure-request.js';
 import { MemoryReservations } from './memory-reservations.js';
 import type { PathUsage } from './path/endpoint-path.js';
+import { EndpointProbes } from './path/endpoint-probes.js';
 import { EndpointPaths } from './path/endpoint-paths.js';
 import { PermitCoordinator } from './permits/permit-coordinator.js';
 import { PermitHolder } from './permits/permit-holder.js';
@@ -144,6 +145,8 @@
 
   private readonly paths: EndpointPaths;
 
+  private readonly probes: EndpointProbes;
+
   private readonly coordinator: PermitCoordinator;
 
   private readonly permits: PermitHolder;
@@ -198,6 +201,7 @@
         this.snapshots.handleWorkChanged();
       },
     });
+    this.probes = new EndpointProbes(this.context);
     this.paths = new EndpointPaths({
       context: this.context,
       table: this.table,
@@ -305,7 +309,7 @@
   private createRequests(self: GatewayPeer, callerWait: CallerWaitLimits): GatewayRequests {
     const { context, availability, health, limits, permits, fleetLoad, budget, reservations } =
       this;
-    const { harmful, paths, forwarder } = this;
+    const { harmful, paths, probes, forwarder } = this;
     const { failureDomain } = self;
     const reachability = new DomainReachability(fleetLoad.peers);
     const placementPolicy = new PlacementPolicy({
@@ -326,6 +330,7 @@
       limits,
       reachability,
       paths,
+      probes,
       forwarder,
       self: self.id,
       readVersion: () => this.routeIndex?.version ?? 0,
@@ -408,7 +413,10 @@
       'attempt.flowChanged': ({ attemptId, flow }) => requests.handleFlow(attemptId, flow),
       'attempt.ended': ({ attemptId }) => requests.handleEnd(attemptId),
       'attempt.failed': (event) => requests.handleFailure(event),
-      'path.probed': ({ endpoint, outcome }) => this.paths.handleProbed(endpoint, outcome),
+      'path.probed': ({ endpoint, outcome }) => {
+        this.paths.handleProbed(endpoint, outcome);
+        requests.handleProbed(endpoint, outcome);
+      },
       'reservation.answered': ({ reservationId, outcome }) =>
         this.reservations.handleOutcome(reservationId, outcome),
     };
@@ -571,6 +579,7 @@
 
   private removeEndpoint(endpoint: EndpointId): void {
     this.health.remove(endpoint);
+    this.probes.remove(endpoint);
     this.availability.remove(endpoint);
     this.limits.remove(endpoint);
     this.permits.remove(endpoint);
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -32,6 +32,8 @@
 import { measureRequest } from './measure-request.js';
 import type { MemoryReservations } from './memory-reservations.js';
 import type { EndpointPaths } from './path/endpoint-paths.js';
+import type { EndpointProbes } from './path/endpoint-probes.js';
+import type { ProbeOutcome } from './path/probe-round.js';
 import type { PermittedPlacement } from './permits/permitted-placement.js';
 import { estimateMinFirstEventMs, type WaitDecision } from './placement-policy.js';
 import {
@@ -73,6 +75,7 @@
   readonly limits: EndpointLimits;
   readonly reachability: DomainReachability;
   readonly paths: EndpointPaths;
+  readonly probes: EndpointProbes;
   readonly forwarder: RequestForwarder;
   /** Id of this entry VM. */
   readonly self: EntryVmId;
@@ -538,7 +541,8 @@
       this.attempts.start(record, plan);
       return;
     }
-    record.reservations = this.options.reservations.reserve(plan.helpers, (reserved) => {
+    const mayRenew = (): boolean => this.probePrimary(record);
+    record.reservations = this.options.reservations.reserve(plan.helpers, mayRenew, (reserved) => {
       if (reserved === undefined) {
         record.reservations = undefined;
         this.queueRequest(record);
@@ -553,6 +557,30 @@
     });
   }
 
+  /**
+   * Probes the engine of an attempt whose helpers hold memory. While it can't be connected to, that memory
+   * is of no use: the engines end the work that depends on it.
+   *
+   * @returns whether it could be connected to lately
+   */
+  private probePrimary({ attempt }: GatewayRecord): boolean {
+    if (attempt?.target !== 'endpoint') return true;
+    const { probes } = this.options;
+    probes.probe(attempt.endpoint);
+    return !probes.isUnreachable(attempt.endpoint.id);
+  }
+
+  /** Retries the requests that wait for an engine which can't be connected to and hold memory of others. */
+  handleProbed(endpoint: EndpointId, outcome: ProbeOutcome): void {
+    const { probes } = this.options;
+    probes.recordOutcome(endpoint, outcome);
+    if (outcome !== 'failed' || !probes.isUnreachable(endpoint)) return;
+    this.attempts.listOf(endpoint).forEach((record) => {
+      if (record.reservations !== undefined && mayRerun(record))
+        this.handleStall(record, record.attempt!);
+    });
+  }
+
   /** Whether all engines of a plan take requests: some may have left while memory was reserved. */
   private isPlanOpen({ endpoint, helpers }: AttemptPlan): boolean {
     const { availability } = this.options;
--- a/packages/decisions/src/gateway/memory-reservations.ts
+++ b/packages/decisions/src/gateway/memory-reservations.ts
@@ -54,11 +54,13 @@
   /**
    * Reserves the memory that the helpers hold.
    *
+   * @param mayRenew called before each renewal; without one the reservations expire
    * @param onDone gets the reservations, or undefined if one was refused or unanswered, or its engine
    *   takes no more, after all were released
    */
   reserve(
     helpers: readonly PlacedHelper[],
+    mayRenew: () => boolean,
     onDone: (reserved: ReservationSet | undefined) => void,
   ): ReservationSet {
     const wanted = helpers
@@ -69,7 +71,7 @@
         tokens: reservedTokens,
       }))
       .sort((a, b) => (a.endpoint.id < b.endpoint.id ? -1 : 1));
-    return this.reserveInTurn(wanted, onDone);
+    return this.reserveInTurn(wanted, mayRenew, onDone);
   }
 
   handleOutcome(reservationId: string, outcome: ReservationOutcome): void {
@@ -80,6 +82,7 @@
 
   private reserveInTurn(
     wanted: readonly MemoryReservation[],
+    mayRenew: () => boolean,
     onDone: (reserved: ReservationSet | undefined) => void,
   ): ReservationSet {
     const requested: MemoryReservation[] = [];
@@ -95,7 +98,7 @@
       },
     };
     const renew = (): void => {
-      requested.forEach((reservation) => this.sendRequest(reservation));
+      if (mayRenew()) requested.forEach((reservation) => this.sendRequest(reservation));
       timer = this.context.schedule(this.holdMs / RENEWALS_PER_HOLD, renew);
     };
     const reserveNext = (): void => {
