--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -2,25 +2,32 @@
   CallerWaitLimits,
   EndpointId,
   EntryVmId,
-  GatewayEndpoint,
   MonotonicMs,
-  NetworkAddress,
   ServiceId,
 } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
+import {
+  CONNECTION_FAILURES,
+  estimateLeastWaitMs,
+  findFailedEndpoint,
+  FIRST_SERVER_ERROR,
+  isForwardable,
+  isSuccess,
+  MAX_EXTRA_ATTEMPTS,
+  mayRetry,
+  mayWaitForOpening,
+  NOT_EXECUTED_STATUSES,
+  releaseReservations,
+} from './attempt-rules.js';
 import type { EndpointAvailability } from './availability/endpoint-availability.js';
-import { MAX_HELPERS, MIN_ATTEMPT_MS, PLACEMENT_RETRY_MS } from './consts.js';
+import { PLACEMENT_RETRY_MS } from './consts.js';
 import { createGatewayRecord, type ResolvedRoute } from './create-gateway-record.js';
 import { createRefusal } from './create-refusal.js';
 import type { DomainReachability } from './domain-reachability.js';
 import { WITHDRAWAL_MS } from './forwarding/consts.js';
-import {
-  logForwarded,
-  logForwardedReceived,
-  logForwardingFailed,
-} from './forwarding/forwarding-log.js';
+import { logForwardedReceived } from './forwarding/forwarding-log.js';
+import { PeerAttempts } from './forwarding/peer-attempts.js';
 import type { RequestForwarder } from './forwarding/request-forwarder.js';
-import type { PeerRefusal } from './forwarding/types.js';
 import type { HarmfulRequests } from './harm/harmful-requests.js';
 import type { EndpointLimits } from './permits/endpoint-limits.js';
 import type { EndpointHealth } from './endpoint-health.js';
@@ -35,13 +42,12 @@
 import type { EndpointProbes } from './path/endpoint-probes.js';
 import type { ProbeOutcome } from './path/probe-round.js';
 import type { PermittedPlacement } from './permits/permitted-placement.js';
-import { estimateMinFirstEventMs, type WaitDecision } from './placement-policy.js';
+import type { WaitDecision } from './placement-policy.js';
 import {
   mayRerun,
   type EndpointAttempt,
   type GatewayAttempt,
   type GatewayRecord,
-  type PeerAttempt,
 } from './request-record.js';
 import type {
   GatewayResponseHead,
@@ -94,80 +100,6 @@
 
 type AttemptFailed = Extract<GatewayEvent, { readonly kind: 'attempt.failed' }>;
 
-/**
- * Attempts permitted beyond the route's limit because endpoints rejected the request. Also the
- * number of unsent attempts, counted separately, that are retried.
- */
-const MAX_EXTRA_ATTEMPTS = 3;
-
-/** Failures that an interrupted network path to the endpoint may have caused. */
-const CONNECTION_FAILURES: ReadonlySet<GatewayAttemptFailure> = new Set(['notSent', 'broken']);
-
-/**
- * Statuses that tell the caller that the request was not executed. They are not forwarded for
- * requests that must not run twice, because the endpoint may have executed them.
- */
-const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
-const FIRST_SERVER_ERROR = 500;
-
-/**
- * Fraction of the target latency for which a request waits in all for endpoints that have named a time to
- * come back; its caller is told the time instead.
- */
-const CLOSED_WAIT_FRACTION = 0.125;
-
-const mayRetry = ({ route, runs, sends, unsent, isContinuable }: GatewayRecord): boolean =>
-  isContinuable &&
-  runs < route.maxAttempts &&
-  sends - unsent < route.maxAttempts + MAX_EXTRA_ATTEMPTS;
-
-/** Estimates the shortest useful time of an attempt up to its first event, in milliseconds. */
-const estimateLeastWaitMs = (record: GatewayRecord): number =>
-  Math.max(MIN_ATTEMPT_MS, estimateMinFirstEventMs(record, MAX_HELPERS + 1));
-
-const releaseReservations = (record: GatewayRecord): void => {
-  record.reservations?.release();
-  record.reservations = undefined;
-};
-
-/**
- * Finds the endpoint that failed an attempt: the helper that the response names, else the endpoint.
- */
-const findFailedEndpoint = (
-  { endpoint, helpers }: EndpointAttempt,
-  atFault: NetworkAddress | undefined,
-): GatewayEndpoint => {
-  const named = helpers.find(
-    ({ address }) => address.host === atFault?.host && address.port === atFault.port,
-  );
-  return named ?? endpoint;
-};
-
-/**
- * Whether a request waits for endpoints that have named a time to come back. A stream that has begun can't
- * be refused any more.
- */
-const mayWaitForOpening = (
-  { hasForwardedHead, arrivedAtMs, route }: GatewayRecord,
-  openingMs: MonotonicMs,
-  latestMs: MonotonicMs,
-): boolean =>
-  hasForwardedHead
-    ? openingMs < latestMs
-    : openingMs <= arrivedAtMs + CLOSED_WAIT_FRACTION * route.targetLatencyMs;
-
-const isSuccess = (status: number): boolean => status >= 200 && status < 300;
-
-/**
- * Whether a response may be forwarded. Once the caller has a part of a response, only a stream may
- * follow: the status and the end of any other response would be taken for those of the first one.
- */
-const isForwardable = (
-  { hasForwardedHead }: GatewayRecord,
-  { status, hasReceipt, content }: GatewayResponseHead,
-): boolean => (hasReceipt || !isSuccess(status)) && (!hasForwardedHead || content === 'events');
-
 /**
  * Runs requests from their arrival to their final response: placement, attempts, retries,
  * deadlines.
@@ -181,6 +113,8 @@
 
   private readonly attempts: GatewayAttempts;
 
+  private readonly peerAttempts: PeerAttempts;
+
   private readonly stopDeadline = new StopDeadline();
 
   private peerRequests = 0;
@@ -199,6 +133,13 @@
       onWorkChanged,
       onStalled: (record, attempt) => this.handleStall(record, attempt),
     });
+    this.peerAttempts = new PeerAttempts({
+      ...options,
+      attempts: this.attempts,
+      onRetry: (record) => this.place(record),
+      onFailed: (record, failure) => this.retryOrFail(record, failure),
+      onRefused: (record, reason) => this.fail(record, reason),
+    });
   }
 
   get inFlight(): number {
@@ -310,6 +251,7 @@
   handleEvent(attemptId: string, eventId: string | undefined): void {
     const record = this.attempts.find(attemptId);
     if (record?.attempt === undefined) return;
+    record.isStalled = false;
     record.lastEventId = eventId ?? record.lastEventId;
     record.isContinuable = eventId !== undefined;
     recordEvent(record.times, this.options.context.nowMs);
@@ -337,7 +279,7 @@
     const record = this.attempts.find(event.attemptId);
     const attempt = record?.attempt;
     if (record === undefined || attempt === undefined) return;
-    if (attempt.target === 'peer') this.handlePeerFailure(record, attempt, event);
+    if (attempt.target === 'peer') this.peerAttempts.handleFailure(record, attempt, event);
     else this.handleEndpointFailure(record, attempt, event);
   }
 
@@ -362,42 +304,6 @@
     this.retryOrFail(record, failure);
   }
 
-  /** Handles that a peer did not serve a request: another peer or endpoint may. */
-  private handlePeerFailure(
-    record: GatewayRecord,
-    { peer }: PeerAttempt,
-    { failure, detail, refusal }: AttemptFailed,
-  ): void {
-    const { context, forwarder } = this.options;
-    logForwardingFailed(context, record, { peer: peer.id, failure, detail, refusal });
-    this.attempts.detach(record);
-    if (refusal !== undefined) {
-      this.handlePeerRefusal(record, peer.id, refusal);
-    } else if (failure === 'notSent') {
-      forwarder.recordUnreachable(record, peer.id);
-      this.place(record);
-    } else {
-      // A lost response of a peer is as unknown as one of an endpoint.
-      this.retryOrFail(record, failure);
-    }
-  }
-
-  private handlePeerRefusal(record: GatewayRecord, peer: EntryVmId, refusal: PeerRefusal): void {
-    const { context, forwarder, budget } = this.options;
-    if (refusal.endpoint !== undefined) record.failedEndpoints.add(refusal.endpoint);
-    if (refusal.hasRun) {
-      this.retryOrFail(record, 'broken');
-      return;
-    }
-    record.refusedPeers.add(peer);
-    record.peerRefusal = refusal;
-    const mayRetryElsewhere =
-      forwarder.mayTryAnother(refusal) &&
-      (!refusal.hasArrived || budget.takeRetry(record.service.name, context.nowMs));
-    if (mayRetryElsewhere) this.place(record);
-    else this.fail(record, refusal.reason);
-  }
-
   private reportHead(attempt: GatewayAttempt): void {
     if (attempt.target === 'peer') return;
     this.options.availability.recordResponse(attempt.attemptId);
@@ -479,7 +385,12 @@
       this.fail(record, 'stopping');
       return;
     }
-    if (this.forwardOrFail(record)) return;
+    const forwarding = this.peerAttempts.forward(record);
+    if (forwarding === 'forwarded') return;
+    if (forwarding === 'hopeless') {
+      this.fail(record, 'noEndpoint');
+      return;
+    }
     const latestMs = endMs - minFirstEventMs;
     const queued = this.queue.count(record.service.name);
     const decision = placement.decide(record, latestMs, queued);
@@ -501,26 +412,6 @@
     }
   }
 
-  /**
-   * Forwards a request that this entry VM can send to no endpoint. Without a peer that takes it, it is
-   * refused at once if all endpoints have failed lately.
-   *
-   * @returns whether the request was forwarded or refused
-   */
-  private forwardOrFail(record: GatewayRecord): boolean {
-    const { context, forwarder, paths, placement, readVersion } = this.options;
-    const target = forwarder.pick(record);
-    if (target !== undefined) {
-      logForwarded(context, record, target.peer.id);
-      this.attempts.forward(record, target.peer, readVersion());
-      return true;
-    }
-    const mayTryDirectly = record.forwardedFrom === undefined && placement.hasHealthy(record);
-    const isHopeless = paths.isLost(record.service.name) && !mayTryDirectly;
-    if (isHopeless) this.fail(record, 'noEndpoint');
-    return isHopeless;
-  }
-
   /** Whether a stopping process may still let a request wait. */
   private mayWait(record: GatewayRecord, { permitMs, lateStartMs }: WaitDecision): boolean {
     const startMs = Math.max(this.options.context.nowMs, permitMs ?? 0, lateStartMs ?? 0);
