Have the randomised path cuts ask for what can be served, and the way back bite

The trace shows three cuts of all nine VMs for 13 of 20 seconds, in which nothing can be served, so that half of everything is not owed there. The check counts what was sent and ended while some VM had a path, and asks for two thirds, the users' own figure, instead of a half.

--- a/packages/decisions/test/gateway/forwarded-requests.test.ts
+++ b/packages/decisions/test/gateway/forwarded-requests.test.ts
@@ -229,11 +229,17 @@
 
   it('sends requests to all endpoints again soon after the path is back', () => {
     const driver = startWithPeers();
-    losePath(driver);
-    for (let round = 0; round < 10; round += 1) {
+    // All endpoints are ejected for the longest time.
+    for (let count = 0; count < 20; count += 1) {
+      const id = driver.request('/chat/');
+      driver.fail(id, 'notSent');
+      driver.fail(id, 'notSent');
+    }
+    answerProbes(driver, 'failed');
+    for (let round = 0; round < 5; round += 1) {
       driver.advance(400);
       hearPeers(driver);
-      answerProbes(driver, round < 4 ? 'failed' : 'connected');
+      answerProbes(driver, round < 2 ? 'failed' : 'connected');
     }
     const ids = Array.from({ length: 15 }, () => driver.request('/chat/'));
     const endpoints = new Set(ids.map((id) => driver.findAttempt(id)?.endpoint.id));
--- a/packages/decisions/test/gateway/randomised-path-cuts.test.ts
+++ b/packages/decisions/test/gateway/randomised-path-cuts.test.ts
@@ -50,7 +50,7 @@
     pick(faults)();
     fleet.run(500 + 2_500 * draw());
   }
-  fleet.changeLoad(0.001);
+  fleet.changeLoad(0);
   fleet.run(SETTLING_MS);
   return fleet;
 };
@@ -68,7 +68,8 @@
     const maxRuns = (path: string): number => (path === '/booking/' ? 1 : MAX_ATTEMPTS);
     const ranTooOften = finals.filter((item) => countRuns(item.requestId) > maxRuns(item.path));
     expect(ranTooOften).toEqual([]);
-    const served = finals.filter(({ isServed }) => isServed).length;
-    expect(served).toBeGreaterThan(0.5 * finals.length);
+    const servable = finals.filter(({ isServable }) => isServable);
+    const served = servable.filter(({ isServed }) => isServed).length;
+    expect(served).toBeGreaterThan((2 / 3) * servable.length);
   });
 });
