Test that forwarded requests earn no retries at the peer

A test was named for the budget and looked at the metrics only. With the request recorded in the peer's budget by hand it fails; the product is unchanged.

--- a/packages/decisions/test/gateway/forwarded-requests.test.ts
+++ b/packages/decisions/test/gateway/forwarded-requests.test.ts
@@ -1,4 +1,5 @@
 import type { ForwardingOffer, GatewayPeer } from '@savorywind/model';
+import { createGatewayContract } from '@savorywind/stand-ins';
 import { describe, expect, it } from 'vitest';
 import type { ForwardedFrom, PeerRefusal } from '../../src/gateway/forwarding/types.js';
 import {
@@ -480,7 +481,20 @@
     expect(driver.findAttempt(id)).toMatchObject({ lastEventId: '3' });
   });
 
-  it('counts neither for the budget of retries nor for the metrics of callers', () => {
+  it('earns no retries here, as it does where its caller is', () => {
+    const driver = new GatewayDriver(createGatewayContract({ retryAllowance: 0 }));
+    driver.start([1, 2].map((index) => createEndpoint(`booking-${index}`, { service: 'booking' })));
+    for (let count = 0; count < 40; count += 1) {
+      const forwarded = driver.request('/balance/', { forwardedFrom: FORWARDED });
+      const { attemptId } = driver.findAttempt(forwarded)!;
+      driver.dispatch({ kind: 'attempt.ended', attemptId });
+    }
+    const own = driver.request('/balance/');
+    driver.fail(own, 'broken');
+    expect(driver.findRefusal(own)?.reason).toBe('broken');
+  });
+
+  it('does not count for the metrics of callers', () => {
     const driver = startWithPeers();
     const id = driver.request('/balance/', { forwardedFrom: FORWARDED });
     const { attemptId } = driver.findAttempt(id)!;
