Keep the evidence against a request that ends the few replicas of a service

Cause: since a lost path has the losses dropped that are not confirmed yet, so that a cut blames no request. With all three replicas of a service down under one request, VMs take the path to that service for lost, and drop the evidence.

Now losses are dropped only while the paths to two services are lost, or one to four endpoints at least. Crashes that come one after the other don't reach that many at a time, and a cut of a VM does. The new test failed before (0 crashes for 1). decisions/gateway: 447 passed.

--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -205,7 +205,7 @@
    */
   handlePathLost(service: ServiceId): void {
     const { context, harmful, paths } = this.options;
-    harmful.discardLosses();
+    if (paths.isCutOff) harmful.discardLosses();
     this.attempts.withdrawAll(service);
     context.schedule(WITHDRAWAL_MS, () => {
       if (!paths.find(service).isSilent) return;
@@ -289,12 +289,11 @@
     { failure, detail, atFault }: AttemptFailed,
   ): void {
     const { context, health, paths } = this.options;
-    const isPathLost = paths.isLost(record.service.name);
     const { id: failedId } = findFailedEndpoint(attempt, atFault);
     logFailure(context, record, { failed: failedId, failure, detail });
     if (CONNECTION_FAILURES.has(failure)) this.reportLoss(record, attempt);
     if (failure === 'rejected') this.options.paths.find(record.service.name).recordResponse();
-    if (failure === 'broken' && !isPathLost) this.options.harmful.recordLoss(record, attempt);
+    if (failure === 'broken' && !paths.isCutOff) this.options.harmful.recordLoss(record, attempt);
     this.attempts.detach(record);
     releaseReservations(record);
     if (failure !== 'withdrawn') {
--- a/packages/decisions/src/gateway/path/endpoint-path.ts
+++ b/packages/decisions/src/gateway/path/endpoint-path.ts
@@ -69,6 +69,9 @@
 
   private lostAtMs: MonotonicMs | undefined;
 
+  /** Endpoints that could not be connected to when the path was lost. */
+  private failedAtLoss = 0;
+
   private regainedAtMs: MonotonicMs = Number.NEGATIVE_INFINITY;
 
   /** Successful rounds since the path was lost. */
@@ -100,6 +103,11 @@
     return this.openAttempts > 0 && silentMs >= SILENCE_MS;
   }
 
+  /** Whether the path is lost to more endpoints than one request ends at a time. */
+  get isLostToMany(): boolean {
+    return this.isLost && this.failedAtLoss >= PROBES_PER_ROUND;
+  }
+
   get usage(): PathUsage {
     const { isLost, losses, probes } = this;
     const { context, service } = this.options;
@@ -146,6 +154,7 @@
       ? Math.min(2 * this.roundsToRegain, MAX_ROUNDS_TO_REGAIN)
       : ROUNDS_TO_REGAIN;
     this.lostAtMs = context.nowMs;
+    this.failedAtLoss = failed;
     this.successes = 0;
     this.losses += 1;
     context.log(logEvents.endpointPathLost, {
--- a/packages/decisions/src/gateway/path/endpoint-paths.ts
+++ b/packages/decisions/src/gateway/path/endpoint-paths.ts
@@ -51,6 +51,15 @@
     return [...this.paths].filter(([, path]) => path.isLost).map(([service]) => service);
   }
 
+  /**
+   * Whether this entry VM, and not the endpoints, must be taken for the cause of lost connections. The few
+   * replicas of one service may have crashed.
+   */
+  get isCutOff(): boolean {
+    const lost = [...this.paths.values()].filter((path) => path.isLost);
+    return lost.length > 1 || lost.some((path) => path.isLostToMany);
+  }
+
   get usage(): PathUsage[] {
     return [...this.paths.values()].map((path) => path.usage);
   }
--- a/packages/decisions/test/gateway/forwarded-requests.test.ts
+++ b/packages/decisions/test/gateway/forwarded-requests.test.ts
@@ -228,6 +228,21 @@
     expect(driver.harmUsage.crashes).toBe(0);
   });
 
+  it.each([
+    ['a lost path', 'chat', 0],
+    ['the crash of all replicas of a service', 'booking', 1],
+  ])('tells %s from what a request does to its endpoints', (_name, route, crashes) => {
+    const driver = startWithPeers();
+    // A service with two replicas, and one with more endpoints than one round probes.
+    const id = driver.request(`/${route}/`, { sharedParts: ['part'] });
+    driver.fail(id, 'broken');
+    answerProbes(driver, 'failed');
+    driver.advance(50);
+    answerProbes(driver, route === 'chat' ? 'failed' : 'connected');
+    driver.advance(500);
+    expect(driver.harmUsage.crashes).toBe(crashes);
+  });
+
   it('sends requests to all endpoints again soon after the path is back', () => {
     const driver = startWithPeers();
     // All endpoints are ejected for the longest time.
