--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -1,13 +1,21 @@
 // Bundles the gateway for the platform into one file and writes its V8 code cache next to it, so that
 // the gateway starts faster and needs less memory.
 import { spawnSync } from 'node:child_process';
-import { copyFileSync, existsSync, readdirSync, readFileSync, rmSync } from 'node:fs';
+import { existsSync, readdirSync, readFileSync, rmSync } from 'node:fs';
 import process from 'node:process';
 import { fileURLToPath } from 'node:url';
 import { build } from 'esbuild';
 
 const root = fileURLToPath(new URL('../', import.meta.url));
-const codeCachePath = `${root}target/savorywind-entry.compiled`;
+
+/** Tests build into folders of their own: test files run at the same time. */
+const OUTPUT_OPTION = '--out=';
+
+const output =
+  process.argv
+    .find((argument) => argument.startsWith(OUTPUT_OPTION))
+    ?.slice(OUTPUT_OPTION.length) ?? `${root}target`;
+const codeCachePath = `${output}/savorywind-entry.compiled`;
 
 /** Bundles the packages of the workspace from their sources. */
 const alias = Object.fromEntries(
@@ -65,14 +73,14 @@
 /** Starts the gateway without settings: it loads all its modules, finds no settings and exits. */
 const writeCodeCache = () => {
   rmSync(codeCachePath, { force: true });
-  const args = [...readNodeOptions(), 'target/start.cjs', '--write-compiled'];
+  const args = [...readNodeOptions(), `${output}/start.cjs`, '--write-compiled'];
   spawnSync(process.execPath, args, { cwd: root, env: {} });
   // Not fatal: without a code cache, the gateway compiles the bundle at each start.
   if (!existsSync(codeCachePath)) process.stderr.write('code cache was not written\n');
 };
 
-await bundle('platform/src/main.ts', 'target/savorywind-entry.cjs', 'cjs');
-copyFileSync(`${root}deploy/start.cjs`, `${root}target/start.cjs`);
+await bundle('platform/src/main.ts', `${output}/savorywind-entry.cjs`, 'cjs');
+await bundle('platform/src/start.ts', `${output}/start.cjs`, 'cjs');
 writeCodeCache();
 if (process.argv.includes('--bench'))
   await bundle('platform/test/start-benchmark.ts', 'target/start-benchmark.mjs', 'esm');
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -221,6 +221,11 @@
     this.dispatch({ kind: 'contract.changed', contract });
   }
 
+  /** Writes the buffered log lines before it returns, in the last moments of the process. */
+  flushLog(): void {
+    this.logSink.flush();
+  }
+
   /** Logs that a changed settings file is invalid. The current settings stay in force. */
   reportInvalidSettings(detail: string): void {
     this.logger.write(logEvents.gatewaySettingsInvalid, { detail });
@@ -513,7 +518,7 @@
     this.readinessServer.stop();
     this.metricsServer?.stop();
     this.logger.write(logEvents.gatewayStopped, { unwritten });
-    this.logSink.flush();
+    this.flushLog();
     this.onStopped();
   }
 }
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -138,4 +138,5 @@
     'warn',
     'a request on the address for peers was refused: it is malformed, or its sender is no registered entry VM',
   ],
+  processFailed: [856, 'error', 'the process ends by itself; this is its last line'],
 });
