--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -403,7 +403,7 @@
       'permit.requested': ({ request }) => this.coordinator.handleRequest(request),
       'permit.answered': ({ answer }) => this.permits.handleAnswer(answer),
       'request.arrived': ({ request }) => this.handleRequest(request),
-      'request.abandoned': ({ requestId }) => requests.abandon(requestId),
+      'request.abandoned': ({ requestId, closedFor }) => requests.abandon(requestId, closedFor),
       'attempt.limitReported': ({ attemptId, limit, endpoint }) =>
         requests.handleLimit(attemptId, limit, endpoint),
       'endpoint.noticeReported': ({ endpoint, notice }) =>
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -50,6 +50,7 @@
   type GatewayRecord,
 } from './request-record.js';
 import type {
+  CloseReason,
   GatewayResponseHead,
   GatewayAttemptFailure,
   GatewayEvent,
@@ -167,13 +168,14 @@
     this.place(record);
   }
 
-  abandon(requestId: string): void {
+  /** @param closedFor why this process has closed the connection; undefined if the caller has left */
+  abandon(requestId: string, closedFor?: CloseReason): void {
     const record = this.records.get(requestId);
     if (record === undefined) return;
-    logAbandoned(this.options.context, record);
-    this.reportAbandonedStall(record);
+    logAbandoned(this.options.context, record, closedFor);
+    if (closedFor === undefined) this.reportAbandonedStall(record);
     this.attempts.cancel(record);
-    this.close(record, 'abandoned');
+    this.close(record, closedFor === undefined ? 'abandoned' : 'closed');
   }
 
   /**
--- a/packages/decisions/src/gateway/request-log.ts
+++ b/packages/decisions/src/gateway/request-log.ts
@@ -1,7 +1,12 @@
 import { logEvents } from '@savorywind/model';
 import type { GatewayContext } from './gateway-context.js';
 import { describeTarget, type GatewayAttempt, type GatewayRecord } from './request-record.js';
-import type { GatewayAttemptFailure, GatewayRefusalReason, GatewayResponseHead } from './types.js';
+import type {
+  CloseReason,
+  GatewayAttemptFailure,
+  GatewayRefusalReason,
+  GatewayResponseHead,
+} from './types.js';
 
 /** Most parts of a prompt that one log line names. */
 const MAX_LOGGED_PARTS = 8;
@@ -78,13 +83,24 @@
   cause: string,
 ): void => context.log(logEvents.requestRepeated, { request: request.callerAttempt, cause });
 
-/** Logs that a caller disconnected before its response was complete. */
-export const logAbandoned = (context: GatewayContext, record: GatewayRecord): void => {
+/**
+ * Logs that the connection of a caller closed before its response was complete.
+ *
+ * @param closedFor why this process has closed it; undefined if the caller has left
+ */
+export const logAbandoned = (
+  context: GatewayContext,
+  record: GatewayRecord,
+  closedFor: CloseReason | undefined,
+): void => {
   const { request, attempt, arrivedAtMs, deadlineMs, prefillMs, hasForwardedHead, times, sends } =
     record;
   logPlacements(context, record);
-  context.log(logEvents.callerLeft, {
+  const event =
+    closedFor === undefined ? logEvents.callerLeft : logEvents.connectionClosedUnanswered;
+  context.log(event, {
     request: request.callerAttempt,
+    reason: closedFor,
     endpoint: attempt === undefined ? undefined : describeTarget(attempt),
     waitedMs: Math.round(context.nowMs - arrivedAtMs),
     limitMs: Math.round(deadlineMs - arrivedAtMs),
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -115,6 +115,14 @@
   readonly requestedAtMs?: MonotonicMs;
 }
 
+/**
+ * Why this process closes the connection of a caller with a request on it unanswered.
+ *
+ * - `malformedInput`: bytes that are no request followed a request
+ * - `stopping`: the time of the stopping process has ended
+ */
+export type CloseReason = 'malformedInput' | 'stopping';
+
 /** Input of the gateway's decisions. */
 export type GatewayEvent =
   /** A timer is due. */
@@ -167,7 +175,12 @@
   /** A coordinator answered a request for a permit. */
   | { readonly kind: 'permit.answered'; readonly answer: PermitAnswer }
   | { readonly kind: 'request.arrived'; readonly request: GatewayRequest }
-  | { readonly kind: 'request.abandoned'; readonly requestId: RequestId }
+  | {
+      readonly kind: 'request.abandoned';
+      readonly requestId: RequestId;
+      /** Why this process has closed the connection; undefined if the caller has left. */
+      readonly closedFor?: CloseReason | undefined;
+    }
   /** The head of the endpoint's response, or of its rejection, has arrived; comes before other events. */
   | {
       readonly kind: 'attempt.limitReported';
@@ -268,7 +281,10 @@
   /** Served, but above the target latency or with too long a pause between events. */
   | 'late'
   | 'brokenOff'
+  /** The caller has left. */
   | 'abandoned'
+  /** This process has closed the connection. */
+  | 'closed'
   | GatewayRefusalReason;
 
 /** Metrics of a request that has ended. Times count from its arrival, in milliseconds. */
--- a/packages/decisions/test/gateway/attempts.test.ts
+++ b/packages/decisions/test/gateway/attempts.test.ts
@@ -197,6 +197,20 @@
   });
 });
 
+describe('a request whose connection this process has closed', () => {
+  it('is logged with the reason and not as that of a caller that has left', () => {
+    const driver = startDriver('e1');
+    const id = driver.request('/chat/');
+    driver.dispatch({ kind: 'request.abandoned', requestId: id, closedFor: 'malformedInput' });
+    const names = driver.list('log').map(({ event }) => event.name);
+    expect(names).toContain('connectionClosedUnanswered');
+    expect(names).not.toContain('callerLeft');
+    expect(driver.list('log').at(-1)!.fields).toMatchObject({ reason: 'malformedInput' });
+    expect(driver.list('attempt.cancel')).toHaveLength(1);
+    expect(driver.list('request.measured').at(-1)!.measured.outcome).toBe('closed');
+  });
+});
+
 describe('retries', () => {
   it('stay within this entry VM’s part of the fleet’s retry budget', () => {
     const driver = startDriver('e1', 'e2');
--- a/packages/entry/src/gateway/callers/request-server.ts
+++ b/packages/entry/src/gateway/callers/request-server.ts
@@ -1,11 +1,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import type { CloseReason } from '@savorywind/decisions';
 import type { CallerLimits, NetworkAddress } from '@savorywind/model';
 import { BodyBudget } from '../../callers/body-budget.js';
 import type { GatewayWire, RequestMetadata } from '../types.js';
 import { BodyReader, type BodyFailure } from './body-reader.js';
 import { CallerExchange, type ReceivedRequest } from './caller-exchange.js';
+import { findCloseReason, recordClose } from './closed-connections.js';
 import { RequestFingerprint } from './request-fingerprint.js';
 
 /**
@@ -93,8 +95,11 @@
   readonly onUpgrade?: (incoming: IncomingMessage, socket: Duplex, head: Buffer) => void;
   /** Called with the complete request, its path without the query, and its Host header. */
   readonly onRequestReceived: (exchange: CallerExchange, path: string, host: string) => void;
-  /** Called when a caller's connection closes before its response was sent completely. */
-  readonly onDisconnected: (requestId: string) => void;
+  /**
+   * Called when a caller's connection closes before its response was sent completely. The reason is
+   * undefined if the caller has left.
+   */
+  readonly onDisconnected: (requestId: string, closedFor: CloseReason | undefined) => void;
   /** Called when a request is refused because the process stops before its body has arrived. */
   readonly onUnreadRefused: (callerAttempt: string | undefined) => void;
 }
@@ -155,7 +160,11 @@
       socket.on('close', () => this.closeQueuedResponses(socket));
     });
     if (options.onUpgrade !== undefined) this.server.on('upgrade', options.onUpgrade);
-    this.server.on('clientError', (_error, socket) => this.handleParseError(socket as Socket));
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      // An error of a system call shows that the caller has left.
+      if (error.syscall === undefined) recordClose(socket, 'malformedInput');
+      this.handleParseError(socket as Socket);
+    });
   }
 
   /** Number of requests whose response is not yet handed to the operating system completely. */
@@ -327,7 +336,7 @@
       new CallerExchange(requestId, received, incoming, outgoing);
     outgoing.on('error', () => {});
     outgoing.on('close', () => {
-      if (!outgoing.writableFinished) onDisconnected(requestId);
+      if (!outgoing.writableFinished) onDisconnected(requestId, findCloseReason(incoming.socket));
     });
     const [path = '/'] = (incoming.url ?? '/').split('?');
     onRequestReceived(exchange, path, incoming.headers.host ?? '');
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -1,6 +1,7 @@
 import {
   computeReadTimings,
   GatewayNode,
+  type CloseReason,
   type GatewayEffect,
   type GatewayEvent,
   type EndpointProcess,
@@ -138,7 +139,7 @@
       wire,
       bodyBudget: createBodyBudget(),
       onRequestReceived: (exchange, path, host) => this.openExchange(exchange, path, host),
-      onDisconnected: (requestId) => this.abandonExchange(requestId),
+      onDisconnected: (requestId, closedFor) => this.abandonExchange(requestId, closedFor),
       onUnreadRefused: (request) => this.logger.write(logEvents.unreadRequestRefused, { request }),
     };
     this.requestServer = new RequestServer({ ...requestOptions, address: settings.callers });
@@ -166,6 +167,7 @@
         this.peerHosts = new Set(peers.map(({ address }) => address.host));
         this.dispatch({ kind: 'peers.read', peers });
       },
+      onFoundRegistered: () => this.logger.write(logEvents.gatewayRestarted, {}),
     });
     this.storeTables = this.createStoreTables();
   }
@@ -180,7 +182,7 @@
     this.startMetrics();
     this.logger.write(logEvents.gatewayStarted, { callers: this.settings.callers.port });
     this.storeTables.start();
-    await this.registration.register();
+    await this.registration.renew();
   }
 
   /** A metrics server that can't start is logged and does not prevent the gateway from serving. */
@@ -351,9 +353,9 @@
     });
   }
 
-  private abandonExchange(requestId: string): void {
+  private abandonExchange(requestId: string, closedFor: CloseReason | undefined): void {
     if (!this.exchanges.delete(requestId)) return;
-    this.dispatch({ kind: 'request.abandoned', requestId });
+    this.dispatch({ kind: 'request.abandoned', requestId, closedFor });
   }
 
   private takeExchange(requestId: string): CallerExchange | undefined {
@@ -504,10 +506,15 @@
     this.requestServer.waitForResponses(() => this.peerServer.waitForResponses(() => this.close()));
   }
 
+  private logClosed(request: string | undefined): void {
+    this.logger.write(logEvents.connectionClosedUnanswered, { request, reason: 'stopping' });
+  }
+
   private close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
     clearTimeout(this.closeTimer);
+    this.exchanges.forEach(({ metadata }) => this.logClosed(metadata.callerAttempt));
     const unwritten = this.servers.reduce((sum, server) => sum + server.openResponseCount, 0);
     this.servers.forEach((server) => server.closeAllConnections());
     this.runner.stop();
--- a/packages/entry/src/gateway/store/peer-registration.ts
+++ b/packages/entry/src/gateway/store/peer-registration.ts
@@ -8,6 +8,8 @@
   readonly self: GatewayPeer;
   /** Called with all registered entry VMs each time they were read. */
   readonly onRead: (peers: readonly GatewayPeer[]) => void;
+  /** Called once if the row was there before this process has written it: it was started again. */
+  readonly onFoundRegistered?: () => void;
 }
 
 /** Time for each response to a read of the entry VMs, in milliseconds. */
@@ -21,10 +23,14 @@
 /**
  * The row by which this entry VM makes itself known to the others in the store. A row is always written
  * before all are read, so that of two entry VMs that register concurrently at least one sees the other.
+ * The row of an earlier process with the same address is as good as one's own.
  */
 export class PeerRegistration {
   private isStopped = false;
 
+  /** Whether the rows were read before this process has written its own. */
+  private hasReadRows = false;
+
   private retryTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: PeerRegistrationOptions) {}
@@ -32,6 +38,7 @@
   /** Writes the row, and then reads those of all entry VMs. Is repeated until it succeeds. */
   async register(): Promise<void> {
     const { rows, tables, self } = this.options;
+    this.hasReadRows = true;
     const written = await tables.putRow(rows.peerTable, self.id, rows.encodePeer(self));
     const read = written.err ? undefined : await tables.readAll(rows.peerTable, READ_TIMEOUT_MS);
     if (read === undefined || read.err) this.retry(() => this.register());
@@ -47,6 +54,8 @@
       return;
     }
     const own = read.val.rows.find(({ key, removed }) => key === self.id && !removed);
+    if (own !== undefined && !this.hasReadRows) this.options.onFoundRegistered?.();
+    this.hasReadRows = true;
     if (own !== undefined && isSameValue(own.value, rows.encodePeer(self)))
       this.report(read.val.rows);
     else await this.register();
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,6 +1,6 @@
 export { EntryProcess } from './runtime/entry-process.js';
 export { EarlySignals, type SignalOrder } from './runtime/early-signals.js';
-export { enableFatalReport } from './runtime/fatal-report.js';
+export { reportFatalErrors } from './runtime/fatal-report.js';
 export { ProcessEnd, type EndCause } from './runtime/process-end.js';
 export { StateMachineRunner } from './runtime/state-machine-runner.js';
 export type { EffectHandlers } from './runtime/effects/types.js';
--- a/packages/entry/src/runtime/fatal-report.ts
+++ b/packages/entry/src/runtime/fatal-report.ts
@@ -6,9 +6,9 @@
  * kilobytes; a reader of standard error that hangs gets a part of it and does not hold up the end.
  *
  * @example
- * enableFatalReport();
+ * reportFatalErrors();
  */
-export const enableFatalReport = (): void => {
+export const reportFatalErrors = (): void => {
   const { report } = process;
   if (report === undefined) return;
   report.reportOnFatalError = true;
--- a/packages/entry/test/gateway/peer-registration.test.ts
+++ b/packages/entry/test/gateway/peer-registration.test.ts
@@ -57,10 +57,12 @@
 let registration: PeerRegistration;
 let reads: (readonly string[])[];
 let notifyRead = (): void => {};
+let foundRegistered: number;
 
 beforeEach(() => {
   table = new PeerTableStandIn();
   reads = [];
+  foundRegistered = 0;
   registration = new PeerRegistration({
     tables: table.client,
     rows,
@@ -69,6 +71,9 @@
       reads.push(peers.map(({ id }) => id));
       notifyRead();
     },
+    onFoundRegistered: () => {
+      foundRegistered += 1;
+    },
   });
 });
 
@@ -109,3 +114,38 @@
     expect(table.calls).toEqual(['read', 'read', 'put', 'read']);
   });
 });
+
+describe('an entry VM that was started again', () => {
+  it('is told from one that starts for the first time, with one call to the store', async () => {
+    table.stored.set('vm-1', encodePeer(createPeer('vm-1')));
+    await registration.renew();
+    expect(foundRegistered).toBe(1);
+    expect(table.calls).toEqual(['read']);
+  });
+
+  it('is told by its row even if its address has changed', async () => {
+    table.stored.set('vm-1', encodePeer(createPeer('vm-1', 6_000)));
+    await registration.renew();
+    await registration.renew();
+    expect(foundRegistered).toBe(1);
+  });
+
+  it('is not taken from the row that this process has written', async () => {
+    await registration.renew();
+    await registration.renew();
+    await registration.register();
+    await registration.renew();
+    expect(foundRegistered).toBe(0);
+  });
+
+  it('is told also if the store answers late', async () => {
+    table.stored.set('vm-1', encodePeer(createPeer('vm-1')));
+    table.failures = 1;
+    const read = new Promise<void>((resolve) => {
+      notifyRead = resolve;
+    });
+    await registration.renew();
+    await read;
+    expect(foundRegistered).toBe(1);
+  });
+});
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -139,4 +139,14 @@
     'a request on the address for peers was refused: it is malformed, or its sender is no registered entry VM',
   ],
   processFailed: [856, 'error', 'the process ends by itself; this is its last line'],
+  gatewayRestarted: [
+    857,
+    'info',
+    'this entry VM was registered before this process started: it was restarted, or its row is old',
+  ],
+  connectionClosedUnanswered: [
+    858,
+    'warn',
+    'a connection was closed by this process while a request on it had no complete answer',
+  ],
 });
