Refuse entries of the store that no connection, header or timer can hold

Cause: the decoders took any number for a port and any text for a key, a name or a path, and any finite number for a time. http.request, net.connect and socket.send refuse these with an exception, in a handler of an effect, where it reaches the event loop.

A configuration is decoded part by part. Weighed: refusing it whole leaves the version before it in force, and the store's answer still renews the lease on its credentials, so that a key that was revoked stays valid. Leaving a bad route out sends its requests to the service of a shorter prefix; leaving out a team answers 401 to keys that are right. So a bad route keeps its place and a bad team its keys, both with what is wrong, and their requests get 503 `misconfigured` (it has not run; earlier builds read `noEndpoint`). A bad service is left out, and its routes find no endpoint. What all requests share (version, limits, the lists) is still refused whole. Event 861 names each part and what is wrong with it.

--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -549,6 +549,8 @@
     if (isCredentialRequired && !this.lease.isValid(this.context.nowMs)) return 'credentialsStale';
     const team = routeIndex.findTeam(request.credential);
     if (isCredentialRequired && team === undefined) return 'wrongCredential';
+    const isTeamFaulty = isCredentialRequired && team?.fault !== undefined;
+    if (route.fault !== undefined || isTeamFaulty) return 'misconfigured';
     const service = routeIndex.findService(this.pickService(route));
     if (service === undefined) return 'noEndpoint';
     const tightestGapMs = routeIndex.findTightestGapMs(service.name);
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -241,6 +241,8 @@
   | 'wrongCredential'
   | 'notReady'
   | 'credentialsStale'
+  /** The declaration of its route or of its team can't be used. */
+  | 'misconfigured'
   | 'noEndpoint'
   /** All endpoints of the service have named a time to come back. */
   | 'endpointsClosed'
--- a/packages/entry/src/gateway/callers/refusal-statuses.ts
+++ b/packages/entry/src/gateway/callers/refusal-statuses.ts
@@ -9,6 +9,7 @@
   wrongCredential: 401,
   notReady: 503,
   credentialsStale: 503,
+  misconfigured: 503,
   noEndpoint: 503,
   endpointsClosed: 503,
   noRoom: 503,
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -281,7 +281,12 @@
     const row = update.rows.findLast(
       ({ key, removed }) => key === rows.configurationKey && !removed,
     );
-    const configuration = row === undefined ? undefined : rows.decodeConfiguration(row);
+    const configuration =
+      row === undefined
+        ? undefined
+        : rows.decodeConfiguration(row, (detail) =>
+            this.logger.write(logEvents.configurationPartRefused, { detail }),
+          );
     if (row !== undefined && configuration === undefined) this.logUndecodableRow(row);
     this.dispatch({
       kind: 'configuration.confirmed',
--- a/packages/entry/src/gateway/peers/forwarded-exchange.ts
+++ b/packages/entry/src/gateway/peers/forwarded-exchange.ts
@@ -30,7 +30,9 @@
   }
 
   protected override listRefusalHeaders(refusal: GatewayRefusal): Record<string, string> {
-    const { reason, retryAfterMs, forwarding } = refusal;
+    const { retryAfterMs, forwarding } = refusal;
+    // Earlier builds do not know the first one.
+    const reason = refusal.reason === 'misconfigured' ? 'noEndpoint' : refusal.reason;
     const { hasRun = true, hasArrived = true, endpoint } = forwarding ?? {};
     const { attempt } = this.forwarded;
     return {
--- a/packages/entry/src/gateway/peers/forwarding-headers.ts
+++ b/packages/entry/src/gateway/peers/forwarding-headers.ts
@@ -44,6 +44,7 @@
     'wrongCredential',
     'notReady',
     'credentialsStale',
+    'misconfigured',
     'noEndpoint',
     'endpointsClosed',
     'noRoom',
--- a/packages/entry/src/gateway/types.ts
+++ b/packages/entry/src/gateway/types.ts
@@ -87,7 +87,14 @@
   readonly peerTable: string;
   /** Key of the row that holds the configuration. */
   readonly configurationKey: string;
-  decodeConfiguration(row: TableRow): GatewayConfiguration | undefined;
+  /**
+   * @param onRefused called with what is wrong with each part of the configuration that is refused while
+   *   the others are kept, or with the whole
+   */
+  decodeConfiguration(
+    row: TableRow,
+    onRefused: (detail: string) => void,
+  ): GatewayConfiguration | undefined;
   decodeEndpoint(row: TableRow): GatewayEndpoint | undefined;
   decodePeer(row: TableRow): GatewayPeer | undefined;
   encodePeer(peer: GatewayPeer): Uint8Array;
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -52,6 +52,8 @@
   readonly resumable: boolean;
   /** Longest permitted pause between two events of a stream; undefined for other kinds. */
   readonly maxEventGapMs: number | undefined;
+  /** What is wrong with its declaration, for which its requests are refused; undefined if nothing is. */
+  readonly fault?: string | undefined;
 }
 
 /** Capacity and cost model of a service's engines, as declared in the configuration. */
@@ -92,6 +94,8 @@
   readonly credentials: readonly string[];
   /** Overrides the priority of the route; undefined if the team has none. */
   readonly priority: number | undefined;
+  /** What is wrong with its declaration, for which its requests are refused; undefined if nothing is. */
+  readonly fault?: string | undefined;
 }
 
 /** Limits of the sizes and times of callers' requests. */
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -133,6 +133,11 @@
     'a request of a peer was received that can send it to no endpoint itself',
   ],
   forwardingFailed: [854, 'info', 'a peer did not serve a request that was forwarded to it'],
+  configurationPartRefused: [
+    861,
+    'error',
+    'a part of the configuration cannot be used; requests that need it are refused, the others are served',
+  ],
   strangerRefused: [
     855,
     'warn',
