Fail the owner of an effect that throws, and carry on with the others

Change: StateMachineRunner catches what a handler throws. `effect-owners.ts` names the owner of each kind of effect and the event that fails it; the listeners of an attempt are wrapped in the same way (`Containment.guard`), and each row of the store is decoded on its own. One log event (859) and one count (`savorywind_failed_work_total`) for each. An effect without an owner, and an exception in the decisions, end the process after its last line, with no event or effect run after it.

A request that can't be put into bytes is the new failure `unsendable`: nothing was sent, and neither the request nor the endpoint is blamed until a second endpoint has shown who is the cause. It is tried twice at most, takes nothing from the budget for retries, and is refused with 503 otherwise: it has not run and will not. `notSent` in its place would have ejected sound endpoints for a caller's bytes.

--- a/packages/decisions/src/gateway/attempt-rules.ts
+++ b/packages/decisions/src/gateway/attempt-rules.ts
@@ -10,6 +10,19 @@
  */
 export const MAX_EXTRA_ATTEMPTS = 3;
 
+/**
+ * Attempts of a request that can't be put into bytes after the first one. If another endpoint can't get it
+ * either, the request is the cause.
+ */
+export const MAX_UNSENDABLE_RETRIES = 1;
+
+/** Failures after which it is certain that no byte of the request left this process. */
+export const UNSENT_FAILURES: ReadonlySet<GatewayAttemptFailure> = new Set([
+  'notSent',
+  'unsendable',
+  'withdrawn',
+]);
+
 /** Failures that an interrupted network path to the endpoint may have caused. */
 export const CONNECTION_FAILURES: ReadonlySet<GatewayAttemptFailure> = new Set([
   'notSent',
--- a/packages/decisions/src/gateway/create-gateway-record.ts
+++ b/packages/decisions/src/gateway/create-gateway-record.ts
@@ -73,6 +73,8 @@
     sends: 0,
     runs: 0,
     unsent: 0,
+    unsendable: 0,
+    unsendableAt: undefined,
     connectFailures: 0,
     attemptedEndpoints: new Set(),
     failedEndpoints: new Set(forwardedFrom?.failedEndpoints),
--- a/packages/decisions/src/gateway/forwarding/peer-attempts.ts
+++ b/packages/decisions/src/gateway/forwarding/peer-attempts.ts
@@ -1,4 +1,5 @@
 import type { EntryVmId } from '@savorywind/model';
+import { MAX_UNSENDABLE_RETRIES } from '../attempt-rules.js';
 import type { FleetRetryBudget } from '../fleet-retry-budget.js';
 import type { GatewayAttempts } from '../gateway-attempts.js';
 import type { GatewayContext } from '../gateway-context.js';
@@ -60,7 +61,7 @@
     { peer }: PeerAttempt,
     { failure, detail, refusal }: AttemptFailed,
   ): void {
-    const { context, forwarder, attempts, onRetry, onFailed } = this.options;
+    const { context, forwarder, attempts, onRetry, onFailed, onRefused } = this.options;
     logForwardingFailed(context, record, { peer: peer.id, failure, detail, refusal });
     attempts.detach(record);
     if (refusal !== undefined) {
@@ -68,6 +69,11 @@
     } else if (failure === 'notSent') {
       forwarder.recordUnreachable(record, peer.id);
       onRetry(record);
+    } else if (failure === 'unsendable') {
+      record.refusedPeers.add(peer.id);
+      record.unsendable += 1;
+      if (record.unsendable <= MAX_UNSENDABLE_RETRIES) onRetry(record);
+      else onRefused(record, 'rejected');
     } else {
       // A lost response of a peer is as unknown as one of an endpoint.
       onFailed(record, failure);
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -14,6 +14,8 @@
   isForwardable,
   isSuccess,
   MAX_EXTRA_ATTEMPTS,
+  MAX_UNSENDABLE_RETRIES,
+  UNSENT_FAILURES,
   mayRetry,
   mayWaitForOpening,
   NOT_EXECUTED_STATUSES,
@@ -229,6 +231,7 @@
     const attempt = record?.attempt;
     if (record === undefined || attempt === undefined) return;
     attempt.head = head;
+    this.blameUnsendable(record);
     this.reportHead(attempt);
     if (!isForwardable(record, head)) {
       this.rejectResponse(record, attempt, head);
@@ -298,13 +301,21 @@
     if (failure === 'broken' && !paths.isCutOff) this.options.harmful.recordLoss(record, attempt);
     this.attempts.detach(record);
     releaseReservations(record);
-    if (failure !== 'withdrawn') {
+    if (failure === 'unsendable') record.unsendableAt ??= failedId;
+    else this.blameUnsendable(record);
+    if (failure !== 'withdrawn' && failure !== 'unsendable')
       health.reportFailure(failedId, context.nowMs);
-      record.failedEndpoints.add(failedId);
-    }
+    if (failure !== 'withdrawn') record.failedEndpoints.add(failedId);
     this.retryOrFail(record, failure);
   }
 
+  /** Ejects an endpoint that could not get a request which could be sent to another one. */
+  private blameUnsendable(record: GatewayRecord): void {
+    if (record.unsendableAt === undefined) return;
+    this.options.health.reportFailure(record.unsendableAt, this.options.context.nowMs);
+    record.unsendableAt = undefined;
+  }
+
   private reportHead(attempt: GatewayAttempt): void {
     if (attempt.target === 'peer') return;
     this.options.availability.recordResponse(attempt.attemptId);
@@ -558,7 +569,8 @@
 
   private retryOrFail(record: GatewayRecord, failure: GatewayAttemptFailure): void {
     if (failure === 'notSent') record.connectFailures += 1;
-    if (failure === 'notSent' || failure === 'withdrawn') record.unsent += 1;
+    if (failure === 'unsendable') record.unsendable += 1;
+    if (UNSENT_FAILURES.has(failure)) record.unsent += 1;
     else if (failure === 'broken' || failure === 'invalid') record.runs += 1;
     const hasRun = record.runs > 0;
     if (hasRun && !mayRerun(record)) {
@@ -577,8 +589,8 @@
    */
   private takeRetryBudget(record: GatewayRecord, failure: GatewayAttemptFailure): boolean {
     const { budget, context } = this.options;
-    if (failure === 'notSent' || failure === 'withdrawn')
-      return record.unsent <= MAX_EXTRA_ATTEMPTS;
+    if (failure === 'unsendable') return record.unsendable <= MAX_UNSENDABLE_RETRIES;
+    if (UNSENT_FAILURES.has(failure)) return record.unsent <= MAX_EXTRA_ATTEMPTS;
     return budget.takeRetry(record.service.name, context.nowMs);
   }
 
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -94,6 +94,10 @@
   runs: number;
   /** Attempts that failed before any byte of the request left this process. */
   unsent: number;
+  /** Attempts that could not be put into bytes. */
+  unsendable: number;
+  /** Endpoint of the first of these, until it is known whether the request or the endpoint is the cause. */
+  unsendableAt: EndpointId | undefined;
   /** Endpoints to which no connection could be opened for the request. */
   connectFailures: number;
   /** Endpoints at which an attempt was started. */
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -61,6 +61,11 @@
   | 'rejected'
   /** Another endpoint now has the address, and did not execute the request. */
   | 'otherEndpoint'
+  /**
+   * Not sent either: this process can't put the request, or the address, into bytes. Whether the request or
+   * the endpoint is the cause is not known.
+   */
+  | 'unsendable'
   /** Not sent either: the endpoint takes no more requests. */
   | 'withdrawn'
   /** The connection was lost, or the response ended early. */
@@ -120,8 +125,9 @@
  *
  * - `malformedInput`: bytes that are no request followed a request
  * - `stopping`: the time of the stopping process has ended
+ * - `fault`: an exception has ended what passes the response on
  */
-export type CloseReason = 'malformedInput' | 'stopping';
+export type CloseReason = 'malformedInput' | 'stopping' | 'fault';
 
 /** Input of the gateway's decisions. */
 export type GatewayEvent =
--- a/packages/decisions/test/gateway/forwarded-requests.test.ts
+++ b/packages/decisions/test/gateway/forwarded-requests.test.ts
@@ -122,6 +122,25 @@
     expect(findForward(driver, id)?.peer.failureDomain).toBe('a');
   });
 
+  it('tries no more than two peers for a request that can’t be put into bytes, and blames none', () => {
+    const driver = startWithPeers();
+    losePath(driver);
+    const id = driver.request('/chat/');
+    for (let count = 0; count < 10 && driver.findRefusal(id) === undefined; count += 1) {
+      const { attemptId } = findForward(driver, id)!;
+      driver.dispatch({ kind: 'attempt.failed', attemptId, failure: 'unsendable', detail: 'test' });
+    }
+    const peers = driver
+      .list('attempt.forward')
+      .filter(({ requestId }) => requestId === id)
+      .map(({ peer }) => peer.id);
+    expect(new Set(peers).size).toBe(2);
+    expect(peers).toHaveLength(2);
+    expect(driver.findRefusal(id)?.reason).toBe('rejected');
+    // Both are still preferred to peers of other domains.
+    expect(peers).toContain(findForward(driver, driver.request('/chat/'))?.peer.id);
+  });
+
   it('prefers a peer of another domain to one with many more requests', () => {
     const driver = startWithPeers({ writers: { 'near-1': 40, 'near-2': 40 } });
     losePath(driver);
--- a/packages/entry/src/gateway/callers/caller-exchange.ts
+++ b/packages/entry/src/gateway/callers/caller-exchange.ts
@@ -120,6 +120,23 @@
     outgoing.on('close', () => clearTimeout(timer));
   }
 
+  /**
+   * Ends a request whose answer can't be passed on, visibly: with an error response if nothing was sent,
+   * else by closing the connection.
+   */
+  fail(): void {
+    const { outgoing } = this;
+    if (!outgoing.headersSent && !outgoing.destroyed) {
+      try {
+        this.refuse({ reason: 'broken', retryAfterMs: undefined });
+        return;
+      } catch {
+        // The connection is closed instead.
+      }
+    }
+    this.abort();
+  }
+
   /** Sends an error response that the gateway creates itself. */
   refuse(refusal: GatewayRefusal): void {
     const { reason, retryAfterMs } = refusal;
--- a/packages/entry/src/gateway/endpoints/outgoing-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/outgoing-attempt.ts
@@ -1,6 +1,7 @@
 import { request, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import type { GatewayAttemptFailure, GatewayEvent } from '@savorywind/decisions';
+import type { Containment } from '../../runtime/containment.js';
 import type { CallerExchange } from '../callers/caller-exchange.js';
 import type { DispatchGatewayEvent, AttemptForward, AttemptStart } from '../types.js';
 import type { AttemptTarget, ResponseRejection } from './attempt-target.js';
@@ -19,6 +20,7 @@
   readonly target: AttemptTarget;
   readonly exchange: CallerExchange;
   readonly dispatch: DispatchGatewayEvent;
+  readonly containment: Containment;
 }
 
 type FailureDetails = Pick<
@@ -46,13 +48,26 @@
 
   constructor(private readonly options: OutgoingAttemptOptions) {
     this.outgoing = this.createRequest();
-    this.outgoing.on('socket', (socket) => this.handleSocket(socket));
-    this.outgoing.on('response', (response) => this.handleResponse(response));
+    this.outgoing.on(
+      'socket',
+      this.guard('attempt.socket', (socket) => this.handleSocket(socket)),
+    );
+    this.outgoing.on(
+      'response',
+      this.guard('attempt.response', (response) => this.handleResponse(response)),
+    );
     this.outgoing.on('error', (error: NodeJS.ErrnoException) => this.handleError(error));
     this.outgoing.on('close', () => this.framing?.stop());
     // Without this listener, Node closes the connection and reports nothing.
     this.outgoing.on('upgrade', () => this.failResponse('invalid', 'endpoint switched protocols'));
-    this.outgoing.end(options.exchange.body.length > 0 ? options.exchange.body : undefined);
+    try {
+      this.outgoing.end(options.exchange.body.length > 0 ? options.exchange.body : undefined);
+    } catch (error) {
+      // A connection is taken into use only later, so that nothing was sent.
+      this.isEnded = true;
+      this.outgoing.destroy();
+      throw error;
+    }
   }
 
   /** Forwards the response to the caller, from its head on. */
@@ -75,6 +90,16 @@
     this.outgoing.destroy();
   }
 
+  /** Wraps a listener so that what it throws fails this attempt. */
+  private guard<Value>(work: string, listener: (value: Value) => void): (value: Value) => void {
+    const { containment, start } = this.options;
+    return containment.guard(
+      { work, owner: 'attempt', ownerId: start.attemptId },
+      listener,
+      (detail) => this.failResponse(this.mayHaveSent ? 'broken' : 'notSent', detail),
+    );
+  }
+
   private createRequest(): ClientRequest {
     const { exchange, target } = this.options;
     return request({
@@ -125,8 +150,10 @@
       type.startsWith(EVENT_STREAM_TYPE);
     const { attemptId, lastEventId } = start;
     const { metadata } = read;
+    const guard = <V>(work: string, listener: (value: V) => void): ((value: V) => void) =>
+      this.guard(work, listener);
     this.relay = new ResponseRelay(
-      { attemptId, response, metadata, exchange, dispatch, lastEventId },
+      { attemptId, response, metadata, exchange, dispatch, lastEventId, guard },
       deliversEvents,
     );
   }
@@ -156,8 +183,8 @@
   }
 
   /** Closes the connection, also if the attempt has already failed. */
-  private failResponse(failure: 'broken' | 'invalid', detail: string): void {
-    if (this.relay !== undefined) this.relay.fail(failure, detail);
+  private failResponse(failure: 'notSent' | 'broken' | 'invalid', detail: string): void {
+    if (this.relay !== undefined && failure !== 'notSent') this.relay.fail(failure, detail);
     else this.fail(failure, detail);
     this.outgoing.destroy();
   }
--- a/packages/entry/src/gateway/endpoints/response-relay.ts
+++ b/packages/entry/src/gateway/endpoints/response-relay.ts
@@ -29,6 +29,8 @@
   readonly dispatch: DispatchGatewayEvent;
   /** Id of the last event that the caller has; undefined if the stream starts from its beginning. */
   readonly lastEventId: string | undefined;
+  /** Wraps a listener so that what it throws fails the attempt. */
+  readonly guard: <Value>(work: string, listener: (value: Value) => void) => (value: Value) => void;
 }
 
 /**
@@ -59,8 +61,14 @@
     this.splitter = deliversEvents ? new EventSplitter() : undefined;
     const { response, lastEventId } = options;
     this.order = new EventOrder(lastEventId);
-    response.on('data', (chunk: Buffer) => this.handleChunk(chunk));
-    response.on('end', () => this.handleEnd());
+    response.on(
+      'data',
+      options.guard('attempt.data', (chunk: Buffer) => this.handleChunk(chunk)),
+    );
+    response.on(
+      'end',
+      options.guard('attempt.end', () => this.handleEnd()),
+    );
     response.on('error', (error) => this.fail('broken', error.message));
     response.on('close', () => {
       if (!response.complete)
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -1,16 +1,16 @@
 import {
   computeReadTimings,
   GatewayNode,
-  type CloseReason,
   type GatewayEffect,
   type GatewayEvent,
-  type EndpointProcess,
   type TableSource,
 } from '@savorywind/decisions';
-import { logEvents, type GatewayEndpoint, type LogEvent, type LogFields } from '@savorywind/model';
+import { logEvents, type LogEvent, type LogFields } from '@savorywind/model';
 import { createStdoutSink } from '../observe/log-sink.js';
+import { describeError, type ErrorDescription } from '../observe/describe-error.js';
 import { createEventLogger } from '../observe/logger.js';
 import { listProcessGauges } from '../observe/process-gauges.js';
+import { Containment, type Work } from '../runtime/containment.js';
 import { StateMachineRunner, type EffectHandlersOf } from '../runtime/state-machine-runner.js';
 import type { CallerExchange } from './callers/caller-exchange.js';
 import {
@@ -18,30 +18,28 @@
   RequestServer,
   type RequestServerOptions,
 } from './callers/request-server.js';
+import { resolveFailedEffect } from './effect-owners.js';
 import { ElapsedClock } from './elapsed-clock.js';
 import { ConnectionPools } from './endpoints/connection-pools.js';
-import type { AttemptTarget } from './endpoints/attempt-target.js';
-import { createEndpointTarget } from './endpoints/endpoint-target.js';
-import { OutgoingAttempt } from './endpoints/outgoing-attempt.js';
 import { probeEndpoint } from './endpoints/probe-endpoint.js';
 import { ReservationCalls } from './endpoints/reservation-calls.js';
 import { listControlGauges } from './metrics/control-gauges.js';
 import { listHarmGauges } from './metrics/harm-gauges.js';
 import { GatewayMetrics } from './metrics/gateway-metrics.js';
+import { listContainedGauge } from './metrics/contained-gauge.js';
 import { listTableGauges } from './metrics/table-gauges.js';
 import { MetricsServer } from './metrics/metrics-server.js';
 import type { PermitMessage } from './permit-messages.js';
 import { PeerSocket } from './peer-socket.js';
+import { RequestEffects } from './request-effects.js';
 import { ReadinessServer } from './readiness-server.js';
 import { ForwardedExchange } from './peers/forwarded-exchange.js';
 import { createPeerServer } from './peers/peer-server.js';
-import { createPeerTarget } from './peers/peer-target.js';
 import { PeerRegistration } from './store/peer-registration.js';
 import { StoreEra } from './store/store-era.js';
 import { StoreTables } from './store/store-tables.js';
-import type { TableUpdate } from './store/table-watcher.js';
-import type { TableRow } from './store/types.js';
-import type { AttemptForward, AttemptStart, GatewayAdapter, GatewaySettings } from './types.js';
+import { StoreUpdates } from './store/store-updates.js';
+import type { GatewayAdapter, GatewaySettings } from './types.js';
 
 /** Open requests are ended this long before the platform kills the process, in milliseconds. */
 const STOP_MARGIN_MS = 400;
@@ -78,9 +76,9 @@
 
   private readonly reservationCalls: ReservationCalls;
 
-  private readonly exchanges = new Map<string, CallerExchange>();
+  private readonly requests: RequestEffects;
 
-  private readonly attempts = new Map<string, OutgoingAttempt>();
+  private readonly containment = new Containment((work, error) => this.logContained(work, error));
 
   private readonly era = new StoreEra((previousEra, era) => this.handleEraRaised(previousEra, era));
 
@@ -129,7 +127,17 @@
     const { wire } = adapter;
     this.logger = createEventLogger(self.id, 'info', this.logSink);
     this.node = new GatewayNode({ self, incarnation, seed: incarnation, contract });
-    this.runner = new StateMachineRunner(this.node, this.createHandlers());
+    this.requests = new RequestEffects({
+      wire,
+      pools: this.pools,
+      peerPools: this.peerPools,
+      dispatch: (event) => this.dispatch(event),
+      containment: this.containment,
+    });
+    this.runner = new StateMachineRunner(this.node, this.createHandlers(), undefined, {
+      onEffectFailed: (effect, error) => this.failEffect(effect, error),
+      onBroken: (error) => this.reportBroken(error),
+    });
     this.reservationCalls = new ReservationCalls({
       reservations: adapter.reservations,
       pools: this.pools,
@@ -139,7 +147,7 @@
       wire,
       bodyBudget: createBodyBudget(),
       onRequestReceived: (exchange, path, host) => this.openExchange(exchange, path, host),
-      onDisconnected: (requestId, closedFor) => this.abandonExchange(requestId, closedFor),
+      onDisconnected: (requestId, closedFor) => this.requests.abandon(requestId, closedFor),
       onUnreadRefused: (request) => this.logger.write(logEvents.unreadRequestRefused, { request }),
     };
     this.requestServer = new RequestServer({ ...requestOptions, address: settings.callers });
@@ -244,17 +252,39 @@
     this.runner.dispatch(event);
   }
 
+  /**
+   * Ends the process, whoever has called `dispatch`: after an exception in the decisions their state may be
+   * half changed.
+   */
+  // eslint-disable-next-line class-methods-use-this
+  private reportBroken(error: unknown): void {
+    queueMicrotask(() => {
+      throw error;
+    });
+  }
+
+  private logContained({ work, owner, ownerId }: Work, error: ErrorDescription): void {
+    this.logger.write(logEvents.workFailed, { work, owner, id: ownerId, ...error });
+  }
+
   private createStoreTables(): StoreTables {
     const { rows, tables } = this.adapter;
     const { contract } = this.settings;
+    const updates = new StoreUpdates({
+      rows,
+      containment: this.containment,
+      dispatch: (event) => this.dispatch(event),
+      readClockMs: () => this.clock.readMs(),
+      onUndecodable: (key) => this.logger.write(logEvents.storeEntryUnreadable, { key }),
+    });
     return new StoreTables({
       tables,
       names: { configuration: rows.configurationTable, endpoints: rows.endpointTable },
       timings: computeReadTimings(contract),
       era: this.era,
       readClockMs: () => this.clock.readMs(),
-      onConfigurationUpdated: (update) => this.handleConfigurationUpdate(update),
-      onEndpointsUpdated: (update) => this.handleEndpointUpdate(update),
+      onConfigurationUpdated: (update) => updates.handleConfiguration(update),
+      onEndpointsUpdated: (update) => updates.handleEndpoints(update),
       dispatch: (event) => this.dispatch(event),
     });
   }
@@ -278,66 +308,12 @@
     this.dispatch({ kind: 'store.eraRaised', previousEra, era });
   }
 
-  private handleConfigurationUpdate(update: TableUpdate): void {
-    const requestedAtMs = this.convertToMonotonic(update.requestedAtMs);
-    if (update.kind === 'failed') {
-      this.dispatch({ kind: 'store.failed', detail: update.detail, requestedAtMs });
-      return;
-    }
-    const { rows } = this.adapter;
-    const row = update.rows.findLast(
-      ({ key, removed }) => key === rows.configurationKey && !removed,
-    );
-    const configuration = row === undefined ? undefined : rows.decodeConfiguration(row);
-    if (row !== undefined && configuration === undefined) this.logUndecodableRow(row);
-    this.dispatch({
-      kind: 'configuration.confirmed',
-      requestedAtMs,
-      configuration,
-      source: update.kind === 'changes' ? 'change' : 'snapshot',
-    });
-  }
-
-  /**
-   * Converts a time of the elapsed clock to the monotonic clock, moved back by suspensions since then, so
-   * that they count towards the age of what was read.
-   */
-  private convertToMonotonic(elapsedMs: number): number {
-    return performance.now() - (this.clock.readMs() - elapsedMs);
-  }
-
   private handlePermitMessage(message: PermitMessage): void {
     if (message.kind === 'permit.request')
       this.dispatch({ kind: 'permit.requested', request: message.request });
     else this.dispatch({ kind: 'permit.answered', answer: message.answer });
   }
 
-  private handleEndpointUpdate(update: TableUpdate): void {
-    const requestedAtMs = this.convertToMonotonic(update.requestedAtMs);
-    if (update.kind === 'failed') {
-      this.dispatch({ kind: 'store.failed', detail: update.detail, requestedAtMs });
-      return;
-    }
-    const changes = update.rows.map((row) => ({ id: row.key, endpoint: this.decodeEndpoint(row) }));
-    if (update.kind === 'changes') {
-      this.dispatch({ kind: 'endpoints.changed', changes, requestedAtMs });
-      return;
-    }
-    const endpoints = changes.flatMap(({ endpoint }) => endpoint ?? []);
-    this.dispatch({ kind: 'endpoints.read', endpoints, requestedAtMs });
-  }
-
-  private decodeEndpoint(row: TableRow): GatewayEndpoint | undefined {
-    if (row.removed) return undefined;
-    const endpoint = this.adapter.rows.decodeEndpoint(row);
-    if (endpoint === undefined) this.logUndecodableRow(row);
-    return endpoint;
-  }
-
-  private logUndecodableRow({ key }: TableRow): void {
-    this.logger.write(logEvents.storeEntryUnreadable, { key });
-  }
-
   private openExchange(exchange: CallerExchange, path: string, host: string): void {
     const { requestId, received } = exchange;
     const { metadata, fingerprint } = received;
@@ -345,7 +321,7 @@
       exchange.refuse({ reason: 'notReady', retryAfterMs: 0 });
       return;
     }
-    this.exchanges.set(requestId, exchange);
+    this.requests.add(exchange);
     const forwardedFrom = exchange instanceof ForwardedExchange ? exchange.forwarded : undefined;
     this.dispatch({
       kind: 'request.arrived',
@@ -353,53 +329,6 @@
     });
   }
 
-  private abandonExchange(requestId: string, closedFor: CloseReason | undefined): void {
-    if (!this.exchanges.delete(requestId)) return;
-    this.dispatch({ kind: 'request.abandoned', requestId, closedFor });
-  }
-
-  private takeExchange(requestId: string): CallerExchange | undefined {
-    const exchange = this.exchanges.get(requestId);
-    this.exchanges.delete(requestId);
-    return exchange;
-  }
-
-  private startAttempt(start: AttemptStart): void {
-    const { wire } = this.adapter;
-    this.openAttempt(start, (exchange) =>
-      createEndpointTarget({ start, exchange, pools: this.pools, wire }),
-    );
-  }
-
-  private forwardAttempt(forward: AttemptForward): void {
-    const { wire } = this.adapter;
-    this.openAttempt(forward, (exchange) =>
-      createPeerTarget({ forward, exchange, pools: this.peerPools, wire }),
-    );
-  }
-
-  private openAttempt(
-    start: AttemptStart | AttemptForward,
-    createTarget: (exchange: CallerExchange) => AttemptTarget,
-  ): void {
-    const exchange = this.exchanges.get(start.requestId);
-    if (exchange === undefined) return;
-    const dispatchAttempt = (event: GatewayEvent): void => {
-      if (event.kind === 'attempt.ended' || event.kind === 'attempt.failed') {
-        this.attempts.delete(start.attemptId);
-      }
-      this.dispatch(event);
-    };
-    const target = createTarget(exchange);
-    const attempt = new OutgoingAttempt({ start, target, exchange, dispatch: dispatchAttempt });
-    this.attempts.set(start.attemptId, attempt);
-  }
-
-  private relay(requestId: string, attemptId: string, endpoint: EndpointProcess | undefined): void {
-    this.exchanges.get(requestId)?.recordEndpoint(endpoint);
-    this.attempts.get(attemptId)?.startForwarding();
-  }
-
   /** Refuses a sender that is not known; an entry VM that has just registered is known the next time. */
   private handleStranger(host: string, detail: string): void {
     this.logger.write(logEvents.strangerRefused, { host, detail });
@@ -414,20 +343,31 @@
     return [this.requestServer, this.peerServer];
   }
 
+  /** Fails the owner of an effect whose handler has thrown. */
+  private failEffect(effect: GatewayEffect, error: unknown): void {
+    const { detail } = describeError(error);
+    const { owner, ownerId, failure } = resolveFailedEffect(effect, detail);
+    if (failure.kind === 'process') throw error;
+    this.containment.record({ work: effect.kind, owner, ownerId }, error);
+    if (failure.kind === 'event') this.dispatch(failure.event);
+    if (failure.kind === 'request') this.requests.failRequest(failure.requestId);
+  }
+
   private createHandlers(): EffectHandlersOf<GatewayEffect> {
+    const { requests } = this;
     return {
-      'attempt.start': (effect) => this.startAttempt(effect),
-      'attempt.forward': (effect) => this.forwardAttempt(effect),
-      'attempt.cancel': ({ attemptId }) => {
-        this.attempts.get(attemptId)?.cancel();
-        this.attempts.delete(attemptId);
-      },
-      'attempt.withdraw': ({ attemptId }) => this.attempts.get(attemptId)?.withdraw(),
+      'attempt.start': (effect) => requests.startAttempt(effect),
+      'attempt.forward': (effect) => requests.forwardAttempt(effect),
+      'attempt.cancel': ({ attemptId }) => requests.cancelAttempt(attemptId),
+      'attempt.withdraw': ({ attemptId }) => requests.withdrawAttempt(attemptId),
       'caller.relay': ({ requestId, attemptId, endpoint }) =>
-        this.relay(requestId, attemptId, endpoint),
-      'caller.finish': ({ requestId }) => this.takeExchange(requestId)?.finish(),
-      'caller.breakOff': ({ requestId }) => this.takeExchange(requestId)?.abort(),
-      'caller.refuse': ({ requestId, refusal }) => this.takeExchange(requestId)?.refuse(refusal),
+        requests.relay(requestId, attemptId, endpoint),
+      'caller.finish': ({ requestId }) =>
+        requests.answer(requestId, (exchange) => exchange.finish()),
+      'caller.breakOff': ({ requestId }) =>
+        requests.answer(requestId, (exchange) => exchange.abort()),
+      'caller.refuse': ({ requestId, refusal }) =>
+        requests.answer(requestId, (exchange) => exchange.refuse(refusal)),
       'reservation.ask': (request) => this.reservationCalls.reserve(request),
       'reservation.release': (request) => this.reservationCalls.release(request),
       'path.probe': ({ endpoint, timeoutMs }) =>
@@ -471,7 +411,7 @@
       {
         metric: 'savorywind_requests_in_flight',
         help: 'Requests that have no final answer yet.',
-        value: this.exchanges.size,
+        value: this.requests.openCount,
       },
       ...listControlGauges({
         traffic: this.peerSocket.trafficBytes,
@@ -486,6 +426,7 @@
       ...listTableGauges(this.storeTables.source, this.storeTables.listAges()),
       ...listHarmGauges(this.node.harmUsage),
       ...listProcessGauges(this.logSink.droppedLines),
+      listContainedGauge(this.containment.counts),
     ]);
   }
 
@@ -514,7 +455,7 @@
     if (this.isClosed) return;
     this.isClosed = true;
     clearTimeout(this.closeTimer);
-    this.exchanges.forEach(({ metadata }) => this.logClosed(metadata.callerAttempt));
+    this.requests.listOpen().forEach((request) => this.logClosed(request));
     const unwritten = this.servers.reduce((sum, server) => sum + server.openResponseCount, 0);
     this.servers.forEach((server) => server.closeAllConnections());
     this.runner.stop();
--- a/packages/entry/src/runtime/process-end.ts
+++ b/packages/entry/src/runtime/process-end.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import { logEvents } from '@savorywind/model';
+import { describeError, type ErrorDescription } from '../observe/describe-error.js';
 import { openOutput } from '../observe/open-output.js';
 import { writeInTime } from '../observe/write-in-time.js';
 
@@ -24,36 +25,9 @@
   notLoaded: 71,
 };
 
-/** Longest error message in the last line, in characters. */
-const MAX_DETAIL_CHARS = 1_024;
-
-/** Longest stack in the last line, in characters. */
-const MAX_STACK_CHARS = 4_096;
-
 /** Longest time for the last line, if the log reader hangs, in milliseconds. */
 const WRITE_MS = 200;
 
-/** What is known of an error, as texts of bounded length. */
-interface ErrorDescription {
-  readonly code: string | undefined;
-  readonly detail: string;
-  readonly stack: string | undefined;
-}
-
-/** Anything can be thrown, also objects whose properties throw when they are read. */
-const describeError = (error: unknown): ErrorDescription => {
-  try {
-    const { code, message, stack } = error instanceof Error ? (error as NodeJS.ErrnoException) : {};
-    return {
-      code: code === undefined ? undefined : String(code).slice(0, MAX_DETAIL_CHARS),
-      detail: (message ?? String(error)).slice(0, MAX_DETAIL_CHARS),
-      stack: stack?.slice(0, MAX_STACK_CHARS),
-    };
-  } catch {
-    return { code: undefined, detail: 'an error that cannot be shown', stack: undefined };
-  }
-};
-
 /** The end of a process by itself: its last line in the log, and its exit code. */
 export class ProcessEnd {
   private vm = '';
--- a/packages/entry/src/runtime/state-machine-runner.ts
+++ b/packages/entry/src/runtime/state-machine-runner.ts
@@ -15,6 +15,30 @@
   readonly [Kind in Effect['kind']]: (effect: Extract<Effect, { readonly kind: Kind }>) => void;
 };
 
+/** What becomes of exceptions while a state machine runs. */
+export interface RunnerFailures<Effect> {
+  /**
+   * Called for an effect whose handler has thrown, to fail the owner of the effect. Throws if it has none;
+   * then nothing is run any more.
+   */
+  readonly onEffectFailed: (effect: Effect, error: unknown) => void;
+  /**
+   * Called if nothing can be run any more: the state machine has thrown, so that its state may be half
+   * changed, or an effect without an owner has.
+   */
+  readonly onBroken: (error: unknown) => void;
+}
+
+const throwIt = (error: unknown): never => {
+  throw error;
+};
+
+/** Without owners, each exception reaches the caller of `dispatch`. */
+const NO_OWNERS: RunnerFailures<unknown> = {
+  onEffectFailed: (_effect, error) => throwIt(error),
+  onBroken: throwIt,
+};
+
 /**
  * Runs a state machine: passes it events with the current time, executes the effects that it returns,
  * and wakes it when its timer is due.
@@ -44,9 +68,13 @@
     private readonly stateMachine: StateMachine<Event | { readonly kind: 'woken' }, Effect>,
     private readonly handlers: EffectHandlersOf<Effect>,
     private readonly readClockMs: () => number = () => performance.now(),
+    private readonly failures: RunnerFailures<Effect> = NO_OWNERS,
   ) {}
 
-  /** Processes an event. Events dispatched while effects are executed are queued. */
+  /**
+   * Processes an event. Events dispatched while effects are executed are queued. An effect that fails costs
+   * neither the effects after it nor the events behind it.
+   */
   dispatch(event: Event | { readonly kind: 'woken' }): void {
     if (this.stopped) return;
     this.pendingEvents.push(event);
@@ -54,10 +82,14 @@
     this.running = true;
     try {
       this.runPendingEvents();
+      this.armTimer();
+    } catch (error) {
+      this.stop();
+      this.pendingEvents.length = 0;
+      this.failures.onBroken(error);
     } finally {
       this.running = false;
     }
-    this.armTimer();
   }
 
   /**
@@ -89,7 +121,11 @@
 
   private runEffect(effect: Effect): void {
     const handler = this.handlers[effect.kind as Effect['kind']] as (effect: Effect) => void;
-    handler(effect);
+    try {
+      handler(effect);
+    } catch (error) {
+      this.failures.onEffectFailed(effect, error);
+    }
   }
 
   private armTimer(): void {
--- a/packages/entry/test/gateway/withdrawn-attempts.test.ts
+++ b/packages/entry/test/gateway/withdrawn-attempts.test.ts
@@ -5,6 +5,7 @@
 import type { CallerExchange } from '../../src/gateway/callers/caller-exchange.js';
 import { ConnectionPools } from '../../src/gateway/endpoints/connection-pools.js';
 import { createEndpointTarget } from '../../src/gateway/endpoints/endpoint-target.js';
+import { Containment } from '../../src/runtime/containment.js';
 import { OutgoingAttempt } from '../../src/gateway/endpoints/outgoing-attempt.js';
 import type { AttemptStart, GatewayWire } from '../../src/gateway/types.js';
 
@@ -25,6 +26,7 @@
   };
   const wire = { buildAttemptHeaders: () => ['Host', 'a.example'] } as unknown as GatewayWire;
   return new OutgoingAttempt({
+    containment: new Containment(() => {}),
     ...options,
     target: createEndpointTarget({ ...options, pools, wire }),
     dispatch: (event) => events.push(event),
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -149,4 +149,9 @@
     'warn',
     'a connection was closed by this process while a request on it had no complete answer',
   ],
+  workFailed: [
+    859,
+    'error',
+    'an exception has ended a piece of work; only its owner is failed, and the process goes on',
+  ],
 });
