Contain exceptions of listeners and promises at the owner of the work

Change: each of them is registered with `Containment`, and fails its owner. A datagram that can't be sent costs no other peer its own.

--- a/packages/entry/src/gateway/endpoints/reservation-calls.ts
+++ b/packages/entry/src/gateway/endpoints/reservation-calls.ts
@@ -4,6 +4,7 @@
   ReservationRelease,
   ReservationRequest,
 } from '../types.js';
+import type { Containment } from '../../runtime/containment.js';
 import type { ConnectionPools } from './connection-pools.js';
 import { listNotices } from './list-notices.js';
 
@@ -11,6 +12,7 @@
   readonly reservations: EngineReservations;
   readonly pools: ConnectionPools;
   readonly dispatch: DispatchGatewayEvent;
+  readonly containment: Containment;
 }
 
 /** Sends reservations of memory to engines, and reports the outcome and the notices in the responses. */
@@ -18,19 +20,26 @@
   constructor(private readonly options: ReservationCallsOptions) {}
 
   reserve(request: ReservationRequest): void {
-    const { reservations, pools, dispatch } = this.options;
+    const { reservations, pools, dispatch, containment } = this.options;
     const { reservationId, endpoint } = request;
-    reservations.reserve(request, pools.find(endpoint.id, 'kept')).then(({ outcome, notice }) => {
-      listNotices(endpoint, notice).forEach((event) => dispatch(event));
-      dispatch({ kind: 'reservation.answered', reservationId, outcome });
-    });
+    containment.settle(
+      { work: 'reservation.reserve', owner: 'endpoint', ownerId: endpoint.id },
+      () => reservations.reserve(request, pools.find(endpoint.id, 'kept')),
+      ({ outcome, notice }) => {
+        listNotices(endpoint, notice).forEach((event) => dispatch(event));
+        dispatch({ kind: 'reservation.answered', reservationId, outcome });
+      },
+      () => dispatch({ kind: 'reservation.answered', reservationId, outcome: 'unknown' }),
+    );
   }
 
   release(request: ReservationRelease): void {
-    const { reservations, pools, dispatch } = this.options;
+    const { reservations, pools, dispatch, containment } = this.options;
     const { endpoint } = request;
-    reservations
-      .release(request, pools.find(endpoint.id, 'kept'))
-      .then((notice) => listNotices(endpoint, notice).forEach((event) => dispatch(event)));
+    containment.settle(
+      { work: 'reservation.release', owner: 'endpoint', ownerId: endpoint.id },
+      () => reservations.release(request, pools.find(endpoint.id, 'kept')),
+      (notice) => listNotices(endpoint, notice).forEach((event) => dispatch(event)),
+    );
   }
 }
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -142,6 +142,7 @@
       reservations: adapter.reservations,
       pools: this.pools,
       dispatch: (event) => this.dispatch(event),
+      containment: this.containment,
     });
     const requestOptions: Omit<RequestServerOptions, 'address'> = {
       wire,
@@ -163,14 +164,20 @@
       onSnapshotReceived: (snapshot) => this.dispatch({ kind: 'peer.received', snapshot }),
       onPermitMessage: (message) => this.handlePermitMessage(message),
       onFailed: (detail) => this.logger.write(logEvents.peerUnreadable, { detail }),
+      containment: this.containment,
     });
     if (settings.metrics !== undefined) {
-      this.metricsServer = new MetricsServer(settings.metrics, () => this.renderMetrics());
+      this.metricsServer = new MetricsServer(
+        settings.metrics,
+        () => this.renderMetrics(),
+        this.containment,
+      );
     }
     this.registration = new PeerRegistration({
       tables: adapter.tables,
       rows: adapter.rows,
       self,
+      containment: this.containment,
       onRead: (peers) => {
         this.peerHosts = new Set(peers.map(({ address }) => address.host));
         this.dispatch({ kind: 'peers.read', peers });
@@ -286,6 +293,7 @@
       onConfigurationUpdated: (update) => updates.handleConfiguration(update),
       onEndpointsUpdated: (update) => updates.handleEndpoints(update),
       dispatch: (event) => this.dispatch(event),
+      containment: this.containment,
     });
   }
 
--- a/packages/entry/src/gateway/metrics/metrics-server.ts
+++ b/packages/entry/src/gateway/metrics/metrics-server.ts
@@ -1,9 +1,11 @@
-import { createServer, type Server } from 'node:http';
+import { createServer, type Server, type ServerResponse } from 'node:http';
 import type { NetworkAddress } from '@savorywind/model';
+import type { Containment } from '../../runtime/containment.js';
 
 const METRICS_PATH = '/metrics';
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
+const HTTP_INTERNAL_ERROR = 500;
 const CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
 
 /**
@@ -16,13 +18,11 @@
   constructor(
     private readonly address: NetworkAddress,
     renderMetrics: () => string,
+    private readonly containment: Containment,
   ) {
     this.server = createServer((incoming, outgoing) => {
-      const isMetricsPath = incoming.url === METRICS_PATH;
-      outgoing.writeHead(isMetricsPath ? HTTP_OK : HTTP_NOT_FOUND, {
-        'Content-Type': CONTENT_TYPE,
-      });
-      outgoing.end(isMetricsPath ? renderMetrics() : undefined);
+      if (incoming.url === METRICS_PATH) this.answer(outgoing, renderMetrics);
+      else outgoing.writeHead(HTTP_NOT_FOUND).end();
     });
   }
 
@@ -34,6 +34,18 @@
     });
   }
 
+  /** Metrics that can't be rendered cost one answer. */
+  private answer(outgoing: ServerResponse, renderMetrics: () => string): void {
+    this.containment.run(
+      { work: 'metrics.render', owner: 'observation' },
+      () => {
+        const text = renderMetrics();
+        outgoing.writeHead(HTTP_OK, { 'Content-Type': CONTENT_TYPE }).end(text);
+      },
+      () => outgoing.writeHead(HTTP_INTERNAL_ERROR).end(),
+    );
+  }
+
   stop(): void {
     this.server.close();
     this.server.closeAllConnections();
--- a/packages/entry/src/gateway/peer-socket.ts
+++ b/packages/entry/src/gateway/peer-socket.ts
@@ -1,5 +1,6 @@
 import { createSocket } from 'node:dgram';
 import type { NetworkAddress, WorkSnapshot } from '@savorywind/model';
+import type { Containment } from '../runtime/containment.js';
 import type { PermitMessage } from './permit-messages.js';
 import { SnapshotCodec, type SnapshotFormat } from './snapshot-codec.js';
 
@@ -17,6 +18,7 @@
   readonly onPermitMessage: (message: PermitMessage) => void;
   /** Called for a datagram that can't be decoded, and for an error of the socket. */
   readonly onFailed: (detail: string) => void;
+  readonly containment: Containment;
 }
 
 /**
@@ -34,7 +36,13 @@
   private readonly traffic: PeerTraffic = { sentBytes: 0, receivedBytes: 0 };
 
   constructor(private readonly options: PeerSocketOptions) {
-    this.socket.on('message', (bytes) => this.handleDatagram(bytes));
+    const { containment } = options;
+    this.socket.on(
+      'message',
+      containment.guard({ work: 'peer.datagram', owner: 'peer' }, (bytes) =>
+        this.handleDatagram(bytes),
+      ),
+    );
     this.socket.on('error', (error) => options.onFailed(error.message));
   }
 
@@ -61,8 +69,7 @@
   /** Sends a message about a permit to one peer. If it is lost, the sender of the request asks again. */
   sendMessage(message: PermitMessage, { host, port }: NetworkAddress): void {
     const bytes = this.codec.encodeMessage(message);
-    this.traffic.sentBytes += bytes.length;
-    this.socket.send(bytes, port, host, () => {});
+    this.sendTo({ host, port }, bytes);
   }
 
   stop(): void {
@@ -76,9 +83,17 @@
   ): void {
     if (peers.length === 0) return;
     const bytes = this.codec.encode(snapshot, format);
-    this.traffic.sentBytes += bytes.length * peers.length;
-    // Errors are ignored: the next snapshot replaces this one.
-    peers.forEach(({ host, port }) => this.socket.send(bytes, port, host, () => {}));
+    peers.forEach((peer) => this.sendTo(peer, bytes));
+  }
+
+  /** An address that can't be sent to costs no other peer its datagram. */
+  private sendTo(peer: NetworkAddress, bytes: Uint8Array): void {
+    const work = { work: 'peer.send', owner: 'peer', ownerId: formatAddress(peer) } as const;
+    this.options.containment.run(work, () => {
+      // Errors of the network are ignored: the next snapshot replaces this one.
+      this.socket.send(bytes, peer.port, peer.host, () => {});
+      this.traffic.sentBytes += bytes.length;
+    });
   }
 
   private handleDatagram(bytes: Buffer): void {
--- a/packages/entry/src/gateway/store/peer-registration.ts
+++ b/packages/entry/src/gateway/store/peer-registration.ts
@@ -1,4 +1,5 @@
 import type { GatewayPeer } from '@savorywind/model';
+import type { Containment } from '../../runtime/containment.js';
 import type { GatewayRows } from '../types.js';
 import type { TableClient, TableRow } from './types.js';
 
@@ -6,6 +7,7 @@
   readonly tables: TableClient;
   readonly rows: GatewayRows;
   readonly self: GatewayPeer;
+  readonly containment: Containment;
   /** Called with all registered entry VMs each time they were read. */
   readonly onRead: (peers: readonly GatewayPeer[]) => void;
   /** Called once if the row was there before this process has written it: it was started again. */
@@ -36,7 +38,31 @@
   constructor(private readonly options: PeerRegistrationOptions) {}
 
   /** Writes the row, and then reads those of all entry VMs. Is repeated until it succeeds. */
-  async register(): Promise<void> {
+  register(): Promise<void> {
+    return this.attempt('registration.write', () => this.write());
+  }
+
+  /** Reads the rows of all entry VMs, and writes the own one again if it is missing or differs. */
+  renew(): Promise<void> {
+    return this.attempt('registration.read', () => this.readAndWrite());
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    clearTimeout(this.retryTimer);
+  }
+
+  /** Makes calls to the store; if they throw, they are made again. */
+  private async attempt(work: string, call: () => Promise<void>): Promise<void> {
+    try {
+      await call();
+    } catch (error) {
+      this.options.containment.record({ work, owner: 'store' }, error);
+      this.retry(() => this.renew());
+    }
+  }
+
+  private async write(): Promise<void> {
     const { rows, tables, self } = this.options;
     this.hasReadRows = true;
     const written = await tables.putRow(rows.peerTable, self.id, rows.encodePeer(self));
@@ -45,8 +71,7 @@
     else this.report(read.val.rows);
   }
 
-  /** Reads the rows of all entry VMs, and writes the own one again if it is missing or differs. */
-  async renew(): Promise<void> {
+  private async readAndWrite(): Promise<void> {
     const { rows, tables, self } = this.options;
     const read = await tables.readAll(rows.peerTable, READ_TIMEOUT_MS);
     if (read.err) {
@@ -61,11 +86,6 @@
     else await this.register();
   }
 
-  stop(): void {
-    this.isStopped = true;
-    clearTimeout(this.retryTimer);
-  }
-
   /** Of several calls that failed, only the last one is repeated. */
   private retry(call: () => Promise<void>): void {
     if (this.isStopped) return;
@@ -77,10 +97,19 @@
 
   private report(tableRows: readonly TableRow[]): void {
     if (this.isStopped) return;
-    const { rows, onRead } = this.options;
     const peers = tableRows
       .filter(({ removed }) => !removed)
-      .flatMap((row) => rows.decodePeer(row) ?? []);
-    onRead(peers);
+      .flatMap((row) => this.decodePeer(row) ?? []);
+    this.options.onRead(peers);
+  }
+
+  /** A row that a decoder can't take says nothing of the other rows. */
+  private decodePeer(row: TableRow): GatewayPeer | undefined {
+    const { rows, containment } = this.options;
+    let peer: GatewayPeer | undefined;
+    containment.run({ work: 'row.decode', owner: 'store', ownerId: row.key }, () => {
+      peer = rows.decodePeer(row);
+    });
+    return peer;
   }
 }
--- a/packages/entry/src/gateway/store/store-tables.ts
+++ b/packages/entry/src/gateway/store/store-tables.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Duplex } from 'node:stream';
 import type { GatewayEvent, TableReadTimings, TableSource } from '@savorywind/decisions';
+import type { Containment } from '../../runtime/containment.js';
 import type { StoreEra } from './store-era.js';
 import { TableFeedClient } from './table-feed-client.js';
 import type { TableFeedContent } from './table-feed-messages.js';
@@ -19,6 +20,7 @@
   readonly onConfigurationUpdated: (update: TableUpdate) => void;
   readonly onEndpointsUpdated: (update: TableUpdate) => void;
   readonly dispatch: (event: GatewayEvent) => void;
+  readonly containment: Containment;
 }
 
 /** Age of what is known of one table, in milliseconds; undefined before the first read. */
@@ -67,11 +69,12 @@
       this.createWatched(names.endpoints, timings.endpoints, options.onEndpointsUpdated),
     ];
     const mirrors = this.watched.map(({ mirror }) => mirror);
-    const { readClockMs, dispatch } = options;
+    const { readClockMs, dispatch, containment } = options;
     this.server = new TableFeedServer({
       mirrors,
       readClockMs,
       onAsked: () => dispatch({ kind: 'tables.asked' }),
+      containment,
     });
     this.client = new TableFeedClient({
       mirrors,
@@ -83,6 +86,7 @@
       readClockMs,
       onRows: (content, requestedAtMs) => this.handleRelayed(content, requestedAtMs),
       onFailed: ({ id }, detail) => dispatch({ kind: 'tables.sourceFailed', peer: id, detail }),
+      containment,
     });
   }
 
@@ -144,7 +148,7 @@
     timing: TableReadTimings['endpoints'],
     onUpdated: (update: TableUpdate) => void,
   ): WatchedTable {
-    const { tables, era, readClockMs } = this.options;
+    const { tables, era, readClockMs, containment } = this.options;
     const mirror = new TableMirror(table);
     const handleUpdate = (update: TableUpdate): void => {
       onUpdated(update);
@@ -157,6 +161,7 @@
       era,
       readClockMs,
       onUpdated: handleUpdate,
+      containment,
     });
     return { mirror, watcher, onUpdated };
   }
--- a/packages/entry/src/gateway/store/table-feed-client.ts
+++ b/packages/entry/src/gateway/store/table-feed-client.ts
@@ -1,6 +1,7 @@
 import { computeRelayedReadMs, type RelayTiming } from '@savorywind/decisions';
 import type { GatewayPeer } from '@savorywind/model';
 import type { RawData, WebSocket } from 'ws';
+import type { Containment } from '../../runtime/containment.js';
 import {
   decodeTableFeedMessage,
   encodeTableFeedMessage,
@@ -26,6 +27,7 @@
   readonly onRows: (content: TableFeedContent, requestedAtMs: number) => string | undefined;
   /** Called once for a peer that does not pass on what is needed. It is disconnected. */
   readonly onFailed: (peer: GatewayPeer, detail: string) => void;
+  readonly containment: Containment;
 }
 
 /** The connection to the peer that passes on what it reads. */
@@ -66,7 +68,12 @@
     };
     this.session = session;
     this.startTimeout(session);
-    this.open(session);
+    this.options.containment.settle(
+      { work: 'feed.open', owner: 'peer', ownerId: peer.id },
+      () => this.open(session),
+      () => {},
+      (detail) => this.fail(session, detail),
+    );
   }
 
   disconnect(): void {
@@ -85,8 +92,20 @@
       perMessageDeflate: false,
     });
     session.socket = socket;
-    socket.on('open', () => this.ask(session));
-    socket.on('message', (data) => this.handleFrame(session, data));
+    const guard = <Value>(listener: (value: Value) => void): ((value: Value) => void) =>
+      this.options.containment.guard(
+        { work: 'feed.read', owner: 'peer', ownerId: session.peer.id },
+        listener,
+        (detail) => this.fail(session, detail),
+      );
+    socket.on(
+      'open',
+      guard(() => this.ask(session)),
+    );
+    socket.on(
+      'message',
+      guard((data: RawData) => this.handleFrame(session, data)),
+    );
     socket.on('error', (error) => this.fail(session, error.message));
     socket.on('close', () => this.fail(session, 'connection closed'));
   }
--- a/packages/entry/src/gateway/store/table-feed-server.ts
+++ b/packages/entry/src/gateway/store/table-feed-server.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Duplex } from 'node:stream';
 import type { RawData, WebSocket, WebSocketServer } from 'ws';
+import type { Containment } from '../../runtime/containment.js';
 import {
   decodeTableFeedMessage,
   encodeTableFeedMessage,
@@ -17,6 +18,7 @@
   readonly readClockMs: () => number;
   /** Called for each request of a peer. */
   readonly onAsked: () => void;
+  readonly containment: Containment;
 }
 
 /** A peer that reads the tables from this entry VM. */
@@ -74,18 +76,21 @@
     this.isServing = false;
     this.readers.forEach(({ socket }) => socket.terminate());
     this.readers.clear();
-    this.server?.then((server) => server.close());
+    this.withServer('feed.close', (server) => server.close());
     this.server = undefined;
   }
 
   /** Sends the peers what has changed since what was sent to them before. */
   pushChanges(): void {
     if (!this.isServing) return;
-    this.readers.forEach((reader) => {
-      if (reader.positions === undefined) return;
-      const tables = this.listContents(reader).filter(({ rows }) => rows.length > 0);
-      if (tables.length > 0) sendTo(reader, { kind: 'response', tables });
-    });
+    const { containment } = this.options;
+    this.readers.forEach((reader) =>
+      containment.run(
+        { work: 'feed.push', owner: 'peer' },
+        () => this.pushTo(reader),
+        () => reader.socket.terminate(),
+      ),
+    );
   }
 
   /** Accepts a connection of a peer, or closes it if this entry VM passes nothing on. */
@@ -95,11 +100,23 @@
       socket.destroy();
       return;
     }
-    this.server.then((server) =>
-      server.handleUpgrade(incoming, socket, head, (reader) => this.addReader(reader)),
+    this.withServer(
+      'feed.accept',
+      (server) => server.handleUpgrade(incoming, socket, head, (reader) => this.addReader(reader)),
+      () => socket.destroy(),
     );
   }
 
+  private withServer(
+    work: string,
+    perform: (server: WebSocketServer) => void,
+    onFailed?: () => void,
+  ): void {
+    const { server } = this;
+    if (server === undefined) return;
+    this.options.containment.settle({ work, owner: 'peer' }, () => server, perform, onFailed);
+  }
+
   /** The library is loaded only by entry VMs that pass on, as it takes a part of the start. */
   // eslint-disable-next-line class-methods-use-this
   private async createServer(): Promise<WebSocketServer> {
@@ -112,6 +129,12 @@
     });
   }
 
+  private pushTo(reader: Reader): void {
+    if (reader.positions === undefined) return;
+    const tables = this.listContents(reader).filter(({ rows }) => rows.length > 0);
+    if (tables.length > 0) sendTo(reader, { kind: 'response', tables });
+  }
+
   private addReader(socket: WebSocket): void {
     if (this.readers.size >= MAX_READERS) {
       socket.terminate();
@@ -119,7 +142,14 @@
     }
     const reader: Reader = { socket, positions: undefined };
     this.readers.add(reader);
-    socket.on('message', (data) => this.handleFrame(reader, data));
+    socket.on(
+      'message',
+      this.options.containment.guard(
+        { work: 'feed.answer', owner: 'peer' },
+        (data: RawData) => this.handleFrame(reader, data),
+        () => socket.terminate(),
+      ),
+    );
     socket.on('error', () => socket.terminate());
     socket.on('close', () => this.readers.delete(reader));
   }
--- a/packages/entry/src/gateway/store/table-watcher.ts
+++ b/packages/entry/src/gateway/store/table-watcher.ts
@@ -1,6 +1,8 @@
 import type { ReadTiming } from '@savorywind/decisions';
 import csp, { type Channel } from 'js-csp';
-import type { Result } from '@savorywind/model';
+import { Err, type Result } from '@savorywind/model';
+import { describeError } from '../../observe/describe-error.js';
+import type { Containment } from '../../runtime/containment.js';
 import type { StoreEra } from './store-era.js';
 import type { TableMirror } from './table-mirror.js';
 import type { TableClient, TableFailure, TableRow, TableRows } from './types.js';
@@ -28,6 +30,7 @@
   readonly readClockMs: () => number;
   /** Called with each result, including failures. A lost history is handled and not reported. */
   readonly onUpdated: (update: TableUpdate) => void;
+  readonly containment: Containment;
 }
 
 /** Pause after a failed read, in milliseconds; doubles with each consecutive failure. */
@@ -105,7 +108,7 @@
     const read = this.startRead(0);
     read.result.then((result) => {
       this.isReadingNow = false;
-      if (!this.isStopped) this.handleResult(read, result);
+      if (!this.isStopped) this.reportResult(read, result);
     });
   }
 
@@ -117,7 +120,7 @@
   private startPolling(waitMs: number, { initialPauseMs, pauseMs }: PollTiming): void {
     const startRead = (pollMs: number): PendingRead => this.startRead(pollMs);
     const handleResult = (read: PendingRead, result: ReadResult): boolean =>
-      this.handleResult(read, result);
+      this.reportResult(read, result);
     const { pollNumber } = this;
     const isStopped = (): boolean => this.pollNumber !== pollNumber;
     const { maxBackoffMs } = this.options.timing;
@@ -143,13 +146,41 @@
     const requestedAtMs = readClockMs();
     const { table, position } = mirror;
     if (position === undefined || position.era !== era.current) {
-      const result = tables.readAll(table, responseTimeoutMs);
+      const result = this.call(() => tables.readAll(table, responseTimeoutMs));
       return { kind: 'snapshot', era: era.current, requestedAtMs, result };
     }
-    const result = tables.readChanges(table, position.version, waitMs, responseTimeoutMs);
+    const result = this.call(() =>
+      tables.readChanges(table, position.version, waitMs, responseTimeoutMs),
+    );
     return { kind: 'changes', era: position.era, requestedAtMs, result };
   }
 
+  /** A read that throws or is rejected has got no answer. */
+  private async call(read: () => Promise<ReadResult>): Promise<ReadResult> {
+    try {
+      return await read();
+    } catch (error) {
+      const { containment, mirror } = this.options;
+      containment.record({ work: 'store.read', owner: 'store', ownerId: mirror.table }, error);
+      return Err({ kind: 'unanswered', detail: describeError(error).detail, era: undefined });
+    }
+  }
+
+  /**
+   * Reports the outcome of a read. If that throws, the read has failed and is repeated: otherwise the table
+   * would not be read any more.
+   *
+   * @returns false if the next read must wait for the backoff
+   */
+  private reportResult(read: PendingRead, result: ReadResult): boolean {
+    const { containment, mirror } = this.options;
+    let isAnswered = false;
+    containment.run({ work: 'store.rows', owner: 'store', ownerId: mirror.table }, () => {
+      isAnswered = this.handleResult(read, result);
+    });
+    return isAnswered;
+  }
+
   /** @returns false if the next read must wait for the backoff */
   private handleResult(read: PendingRead, result: ReadResult): boolean {
     const { onUpdated, era } = this.options;
--- a/packages/entry/test/gateway/peer-registration.test.ts
+++ b/packages/entry/test/gateway/peer-registration.test.ts
@@ -1,5 +1,6 @@
 import { Err, Ok, type GatewayPeer, type Result } from '@savorywind/model';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { Containment } from '../../src/runtime/containment.js';
 import { PeerRegistration } from '../../src/gateway/store/peer-registration.js';
 import type { TableClient, TableFailure, TableRow } from '../../src/gateway/store/types.js';
 import type { GatewayRows } from '../../src/gateway/types.js';
@@ -64,6 +65,7 @@
   reads = [];
   foundRegistered = 0;
   registration = new PeerRegistration({
+    containment: new Containment(() => {}),
     tables: table.client,
     rows,
     self: createPeer('vm-1'),
--- a/packages/entry/test/gateway/peer-socket.test.ts
+++ b/packages/entry/test/gateway/peer-socket.test.ts
@@ -3,6 +3,7 @@
 import type { WorkSnapshot } from '@savorywind/model';
 import { reservePort } from '@savorywind/stand-ins';
 import { afterEach, describe, expect, it } from 'vitest';
+import { Containment } from '../../src/runtime/containment.js';
 import { PeerSocket } from '../../src/gateway/peer-socket.js';
 
 const HOST = '127.0.0.1';
@@ -40,6 +41,7 @@
     if (received.length === datagrams.length) finish();
   };
   const socket = new PeerSocket({
+    containment: new Containment(() => {}),
     address: { host: HOST, port },
     onSnapshotReceived: add,
     onPermitMessage: ({ kind }) => add(kind),
@@ -79,3 +81,35 @@
     expect(typeof failure).toBe('string');
   });
 });
+
+describe('a peer whose address can’t be used', () => {
+  it('costs no other peer its snapshot', async () => {
+    const receiver = createSocket('udp4');
+    const port = await reservePort();
+    await new Promise<void>((resolve) => {
+      receiver.bind(port, HOST, resolve);
+    });
+    const failed: string[] = [];
+    const sender = new PeerSocket({
+      containment: new Containment(({ ownerId = '' }) => failed.push(ownerId)),
+      address: { host: HOST, port: await reservePort() },
+      onSnapshotReceived: () => {},
+      onPermitMessage: () => {},
+      onFailed: () => {},
+    });
+    await sender.start();
+    stop = () => {
+      receiver.close();
+      sender.stop();
+    };
+    const received = new Promise((resolve) => {
+      receiver.on('message', resolve);
+    });
+    sender.send(createSnapshot(), [
+      { host: HOST, port: 80_800 },
+      { host: HOST, port },
+    ]);
+    await received;
+    expect(failed).toEqual([`${HOST}:80800`]);
+  });
+});
--- a/packages/entry/test/gateway/snapshot-codec.test.ts
+++ b/packages/entry/test/gateway/snapshot-codec.test.ts
@@ -5,6 +5,7 @@
 import type { WorkSnapshot } from '@savorywind/model';
 import { reservePort } from '@savorywind/stand-ins';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { Containment } from '../../src/runtime/containment.js';
 import { PeerSocket } from '../../src/gateway/peer-socket.js';
 import type { PermitMessage } from '../../src/gateway/permit-messages.js';
 import { SnapshotCodec, type SnapshotFormat } from '../../src/gateway/snapshot-codec.js';
@@ -238,6 +239,7 @@
     peerPort = peer.address().port;
     socketPort = await reservePort();
     socket = new PeerSocket({
+      containment: new Containment(() => {}),
       address: { host: HOST, port: socketPort },
       onSnapshotReceived: () => onReceived(),
       onPermitMessage: () => {},
--- a/packages/entry/test/gateway/table-feed.test.ts
+++ b/packages/entry/test/gateway/table-feed.test.ts
@@ -5,6 +5,7 @@
 import { createGatewayContract, reservePort } from '@savorywind/stand-ins';
 import { afterEach, describe, expect, it } from 'vitest';
 import { WebSocketServer } from 'ws';
+import { Containment } from '../../src/runtime/containment.js';
 import { StoreEra } from '../../src/gateway/store/store-era.js';
 import {
   decodeTableFeedMessage,
@@ -49,6 +50,7 @@
     store: FakeStore,
   ) {
     this.tables = new StoreTables({
+      containment: new Containment(() => {}),
       tables: store.createClient(),
       names: { configuration: 'configuration', endpoints: 'endpoints' },
       timings: computeReadTimings(CONTRACT),
--- a/packages/entry/test/gateway/table-watcher.test.ts
+++ b/packages/entry/test/gateway/table-watcher.test.ts
@@ -1,6 +1,7 @@
 import type { ReadTiming } from '@savorywind/decisions';
 import { Err, Ok, type Result } from '@savorywind/model';
 import { afterEach, describe, expect, it } from 'vitest';
+import { Containment } from '../../src/runtime/containment.js';
 import { StoreEra } from '../../src/gateway/store/store-era.js';
 import { TableMirror } from '../../src/gateway/store/table-mirror.js';
 import { TableWatcher, type TableUpdate } from '../../src/gateway/store/table-watcher.js';
@@ -72,6 +73,7 @@
       readChanges: (_table, since) => read(`changes since ${since}`),
     });
     watcher = new TableWatcher({
+      containment: new Containment(() => {}),
       tables,
       mirror: new TableMirror('endpoints'),
       timing: createTiming(1_000, undefined),
@@ -202,6 +204,7 @@
           waitMs === 0 ? Promise.resolve(pollResult) : new Promise(() => {}),
       });
       watcher = new TableWatcher({
+        containment: new Containment(() => {}),
         tables,
         mirror: new TableMirror('configuration'),
         timing: createTiming(10_000, 1),
@@ -243,6 +246,7 @@
         },
       });
       watcher = new TableWatcher({
+        containment: new Containment(() => {}),
         tables,
         mirror: new TableMirror('configuration'),
         timing: createTiming(10_000, 1),
