Take an answer for broken whose head no caller can get

Cause: Node's parser takes names with spaces, empty names and statuses like 099 that writeHead refuses by an exception, and 101 without a protocol as a final response. CallerExchange.sendHead gave them to writeHead unchecked.

Change: OutgoingAttempt looks at the head of each response before anything of it is believed, whether it comes from an endpoint, from a peer or for a stream that is continued. A head that can't be passed on is no answer (`invalid`): the connection is closed; a call that may run once ends with 502, another one is repeated elsewhere, a stream that has begun goes on elsewhere or breaks off. The same holds for a rejection with such a head: what is spoiled in one place proves nothing in another.

Also: a 204 with a Content-Length and nothing behind it kept its caller waiting until 504, as Node's parser waits for the body that it can't have (RFC 9112, section 6.3). Responses with 204 and 304 now end at their head, and are passed on without a length.

Evidence: the new file on the code before: 18 of 81 tests fail (names with a space and empty ones, 099, 000, 101, a rejection with such a name, 204 with a length); now all 81 pass. Thirteen more files of packages/entry/test/gateway: 101 tests pass.

--- a/packages/entry/src/gateway/endpoints/outgoing-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/outgoing-attempt.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import type { GatewayAttemptFailure, GatewayEvent } from '@savorywind/decisions';
 import type { CallerExchange } from '../callers/caller-exchange.js';
+import { findResponseHeadFault } from '../http/find-response-head-fault.js';
 import type { DispatchGatewayEvent, AttemptForward, AttemptStart } from '../types.js';
 import type { AttemptTarget, ResponseRejection } from './attempt-target.js';
 import { ResponseRelay } from './response-relay.js';
@@ -108,6 +109,12 @@
   private handleResponse(response: IncomingMessage): void {
     const { target, exchange, start, dispatch } = this.options;
     this.framing?.attach(response);
+    // Nothing of a head that is spoiled in one place is believed in another.
+    const fault = findResponseHeadFault(response);
+    if (fault !== undefined) {
+      this.drop(response, 'invalid', fault);
+      return;
+    }
     const read = target.readResponse(response, this.outgoing.reusedSocket);
     if (read.kind === 'mismatch') {
       this.drop(response, 'invalid', read.detail);
--- a/packages/entry/src/gateway/endpoints/response-relay.ts
+++ b/packages/entry/src/gateway/endpoints/response-relay.ts
@@ -12,12 +12,15 @@
 /** Only chunks have an end of their own; a body of any other coding ends with its connection. */
 const CHUNKED_LAST = /(^|[\s,])chunked\s*$/i;
 
-/** Whether the response says where its body ends, so that it does not end with the connection. */
-const hasDelimitedBody = ({ headers, statusCode }: IncomingMessage): boolean =>
-  headers['content-length'] !== undefined ||
-  CHUNKED_LAST.test(headers['transfer-encoding'] ?? '') ||
+const hasNoBody = ({ statusCode }: IncomingMessage): boolean =>
   STATUSES_WITHOUT_BODY.has(statusCode ?? 0);
 
+/** Whether the response says where its body ends, so that it does not end with the connection. */
+const hasDelimitedBody = (response: IncomingMessage): boolean =>
+  response.headers['content-length'] !== undefined ||
+  CHUNKED_LAST.test(response.headers['transfer-encoding'] ?? '') ||
+  hasNoBody(response);
+
 /** A response that exceeds this size, in bytes, is forwarded before it is complete. */
 const MAX_BUFFERED_BYTES = 262_144;
 
@@ -66,6 +69,7 @@
       if (!response.complete)
         this.fail('broken', 'connection closed before the response was complete');
     });
+    if (hasNoBody(response)) setImmediate(() => this.finishAtHead());
   }
 
   /**
@@ -75,7 +79,7 @@
    */
   get isComplete(): boolean {
     const { response } = this.options;
-    return response.complete && hasDelimitedBody(response);
+    return hasNoBody(response) || (response.complete && hasDelimitedBody(response));
   }
 
   /** Sends the head and what was buffered; from now on data is forwarded as it arrives. */
@@ -93,11 +97,12 @@
   }
 
   private findContentLength(): number | undefined {
-    return this.options.response.complete ? this.buffered.length : undefined;
+    const { response } = this.options;
+    return response.complete && !hasNoBody(response) ? this.buffered.length : undefined;
   }
 
   private handleChunk(chunk: Buffer): void {
-    if (this.isEnded) return;
+    if (this.isEnded || hasNoBody(this.options.response)) return;
     if (this.splitter === undefined) this.handleBodyChunk(chunk);
     else this.handleEventChunk(this.splitter, chunk);
   }
@@ -166,6 +171,17 @@
     else setImmediate(() => this.finishUnlessReset());
   }
 
+  /**
+   * A response that can't have a body ends with its head. If it names a length all the same, the parser waits
+   * for as many bytes, and the connection can't be used any more.
+   */
+  private finishAtHead(): void {
+    const { response } = this.options;
+    if (this.isEnded) return;
+    if (!response.complete) response.destroy();
+    this.finish();
+  }
+
   /** A response without a length ends with its connection; a reset means that it is incomplete. */
   private finishUnlessReset(): void {
     if (hasBeenReset(this.options.response.socket)) this.fail('broken', 'connection was reset');
--- /dev/null
+++ b/packages/entry/src/gateway/http/find-response-head-fault.ts
@@ -0,0 +1,15 @@
+import type { IncomingMessage } from 'node:http';
+import { findFieldsFault, findStatusFault } from './head-syntax.js';
+
+/**
+ * Finds why the head of a response can't be passed on to a caller. Node's parser takes heads that its server
+ * refuses to write, by an exception. The reason phrase isn't passed on, and may be anything.
+ *
+ * @example
+ * findResponseHeadFault(response); // 'field name "no header" is no token'
+ */
+export const findResponseHeadFault = ({
+  statusCode = 0,
+  rawHeaders,
+}: Pick<IncomingMessage, 'statusCode' | 'rawHeaders'>): string | undefined =>
+  findStatusFault(statusCode) ?? findFieldsFault(rawHeaders);
