Refuse a request with 400 whose head can not be passed on

What callers saw: a tab or a form feed in one caller's path, an empty header name or one with a space ended the entry VM's process and all its open requests.

Cause: Node's parser takes such heads; http.request refuses them by an exception (ERR_UNESCAPED_CHARACTERS, ERR_INVALID_HTTP_TOKEN) when the attempt is created.

Change: RequestServer looks at method, target and all fields before it reads the body, for callers and for peers that forward, and answers 400. Nothing has run then, and callers don't repeat a 400. The refusal keeps its place behind earlier responses of the connection. Event 862 says what is wrong, and shows no value of a field, as it may be a credential.

Ruled out by the same tests, before and after: control characters in values and ids, bytes beyond ASCII in names, methods that are none, in lower case, or QUERY are refused by the parser already (400). CONNECT never becomes a request in Node; it is no part of this change. Echoed and logged values (ids, Host) come from the same checked fields.

--- a/packages/entry/src/gateway/callers/request-server.ts
+++ b/packages/entry/src/gateway/callers/request-server.ts
@@ -3,6 +3,7 @@
 import type { Duplex } from 'node:stream';
 import type { CallerLimits, NetworkAddress } from '@savorywind/model';
 import { BodyBudget } from '../../callers/body-budget.js';
+import { findRequestHeadFault } from '../http/find-request-head-fault.js';
 import type { GatewayWire, RequestMetadata } from '../types.js';
 import { BodyReader, type BodyFailure } from './body-reader.js';
 import { CallerExchange, type ReceivedRequest } from './caller-exchange.js';
@@ -50,6 +51,7 @@
   noRoom: 503,
 };
 
+const HTTP_BAD_REQUEST = 400;
 const HTTP_FORBIDDEN = 403;
 const HTTP_HEADERS_TOO_LARGE = 431;
 const HTTP_UNAVAILABLE = 503;
@@ -93,6 +95,8 @@
   readonly onUpgrade?: (incoming: IncomingMessage, socket: Duplex, head: Buffer) => void;
   /** Called with the complete request, its path without the query, and its Host header. */
   readonly onRequestReceived: (exchange: CallerExchange, path: string, host: string) => void;
+  /** Called when a request is refused with 400, as its head can't be passed on, with what is wrong. */
+  readonly onHeadRefused?: (detail: string) => void;
   /** Called when a caller's connection closes before its response was sent completely. */
   readonly onDisconnected: (requestId: string) => void;
   /** Called when a request is refused because the process stops before its body has arrived. */
@@ -236,6 +240,12 @@
       this.refuse(incoming, outgoing, HTTP_HEADERS_TOO_LARGE);
       return;
     }
+    const fault = findRequestHeadFault(incoming);
+    if (fault !== undefined) {
+      this.options.onHeadRefused?.(fault);
+      this.refuse(incoming, outgoing, HTTP_BAD_REQUEST);
+      return;
+    }
     this.readBody(incoming, outgoing);
   }
 
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -139,6 +139,7 @@
       bodyBudget: createBodyBudget(),
       onRequestReceived: (exchange, path, host) => this.openExchange(exchange, path, host),
       onDisconnected: (requestId) => this.abandonExchange(requestId),
+      onHeadRefused: (detail) => this.logger.write(logEvents.requestHeadRefused, { detail }),
       onUnreadRefused: (request) => this.logger.write(logEvents.unreadRequestRefused, { request }),
     };
     this.requestServer = new RequestServer({ ...requestOptions, address: settings.callers });
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -138,6 +138,11 @@
     'error',
     'a part of the configuration cannot be used; requests that need it are refused, the others are served',
   ],
+  requestHeadRefused: [
+    862,
+    'info',
+    'a request was refused with 400 before it ran: its head cannot be passed on',
+  ],
   strangerRefused: [
     855,
     'warn',
