--- a/packages/entry/src/gateway/peers/forwarding-headers.ts
+++ b/packages/entry/src/gateway/peers/forwarding-headers.ts
@@ -2,6 +2,7 @@
 import { Err, Ok, type Result } from '@savorywind/model';
 import { Packr } from 'msgpackr';
 import * as z from 'zod';
+import { MAX_TIME_MS } from '../consts.js';
 
 /** Headers between entry VMs, in lower case. They are never passed on to callers or endpoints. */
 export const forwardingHeaders = {
@@ -20,12 +21,17 @@
 const MAX_FAILED_ENDPOINTS = 64;
 
 const text = z.string().min(1).max(MAX_TEXT_LENGTH);
-const milliseconds = z.number().nonnegative();
+
+/** A request that is as old has no time left, and nobody waits longer to come back. */
+const milliseconds = z
+  .number()
+  .nonnegative()
+  .transform((ms) => Math.min(ms, MAX_TIME_MS));
 
 const forwardedSchema = z.object({
   attempt: text,
   by: text,
-  version: z.number().nonnegative(),
+  version: z.int().nonnegative(),
   elapsedMs: milliseconds,
   hasBegun: z.boolean(),
   failedEndpoints: z.array(text).max(MAX_FAILED_ENDPOINTS),
@@ -34,7 +40,8 @@
 const servedSchema = z.object({
   attempt: text,
   id: text,
-  startedAtMs: z.number().optional(),
+  // An answer is not lost because its endpoint says something odd of its start.
+  startedAtMs: z.int().nonnegative().optional().catch(undefined),
 });
 
 const refusedSchema = z.object({
--- a/packages/entry/src/gateway/snapshot-codec.ts
+++ b/packages/entry/src/gateway/snapshot-codec.ts
@@ -68,8 +68,9 @@
   isNonNegative(value.readMs) &&
   isNonNegative(value.memoryTokens);
 
-const isKnownConfiguration = ({ version, ageMs }: Partial<KnownConfiguration>): boolean =>
-  isNonNegative(version) && isNonNegative(ageMs);
+/** Earlier builds send none. */
+const isKnownConfiguration = (value: Partial<KnownConfiguration> | null | undefined): boolean =>
+  value === undefined || (isNonNegative(value?.version) && isNonNegative(value.ageMs));
 
 /** Earlier builds send no limits. */
 const areLimits = (limits: WorkSnapshot['limits']): boolean =>
@@ -104,9 +105,9 @@
   harm === undefined || (Array.isArray(harm) && harm.length <= MAX_SUSPECTS && harm.every(isHarm));
 
 /** Earlier builds send no offer. */
-const isOffer = (offer: WorkSnapshot['forwarding']): boolean =>
+const isOffer = (offer: WorkSnapshot['forwarding'] | null): boolean =>
   offer === undefined ||
-  (typeof offer.isAccepting === 'boolean' &&
+  (typeof offer?.isAccepting === 'boolean' &&
     Array.isArray(offer.lostServices) &&
     offer.lostServices.length <= MAX_LOST_SERVICES &&
     offer.lostServices.every(isShortText));
@@ -129,7 +130,7 @@
     areHarm(snapshot.harm) &&
     isAge(snapshot.storeAvailableMs) &&
     isOffer(snapshot.forwarding) &&
-    (snapshot.configuration === undefined || isKnownConfiguration(snapshot.configuration))
+    isKnownConfiguration(snapshot.configuration)
   );
 };
 
--- a/packages/entry/src/gateway/store/table-feed-messages.ts
+++ b/packages/entry/src/gateway/store/table-feed-messages.ts
@@ -6,7 +6,10 @@
 
 const isBytes = (value: unknown): boolean => value instanceof Uint8Array;
 
-const eraSchema = z.number().nonnegative().optional();
+/** Versions and eras of the store count, so that each has a next one. */
+const countSchema = z.int().nonnegative();
+
+const eraSchema = countSchema.optional();
 
 const requestSchema = z.object({
   kind: z.literal('request'),
@@ -17,7 +20,7 @@
       z.object({
         table: z.string(),
         era: eraSchema,
-        version: z.number().nonnegative().optional(),
+        version: countSchema.optional(),
       }),
     )
     .max(MAX_TABLES),
@@ -27,9 +30,9 @@
   table: z.string(),
   kind: z.enum(['snapshot', 'changes']),
   era: eraSchema,
-  version: z.number().nonnegative(),
+  version: countSchema,
   /** Time since the sender's newest read that was answered had been sent, in milliseconds. */
-  ageMs: z.number().nonnegative(),
+  ageMs: z.number().nonnegative().max(Number.MAX_SAFE_INTEGER),
   rows: z.array(
     z.object({ key: z.string(), value: z.custom<Uint8Array>(isBytes), removed: z.boolean() }),
   ),
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,6 +5,7 @@
 export { settingsSchema, type EntrySettings } from './settings/schema.js';
 export { FrameCodec } from './links/frame-codec.js';
 export { SnapshotCodec } from './gateway/snapshot-codec.js';
+export { MAX_NAME_LENGTH, MAX_PORT, MAX_TIME_MS } from './gateway/consts.js';
 export { findNameFault, findTargetFault } from './gateway/http/head-syntax.js';
 export { FramingLimit } from './gateway/endpoints/framing-limit.js';
 export { GrowingBuffer } from './gateway/endpoints/growing-buffer.js';
