Give the parser of a connection one request at a time

Cause: Node's HTTP server passes on all requests that it has read, and reports malformed input at once, whatever is still open on the connection. `handleParseError` then destroyed it, as an answer would have been taken for that of the open request; `stopKeepAlive` let the first answer after the signal say close, whatever had been read behind it.

Now: `CallerConnection` takes the server's listeners off the socket and gives the parser what belongs to one request. What follows, sound or not, is kept as bytes (up to 64 kB, then the socket isn't read) until the response has ended, and is interpreted then as if it stood alone. So malformed input is refused behind the last whole request, and each refusal (400, 408, 413, 417, 431) is the last response of its connection. During a stop the last response says close: the one with nothing behind it. Once connections close, what arrives next is still refused as not run, and what comes later is dropped: a caller that never stops sending comes to an end. The time that a request waited is taken off its deadline. A caller that closes its direction gets its answers while they come without a pause of 200 ms; after that it counts as left (GONE leaves half a second). Peers never close one direction, so there it means at once that the peer has left.

--- /dev/null
+++ b/packages/entry/src/gateway/callers/caller-connection.ts
@@ -0,0 +1,301 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { renderInputRefusal } from './input-refusals.js';
+import { MessageEndFinder, type BodyLength } from './message-end-finder.js';
+
+/**
+ * Bytes behind an open request that are kept, in bytes: what arrives at once. Beyond it nothing is read
+ * until the request is answered.
+ */
+const MAX_HELD_BYTES = 65_536;
+
+/**
+ * Longest time for which a connection stays open after its last response for a caller that still sends, in
+ * milliseconds. Closing it earlier resets it, which may discard the response.
+ */
+export const LINGER_MS = 1_000;
+
+/**
+ * A caller whose direction of the connection is closed has left once nothing could be sent to it for this
+ * time, in milliseconds. Whether it closed the connection or only its direction shows when something is
+ * sent: the bytes look the same. Twice this time is less than the half second within which engines have to
+ * stop work for a caller that has left.
+ */
+const HALF_CLOSED_WAIT_MS = 200;
+
+/** Bytes that were received and not yet given to the parser. */
+interface HeldBytes {
+  readonly bytes: Buffer;
+  readonly receivedAtMs: number;
+}
+
+/** The request whose response is not complete. */
+interface OpenRequest {
+  readonly incoming: IncomingMessage;
+  readonly outgoing: ServerResponse;
+  /** Whether the caller wants to go on with the connection. */
+  readonly mayKeepAlive: boolean;
+  /** Whether the connection ends with the response; known once all of it is written. */
+  isLast: boolean;
+}
+
+/** Node destroys the socket of a response with this mark as soon as the response is sent. */
+interface MarkedResponse {
+  _last?: boolean;
+}
+
+export interface CallerConnectionOptions {
+  readonly socket: Socket;
+  /** Whether a caller that closes its direction of the connection may wait for responses. */
+  readonly mayHalfClose: boolean;
+  /** Whether the last response of each connection closes it. */
+  readonly isStopping: () => boolean;
+  /** Whether no more connections are accepted. */
+  readonly isClosing: () => boolean;
+}
+
+const findBodyLength = ({ headers }: IncomingMessage): BodyLength =>
+  headers['transfer-encoding'] === undefined ? Number(headers['content-length'] ?? 0) : 'chunked';
+
+/**
+ * The order of one connection. Its parser is given one request at a time: what follows a request, sound or
+ * malformed, is interpreted once the response has ended. So nothing that a caller sends behind a request
+ * can end that request, and no request is passed on whose response could be cut off by the one before.
+ */
+export class CallerConnection {
+  private readonly socket: Socket;
+
+  private readonly finder = new MessageEndFinder();
+
+  private readonly parse: (bytes: Buffer) => void;
+
+  private readonly parseEnd: () => void;
+
+  private held: HeldBytes[] = [];
+
+  private heldBytes = 0;
+
+  /** When the last byte arrived of what the parser was given, in milliseconds. */
+  private receivedAtMs = 0;
+
+  private open: OpenRequest | undefined;
+
+  private isFeeding = false;
+
+  /** Whether reading was stopped because of the bytes that are held. */
+  private hasPaused = false;
+
+  /** Whether bytes have arrived behind an open request since the server is closing. */
+  private hasLateInput = false;
+
+  /** Whether bytes were dropped, so that nothing that arrives later can be interpreted. */
+  private isCut = false;
+
+  /** Whether another protocol uses the connection. */
+  private isDetached = false;
+
+  private hasEnded = false;
+
+  private halfClosedTimer: NodeJS.Timeout | undefined;
+
+  private lingerTimer: NodeJS.Timeout | undefined;
+
+  private readonly onData = (bytes: Buffer): void => this.handleData(bytes);
+
+  private readonly onEnd = (): void => this.handleEnd();
+
+  private readonly onResume = (): void => this.feed();
+
+  /** Takes the listeners of the HTTP server off the socket, and calls them for one request at a time. */
+  constructor(private readonly options: CallerConnectionOptions) {
+    const { socket } = options;
+    this.socket = socket;
+    const parse = socket.listeners('data').at(-1) as (bytes: Buffer) => void;
+    const parseEnd = socket.listeners('end').at(-1) as () => void;
+    socket.off('data', parse);
+    socket.off('end', parseEnd);
+    this.parse = parse;
+    this.parseEnd = parseEnd;
+    socket.on('data', this.onData);
+    socket.on('end', this.onEnd);
+    socket.on('resume', this.onResume);
+    socket.on('close', () => this.handleClose());
+  }
+
+  /** Time for which the request that was just received has waited behind another one, in milliseconds. */
+  get heldMs(): number {
+    return performance.now() - this.receivedAtMs;
+  }
+
+  /** The request that is open on the connection. */
+  get openRequest(): Pick<OpenRequest, 'incoming' | 'outgoing'> | undefined {
+    return this.open;
+  }
+
+  /** Whether the rest of a request that has not arrived completely is dropped. */
+  get isInputCut(): boolean {
+    return this.isCut;
+  }
+
+  /** Whether the last response was sent and the caller may still send. */
+  get isLingering(): boolean {
+    return this.lingerTimer !== undefined && !this.socket.destroyed;
+  }
+
+  /** Opens the request that the parser has received. */
+  openNext(incoming: IncomingMessage, outgoing: ServerResponse): void {
+    const open: OpenRequest = {
+      incoming,
+      outgoing,
+      mayKeepAlive: outgoing.shouldKeepAlive,
+      isLast: false,
+    };
+    this.open = open;
+    // The connection is ended here instead: it stays open until the caller has read the response.
+    const marked = outgoing as MarkedResponse;
+    /* eslint-disable no-underscore-dangle -- the name is Node's. */
+    outgoing.on('prefinish', () => {
+      open.isLast = marked._last === true;
+      marked._last = false;
+    });
+    /* eslint-enable no-underscore-dangle */
+    this.finder.startBody(findBodyLength(incoming));
+    this.updateKeepAlive();
+  }
+
+  /** Goes on with what follows the request whose response has ended. */
+  finishOpen(outgoing: ServerResponse): void {
+    if (this.open?.outgoing !== outgoing) return;
+    const { isLast } = this.open;
+    this.open = undefined;
+    if (isLast) this.dropInput();
+    if (this.hasPaused) {
+      this.hasPaused = false;
+      this.socket.resume();
+    }
+    this.feed();
+  }
+
+  /** Decides whether the open response says that it is the last one, as long as its head is not sent. */
+  updateKeepAlive(): void {
+    if (this.open === undefined || this.open.outgoing.headersSent) return;
+    const { outgoing, mayKeepAlive } = this.open;
+    const isLast = this.held.length === 0 && (this.options.isStopping() || this.isCut);
+    outgoing.shouldKeepAlive = mayKeepAlive && !isLast;
+  }
+
+  /** Refuses input that is no request, and closes the connection. */
+  refuseInput(status: number): void {
+    this.dropInput();
+    this.end(renderInputRefusal(status));
+  }
+
+  /** Hands the connection over to another protocol, and returns the bytes that belong to it. */
+  detach(): Buffer {
+    const { socket } = this;
+    socket.off('data', this.onData);
+    socket.off('end', this.onEnd);
+    socket.off('resume', this.onResume);
+    this.isDetached = true;
+    const bytes = Buffer.concat(this.held.map((part) => part.bytes));
+    this.dropInput();
+    return bytes;
+  }
+
+  /** Whether the open response has told the caller that it is the last one. */
+  private get hasSaidClose(): boolean {
+    const outgoing = this.open?.outgoing;
+    return outgoing !== undefined && outgoing.headersSent && !outgoing.shouldKeepAlive;
+  }
+
+  /** Whether the parser may not be given anything. */
+  private get isBlocked(): boolean {
+    const { socket } = this;
+    return this.open?.incoming.complete === true || socket.isPaused() || socket.destroyed;
+  }
+
+  private handleData(bytes: Buffer): void {
+    if (this.open?.incoming.complete === true) this.checkInputBehind();
+    if (this.isCut) return;
+    this.held.push({ bytes, receivedAtMs: performance.now() });
+    this.heldBytes += bytes.length;
+    this.feed();
+    if (this.heldBytes <= MAX_HELD_BYTES) return;
+    this.hasPaused = true;
+    this.socket.pause();
+  }
+
+  /**
+   * Decides whether what arrives behind the open request may be interpreted. Once the server is closing,
+   * only what arrives next is, so that a caller that never stops sending comes to an end.
+   */
+  private checkInputBehind(): void {
+    const isLate = this.options.isClosing();
+    if (this.hasSaidClose || (isLate && this.hasLateInput)) this.isCut = true;
+    this.hasLateInput ||= isLate;
+  }
+
+  private feed(): void {
+    if (this.isFeeding) return;
+    this.isFeeding = true;
+    try {
+      while (this.held.length > 0 && !this.isBlocked) this.feedPart(this.held.shift()!);
+    } finally {
+      this.isFeeding = false;
+    }
+    this.updateKeepAlive();
+    this.endAnswered();
+  }
+
+  /** Gives the parser the bytes up to the next end of a head or a message. */
+  private feedPart({ bytes, receivedAtMs }: HeldBytes): void {
+    const count = this.finder.countToEnd(bytes);
+    this.heldBytes -= count;
+    if (count < bytes.length) this.held.unshift({ bytes: bytes.subarray(count), receivedAtMs });
+    this.receivedAtMs = receivedAtMs;
+    this.parse(bytes.subarray(0, count));
+  }
+
+  /** Ends a connection on which all requests are answered and no other one can follow. */
+  private endAnswered(): void {
+    if (this.isDetached || this.open !== undefined || this.held.length > 0) return;
+    if (this.isCut) this.end();
+    else if (this.hasEnded) this.parseEnd();
+  }
+
+  private handleEnd(): void {
+    if (this.hasEnded) return;
+    this.hasEnded = true;
+    const isWaiting = this.open?.incoming.complete === true;
+    if (isWaiting && this.options.mayHalfClose) this.armHalfClosedTimer();
+    else this.parseEnd();
+  }
+
+  private armHalfClosedTimer(): void {
+    const { bytesWritten } = this.socket;
+    this.halfClosedTimer = setTimeout(() => {
+      if (this.socket.bytesWritten > bytesWritten) this.armHalfClosedTimer();
+      else this.socket.destroy();
+    }, HALF_CLOSED_WAIT_MS);
+  }
+
+  private dropInput(): void {
+    this.isCut = true;
+    this.held = [];
+    this.heldBytes = 0;
+  }
+
+  /** Sends the last bytes, and closes the connection once the caller has read them and closed, too. */
+  private end(bytes = ''): void {
+    const { socket } = this;
+    if (socket.writable) socket.end(bytes);
+    this.lingerTimer ??= setTimeout(() => socket.destroy(), LINGER_MS);
+    if (this.hasEnded) socket.destroySoon();
+  }
+
+  private handleClose(): void {
+    clearTimeout(this.halfClosedTimer);
+    clearTimeout(this.lingerTimer);
+    this.dropInput();
+  }
+}
--- a/packages/entry/src/gateway/peers/peer-server.ts
+++ b/packages/entry/src/gateway/peers/peer-server.ts
@@ -45,6 +45,8 @@
     idPrefix: 'peer-',
     extraHeadBytes: FORWARDED_HEAD_BYTES,
     isAllowed,
+    // An entry VM that forwards a request closes the connection to cancel it, and never one direction.
+    isHalfCloseLeaving: true,
     createExchange: (requestId, received, incoming, outgoing) => {
       const forwarded = decodeForwarded(incoming.headers[forwardingHeaders.forwarded]).unwrap();
       return new ForwardedExchange(requestId, received, incoming, outgoing, forwarded);
