--- a/packages/entry/src/gateway/callers/message-end-finder.ts
+++ b/packages/entry/src/gateway/callers/message-end-finder.ts
@@ -1,7 +1,11 @@
-/** A longer line can't be the empty line or the chunk size that is looked for, in characters. */
-const MAX_LINE_CHARACTERS = 32;
+/** The parser accepts no other end of a head. */
+const HEAD_END = Buffer.from('\r\n\r\n');
+
+/** Part of the end that may have arrived without the rest, in bytes. */
+const MAX_TAIL_BYTES = HEAD_END.length - 1;
 
 const NEWLINE = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 const HEXADECIMAL = 16;
 const LINE_END_BYTES = 2;
 
@@ -29,11 +33,16 @@
   /** Bytes of the body or the chunk that were not read yet. */
   private bytesLeft = 0;
 
-  /** Start of the line that is being read. */
-  private line = '';
+  /** The last bytes of a head that is not complete: its end may have arrived in part. */
+  private headTail = '';
+
+  private chunkBytes = 0;
 
-  /** Whether the head has begun: empty lines before it are no end. */
-  private isInHead = false;
+  /** Whether the digits of the size of a chunk have ended: extensions may follow. */
+  private hasChunkBytes = false;
+
+  /** Characters of the trailer that is being read. */
+  private trailerCharacters = 0;
 
   private readonly readers: Readonly<Record<Part, (bytes: Buffer, start: number) => Progress>> = {
     head: (bytes, start) => this.readHead(bytes, start),
@@ -60,10 +69,23 @@
   }
 
   private readHead(bytes: Buffer, start: number): Progress {
-    const { line, next } = this.takeLine(bytes, start);
-    const isAtEnd = line === '' && this.isInHead;
-    if (line !== undefined) this.isInHead = !isAtEnd && (this.isInHead || line !== '');
-    return { next, isAtEnd };
+    const dividedEnd = this.headTail === '' ? undefined : this.findDividedEnd(bytes, start);
+    const foundAt = dividedEnd === undefined ? bytes.indexOf(HEAD_END, start) : -1;
+    const next = foundAt === -1 ? dividedEnd : foundAt + HEAD_END.length;
+    if (next !== undefined) {
+      this.headTail = '';
+      return { next, isAtEnd: true };
+    }
+    const tailStart = Math.max(start, bytes.length - MAX_TAIL_BYTES);
+    this.headTail = (this.headTail + bytes.toString('latin1', tailStart)).slice(-MAX_TAIL_BYTES);
+    return { next: bytes.length, isAtEnd: false };
+  }
+
+  /** Finds the offset behind an end of which a part has arrived before. */
+  private findDividedEnd(bytes: Buffer, start: number): number | undefined {
+    const joined = this.headTail + bytes.toString('latin1', start, start + MAX_TAIL_BYTES);
+    const foundAt = joined.indexOf(HEAD_END.toString());
+    return foundAt === -1 ? undefined : start + foundAt + HEAD_END.length - this.headTail.length;
   }
 
   private readBody(bytes: Buffer, start: number): Progress {
@@ -74,12 +96,19 @@
   }
 
   private readChunkSize(bytes: Buffer, start: number): Progress {
-    const { line, next } = this.takeLine(bytes, start);
-    if (line === undefined) return { next, isAtEnd: false };
-    const size = Number.parseInt(line, HEXADECIMAL);
-    this.part = size > 0 ? 'chunk' : 'trailers';
-    this.bytesLeft = size > 0 ? size + LINE_END_BYTES : 0;
-    return { next, isAtEnd: false };
+    let next = start;
+    while (next < bytes.length && bytes[next] !== NEWLINE) {
+      const digit = Number.parseInt(String.fromCharCode(bytes[next]!), HEXADECIMAL);
+      this.hasChunkBytes ||= Number.isNaN(digit);
+      if (!this.hasChunkBytes) this.chunkBytes = this.chunkBytes * HEXADECIMAL + digit;
+      next += 1;
+    }
+    if (next === bytes.length) return { next, isAtEnd: false };
+    this.part = this.chunkBytes > 0 ? 'chunk' : 'trailers';
+    this.bytesLeft = this.chunkBytes + LINE_END_BYTES;
+    this.chunkBytes = 0;
+    this.hasChunkBytes = false;
+    return { next: next + 1, isAtEnd: false };
   }
 
   private readChunk(bytes: Buffer, start: number): Progress {
@@ -89,10 +118,16 @@
   }
 
   private readTrailers(bytes: Buffer, start: number): Progress {
-    const { line, next } = this.takeLine(bytes, start);
-    const isAtEnd = line === '';
+    let next = start;
+    while (next < bytes.length && bytes[next] !== NEWLINE) {
+      if (bytes[next] !== CARRIAGE_RETURN) this.trailerCharacters += 1;
+      next += 1;
+    }
+    if (next === bytes.length) return { next, isAtEnd: false };
+    const isAtEnd = this.trailerCharacters === 0;
     if (isAtEnd) this.part = 'head';
-    return { next, isAtEnd };
+    this.trailerCharacters = 0;
+    return { next: next + 1, isAtEnd };
   }
 
   /** Skips bytes of the body or the chunk, and returns the offset behind them. */
@@ -101,19 +136,4 @@
     this.bytesLeft -= count;
     return start + count;
   }
-
-  /** Reads to the end of the line; `line` is undefined if the end has not arrived. */
-  private takeLine(
-    bytes: Buffer,
-    start: number,
-  ): { readonly line: string | undefined; readonly next: number } {
-    const newlineAt = bytes.indexOf(NEWLINE, start);
-    const end = newlineAt === -1 ? bytes.length : newlineAt;
-    const keptEnd = Math.min(end, start + MAX_LINE_CHARACTERS - this.line.length);
-    this.line += bytes.toString('latin1', start, keptEnd);
-    if (newlineAt === -1) return { line: undefined, next: bytes.length };
-    const line = this.line.replace(/\r$/, '');
-    this.line = '';
-    return { line, next: newlineAt + 1 };
-  }
 }
