--- a/packages/entry/test/gateway/peer-target.test.ts
+++ b/packages/entry/test/gateway/peer-target.test.ts
@@ -1,12 +1,18 @@
 import type { IncomingMessage } from 'node:http';
+import type { GatewayEvent } from '@savorywind/decisions';
 import { afterEach, describe, expect, it } from 'vitest';
 import type { CallerExchange } from '../../src/gateway/callers/caller-exchange.js';
 import type { ResponseReading } from '../../src/gateway/endpoints/attempt-target.js';
 import { ConnectionPools } from '../../src/gateway/endpoints/connection-pools.js';
 import { encodeHeader, forwardingHeaders } from '../../src/gateway/peers/forwarding-headers.js';
+import { OutgoingAttempt } from '../../src/gateway/endpoints/outgoing-attempt.js';
 import { createPeerTarget } from '../../src/gateway/peers/peer-target.js';
 import type { AttemptForward } from '../../src/gateway/types.js';
-import { createAdapter, createGatewayConfiguration } from '../fixtures/test-gateway.js';
+import {
+  createAdapter,
+  createGatewayConfiguration,
+  startRawServer,
+} from '../fixtures/test-gateway.js';
 
 const pools = new ConnectionPools();
 
@@ -96,4 +102,32 @@
     expect(readResponse(200, { [forwardingHeaders.served]: header }).kind).toBe('mismatch');
     expect(readResponse(503, { [forwardingHeaders.refused]: header }).kind).toBe('mismatch');
   });
+
+  it.each([
+    ['status 099', '099 X', ''],
+    ['a name with a space', '200 OK', 'no header: 1\r\n'],
+    ['an empty name', '200 OK', ': 1\r\n'],
+  ])('whose head no caller can get is no answer: %s', async (_name, status, fields) => {
+    const [[name, value]] = Object.entries(createServed('vm-1.2')) as [[string, string]];
+    const server = await startRawServer((socket) =>
+      socket.on('data', () =>
+        socket.write(
+          `HTTP/1.1 ${status}\r\n${name}: ${value}\r\nX-Receipt: r\r\nX-Try: try-2\r\n${fields}` +
+            'Content-Length: 4\r\n\r\ndone',
+        ),
+      ),
+    );
+    const peer = { ...FORWARD.peer, address: { host: '127.0.0.1', port: server.port } };
+    const forward = { ...FORWARD, peer, connectTimeoutMs: 1_000 };
+    const { wire } = createAdapter(createGatewayConfiguration(), []);
+    const event = await new Promise<GatewayEvent>((resolve) => {
+      const caller = { ...exchange, method: 'GET', url: '/a', body: Buffer.alloc(0) };
+      const options = { forward, exchange: caller as unknown as CallerExchange, pools, wire };
+      const target = createPeerTarget(options);
+      const attempt = { start: forward, target, exchange: options.exchange, dispatch: resolve };
+      Reflect.construct(OutgoingAttempt, [attempt]);
+    });
+    expect(event).toMatchObject({ kind: 'attempt.failed', failure: 'invalid' });
+    server.close();
+  });
 });
