--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,4 @@
 export { EntryProcess } from './runtime/entry-process.js';
-export { EarlySignals, type SignalOrder } from './runtime/early-signals.js';
 export { reportFatalErrors } from './runtime/fatal-report.js';
 export { ProcessEnd, type EndCause } from './runtime/process-end.js';
 export { StateMachineRunner } from './runtime/state-machine-runner.js';
