Blame no endpoint for a connection that this machine has no descriptor for

Change: a socket that is destroyed when the attempt gets it has got no byte of the request. Errors of this machine (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EAGAIN) before anything is sent are the failure `noResources`: no endpoint and no path is blamed, and the request is refused with 503 if it can't be sent.

All listening servers keep a listener for errors after their start (`listen-on.ts`; a second error ended the process, as `once` had taken the first). Suspected only: no run made Node.js report such an error.

In request-server.ts the change is that `start` calls `listenOn`. request-server.test.ts passes the new callback.

--- a/packages/decisions/src/gateway/attempt-rules.ts
+++ b/packages/decisions/src/gateway/attempt-rules.ts
@@ -20,6 +20,14 @@
 export const UNSENT_FAILURES: ReadonlySet<GatewayAttemptFailure> = new Set([
   'notSent',
   'unsendable',
+  'noResources',
+  'withdrawn',
+]);
+
+/** Failures that say nothing of the endpoint. */
+export const BLAMELESS_FAILURES: ReadonlySet<GatewayAttemptFailure> = new Set([
+  'unsendable',
+  'noResources',
   'withdrawn',
 ]);
 
--- a/packages/decisions/src/gateway/forwarding/peer-attempts.ts
+++ b/packages/decisions/src/gateway/forwarding/peer-attempts.ts
@@ -69,7 +69,7 @@
     } else if (failure === 'notSent') {
       forwarder.recordUnreachable(record, peer.id);
       onRetry(record);
-    } else if (failure === 'unsendable') {
+    } else if (failure === 'unsendable' || failure === 'noResources') {
       record.refusedPeers.add(peer.id);
       record.unsendable += 1;
       if (record.unsendable <= MAX_UNSENDABLE_RETRIES) onRetry(record);
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -7,6 +7,7 @@
 } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
 import {
+  BLAMELESS_FAILURES,
   CONNECTION_FAILURES,
   estimateLeastWaitMs,
   findFailedEndpoint,
@@ -303,8 +304,7 @@
     releaseReservations(record);
     if (failure === 'unsendable') record.unsendableAt ??= failedId;
     else this.blameUnsendable(record);
-    if (failure !== 'withdrawn' && failure !== 'unsendable')
-      health.reportFailure(failedId, context.nowMs);
+    if (!BLAMELESS_FAILURES.has(failure)) health.reportFailure(failedId, context.nowMs);
     if (failure !== 'withdrawn') record.failedEndpoints.add(failedId);
     this.retryOrFail(record, failure);
   }
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -66,6 +66,8 @@
    * the endpoint is the cause is not known.
    */
   | 'unsendable'
+  /** Not sent either: this machine has no descriptor, port or memory for another connection. */
+  | 'noResources'
   /** Not sent either: the endpoint takes no more requests. */
   | 'withdrawn'
   /** The connection was lost, or the response ended early. */
--- a/packages/decisions/test/gateway/requests-that-cannot-be-sent.test.ts
+++ b/packages/decisions/test/gateway/requests-that-cannot-be-sent.test.ts
@@ -97,3 +97,19 @@
     ids.forEach((next) => expect(driver.findAttempt(next)?.endpoint.id).not.toBe(bad));
   });
 });
+
+describe('a machine without descriptors for another connection', () => {
+  it('refuses requests as not run, and ejects no endpoint', () => {
+    const driver = startDriver('e1', 'e2');
+    for (let count = 0; count < 20; count += 1) {
+      const id = driver.request('/chat/');
+      while (driver.findRefusal(id) === undefined) driver.fail(id, 'noResources');
+      expect(driver.findRefusal(id)?.reason).toBe('rejected');
+      expect(countTries(driver, id)).toBeLessThanOrEqual(4);
+    }
+    const ids = Array.from({ length: 8 }, () => driver.request('/chat/'));
+    const used = new Set(ids.map((id) => driver.findAttempt(id)?.endpoint.id));
+    expect(used).toEqual(new Set(['e1', 'e2']));
+    expect(driver.list('path.probe')).toEqual([]);
+  });
+});
--- a/packages/entry/src/gateway/callers/request-server.ts
+++ b/packages/entry/src/gateway/callers/request-server.ts
@@ -5,6 +5,7 @@
 import type { CallerLimits, NetworkAddress } from '@savorywind/model';
 import { BodyBudget } from '../../callers/body-budget.js';
 import type { GatewayWire, RequestMetadata } from '../types.js';
+import { listenOn } from '../listen-on.js';
 import { BodyReader, type BodyFailure } from './body-reader.js';
 import { CallerExchange, type ReceivedRequest } from './caller-exchange.js';
 import { findCloseReason, recordClose } from './closed-connections.js';
@@ -102,6 +103,8 @@
   readonly onDisconnected: (requestId: string, closedFor: CloseReason | undefined) => void;
   /** Called when a request is refused because the process stops before its body has arrived. */
   readonly onUnreadRefused: (callerAttempt: string | undefined) => void;
+  /** Called if a connection can't be accepted, for example for want of descriptors. */
+  readonly onAcceptFailed: (error: Error) => void;
 }
 
 /** A request whose body is still arriving. */
@@ -173,11 +176,8 @@
   }
 
   start(): Promise<void> {
-    const { host, port } = this.options.address;
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+    const { address, onAcceptFailed } = this.options;
+    return listenOn(this.server, address, onAcceptFailed);
   }
 
   /** Applies new limits to all connections. */
--- a/packages/entry/src/gateway/endpoints/outgoing-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/outgoing-attempt.ts
@@ -7,6 +7,7 @@
 import type { AttemptTarget, ResponseRejection } from './attempt-target.js';
 import { ResponseRelay } from './response-relay.js';
 import { dropBody } from './drop-body.js';
+import { isLocalError } from './local-errors.js';
 import { FramingLimit } from './framing-limit.js';
 
 const HTTP_OK = 200;
@@ -116,7 +117,8 @@
   private handleSocket(socket: Socket): void {
     this.framing = new FramingLimit(socket, (detail) => this.failResponse('invalid', detail));
     if (!socket.connecting) {
-      this.mayHaveSent = true;
+      // A socket that could not be created, or has just closed, gets no byte of the request.
+      this.mayHaveSent = !socket.destroyed;
       return;
     }
     const { connectTimeoutMs } = this.options.start;
@@ -176,7 +178,8 @@
   private handleError(error: NodeJS.ErrnoException): void {
     clearTimeout(this.connectTimer);
     const isParseError = error.code?.startsWith('HPE_') === true;
-    if (!this.mayHaveSent) this.fail('notSent', error.message);
+    if (!this.mayHaveSent)
+      this.fail(isLocalError(error) ? 'noResources' : 'notSent', error.message);
     // Without this report, a response without a length would look complete after a reset.
     else if (this.relay?.isComplete !== true)
       this.failResponse(isParseError ? 'invalid' : 'broken', error.message);
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -150,6 +150,8 @@
       onRequestReceived: (exchange, path, host) => this.openExchange(exchange, path, host),
       onDisconnected: (requestId, closedFor) => this.requests.abandon(requestId, closedFor),
       onUnreadRefused: (request) => this.logger.write(logEvents.unreadRequestRefused, { request }),
+      onAcceptFailed: (error) =>
+        this.containment.record({ work: 'callers.accept', owner: 'request' }, error),
     };
     this.requestServer = new RequestServer({ ...requestOptions, address: settings.callers });
     this.peerServer = createPeerServer({
@@ -158,7 +160,11 @@
       onStrangerRefused: (host, detail) => this.handleStranger(host, detail),
       onUpgrade: (incoming, socket, head) => this.storeTables.handleUpgrade(incoming, socket, head),
     });
-    this.readinessServer = new ReadinessServer(settings.readiness, wire.readinessPath);
+    this.readinessServer = new ReadinessServer(
+      settings.readiness,
+      wire.readinessPath,
+      this.containment,
+    );
     this.peerSocket = new PeerSocket({
       address: self.address,
       onSnapshotReceived: (snapshot) => this.dispatch({ kind: 'peer.received', snapshot }),
--- a/packages/entry/src/gateway/metrics/metrics-server.ts
+++ b/packages/entry/src/gateway/metrics/metrics-server.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server, type ServerResponse } from 'node:http';
 import type { NetworkAddress } from '@savorywind/model';
 import type { Containment } from '../../runtime/containment.js';
+import { listenOn } from '../listen-on.js';
 
 const METRICS_PATH = '/metrics';
 const HTTP_OK = 200;
@@ -27,11 +28,9 @@
   }
 
   start(): Promise<void> {
-    const { host, port } = this.address;
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+    return listenOn(this.server, this.address, (error) =>
+      this.containment.record({ work: 'metrics.accept', owner: 'observation' }, error),
+    );
   }
 
   /** Metrics that can't be rendered cost one answer. */
--- a/packages/entry/src/gateway/readiness-server.ts
+++ b/packages/entry/src/gateway/readiness-server.ts
@@ -1,5 +1,7 @@
 import { createServer, type Server } from 'node:http';
 import type { NetworkAddress } from '@savorywind/model';
+import type { Containment } from '../runtime/containment.js';
+import { listenOn } from './listen-on.js';
 
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
@@ -14,6 +16,7 @@
   constructor(
     private readonly address: NetworkAddress,
     path: string,
+    private readonly containment: Containment,
   ) {
     this.server = createServer((incoming, outgoing) => {
       const isReadinessPath = incoming.url === path;
@@ -24,11 +27,9 @@
   }
 
   start(): Promise<void> {
-    const { host, port } = this.address;
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+    return listenOn(this.server, this.address, (error) =>
+      this.containment.record({ work: 'readiness.accept', owner: 'request' }, error),
+    );
   }
 
   setReady(isReady: boolean): void {
--- a/packages/entry/test/gateway/request-server.test.ts
+++ b/packages/entry/test/gateway/request-server.test.ts
@@ -32,6 +32,7 @@
     onRequestReceived: (exchange) => exchanges.push(exchange),
     onDisconnected: (requestId) => disconnected.push(requestId),
     onUnreadRefused: () => {},
+    onAcceptFailed: () => {},
   });
   await server.start();
   closers.push(() => {
