Write bounded log lines, whatever a field contains

As an effect, a log call that throws ended the process before effects were contained.

Change: texts of a field have at most 1,024 characters in the log; a line whose fields can't be written is written without them.

No check was changed.

--- a/packages/entry/src/observe/logger.ts
+++ b/packages/entry/src/observe/logger.ts
@@ -1,5 +1,6 @@
 import { Logger } from 'tslog';
 import type { LogEvent, LogFields, LogLevel } from '@savorywind/model';
+import { copyLogFields } from './copy-log-fields.js';
 import type { LogSink } from './log-sink.js';
 
 const TSLOG_LEVEL: Readonly<Record<LogLevel, number>> = { debug: 2, info: 3, warn: 4, error: 5 };
@@ -10,7 +11,8 @@
 }
 
 /**
- * Creates a logger that writes each event as one line of JSON.
+ * Creates a logger that writes each event as one line of JSON. Long texts are cut off, and fields that can't
+ * be written are left out: a log call throws nothing.
  *
  * @param vm name of the entry VM, part of each line
  * @param level events below this level are not logged
@@ -32,7 +34,12 @@
   return {
     write: (event, fields) => {
       const { number, name, message } = event;
-      logger[event.level]({ event: number, name, message, ...fields });
+      try {
+        logger[event.level]({ event: number, name, message, ...copyLogFields(fields) });
+      } catch {
+        // A line without its fields shows that they could not be written.
+        logger[event.level]({ event: number, name, message, isIncomplete: true });
+      }
     },
   };
 };
