--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -151,6 +151,8 @@
       onDisconnected: (requestId, closedFor) => this.requests.abandon(requestId, closedFor),
       onHeadRefused: (detail) => this.logger.write(logEvents.requestHeadRefused, { detail }),
       onUnreadRefused: (request) => this.logger.write(logEvents.unreadRequestRefused, { request }),
+      onAcceptFailed: (error) =>
+        this.containment.record({ work: 'callers.accept', owner: 'request' }, error),
     };
     this.requestServer = new RequestServer({ ...requestOptions, address: settings.callers });
     this.peerServer = createPeerServer({
@@ -159,7 +161,11 @@
       onStrangerRefused: (host, detail) => this.handleStranger(host, detail),
       onUpgrade: (incoming, socket, head) => this.storeTables.handleUpgrade(incoming, socket, head),
     });
-    this.readinessServer = new ReadinessServer(settings.readiness, wire.readinessPath);
+    this.readinessServer = new ReadinessServer(
+      settings.readiness,
+      wire.readinessPath,
+      this.containment,
+    );
     this.peerSocket = new PeerSocket({
       address: self.address,
       onSnapshotReceived: (snapshot) => this.dispatch({ kind: 'peer.received', snapshot }),
