Play random inputs at all boundaries of entry VMs, with a load that must not notice

Two entry VMs run as processes with the command of the deploy file. Ten sound callers on kept connections ask for things that repeat, things that must not, streams and long prompts. Engines answer with what belongs to that request alone, and a ledger knows what ran where. Thirteen named checks tell what broke.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -84,4 +84,5 @@
     'target/refused-requests-stress.mjs',
     'esm',
   );
+  await bundle('platform/test/boundaries/main.ts', 'target/boundaries.mjs', 'esm');
 }
