--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -403,7 +403,7 @@
       'permit.requested': ({ request }) => this.coordinator.handleRequest(request),
       'permit.answered': ({ answer }) => this.permits.handleAnswer(answer),
       'request.arrived': ({ request }) => this.handleRequest(request),
-      'request.abandoned': ({ requestId }) => requests.abandon(requestId),
+      'request.abandoned': ({ requestId, closedFor }) => requests.abandon(requestId, closedFor),
       'attempt.limitReported': ({ attemptId, limit, endpoint }) =>
         requests.handleLimit(attemptId, limit, endpoint),
       'endpoint.noticeReported': ({ endpoint, notice }) =>
@@ -549,6 +549,8 @@
     if (isCredentialRequired && !this.lease.isValid(this.context.nowMs)) return 'credentialsStale';
     const team = routeIndex.findTeam(request.credential);
     if (isCredentialRequired && team === undefined) return 'wrongCredential';
+    const isTeamFaulty = isCredentialRequired && team?.fault !== undefined;
+    if (route.fault !== undefined || isTeamFaulty) return 'misconfigured';
     const service = routeIndex.findService(this.pickService(route));
     if (service === undefined) return 'noEndpoint';
     const tightestGapMs = routeIndex.findTightestGapMs(service.name);
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,10 +1,14 @@
 export { EntryProcess } from './runtime/entry-process.js';
+export { EarlySignals, type SignalOrder } from './runtime/early-signals.js';
+export { reportFatalErrors } from './runtime/fatal-report.js';
+export { ProcessEnd, type EndCause } from './runtime/process-end.js';
 export { StateMachineRunner } from './runtime/state-machine-runner.js';
 export type { EffectHandlers } from './runtime/effects/types.js';
 export { loadSettings } from './settings/load-settings.js';
 export { settingsSchema, type EntrySettings } from './settings/schema.js';
 export { FrameCodec } from './links/frame-codec.js';
 export { SnapshotCodec } from './gateway/snapshot-codec.js';
+export { findNameFault, findTargetFault } from './gateway/http/head-syntax.js';
 export { FramingLimit } from './gateway/endpoints/framing-limit.js';
 export { GrowingBuffer } from './gateway/endpoints/growing-buffer.js';
 export { GuardedAgent } from './gateway/endpoints/guarded-agent.js';
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -133,9 +133,25 @@
     'a request of a peer was received that can send it to no endpoint itself',
   ],
   forwardingFailed: [854, 'info', 'a peer did not serve a request that was forwarded to it'],
+  configurationPartRefused: [
+    861,
+    'error',
+    'a part of the configuration cannot be used; requests that need it are refused, the others are served',
+  ],
   strangerRefused: [
     855,
     'warn',
     'a request on the address for peers was refused: it is malformed, or its sender is no registered entry VM',
   ],
+  processFailed: [856, 'error', 'the process ends by itself; this is its last line'],
+  gatewayRestarted: [
+    857,
+    'info',
+    'this entry VM was registered before this process started: it was restarted, or its row is old',
+  ],
+  connectionClosedUnanswered: [
+    858,
+    'warn',
+    'a connection was closed by this process while a request on it had no complete answer',
+  ],
 });
