--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -167,6 +167,7 @@
         this.peerHosts = new Set(peers.map(({ address }) => address.host));
         this.dispatch({ kind: 'peers.read', peers });
       },
+      onUnreadable: (row) => this.logUndecodableRow(row),
     });
     this.storeTables = this.createStoreTables();
   }
--- a/packages/entry/src/gateway/store/peer-registration.ts
+++ b/packages/entry/src/gateway/store/peer-registration.ts
@@ -8,6 +8,8 @@
   readonly self: GatewayPeer;
   /** Called with all registered entry VMs each time they were read. */
   readonly onRead: (peers: readonly GatewayPeer[]) => void;
+  /** Called with each row that can't be decoded, and is ignored. */
+  readonly onUnreadable: (row: TableRow) => void;
 }
 
 /** Time for each response to a read of the entry VMs, in milliseconds. */
@@ -68,10 +70,14 @@
 
   private report(tableRows: readonly TableRow[]): void {
     if (this.isStopped) return;
-    const { rows, onRead } = this.options;
+    const { rows, onRead, onUnreadable } = this.options;
     const peers = tableRows
       .filter(({ removed }) => !removed)
-      .flatMap((row) => rows.decodePeer(row) ?? []);
+      .flatMap((row) => {
+        const peer = rows.decodePeer(row);
+        if (peer === undefined) onUnreadable(row);
+        return peer ?? [];
+      });
     onRead(peers);
   }
 }
--- a/packages/entry/test/gateway/peer-registration.test.ts
+++ b/packages/entry/test/gateway/peer-registration.test.ts
@@ -56,11 +56,13 @@
 let table: PeerTableStandIn;
 let registration: PeerRegistration;
 let reads: (readonly string[])[];
+let unreadable: string[];
 let notifyRead = (): void => {};
 
 beforeEach(() => {
   table = new PeerTableStandIn();
   reads = [];
+  unreadable = [];
   registration = new PeerRegistration({
     tables: table.client,
     rows,
@@ -69,6 +71,7 @@
       reads.push(peers.map(({ id }) => id));
       notifyRead();
     },
+    onUnreadable: ({ key }) => unreadable.push(key),
   });
 });
 
@@ -109,3 +112,18 @@
     expect(table.calls).toEqual(['read', 'read', 'put', 'read']);
   });
 });
+
+describe('the row of another entry VM that can not be decoded', () => {
+  it('is reported, and costs no other', async () => {
+    table.stored.set('vm-2', encodePeer(createPeer('vm-2')));
+    const decodable = rows.decodePeer.bind(rows);
+    const decodePeer = (row: TableRow): GatewayPeer | undefined =>
+      row.key === 'bad' ? undefined : decodable(row);
+    Object.assign(rows, { decodePeer });
+    table.stored.set('bad', Buffer.from('{'));
+    await registration.register();
+    Object.assign(rows, { decodePeer: decodable });
+    expect(unreadable).toEqual(['bad']);
+    expect(reads).toEqual([['vm-2', 'vm-1']]);
+  });
+});
