--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -190,6 +190,7 @@
         this.dispatch({ kind: 'peers.read', peers });
       },
       onFoundRegistered: () => this.logger.write(logEvents.gatewayRestarted, {}),
+      onUnreadable: (row) => this.logger.write(logEvents.storeEntryUnreadable, { key: row.key }),
     });
     this.storeTables = this.createStoreTables();
   }
--- a/packages/entry/src/gateway/store/peer-registration.ts
+++ b/packages/entry/src/gateway/store/peer-registration.ts
@@ -12,6 +12,8 @@
   readonly onRead: (peers: readonly GatewayPeer[]) => void;
   /** Called once if the row was there before this process has written it: it was started again. */
   readonly onFoundRegistered?: () => void;
+  /** Called with each row that can't be decoded, and is ignored. */
+  readonly onUnreadable: (row: TableRow) => void;
 }
 
 /** Time for each response to a read of the entry VMs, in milliseconds. */
@@ -105,11 +107,12 @@
 
   /** A row that a decoder can't take says nothing of the other rows. */
   private decodePeer(row: TableRow): GatewayPeer | undefined {
-    const { rows, containment } = this.options;
+    const { rows, containment, onUnreadable } = this.options;
     let peer: GatewayPeer | undefined;
     containment.run({ work: 'row.decode', owner: 'store', ownerId: row.key }, () => {
       peer = rows.decodePeer(row);
     });
+    if (peer === undefined) onUnreadable(row);
     return peer;
   }
 }
--- a/packages/entry/test/gateway/peer-registration.test.ts
+++ b/packages/entry/test/gateway/peer-registration.test.ts
@@ -57,6 +57,7 @@
 let table: PeerTableStandIn;
 let registration: PeerRegistration;
 let reads: (readonly string[])[];
+let unreadable: string[];
 let notifyRead = (): void => {};
 let foundRegistered: number;
 
@@ -64,6 +65,7 @@
   table = new PeerTableStandIn();
   reads = [];
   foundRegistered = 0;
+  unreadable = [];
   registration = new PeerRegistration({
     containment: new Containment(() => {}),
     tables: table.client,
@@ -76,6 +78,7 @@
     onFoundRegistered: () => {
       foundRegistered += 1;
     },
+    onUnreadable: ({ key }) => unreadable.push(key),
   });
 });
 
@@ -151,3 +154,18 @@
     expect(foundRegistered).toBe(1);
   });
 });
+
+describe('the row of another entry VM that can not be decoded', () => {
+  it('is reported, and costs no other', async () => {
+    table.stored.set('vm-2', encodePeer(createPeer('vm-2')));
+    const decodable = rows.decodePeer.bind(rows);
+    const decodePeer = (row: TableRow): GatewayPeer | undefined =>
+      row.key === 'bad' ? undefined : decodable(row);
+    Object.assign(rows, { decodePeer });
+    table.stored.set('bad', Buffer.from('{'));
+    await registration.register();
+    Object.assign(rows, { decodePeer: decodable });
+    expect(unreadable).toEqual(['bad']);
+    expect(reads).toEqual([['vm-2', 'vm-1']]);
+  });
+});
