--- a/packages/entry/test/gateway/one-order-on-a-connection.test.ts
+++ b/packages/entry/test/gateway/one-order-on-a-connection.test.ts
@@ -98,6 +98,37 @@
     },
   );
 
+  it('do not discard the answer that says close by crossing it', async () => {
+    const { port, server, exchanges } = await startServer();
+    server.stopKeepAlive();
+    const caller = openCaller(port, GET);
+    caller.socket.pause();
+    await waitUntil(() => exchanges.length === 1);
+    answer(exchanges[0]!, 'one');
+    for (let sent = 0; sent < 5; sent += 1) {
+      await delay(20);
+      caller.socket.write(GET);
+    }
+    caller.socket.resume();
+    await waitUntil(() => caller.isClosed);
+    expect(caller.received).toMatch(/one$/);
+    expect(exchanges).toHaveLength(1);
+  });
+
+  it('do not keep a connection open whose caller does not close it', async () => {
+    const { port, server, exchanges } = await startServer();
+    server.stopKeepAlive();
+    const caller = openCaller(port, GET);
+    caller.socket.removeAllListeners('end');
+    await waitUntil(() => exchanges.length === 1);
+    answer(exchanges[0]!, 'one');
+    const timer = setInterval(() => caller.socket.write(GET), 20);
+    closers.push(() => clearInterval(timer));
+    await waitUntil(() => caller.isClosed);
+    expect(caller.received).toMatch(/one$/);
+    expect(exchanges).toHaveLength(1);
+  });
+
   it('come to an end although the caller never stops sending', async () => {
     const { port, server, exchanges } = await startServer({
       onRequestReceived: (exchange) => {
