--- a/packages/entry/src/gateway/callers/request-server.ts
+++ b/packages/entry/src/gateway/callers/request-server.ts
@@ -5,10 +5,11 @@
 import { BodyBudget } from '../../callers/body-budget.js';
 import type { GatewayWire, RequestMetadata } from '../types.js';
 import { BodyReader, type BodyFailure } from './body-reader.js';
-import { CallerConnection, LINGER_MS } from './caller-connection.js';
+import { CallerConnection } from './caller-connection.js';
 import { CallerExchange, type ReceivedRequest } from './caller-exchange.js';
 import { findInputStatus } from './input-refusals.js';
 import { RequestFingerprint } from './request-fingerprint.js';
+import { UnreadRefusals, type UnreadRequest } from './unread-refusals.js';
 
 /**
  * Largest request head that the parser accepts, in bytes. The configured limit is checked in
@@ -61,9 +62,6 @@
 /** `Retry-After` if the body budget is used up, in seconds: other bodies are released within seconds. */
 const RETRY_AFTER_S = '1';
 
-/** `Retry-After` of requests that are refused because the process stops, in seconds. */
-const STOPPING_RETRY_AFTER_S = '0.5';
-
 /** Creates the exchange of a request whose body was read. */
 export type CreateExchange = (
   requestId: string,
@@ -96,13 +94,6 @@
   readonly onUnreadRefused: (callerAttempt: string | undefined) => void;
 }
 
-/** A request whose body is still arriving. */
-interface UnreadRequest {
-  readonly incoming: IncomingMessage;
-  readonly metadata: RequestMetadata;
-  readonly reader: BodyReader;
-}
-
 /** Counts the bytes of a request's headers, with two bytes of separators for each name and value. */
 const countHeadBytes = (rawHeaders: readonly string[]): number =>
   rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
@@ -135,8 +126,7 @@
 
   private readonly unreadRequests = new Map<ServerResponse, UnreadRequest>();
 
-  /** Complete responses whose callers still send their bodies. */
-  private readonly lingeringResponses = new Set<ServerResponse>();
+  private readonly unreadRefusals: UnreadRefusals;
 
   /** Whether new connections are no longer accepted. */
   private isClosing = false;
@@ -147,6 +137,7 @@
 
   constructor(private readonly options: RequestServerOptions) {
     this.bodyBudget = options.bodyBudget ?? createBodyBudget();
+    this.unreadRefusals = new UnreadRefusals(options.onUnreadRefused);
     this.server = createServer(
       {
         maxHeaderSize: MAX_PARSED_HEAD_BYTES,
@@ -181,7 +172,7 @@
 
   /** Number of requests whose response is not yet handed to the operating system completely. */
   get openResponseCount(): number {
-    return this.openResponses.size - this.lingeringResponses.size;
+    return this.openResponses.size - this.unreadRefusals.lingeringCount;
   }
 
   start(): Promise<void> {
@@ -334,34 +325,14 @@
   private removeResponse(outgoing: ServerResponse, connection: CallerConnection | undefined): void {
     this.unreadRequests.delete(outgoing);
     this.openResponses.delete(outgoing);
-    this.lingeringResponses.delete(outgoing);
+    this.unreadRefusals.remove(outgoing);
     connection?.finishOpen(outgoing);
     if (this.isClosing) this.closeIdleConnections();
     if (this.openResponses.size === 0) this.onResponsesWritten?.();
   }
 
-  /**
-   * Refuses a request because the process stops. The response is sent at once; the connection stays
-   * open for a while, so that the caller can finish sending and reads the response.
-   */
-  private refuseUnread(
-    outgoing: ServerResponse,
-    { incoming, metadata, reader }: UnreadRequest,
-  ): void {
-    if (!this.unreadRequests.delete(outgoing)) return;
-    reader.release();
-    if (!incoming.complete) outgoing.shouldKeepAlive = false;
-    outgoing.writeHead(HTTP_UNAVAILABLE, {
-      'Content-Length': '0',
-      'Retry-After': STOPPING_RETRY_AFTER_S,
-    });
-    outgoing.flushHeaders();
-    this.lingeringResponses.add(outgoing);
-    const lingerTimer = setTimeout(() => outgoing.end(), LINGER_MS);
-    outgoing.on('close', () => clearTimeout(lingerTimer));
-    incoming.on('end', () => outgoing.end());
-    incoming.resume();
-    this.options.onUnreadRefused(metadata.callerAttempt);
+  private refuseUnread(outgoing: ServerResponse, unread: UnreadRequest): void {
+    if (this.unreadRequests.delete(outgoing)) this.unreadRefusals.refuse(outgoing, unread);
   }
 
   private openExchange(
