Give the parser nothing that could not be answered any more

A connection whose writable side has ended gets no request parsed from what it has kept: the request would be passed on and could not be answered.

--- a/packages/entry/src/gateway/callers/caller-connection.ts
+++ b/packages/entry/src/gateway/callers/caller-connection.ts
@@ -214,10 +214,11 @@
     return outgoing !== undefined && outgoing.headersSent && !outgoing.shouldKeepAlive;
   }
 
-  /** Whether the parser may not be given anything. */
+  /** Whether the parser may not be given anything: what it read could not be answered now. */
   private get isBlocked(): boolean {
     const { socket } = this;
-    return this.open?.incoming.complete === true || socket.isPaused() || socket.destroyed;
+    const isWaiting = this.open?.incoming.complete === true;
+    return isWaiting || socket.isPaused() || socket.destroyed || !socket.writable;
   }
 
   private handleData(bytes: Buffer): void {
