Log that the heap comes near its limit

Event 860 is written once each time the heap in use passes 0.9 of its limit, and again only after it was below 0.75; it is looked at once a second.

--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -6,6 +6,7 @@
   type TableSource,
 } from '@savorywind/decisions';
 import { logEvents, type LogEvent, type LogFields } from '@savorywind/model';
+import { HeapWatch } from '../observe/heap-watch.js';
 import { createStdoutSink } from '../observe/log-sink.js';
 import { describeError, type ErrorDescription } from '../observe/describe-error.js';
 import { createEventLogger } from '../observe/logger.js';
@@ -97,6 +98,10 @@
 
   private readonly metricsServer: MetricsServer | undefined;
 
+  private readonly heapWatch = new HeapWatch((use) =>
+    this.logger.write(logEvents.heapNearlyFull, { ...use }),
+  );
+
   private reportedDroppedLines = 0;
 
   private readonly logger;
@@ -201,6 +206,7 @@
       this.peerSocket.start(),
     ]);
     this.startMetrics();
+    this.heapWatch.start();
     this.logger.write(logEvents.gatewayStarted, { callers: this.settings.callers.port });
     this.storeTables.start();
     await this.registration.renew();
@@ -473,6 +479,7 @@
     const unwritten = this.servers.reduce((sum, server) => sum + server.openResponseCount, 0);
     this.servers.forEach((server) => server.closeAllConnections());
     this.runner.stop();
+    this.heapWatch.stop();
     this.pools.stop();
     this.peerPools.stop();
     this.adapter.tables.stop();
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -154,4 +154,9 @@
     'error',
     'an exception has ended a piece of work; only its owner is failed, and the process goes on',
   ],
+  heapNearlyFull: [
+    860,
+    'warn',
+    'the heap is near its limit, at which the process ends without another line',
+  ],
 });
