--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -7,7 +7,11 @@
 import { build } from 'esbuild';
 
 const root = fileURLToPath(new URL('../', import.meta.url));
-const codeCachePath = `${root}target/savorywind-entry.compiled`;
+
+/** Folder for the program; tests give one of their own, so that two builds don't meet. */
+const outOption = process.argv.indexOf('--out');
+const target = outOption < 0 ? `${root}target` : process.argv[outOption + 1];
+const codeCachePath = `${target}/savorywind-entry.compiled`;
 
 /** Bundles the packages of the workspace from their sources. */
 const alias = Object.fromEntries(
@@ -65,14 +69,14 @@
 /** Starts the gateway without settings: it loads all its modules, finds no settings and exits. */
 const writeCodeCache = () => {
   rmSync(codeCachePath, { force: true });
-  const args = [...readNodeOptions(), 'target/start.cjs', '--write-compiled'];
+  const args = [...readNodeOptions(), `${target}/start.cjs`, '--write-compiled'];
   spawnSync(process.execPath, args, { cwd: root, env: {} });
   // Not fatal: without a code cache, the gateway compiles the bundle at each start.
   if (!existsSync(codeCachePath)) process.stderr.write('code cache was not written\n');
 };
 
-await bundle('platform/src/main.ts', 'target/savorywind-entry.cjs', 'cjs');
-copyFileSync(`${root}deploy/start.cjs`, `${root}target/start.cjs`);
+await bundle('platform/src/main.ts', `${target}/savorywind-entry.cjs`, 'cjs');
+copyFileSync(`${root}deploy/start.cjs`, `${target}/start.cjs`);
 writeCodeCache();
 if (process.argv.includes('--bench'))
   await bundle('platform/test/start-benchmark.ts', 'target/start-benchmark.mjs', 'esm');
