Count unfinished heads, requests and connections, and refuse what is new beyond the room

What callers saw: 3,000 connections with an unfinished head of 45 kB each ended the process of an entry VM for want of memory, and with all descriptors in use its readiness check, its requests and the endpoints' health failed. Cause: only bytes of bodies were counted; a head is kept in Node's parser until it is complete, and connections were accepted until there was no descriptor left, also none for endpoints.

Beyond it a request gets 503 with Retry-After, a connection the same at once, and of the unfinished heads the largest is refused: a sound head is small and comes in one piece. A request in front of such a head gets its answer first. A connection that can't be opened for want of descriptors withdraws the attempt; its endpoint is not blamed. Events 870 and 871 tell the beginning and the end of such a time, gauges the use and the refusals.

Tried before: counting at a timer of 50 ms and at each turn. New connections are read first eight a turn, so that heads don't hold back others. Without a listener behind the end of a body, heads behind a request were not counted; a test shows it.

--- a/packages/entry/src/gateway/callers/request-server.ts
+++ b/packages/entry/src/gateway/callers/request-server.ts
@@ -3,6 +3,9 @@
 import type { Duplex } from 'node:stream';
 import type { CallerLimits, NetworkAddress } from '@savorywind/model';
 import { BodyBudget } from '../../callers/body-budget.js';
+import type { CallerConnections, ConnectionSide } from '../memory/caller-connections.js';
+import { computeRequestPrice } from '../memory/head-prices.js';
+import type { ShortageReason } from '../memory/types.js';
 import type { GatewayWire, RequestMetadata } from '../types.js';
 import { BodyReader, type BodyFailure } from './body-reader.js';
 import { CallerExchange, type ReceivedRequest } from './caller-exchange.js';
@@ -37,12 +40,9 @@
  */
 const MAX_BODY_READ_MS = 30_000;
 
-/** Memory for the bodies of all requests together: a quarter of the smallest VM's 250 MB. */
+/** Memory for the bodies of all requests together, in bytes, where no budget is given. */
 const MAX_BUFFERED_BODY_BYTES = 64_000_000;
 
-/** Creates the memory budget for the bodies of all requests of an entry VM. */
-export const createBodyBudget = (): BodyBudget => new BodyBudget(MAX_BUFFERED_BODY_BYTES);
-
 /** Callers take 408 and 503 as a guarantee that the request has not run. */
 const BODY_FAILURE_STATUS: Readonly<Record<BodyFailure, number>> = {
   tooLarge: 413,
@@ -81,7 +81,13 @@
   readonly address: NetworkAddress;
   readonly wire: GatewayWire;
   /** Memory for the bodies of all requests, which several servers may share. */
-  readonly bodyBudget?: BodyBudget;
+  readonly bodyBudget?: Pick<BodyBudget, 'reserve' | 'release'>;
+  /** Counts the connections of several servers together; none are counted if this is missing. */
+  readonly connections?: CallerConnections;
+  /** Who opens the connections; `callers` by default. */
+  readonly side?: ConnectionSide;
+  /** Called when a request is refused for want of memory. */
+  readonly onShortage?: (reason: ShortageReason) => void;
   /** Begins the ids of its requests, so that those of several servers differ. */
   readonly idPrefix?: string;
   /** Size by which heads may exceed the limit of callers, in bytes. */
@@ -120,7 +126,7 @@
 
   private nextRequestNumber = 1;
 
-  private readonly bodyBudget: BodyBudget;
+  private readonly bodyBudget: Pick<BodyBudget, 'reserve' | 'release'>;
 
   /** Responses that are not yet handed to the operating system completely. */
   private readonly openResponses = new Set<ServerResponse>();
@@ -138,7 +144,7 @@
   private onResponsesWritten: (() => void) | undefined;
 
   constructor(private readonly options: RequestServerOptions) {
-    this.bodyBudget = options.bodyBudget ?? createBodyBudget();
+    this.bodyBudget = options.bodyBudget ?? new BodyBudget(MAX_BUFFERED_BODY_BYTES);
     this.server = createServer(
       {
         maxHeaderSize: MAX_PARSED_HEAD_BYTES,
@@ -154,6 +160,7 @@
     this.server.on('connection', (socket) => {
       socket.on('close', () => this.closeQueuedResponses(socket));
     });
+    this.countConnections();
     if (options.onUpgrade !== undefined) this.server.on('upgrade', options.onUpgrade);
     this.server.on('clientError', (_error, socket) => this.handleParseError(socket as Socket));
   }
@@ -227,6 +234,7 @@
     if (this.isStopping) outgoing.shouldKeepAlive = false;
     this.openResponses.add(outgoing);
     outgoing.on('close', () => this.removeResponse(outgoing));
+    this.options.connections?.addRequest(incoming, outgoing);
     const { isAllowed, extraHeadBytes = 0 } = this.options;
     if (isAllowed?.(incoming) === false) {
       this.refuse(incoming, outgoing, HTTP_FORBIDDEN);
@@ -236,9 +244,32 @@
       this.refuse(incoming, outgoing, HTTP_HEADERS_TOO_LARGE);
       return;
     }
+    if (!this.reserveRequest(incoming, outgoing)) return;
     this.readBody(incoming, outgoing);
   }
 
+  /** Reports connections to those who count them, before any of their requests. */
+  private countConnections(): void {
+    const { connections, side = 'callers' } = this.options;
+    if (connections === undefined) return;
+    // An option of net.createServer, which http.createServer does not pass on.
+    Object.assign(this.server, { pauseOnConnect: true });
+    this.server.on('connection', (socket) => connections.accept(socket, side));
+    this.server.on('upgrade', (incoming) => connections.handleUpgrade(incoming));
+  }
+
+  /** Reserves memory for a request without its body until its response ends, or refuses it. */
+  private reserveRequest(incoming: IncomingMessage, outgoing: ServerResponse): boolean {
+    const priceBytes = computeRequestPrice(incoming);
+    if (!this.bodyBudget.reserve(priceBytes)) {
+      this.options.onShortage?.('requests');
+      this.refuse(incoming, outgoing, HTTP_UNAVAILABLE);
+      return false;
+    }
+    outgoing.on('close', () => this.bodyBudget.release(priceBytes));
+    return true;
+  }
+
   private readBody(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const metadata = this.options.wire.readRequest(incoming.headers);
     const fingerprint = new RequestFingerprint({
@@ -255,10 +286,12 @@
       onChunkRead: (chunk) => fingerprint.add(chunk),
       onFailed: (failure) => {
         this.unreadRequests.delete(outgoing);
+        if (failure === 'noRoom') this.options.onShortage?.('requests');
         this.refuse(incoming, outgoing, BODY_FAILURE_STATUS[failure]);
       },
       onRead: (body) => {
         this.unreadRequests.delete(outgoing);
+        this.options.connections?.finishBody(incoming, reader.sentBytes);
         const received = { metadata, body, fingerprint: fingerprint.finish() };
         this.openExchange(incoming, outgoing, received);
       },
--- a/packages/entry/src/gateway/endpoints/growing-buffer.ts
+++ b/packages/entry/src/gateway/endpoints/growing-buffer.ts
@@ -19,6 +19,11 @@
     return this.usedBytes;
   }
 
+  /** Memory that is taken for the bytes, in bytes. */
+  get capacity(): number {
+    return this.storage.length;
+  }
+
   /** The bytes so far. They are valid until the next call of `append`. */
   get bytes(): Buffer {
     return this.storage.subarray(0, this.usedBytes);
--- a/packages/entry/src/gateway/endpoints/outgoing-attempt.ts
+++ b/packages/entry/src/gateway/endpoints/outgoing-attempt.ts
@@ -4,6 +4,7 @@
 import type { CallerExchange } from '../callers/caller-exchange.js';
 import type { DispatchGatewayEvent, AttemptForward, AttemptStart } from '../types.js';
 import type { AttemptTarget, ResponseRejection } from './attempt-target.js';
+import type { MemoryBudget } from '../memory/memory-budget.js';
 import { ResponseRelay } from './response-relay.js';
 import { dropBody } from './drop-body.js';
 import { FramingLimit } from './framing-limit.js';
@@ -11,6 +12,15 @@
 const HTTP_OK = 200;
 const EVENT_STREAM_TYPE = 'text/event-stream';
 
+/** Errors of a connection that come from a lack of resources of this process or VM. */
+const LOCAL_ERRORS: ReadonlySet<string> = new Set([
+  'EADDRNOTAVAIL',
+  'EMFILE',
+  'ENFILE',
+  'ENOBUFS',
+  'ENOMEM',
+]);
+
 export interface OutgoingAttemptOptions {
   readonly start: Pick<
     AttemptStart | AttemptForward,
@@ -19,6 +29,10 @@
   readonly target: AttemptTarget;
   readonly exchange: CallerExchange;
   readonly dispatch: DispatchGatewayEvent;
+  /** Memory for what is buffered of the response; it is not counted if this is missing. */
+  readonly memory?: MemoryBudget;
+  /** Called when this process has no descriptor or memory for the connection. */
+  readonly onNoDescriptor?: () => void;
 }
 
 type FailureDetails = Pick<
@@ -106,7 +120,7 @@
   }
 
   private handleResponse(response: IncomingMessage): void {
-    const { target, exchange, start, dispatch } = this.options;
+    const { target, exchange, start, dispatch, memory } = this.options;
     this.framing?.attach(response);
     const read = target.readResponse(response, this.outgoing.reusedSocket);
     if (read.kind === 'mismatch') {
@@ -126,7 +140,7 @@
     const { attemptId, lastEventId } = start;
     const { metadata } = read;
     this.relay = new ResponseRelay(
-      { attemptId, response, metadata, exchange, dispatch, lastEventId },
+      { attemptId, response, metadata, exchange, dispatch, lastEventId, memory },
       deliversEvents,
     );
   }
@@ -149,12 +163,19 @@
   private handleError(error: NodeJS.ErrnoException): void {
     clearTimeout(this.connectTimer);
     const isParseError = error.code?.startsWith('HPE_') === true;
-    if (!this.mayHaveSent) this.fail('notSent', error.message);
+    if (!this.mayHaveSent && LOCAL_ERRORS.has(error.code ?? '')) this.failForWantOfRoom(error);
+    else if (!this.mayHaveSent) this.fail('notSent', error.message);
     // Without this report, a response without a length would look complete after a reset.
     else if (this.relay?.isComplete !== true)
       this.failResponse(isParseError ? 'invalid' : 'broken', error.message);
   }
 
+  /** Nothing was sent, and the endpoint is not to blame. */
+  private failForWantOfRoom(error: Error): void {
+    this.options.onNoDescriptor?.();
+    this.fail('withdrawn', error.message);
+  }
+
   /** Closes the connection, also if the attempt has already failed. */
   private failResponse(failure: 'broken' | 'invalid', detail: string): void {
     if (this.relay !== undefined) this.relay.fail(failure, detail);
--- a/packages/entry/src/gateway/endpoints/response-relay.ts
+++ b/packages/entry/src/gateway/endpoints/response-relay.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { CallerExchange } from '../callers/caller-exchange.js';
+import type { MemoryBudget } from '../memory/memory-budget.js';
 import type { ResponseMetadata, DispatchGatewayEvent } from '../types.js';
 import { EventOrder } from './event-order.js';
 import { EventSplitter, type StreamEvent } from './event-splitter.js';
@@ -29,6 +30,8 @@
   readonly dispatch: DispatchGatewayEvent;
   /** Id of the last event that the caller has; undefined if the stream starts from its beginning. */
   readonly lastEventId: string | undefined;
+  /** Memory for what is buffered; it is not counted if this is undefined. */
+  readonly memory: MemoryBudget | undefined;
 }
 
 /**
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -12,11 +12,7 @@
 import { listProcessGauges } from '../observe/process-gauges.js';
 import { StateMachineRunner, type EffectHandlersOf } from '../runtime/state-machine-runner.js';
 import type { CallerExchange } from './callers/caller-exchange.js';
-import {
-  createBodyBudget,
-  RequestServer,
-  type RequestServerOptions,
-} from './callers/request-server.js';
+import { RequestServer, type RequestServerOptions } from './callers/request-server.js';
 import { ElapsedClock } from './elapsed-clock.js';
 import { ConnectionPools } from './endpoints/connection-pools.js';
 import type { AttemptTarget } from './endpoints/attempt-target.js';
@@ -24,9 +20,11 @@
 import { OutgoingAttempt } from './endpoints/outgoing-attempt.js';
 import { probeEndpoint } from './endpoints/probe-endpoint.js';
 import { ReservationCalls } from './endpoints/reservation-calls.js';
+import { GatewayRoom } from './memory/gateway-room.js';
 import { listControlGauges } from './metrics/control-gauges.js';
 import { listHarmGauges } from './metrics/harm-gauges.js';
 import { GatewayMetrics } from './metrics/gateway-metrics.js';
+import { listRoomGauges } from './metrics/room-gauges.js';
 import { listTableGauges } from './metrics/table-gauges.js';
 import { MetricsServer } from './metrics/metrics-server.js';
 import type { PermitMessage } from './permit-messages.js';
@@ -102,6 +100,8 @@
 
   private readonly logger;
 
+  private readonly room: GatewayRoom;
+
   /** Time from the stop signal until the process is killed, by the settings last loaded. */
   private stopGraceMs: number;
 
@@ -127,6 +127,7 @@
     const incarnation = Date.now();
     const { wire } = adapter;
     this.logger = createEventLogger(self.id, 'info', this.logSink);
+    this.room = new GatewayRoom(settings.limits, (event, fields) => this.writeLog(event, fields));
     this.node = new GatewayNode({ self, incarnation, seed: incarnation, contract });
     this.runner = new StateMachineRunner(this.node, this.createHandlers());
     this.reservationCalls = new ReservationCalls({
@@ -136,7 +137,9 @@
     });
     const requestOptions: Omit<RequestServerOptions, 'address'> = {
       wire,
-      bodyBudget: createBodyBudget(),
+      bodyBudget: this.room.memory,
+      connections: this.room.connections,
+      onShortage: (reason) => this.room.recordRefusal(reason),
       onRequestReceived: (exchange, path, host) => this.openExchange(exchange, path, host),
       onDisconnected: (requestId) => this.abandonExchange(requestId),
       onUnreadRefused: (request) => this.logger.write(logEvents.unreadRequestRefused, { request }),
@@ -384,7 +387,14 @@
       this.dispatch(event);
     };
     const target = createTarget(exchange);
-    const attempt = new OutgoingAttempt({ start, target, exchange, dispatch: dispatchAttempt });
+    const attempt = new OutgoingAttempt({
+      start,
+      target,
+      exchange,
+      dispatch: dispatchAttempt,
+      memory: this.room.memory,
+      onNoDescriptor: () => this.room.recordRefusal('descriptors'),
+    });
     this.attempts.set(start.attemptId, attempt);
   }
 
@@ -478,6 +488,7 @@
       }),
       ...listTableGauges(this.storeTables.source, this.storeTables.listAges()),
       ...listHarmGauges(this.node.harmUsage),
+      ...listRoomGauges(this.room),
       ...listProcessGauges(this.logSink.droppedLines),
     ]);
   }
@@ -506,6 +517,7 @@
     const unwritten = this.servers.reduce((sum, server) => sum + server.openResponseCount, 0);
     this.servers.forEach((server) => server.closeAllConnections());
     this.runner.stop();
+    this.room.stop();
     this.pools.stop();
     this.peerPools.stop();
     this.adapter.tables.stop();
--- /dev/null
+++ b/packages/entry/src/gateway/memory/caller-connections.ts
@@ -0,0 +1,229 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { READ_BYTES } from './consts.js';
+import { computeUnfinishedHeadPrice, countHeadBytes } from './head-prices.js';
+import type { MemoryBudget } from './memory-budget.js';
+import type { ShortageReason } from './types.js';
+
+/**
+ * New connections that are read first in one turn of the event loop. The parser needs about a millisecond for
+ * a large head of small fields, and other requests wait meanwhile.
+ */
+const FIRST_READS_PER_TURN = 8;
+
+/** `Retry-After` of what is refused for want of room, in seconds. */
+const RETRY_AFTER_S = 1;
+
+const NO_ROOM_RESPONSE = `HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: ${RETRY_AFTER_S}\r\nContent-Length: 0\r\n\r\n`;
+
+/** Whose connections are counted together. */
+export type ConnectionSide = 'callers' | 'peers';
+
+interface OpenConnection {
+  readonly socket: Socket;
+  readonly side: ConnectionSide;
+  /** Bytes of all requests that were read completely. */
+  finishedBytes: number;
+  /** Requests whose head is complete and whose body is not. */
+  unreadBodies: number;
+  /** Price of the head that is not complete, in bytes. */
+  headPriceBytes: number;
+  /** Responses that are not complete, in the order of their requests. */
+  readonly responses: Set<ServerResponse>;
+  /** Whether it closes after its last response, for want of room for what came behind. */
+  isRefused: boolean;
+  /** Listener of what the connection receives. */
+  readonly onRead: () => void;
+}
+
+export interface CallerConnectionsOptions {
+  readonly budget: MemoryBudget;
+  /** Memory for heads that are not yet complete, in bytes. */
+  readonly headBytes: number;
+  readonly maxConnections: Readonly<Record<ConnectionSide, number>>;
+  readonly onRefused: (reason: ShortageReason) => void;
+}
+
+/**
+ * Bounds the number of open connections, and the memory of the request heads that they have not finished,
+ * for all servers of an entry VM together. Node keeps such a head in its parser, and reports nothing of it
+ * until it is complete; what a connection has received is known all the same. It is looked at after each read:
+ * thousands of connections are read in one turn of the event loop, so that a timer would come too late. This
+ * takes some 12 us a request, as Node's parser then gets its data through the socket and not past it.
+ *
+ * Where heads take too much, those that take most are refused: a head mostly comes in one piece, and a large
+ * unfinished one costs as much as hundreds of others.
+ *
+ * @example
+ * const connections = new CallerConnections({ budget, headBytes, maxConnections, onRefused });
+ * server.on('connection', (socket) => connections.accept(socket, 'callers'));
+ */
+export class CallerConnections {
+  private readonly open = new Map<Socket, OpenConnection>();
+
+  private readonly counts: Record<ConnectionSide, number> = { callers: 0, peers: 0 };
+
+  /** Price of all unfinished heads, in bytes. */
+  private headPriceBytes = 0;
+
+  /** New connections that are not read yet, the oldest first. */
+  private readonly unread: Socket[] = [];
+
+  private firstReadsInTurn = 0;
+
+  constructor(private readonly options: CallerConnectionsOptions) {}
+
+  /** Number of open connections of one side. */
+  count(side: ConnectionSide): number {
+    return this.counts[side];
+  }
+
+  /** Memory of all unfinished heads, in bytes. */
+  get unfinishedHeadBytes(): number {
+    return this.headPriceBytes;
+  }
+
+  /**
+   * Counts a new connection and begins to read it soon, or answers and closes it if there are too many. It must
+   * not be read yet.
+   */
+  accept(socket: Socket, side: ConnectionSide): void {
+    if (this.counts[side] >= this.options.maxConnections[side]) {
+      this.options.onRefused('connections');
+      CallerConnections.answerAndClose(socket);
+      return;
+    }
+    this.counts[side] += 1;
+    const connection: OpenConnection = {
+      socket,
+      side,
+      finishedBytes: 0,
+      unreadBodies: 0,
+      headPriceBytes: 0,
+      responses: new Set(),
+      isRefused: false,
+      onRead: () => this.handleRead(connection),
+    };
+    this.open.set(socket, connection);
+    // Called after the listener of the HTTP parser, which has then handled the bytes.
+    socket.on('data', connection.onRead);
+    socket.on('close', () => this.remove(connection));
+    this.unread.push(socket);
+    this.readUnread();
+  }
+
+  /** Begins to read new connections, as many as one turn of the event loop may. */
+  private readUnread(): void {
+    while (this.firstReadsInTurn < FIRST_READS_PER_TURN) {
+      const socket = this.unread.shift();
+      if (socket === undefined) return;
+      socket.resume();
+      if (this.firstReadsInTurn === 0) setImmediate(() => this.beginTurn());
+      this.firstReadsInTurn += 1;
+    }
+  }
+
+  private beginTurn(): void {
+    this.firstReadsInTurn = 0;
+    this.readUnread();
+  }
+
+  /** Records that the head of a request is complete. */
+  addRequest(incoming: IncomingMessage, outgoing: ServerResponse): void {
+    const connection = this.open.get(incoming.socket);
+    if (connection === undefined) return;
+    connection.finishedBytes += countHeadBytes(incoming);
+    connection.unreadBodies += 1;
+    connection.responses.add(outgoing);
+    outgoing.on('close', () => CallerConnections.removeResponse(connection, outgoing));
+  }
+
+  /**
+   * Records that the body of a request is complete.
+   *
+   * @param sentBytes size of the body with its chunk headers
+   */
+  finishBody({ socket }: IncomingMessage, sentBytes: number): void {
+    const connection = this.open.get(socket);
+    if (connection === undefined) return;
+    // What is counted too low, as spaces and trailers, can't be more than was read at once.
+    connection.finishedBytes = Math.max(
+      connection.finishedBytes + sentBytes,
+      socket.bytesRead - READ_BYTES,
+    );
+    connection.unreadBodies -= 1;
+    // What follows may have come with the end of the body, which is reported after both were read.
+    this.handleRead(connection);
+  }
+
+  /** Records that a connection is used for another protocol from now on. */
+  handleUpgrade({ socket }: IncomingMessage): void {
+    const connection = this.open.get(socket);
+    if (connection === undefined) return;
+    socket.off('data', connection.onRead);
+    this.setHeadPrice(connection, 0);
+  }
+
+  private handleRead(connection: OpenConnection): void {
+    const { socket, finishedBytes, unreadBodies } = connection;
+    const headBytes = unreadBodies > 0 ? 0 : Math.max(0, socket.bytesRead - finishedBytes);
+    this.setHeadPrice(connection, computeUnfinishedHeadPrice(headBytes));
+    while (this.headPriceBytes > this.options.headBytes) {
+      const largest = this.findLargestHead();
+      if (largest === undefined) return;
+      this.refuse(largest);
+    }
+  }
+
+  /** Finds the connection with the largest unfinished head, of those that are not refused already. */
+  private findLargestHead(): OpenConnection | undefined {
+    let largest: OpenConnection | undefined;
+    this.open.forEach((connection) => {
+      const { isRefused, headPriceBytes } = connection;
+      if (!isRefused && headPriceBytes > (largest?.headPriceBytes ?? 0)) largest = connection;
+    });
+    return largest;
+  }
+
+  private setHeadPrice(connection: OpenConnection, bytes: number): void {
+    const addedBytes = bytes - connection.headPriceBytes;
+    connection.headPriceBytes = bytes;
+    this.headPriceBytes += addedBytes;
+    this.options.budget.add(addedBytes);
+  }
+
+  private remove(connection: OpenConnection): void {
+    if (!this.open.delete(connection.socket)) return;
+    this.counts[connection.side] -= 1;
+    this.setHeadPrice(connection, 0);
+  }
+
+  /** Refuses what a connection sends behind its complete requests. These get their responses first. */
+  private refuse(connection: OpenConnection): void {
+    const { socket, responses } = connection;
+    connection.isRefused = true;
+    this.options.onRefused('heads');
+    if (responses.size === 0) {
+      CallerConnections.answerAndClose(socket);
+      this.setHeadPrice(connection, 0);
+      return;
+    }
+    socket.pause();
+    responses.forEach((outgoing) => {
+      if (!outgoing.headersSent) outgoing.shouldKeepAlive = false;
+    });
+  }
+
+  private static removeResponse(connection: OpenConnection, outgoing: ServerResponse): void {
+    connection.responses.delete(outgoing);
+    if (connection.isRefused && connection.responses.size === 0) connection.socket.destroySoon();
+  }
+
+  private static answerAndClose(socket: Socket): void {
+    // No request of the connection waits for a response that this could be taken for.
+    socket.write(NO_ROOM_RESPONSE);
+    socket.destroySoon();
+    // What still arrives is not read any more.
+    socket.pause();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/gateway/memory/gateway-room.ts
@@ -0,0 +1,69 @@
+import { logEvents, type LogEvent, type LogFields } from '@savorywind/model';
+import { CallerConnections } from './caller-connections.js';
+import { computeRoomLimits } from './compute-room-limits.js';
+import { MemoryBudget } from './memory-budget.js';
+import { ShortageMonitor, type Refusals } from './shortage-monitor.js';
+import type { RoomLimits, ShortageReason, VmLimits } from './types.js';
+
+const UNKNOWN_LIMITS: VmLimits = { memoryBytes: undefined, descriptors: undefined };
+
+/**
+ * The room of one entry VM: its memory and its connections, what is used of them, and what was refused for
+ * want of them.
+ *
+ * @example
+ * const room = new GatewayRoom(settings.limits, writeLog);
+ * room.memory.reserve(16_384);
+ */
+export class GatewayRoom {
+  readonly limits: RoomLimits;
+
+  readonly memory: MemoryBudget;
+
+  readonly connections: CallerConnections;
+
+  private readonly monitor: ShortageMonitor;
+
+  /** @param vmLimits undefined if the settings name none */
+  constructor(
+    vmLimits: VmLimits | undefined,
+    writeLog: (event: LogEvent, fields: LogFields) => void,
+  ) {
+    this.limits = computeRoomLimits(vmLimits ?? UNKNOWN_LIMITS);
+    const { memoryBytes, headBytes, callerConnections, peerConnections } = this.limits;
+    this.memory = new MemoryBudget(memoryBytes);
+    this.monitor = new ShortageMonitor({
+      onBegun: (reason) => writeLog(logEvents.roomShort, { reason, ...this.describeUse() }),
+      onEnded: (refused, durationS) =>
+        writeLog(logEvents.roomRegained, { ...refused, durationS, ...this.describeUse() }),
+    });
+    this.connections = new CallerConnections({
+      budget: this.memory,
+      headBytes,
+      maxConnections: { callers: callerConnections, peers: peerConnections },
+      onRefused: (reason) => this.recordRefusal(reason),
+    });
+  }
+
+  /** What was refused since the start of the process. */
+  get refusals(): Refusals {
+    return this.monitor.refusals;
+  }
+
+  /** Counts something that was refused for want of room. */
+  recordRefusal(reason: ShortageReason): void {
+    this.monitor.record(reason);
+  }
+
+  stop(): void {
+    this.monitor.stop();
+  }
+
+  private describeUse(): LogFields {
+    return {
+      memoryBytes: this.memory.usedBytes,
+      callerConnections: this.connections.count('callers'),
+      peerConnections: this.connections.count('peers'),
+    };
+  }
+}
--- a/packages/entry/src/gateway/peers/peer-server.ts
+++ b/packages/entry/src/gateway/peers/peer-server.ts
@@ -42,6 +42,7 @@
   };
   return new RequestServer({
     ...requestOptions,
+    side: 'peers',
     idPrefix: 'peer-',
     extraHeadBytes: FORWARDED_HEAD_BYTES,
     isAllowed,
--- a/packages/entry/src/gateway/types.ts
+++ b/packages/entry/src/gateway/types.ts
@@ -15,6 +15,7 @@
   GatewayPeer,
   NetworkAddress,
 } from '@savorywind/model';
+import type { VmLimits } from './memory/types.js';
 import type { TableClient, TableRow } from './store/types.js';
 
 /** Settings of one gateway process. */
@@ -27,6 +28,8 @@
   /** Address on which metrics are served; undefined if they are not. */
   readonly metrics: NetworkAddress | undefined;
   readonly contract: GatewayContract;
+  /** Memory and descriptors of the VM; those of the smallest VM are assumed if this is missing. */
+  readonly limits?: VmLimits;
 }
 
 export type ReservationRequest = Extract<GatewayEffect, { readonly kind: 'reservation.ask' }>;
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -138,4 +138,10 @@
     'warn',
     'a request on the address for peers was refused: it is malformed, or its sender is no registered entry VM',
   ],
+  roomShort: [
+    870,
+    'warn',
+    'the VM has no more room; new requests, connections or unfinished heads are refused',
+  ],
+  roomRegained: [871, 'info', 'nothing was refused for want of room for a while; what was refused'],
 });
