Let bodies in small chunks take turns

Beside bodies in small chunks sound requests were slow, up to a timeout: 1 of 372 tests got 504 in 2.5 s beside one body in chunks of one byte. Cause: a read of 64 kB has up to ten thousand chunks of about a microsecond each, and libuv reads up to 32 times in a row. Now such a body is paused after a read, and these bodies are read one after the other with a rest as long as the read took. The stream is paused behind the read, not in it: it would keep the rest of the read chunk by chunk.

--- a/packages/entry/src/gateway/callers/body-reader.ts
+++ b/packages/entry/src/gateway/callers/body-reader.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { BodyBudget } from '../../callers/body-budget.js';
+import type { ChunkPacer } from './chunk-pacer.js';
 
 /** Why a request body could not be read completely. The request has not run. */
 export type BodyFailure =
@@ -13,6 +14,8 @@
   readonly incoming: IncomingMessage;
   /** Memory budget shared by the bodies of all requests. */
   readonly budget: Pick<BodyBudget, 'reserve' | 'release'>;
+  /** Paces bodies in small chunks; none are if this is missing. */
+  readonly pacer?: ChunkPacer;
   readonly maxBytes: number;
   readonly timeoutMs: number;
   /**
@@ -65,11 +68,15 @@
   private readonly maxCapacity: number;
 
   constructor(private readonly options: BodyReaderOptions) {
-    const { incoming, timeoutMs, maxBytes } = options;
+    const { incoming, timeoutMs, maxBytes, pacer } = options;
     const declaredBytes = Number(incoming.headers?.['content-length'] ?? maxBytes);
     this.maxCapacity = Math.min(maxBytes, declaredBytes);
     this.timer = setTimeout(() => this.fail('tooSlow'), timeoutMs);
-    incoming.on('data', (chunk: Buffer) => this.handleChunk(chunk));
+    const pace = pacer?.createPace(incoming);
+    incoming.on('data', (chunk: Buffer) => {
+      this.handleChunk(chunk);
+      pace?.(chunk.length);
+    });
     incoming.on('end', () => this.handleEnd());
   }
 
--- a/packages/entry/src/gateway/callers/request-server.ts
+++ b/packages/entry/src/gateway/callers/request-server.ts
@@ -9,6 +9,7 @@
 import type { GatewayWire, RequestMetadata } from '../types.js';
 import { BodyReader, type BodyFailure } from './body-reader.js';
 import { CallerExchange, type ReceivedRequest } from './caller-exchange.js';
+import { ChunkPacer } from './chunk-pacer.js';
 import { RequestFingerprint } from './request-fingerprint.js';
 
 /**
@@ -86,6 +87,8 @@
   readonly connections?: CallerConnections;
   /** Who opens the connections; `callers` by default. */
   readonly side?: ConnectionSide;
+  /** Paces bodies in small chunks, for several servers together. */
+  readonly pacer?: ChunkPacer;
   /** Called when a request is refused for want of memory. */
   readonly onShortage?: (reason: ShortageReason) => void;
   /** Begins the ids of its requests, so that those of several servers differ. */
@@ -128,6 +131,8 @@
 
   private readonly bodyBudget: Pick<BodyBudget, 'reserve' | 'release'>;
 
+  private readonly ownPacer = new ChunkPacer();
+
   /** Responses that are not yet handed to the operating system completely. */
   private readonly openResponses = new Set<ServerResponse>();
 
@@ -281,6 +286,7 @@
     const reader = new BodyReader({
       incoming,
       budget: this.bodyBudget,
+      pacer: this.options.pacer ?? this.ownPacer,
       maxBytes: this.limits.maxBodyBytes,
       timeoutMs: Math.min(metadata.waitsMs ?? MAX_BODY_READ_MS, MAX_BODY_READ_MS),
       onChunkRead: (chunk) => fingerprint.add(chunk),
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -12,6 +12,7 @@
 import { listProcessGauges } from '../observe/process-gauges.js';
 import { StateMachineRunner, type EffectHandlersOf } from '../runtime/state-machine-runner.js';
 import type { CallerExchange } from './callers/caller-exchange.js';
+import { ChunkPacer } from './callers/chunk-pacer.js';
 import { RequestServer, type RequestServerOptions } from './callers/request-server.js';
 import { ElapsedClock } from './elapsed-clock.js';
 import { ConnectionPools } from './endpoints/connection-pools.js';
@@ -139,6 +140,7 @@
       wire,
       bodyBudget: this.room.memory,
       connections: this.room.connections,
+      pacer: new ChunkPacer(),
       onShortage: (reason) => this.room.recordRefusal(reason),
       onRequestReceived: (exchange, path, host) => this.openExchange(exchange, path, host),
       onDisconnected: (requestId) => this.abandonExchange(requestId),
