Bound the requests of one connection that wait for their responses

Now 64 requests of a connection may wait for their responses; the next one gets 503, the connection closes behind it and is not read on.

--- a/packages/entry/src/gateway/callers/request-server.ts
+++ b/packages/entry/src/gateway/callers/request-server.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
+import { nextTick } from 'node:process';
 import type { Duplex } from 'node:stream';
 import type { CallerLimits, NetworkAddress } from '@savorywind/model';
 import { BodyBudget } from '../../callers/body-budget.js';
@@ -240,7 +241,11 @@
     this.openResponses.add(outgoing);
     outgoing.on('close', () => this.removeResponse(outgoing));
     this.options.connections?.addRequest(incoming, outgoing);
-    const { isAllowed, extraHeadBytes = 0 } = this.options;
+    const { isAllowed, extraHeadBytes = 0, connections } = this.options;
+    if (connections?.isFull(incoming) === true) {
+      this.refuseUnanswered(incoming, outgoing);
+      return;
+    }
     if (isAllowed?.(incoming) === false) {
       this.refuse(incoming, outgoing, HTTP_FORBIDDEN);
       return;
@@ -263,6 +268,22 @@
     this.server.on('upgrade', (incoming) => connections.handleUpgrade(incoming));
   }
 
+  /**
+   * Refuses a request that was sent while too many of its connection wait for responses. The connection closes
+   * behind this response, and nothing more is read of it.
+   */
+  private refuseUnanswered({ socket }: IncomingMessage, outgoing: ServerResponse): void {
+    this.options.onShortage?.('requests');
+    outgoing.writeHead(HTTP_UNAVAILABLE, {
+      Connection: 'close',
+      'Content-Length': '0',
+      'Retry-After': RETRY_AFTER_S,
+    });
+    outgoing.end();
+    // Behind the parser, which reads on at the end of each message.
+    nextTick(() => socket.pause());
+  }
+
   /** Reserves memory for a request without its body until its response ends, or refuses it. */
   private reserveRequest(incoming: IncomingMessage, outgoing: ServerResponse): boolean {
     const priceBytes = computeRequestPrice(incoming);
--- a/packages/entry/src/gateway/memory/caller-connections.ts
+++ b/packages/entry/src/gateway/memory/caller-connections.ts
@@ -11,6 +11,12 @@
  */
 const FIRST_READS_PER_TURN = 8;
 
+/**
+ * Requests of one connection that may wait for their responses. Callers that wait for each response have one;
+ * others could take the room of all by sending on.
+ */
+const MAX_OPEN_REQUESTS = 64;
+
 /** `Retry-After` of what is refused for want of room, in seconds. */
 const RETRY_AFTER_S = 1;
 
@@ -138,6 +144,11 @@
     outgoing.on('close', () => CallerConnections.removeResponse(connection, outgoing));
   }
 
+  /** Whether too many requests of the connection wait for their responses, the given one included. */
+  isFull({ socket }: IncomingMessage): boolean {
+    return (this.open.get(socket)?.responses.size ?? 0) > MAX_OPEN_REQUESTS;
+  }
+
   /**
    * Records that the body of a request is complete.
    *
