Merge the counting of memory by cost with the order of a connection

Joined by hand: the connection is counted behind the listener that keeps its order, and a request is counted before the listener that goes on after it, so that nothing is passed on of a connection that was refused.

--- a/packages/entry/src/gateway/callers/request-server.ts
+++ b/packages/entry/src/gateway/callers/request-server.ts
@@ -5,6 +5,10 @@
 import type { CallerLimits, NetworkAddress } from '@savorywind/model';
 import { BodyBudget } from '../../callers/body-budget.js';
 import { findRequestHeadFault } from '../http/find-request-head-fault.js';
+import type { CallerConnections, ConnectionSide } from '../memory/caller-connections.js';
+import { ChunkPacer } from '../memory/chunk-pacer.js';
+import { computeRequestPrice } from '../memory/head-prices.js';
+import type { ShortageReason } from '../memory/types.js';
 import type { GatewayWire, RequestMetadata } from '../types.js';
 import { listenOn } from '../listen-on.js';
 import { BodyReader, type BodyFailure } from './body-reader.js';
@@ -44,12 +48,9 @@
  */
 const MAX_BODY_READ_MS = 30_000;
 
-/** Memory for the bodies of all requests together: a quarter of the smallest VM's 250 MB. */
+/** Memory for the bodies of all requests together, in bytes, where no budget is given. */
 const MAX_BUFFERED_BODY_BYTES = 64_000_000;
 
-/** Creates the memory budget for the bodies of all requests of an entry VM. */
-export const createBodyBudget = (): BodyBudget => new BodyBudget(MAX_BUFFERED_BODY_BYTES);
-
 /** Callers take 408 and 503 as a guarantee that the request has not run. */
 const BODY_FAILURE_STATUS: Readonly<Record<BodyFailure, number>> = {
   tooLarge: 413,
@@ -78,7 +79,15 @@
   readonly address: NetworkAddress;
   readonly wire: GatewayWire;
   /** Memory for the bodies of all requests, which several servers may share. */
-  readonly bodyBudget?: BodyBudget;
+  readonly bodyBudget?: Pick<BodyBudget, 'reserve' | 'release'>;
+  /** Counts the connections of several servers together; none are counted if this is missing. */
+  readonly connections?: CallerConnections;
+  /** Who opens the connections; `callers` by default. */
+  readonly side?: ConnectionSide;
+  /** Paces bodies in small chunks, for several servers together. */
+  readonly pacer?: ChunkPacer;
+  /** Called when a request is refused for want of memory. */
+  readonly onShortage?: (reason: ShortageReason) => void;
   /** Begins the ids of its requests, so that those of several servers differ. */
   readonly idPrefix?: string;
   /** Size by which heads may exceed the limit of callers, in bytes. */
@@ -128,7 +137,9 @@
 
   private nextRequestNumber = 1;
 
-  private readonly bodyBudget: BodyBudget;
+  private readonly bodyBudget: Pick<BodyBudget, 'reserve' | 'release'>;
+
+  private readonly ownPacer = new ChunkPacer();
 
   private readonly connections = new Map<Duplex, CallerConnection>();
 
@@ -147,7 +158,7 @@
   private onResponsesWritten: (() => void) | undefined;
 
   constructor(private readonly options: RequestServerOptions) {
-    this.bodyBudget = options.bodyBudget ?? createBodyBudget();
+    this.bodyBudget = options.bodyBudget ?? new BodyBudget(MAX_BUFFERED_BODY_BYTES);
     this.unreadRefusals = new UnreadRefusals(options.onUnreadRefused);
     this.server = createServer(
       {
@@ -164,6 +175,7 @@
     );
     this.server.maxHeadersCount = 0;
     this.server.on('connection', (socket) => this.openConnection(socket));
+    this.countConnections();
     this.server.on('checkExpectation', (incoming, outgoing) =>
       this.handleRequest(incoming, outgoing, HTTP_EXPECTATION_FAILED),
     );
@@ -269,6 +281,8 @@
     const connection = this.connections.get(incoming.socket);
     connection?.openNext(incoming, outgoing);
     this.openResponses.add(outgoing);
+    // Before the connection goes on: it may be refused with this response.
+    this.options.connections?.addRequest(incoming, outgoing);
     outgoing.on('close', () => this.removeResponse(outgoing, connection));
     if (refusedStatus !== undefined) {
       this.refuse(incoming, outgoing, refusedStatus);
@@ -293,9 +307,32 @@
       this.refuse(incoming, outgoing, HTTP_BAD_REQUEST);
       return;
     }
+    if (!this.reserveRequest(incoming, outgoing)) return;
     this.readBody(incoming, outgoing, connection);
   }
 
+  /** Reports connections to those who count them, before any of their requests. */
+  private countConnections(): void {
+    const { connections, side = 'callers' } = this.options;
+    if (connections === undefined) return;
+    // An option of net.createServer, which http.createServer does not pass on.
+    Object.assign(this.server, { pauseOnConnect: true });
+    this.server.on('connection', (socket) => connections.accept(socket, side));
+    this.server.on('upgrade', (incoming) => connections.handleUpgrade(incoming));
+  }
+
+  /** Reserves memory for a request without its body until its response ends, or refuses it. */
+  private reserveRequest(incoming: IncomingMessage, outgoing: ServerResponse): boolean {
+    const priceBytes = computeRequestPrice(incoming);
+    if (!this.bodyBudget.reserve(priceBytes)) {
+      this.options.onShortage?.('requests');
+      this.refuse(incoming, outgoing, HTTP_UNAVAILABLE);
+      return false;
+    }
+    outgoing.on('close', () => this.bodyBudget.release(priceBytes));
+    return true;
+  }
+
   private readBody(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
@@ -312,15 +349,18 @@
     const reader = new BodyReader({
       incoming,
       budget: this.bodyBudget,
+      pacer: this.options.pacer ?? this.ownPacer,
       maxBytes: this.limits.maxBodyBytes,
       timeoutMs: Math.min(metadata.waitsMs ?? MAX_BODY_READ_MS, MAX_BODY_READ_MS),
       onChunkRead: (chunk) => fingerprint.add(chunk),
       onFailed: (failure) => {
         this.unreadRequests.delete(outgoing);
+        if (failure === 'noRoom') this.options.onShortage?.('requests');
         this.refuse(incoming, outgoing, BODY_FAILURE_STATUS[failure]);
       },
       onRead: (body) => {
         this.unreadRequests.delete(outgoing);
+        this.options.connections?.finishBody(incoming, reader.sentBytes);
         const received = { metadata, body, fingerprint: fingerprint.finish() };
         this.openExchange(incoming, outgoing, received);
       },
--- a/packages/entry/src/gateway/endpoints/response-relay.ts
+++ b/packages/entry/src/gateway/endpoints/response-relay.ts
@@ -1,5 +1,8 @@
 import type { IncomingMessage } from 'node:http';
+import { nextTick } from 'node:process';
 import type { CallerExchange } from '../callers/caller-exchange.js';
+import type { GatewayRoom } from '../memory/gateway-room.js';
+import { ReadingHold } from '../memory/reading-hold.js';
 import type { ResponseMetadata, DispatchGatewayEvent } from '../types.js';
 import { EventOrder } from './event-order.js';
 import { EventSplitter, type StreamEvent } from './event-splitter.js';
@@ -20,6 +23,14 @@
   response.headers['content-length'] !== undefined ||
   CHUNKED_LAST.test(response.headers['transfer-encoding'] ?? '') ||
   hasNoBody(response);
+/**
+ * Parts of a response up to this size are joined with those that were read with them, in bytes. Each part that
+ * waits for a slow reader takes some hundred bytes besides its content.
+ */
+const SMALL_PART_BYTES = 1_024;
+
+/** Joined parts are sent from this size on, in bytes. */
+const JOINED_BYTES = 16_384;
 
 /** A response that exceeds this size, in bytes, is forwarded before it is complete. */
 const MAX_BUFFERED_BYTES = 262_144;
@@ -34,6 +45,8 @@
   readonly lastEventId: string | undefined;
   /** Wraps a listener so that what it throws fails the attempt. */
   readonly guard: <Value>(work: string, listener: (value: Value) => void) => (value: Value) => void;
+  /** Room for what is buffered; nothing is counted if this is undefined. */
+  readonly room: GatewayRoom | undefined;
 }
 
 /**
@@ -54,19 +67,42 @@
 
   private isEnded = false;
 
-  /** Whether reading from the endpoint is paused because the caller reads more slowly. */
+  /** Whether reading from the endpoint is held because the caller reads more slowly. */
   private isPaused = false;
 
+  private readonly hold: ReadingHold;
+
+  /** Small chunks that are joined before they are handled. */
+  private readonly received = new GrowingBuffer();
+
+  /** Parts that are joined before they are sent. */
+  private readonly joined = new GrowingBuffer();
+
+  /** Memory that is reserved for what is buffered, in bytes. */
+  private reservedBytes = 0;
+
+  private readonly onAllReceived: (nothing: undefined) => void;
+
   constructor(
     private readonly options: ResponseRelayOptions,
     deliversEvents: boolean,
   ) {
     this.splitter = deliversEvents ? new EventSplitter() : undefined;
-    const { response, lastEventId } = options;
+    const { response, lastEventId, room } = options;
     this.order = new EventOrder(lastEventId);
+    this.hold = new ReadingHold(response);
+    this.onAllReceived = options.guard('attempt.data', () => this.handleReceived());
+    const pace = room?.pacer.createPace({
+      isComplete: () => response.complete || this.isEnded,
+      hold: () => this.hold.hold('turn'),
+      release: () => this.hold.release('turn'),
+    });
     response.on(
       'data',
-      options.guard('attempt.data', (chunk: Buffer) => this.handleChunk(chunk)),
+      options.guard('attempt.data', (chunk: Buffer) => {
+        this.receive(chunk);
+        pace?.(chunk.length);
+      }),
     );
     response.on(
       'end',
@@ -100,6 +136,7 @@
 
   /** Discards the response. No further events are dispatched. */
   cancel(): void {
+    this.sendLast();
     this.isEnded = true;
     this.options.response.destroy();
   }
@@ -109,6 +146,20 @@
     return response.complete && !hasNoBody(response) ? this.buffered.length : undefined;
   }
 
+  /** Handles a chunk, small ones together when all that was read at once is received. */
+  private receive(chunk: Buffer): void {
+    if (this.received.length === 0 && chunk.length > SMALL_PART_BYTES) {
+      this.handleChunk(chunk);
+      return;
+    }
+    if (this.received.length === 0) nextTick(this.onAllReceived, undefined);
+    this.received.append(chunk);
+  }
+
+  private handleReceived(): void {
+    if (this.received.length > 0) this.handleChunk(this.received.take());
+  }
+
   private handleChunk(chunk: Buffer): void {
     if (this.isEnded || hasNoBody(this.options.response)) return;
     if (this.splitter === undefined) this.handleBodyChunk(chunk);
@@ -121,7 +172,20 @@
       return;
     }
     this.buffered.append(chunk);
-    if (this.buffered.length > MAX_BUFFERED_BYTES) this.reportHead();
+    // Without room it is sent on as it arrives.
+    if (!this.reserveBuffered() || this.buffered.length > MAX_BUFFERED_BYTES) this.reportHead();
+  }
+
+  /** Reserves memory for what is buffered until the response to the caller has ended. */
+  private reserveBuffered(): boolean {
+    const { exchange, room } = this.options;
+    const neededBytes = this.buffered.capacity - this.reservedBytes;
+    if (room === undefined || neededBytes <= 0) return true;
+    if (!room.responses.reserve(neededBytes)) return false;
+    if (this.reservedBytes === 0)
+      exchange.waitForClose(() => room.responses.release(this.reservedBytes));
+    this.reservedBytes += neededBytes;
+    return true;
   }
 
   private handleEventChunk(splitter: EventSplitter, chunk: Buffer): void {
@@ -170,6 +234,7 @@
 
   private handleEnd(): void {
     const { response } = this.options;
+    this.handleReceived();
     if (this.isEnded) return;
     if (!response.complete || this.splitter?.hasPartialEvent === true) {
       this.fail('broken', 'response ended before it was complete');
@@ -199,24 +264,53 @@
   private finish(): void {
     this.reportHead();
     if (this.isEnded) return;
+    this.sendLast();
     this.isEnded = true;
     const { attemptId, dispatch } = this.options;
     dispatch({ kind: 'attempt.ended', attemptId });
   }
 
   private send(chunk: Buffer): void {
-    const { exchange, response } = this.options;
-    if (exchange.send(chunk) || this.isPaused) return;
+    if (!this.isPaused && this.joined.length === 0 && chunk.length > SMALL_PART_BYTES) {
+      this.handOver(chunk);
+      return;
+    }
+    // Sent when all that was read at once is handled, or when the caller has read what it got before.
+    if (this.joined.length === 0) nextTick(() => this.sendJoined());
+    this.joined.append(chunk);
+    if (!this.isPaused && this.joined.length >= JOINED_BYTES) this.handOver(this.joined.take());
+  }
+
+  private sendJoined(): void {
+    if (!this.isPaused && this.joined.length > 0) this.handOver(this.joined.take());
+  }
+
+  private handOver(bytes: Buffer): void {
+    if (this.options.exchange.send(bytes)) return;
     this.isPaused = true;
-    response.pause();
+    this.hold.hold('receiver');
     this.reportFlow('held');
+    this.waitForDrain();
+  }
+
+  private waitForDrain(): void {
+    const { exchange } = this.options;
     exchange.waitForDrain(() => {
+      if (this.joined.length > 0 && !exchange.send(this.joined.take())) {
+        this.waitForDrain();
+        return;
+      }
       this.isPaused = false;
-      response.resume();
+      this.hold.release('receiver');
       this.reportFlow('flowing');
     });
   }
 
+  /** Sends what was read last, also to a caller that reads slowly: nothing follows it. */
+  private sendLast(): void {
+    if (this.joined.length > 0) this.options.exchange.send(this.joined.take());
+  }
+
   private reportFlow(flow: 'held' | 'flowing'): void {
     if (this.isEnded) return;
     const { attemptId, dispatch } = this.options;
@@ -225,7 +319,9 @@
 
   /** Closes the connection to the endpoint and reports the response as incomplete or invalid. */
   fail(failure: 'broken' | 'invalid', detail: string): void {
+    this.handleReceived();
     if (this.isEnded) return;
+    this.sendLast();
     this.isEnded = true;
     this.options.response.destroy();
     const { attemptId, dispatch } = this.options;
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -14,20 +14,18 @@
 import { Containment, type Work } from '../runtime/containment.js';
 import { StateMachineRunner, type EffectHandlersOf } from '../runtime/state-machine-runner.js';
 import type { CallerExchange } from './callers/caller-exchange.js';
-import {
-  createBodyBudget,
-  RequestServer,
-  type RequestServerOptions,
-} from './callers/request-server.js';
+import { RequestServer, type RequestServerOptions } from './callers/request-server.js';
 import { resolveFailedEffect } from './effect-owners.js';
 import { ElapsedClock } from './elapsed-clock.js';
 import { ConnectionPools } from './endpoints/connection-pools.js';
 import { probeEndpoint } from './endpoints/probe-endpoint.js';
 import { ReservationCalls } from './endpoints/reservation-calls.js';
+import { GatewayRoom } from './memory/gateway-room.js';
 import { listControlGauges } from './metrics/control-gauges.js';
 import { listHarmGauges } from './metrics/harm-gauges.js';
 import { GatewayMetrics } from './metrics/gateway-metrics.js';
 import { listContainedGauge } from './metrics/contained-gauge.js';
+import { listRoomGauges } from './metrics/room-gauges.js';
 import { listTableGauges } from './metrics/table-gauges.js';
 import { MetricsServer } from './metrics/metrics-server.js';
 import type { PermitMessage } from './permit-messages.js';
@@ -106,6 +104,8 @@
 
   private readonly logger;
 
+  private readonly room: GatewayRoom;
+
   /** Time from the stop signal until the process is killed, by the settings last loaded. */
   private stopGraceMs: number;
 
@@ -131,6 +131,7 @@
     const incarnation = Date.now();
     const { wire } = adapter;
     this.logger = createEventLogger(self.id, 'info', this.logSink);
+    this.room = new GatewayRoom(settings.limits, (event, fields) => this.writeLog(event, fields));
     this.node = new GatewayNode({ self, incarnation, seed: incarnation, contract });
     this.requests = new RequestEffects({
       wire,
@@ -138,6 +139,7 @@
       peerPools: this.peerPools,
       dispatch: (event) => this.dispatch(event),
       containment: this.containment,
+      room: this.room,
     });
     this.runner = new StateMachineRunner(this.node, this.createHandlers(), undefined, {
       onEffectFailed: (effect, error) => this.failEffect(effect, error),
@@ -151,7 +153,10 @@
     });
     const requestOptions: Omit<RequestServerOptions, 'address'> = {
       wire,
-      bodyBudget: createBodyBudget(),
+      bodyBudget: this.room.memory,
+      connections: this.room.connections,
+      pacer: this.room.pacer,
+      onShortage: (reason) => this.room.recordRefusal(reason),
       onRequestReceived: (exchange, path, host) => this.openExchange(exchange, path, host),
       onDisconnected: (requestId, closedFor) => this.requests.abandon(requestId, closedFor),
       onHeadRefused: (detail) => this.logger.write(logEvents.requestHeadRefused, { detail }),
@@ -448,6 +453,7 @@
       }),
       ...listTableGauges(this.storeTables.source, this.storeTables.listAges()),
       ...listHarmGauges(this.node.harmUsage),
+      ...listRoomGauges(this.room),
       ...listProcessGauges(this.logSink.droppedLines),
       listContainedGauge(this.containment.counts),
     ]);
@@ -483,6 +489,7 @@
     this.servers.forEach((server) => server.closeAllConnections());
     this.runner.stop();
     this.heapWatch.stop();
+    this.room.stop();
     this.pools.stop();
     this.peerPools.stop();
     this.adapter.tables.stop();
--- a/packages/entry/src/gateway/request-effects.ts
+++ b/packages/entry/src/gateway/request-effects.ts
@@ -5,6 +5,7 @@
 import type { ConnectionPools } from './endpoints/connection-pools.js';
 import { createEndpointTarget } from './endpoints/endpoint-target.js';
 import { OutgoingAttempt } from './endpoints/outgoing-attempt.js';
+import type { GatewayRoom } from './memory/gateway-room.js';
 import { createPeerTarget } from './peers/peer-target.js';
 import type { AttemptForward, AttemptStart, DispatchGatewayEvent, GatewayWire } from './types.js';
 
@@ -15,6 +16,8 @@
   readonly peerPools: ConnectionPools;
   readonly dispatch: DispatchGatewayEvent;
   readonly containment: Containment;
+  /** Room for what is buffered of responses. */
+  readonly room: GatewayRoom;
 }
 
 /** The open requests of callers and the attempts for them, as the effects of the decisions see them. */
@@ -99,7 +102,7 @@
   ): void {
     const exchange = this.exchanges.get(start.requestId);
     if (exchange === undefined) return;
-    const { containment } = this.options;
+    const { containment, room } = this.options;
     const dispatch = (event: GatewayEvent): void => {
       if (event.kind === 'attempt.ended' || event.kind === 'attempt.failed') {
         this.attempts.delete(start.attemptId);
@@ -107,7 +110,7 @@
       this.options.dispatch(event);
     };
     const target = createTarget(exchange);
-    const attempt = new OutgoingAttempt({ start, target, exchange, dispatch, containment });
+    const attempt = new OutgoingAttempt({ start, target, exchange, dispatch, containment, room });
     this.attempts.set(start.attemptId, attempt);
   }
 }
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -169,4 +169,10 @@
     'warn',
     'the heap is near its limit, at which the process ends without another line',
   ],
+  roomShort: [
+    870,
+    'warn',
+    'the VM has no more room; new requests, connections or unfinished heads are refused',
+  ],
+  roomRegained: [871, 'info', 'nothing was refused for want of room for a while; what was refused'],
 });
