Keep a listener of errors on each connection of callers

Cause: with a 'connect' listener, which added so that CONNECT is refused, Node takes its own listeners off the socket, among them that of errors; an 'error' event without a listener is an exception. CallerConnection now has one for the life of the socket.

connect-on-a-reset-connection.test.ts before: 40 of 40 connections threw with CONNECT, none with a request to change the protocol; after: none.

--- a/packages/entry/src/gateway/callers/caller-connection.ts
+++ b/packages/entry/src/gateway/callers/caller-connection.ts
@@ -122,6 +122,8 @@
     socket.on('end', this.onEnd);
     socket.on('resume', this.onResume);
     socket.on('close', () => this.handleClose());
+    // Node's own listener is taken off with CONNECT; the socket closes by itself after an error.
+    socket.on('error', () => {});
   }
 
   /** Time for which the request that was just received has waited behind another one, in milliseconds. */
