Take no time of callers for requests for the state of a VM

Cause: each pipelined request was rendered and each body parsed, without a bound.

Both servers now answer one request of a connection at a time, close one that sends on without waiting or sends a body, and keep at most 64 connections; beyond it the oldest is closed.

--- a/packages/entry/src/gateway/metrics/metrics-server.ts
+++ b/packages/entry/src/gateway/metrics/metrics-server.ts
@@ -1,7 +1,8 @@
-import { createServer, type Server, type ServerResponse } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import type { NetworkAddress } from '@savorywind/model';
 import type { Containment } from '../../runtime/containment.js';
 import { listenOn } from '../listen-on.js';
+import { createStatusServer } from '../status-server.js';
 
 const METRICS_PATH = '/metrics';
 const HTTP_OK = 200;
@@ -21,7 +22,7 @@
     renderMetrics: () => string,
     private readonly containment: Containment,
   ) {
-    this.server = createServer((incoming, outgoing) => {
+    this.server = createStatusServer((incoming, outgoing) => {
       if (incoming.url === METRICS_PATH) this.answer(outgoing, renderMetrics);
       else outgoing.writeHead(HTTP_NOT_FOUND).end();
     });
--- a/packages/entry/src/gateway/readiness-server.ts
+++ b/packages/entry/src/gateway/readiness-server.ts
@@ -1,7 +1,8 @@
-import { createServer, type Server } from 'node:http';
+import type { Server } from 'node:http';
 import type { NetworkAddress } from '@savorywind/model';
 import type { Containment } from '../runtime/containment.js';
 import { listenOn } from './listen-on.js';
+import { createStatusServer } from './status-server.js';
 
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
@@ -18,7 +19,7 @@
     path: string,
     private readonly containment: Containment,
   ) {
-    this.server = createServer((incoming, outgoing) => {
+    this.server = createStatusServer((incoming, outgoing) => {
       const isReadinessPath = incoming.url === path;
       const status = this.isReady ? HTTP_OK : HTTP_UNAVAILABLE;
       outgoing.writeHead(isReadinessPath ? status : HTTP_NOT_FOUND, { 'Content-Length': '0' });
