Count what a connection holds of requests that are not open exactly

The size of an unfinished head was what the connection had read, less the sizes of its finished requests, and these were estimates: chunk sizes with leading zeros, extensions and spaces were not counted, so that up to 64 kB stayed as an unfinished head of an idle connection, and some eighty such connections used up the room of heads; heads of short fields were counted one byte a field too high, a credit for later heads that were then not counted at all.

The order of a connection (CallerConnection) finds the end of each message itself. It now reports what it holds and what it has given to the parser of an unfinished head, and the estimates, the second listener for what is read and the count of chunk headers are gone.

--- a/packages/entry/src/gateway/callers/body-reader.ts
+++ b/packages/entry/src/gateway/callers/body-reader.ts
@@ -34,19 +34,6 @@
 /** Bytes that are reported at once while more are to come. Small chunks would take a call each. */
 const REPORTED_BYTES = 65_536;
 
-/** Bytes of a chunk header and the line end after the chunk, besides the digits of its length. */
-const CHUNK_FRAMING_BYTES = 4;
-
-const BITS_PER_INTEGER = 32;
-const BITS_PER_DIGIT = 4;
-
-/** Counts the hexadecimal digits of a length. */
-const countDigits = (length: number): number =>
-  Math.ceil((BITS_PER_INTEGER - Math.clz32(length)) / BITS_PER_DIGIT);
-
-/** Size of the last chunk and the empty line after it, in bytes. */
-const LAST_CHUNK_BYTES = 5;
-
 /**
  * Buffers the complete body of one request. Enforces the size limit, the timeout and the memory
  * budget that all requests share. The bytes are copied into one buffer as they arrive: a chunk of a few
@@ -60,8 +47,6 @@
   /** Part of the bytes that was reported. */
   private reportedBytes = 0;
 
-  private framingBytes = 0;
-
   private isEnded = false;
 
   private readonly timer: NodeJS.Timeout;
@@ -86,12 +71,6 @@
     incoming.on('end', () => this.handleEnd());
   }
 
-  /** Size of the body as it was sent, in bytes: with the headers of its chunks, if it came in chunks. */
-  get sentBytes(): number {
-    const isChunked = this.options.incoming.headers['transfer-encoding'] !== undefined;
-    return this.bytes + (isChunked ? this.framingBytes + LAST_CHUNK_BYTES : 0);
-  }
-
   /** Discards the body and returns its bytes to the budget. */
   release(): void {
     this.isEnded = true;
@@ -109,7 +88,6 @@
     } else if (neededBytes <= this.storage.length || this.grow(neededBytes)) {
       this.storage.set(chunk, this.bytes);
       this.bytes = neededBytes;
-      this.framingBytes += CHUNK_FRAMING_BYTES + countDigits(chunk.length);
       if (this.bytes - this.reportedBytes >= REPORTED_BYTES) this.reportBytes();
     } else {
       this.fail('noRoom');
--- a/packages/entry/src/gateway/callers/caller-connection.ts
+++ b/packages/entry/src/gateway/callers/caller-connection.ts
@@ -54,6 +54,11 @@
   readonly isStopping: () => boolean;
   /** Whether no more connections are accepted. */
   readonly isClosing: () => boolean;
+  /**
+   * Called with the bytes that have arrived of requests that are not open yet, when their number may have
+   * changed: an unfinished head, and what follows the open request.
+   */
+  readonly onInputHeld: (bytes: number) => void;
 }
 
 const findBodyLength = ({ headers }: IncomingMessage): BodyLength =>
@@ -77,6 +82,9 @@
 
   private heldBytes = 0;
 
+  /** Bytes of the head that the parser was given and that is not complete. */
+  private headBytes = 0;
+
   /** When the last byte arrived of what the parser was given, in milliseconds. */
   private receivedAtMs = 0;
 
@@ -157,6 +165,7 @@
       isLast: false,
     };
     this.open = open;
+    this.headBytes = 0;
     // The connection is ended here instead: it stays open until the caller has read the response.
     const marked = outgoing as MarkedResponse;
     /* eslint-disable no-underscore-dangle -- the name is Node's. */
@@ -254,6 +263,7 @@
     }
     this.updateKeepAlive();
     this.endAnswered();
+    this.reportHeld();
   }
 
   /** Gives the parser the bytes up to the next end of a head or a message. */
@@ -262,6 +272,7 @@
     this.heldBytes -= count;
     if (count < bytes.length) this.held.unshift({ bytes: bytes.subarray(count), receivedAtMs });
     this.receivedAtMs = receivedAtMs;
+    if (this.open === undefined) this.headBytes += count;
     this.parse(bytes.subarray(0, count));
   }
 
@@ -292,6 +303,12 @@
     this.isCut = true;
     this.held = [];
     this.heldBytes = 0;
+    this.headBytes = 0;
+    this.reportHeld();
+  }
+
+  private reportHeld(): void {
+    this.options.onInputHeld(this.headBytes + this.heldBytes);
   }
 
   /** Sends the last bytes, and closes the connection once the caller has read them and closed, too. */
--- a/packages/entry/src/gateway/callers/request-server.ts
+++ b/packages/entry/src/gateway/callers/request-server.ts
@@ -264,6 +264,7 @@
       mayHalfClose: this.options.isHalfCloseLeaving !== true,
       isStopping: () => this.isStopping,
       isClosing: () => this.isClosing,
+      onInputHeld: (bytes) => this.options.connections?.setHeld(socket, bytes),
     });
     this.connections.set(socket, connection);
     socket.on('close', () => {
@@ -318,7 +319,6 @@
     // An option of net.createServer, which http.createServer does not pass on.
     Object.assign(this.server, { pauseOnConnect: true });
     this.server.on('connection', (socket) => connections.accept(socket, side));
-    this.server.on('upgrade', (incoming) => connections.handleUpgrade(incoming));
   }
 
   /** Reserves memory for a request without its body until its response ends, or refuses it. */
@@ -360,7 +360,6 @@
       },
       onRead: (body) => {
         this.unreadRequests.delete(outgoing);
-        this.options.connections?.finishBody(incoming, reader.sentBytes);
         const received = { metadata, body, fingerprint: fingerprint.finish() };
         this.openExchange(incoming, outgoing, received);
       },
--- a/packages/entry/src/gateway/memory/caller-connections.ts
+++ b/packages/entry/src/gateway/memory/caller-connections.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { READ_BYTES } from './consts.js';
-import { computeUnfinishedHeadPrice, countHeadBytes } from './head-prices.js';
+import { computeUnfinishedHeadPrice } from './head-prices.js';
 import type { MemoryBudget } from './memory-budget.js';
 import type { ShortageReason } from './types.js';
 
@@ -22,18 +21,12 @@
 interface OpenConnection {
   readonly socket: Socket;
   readonly side: ConnectionSide;
-  /** Bytes of all requests that were read completely. */
-  finishedBytes: number;
-  /** Requests whose head is complete and whose body is not. */
-  unreadBodies: number;
-  /** Price of the head that is not complete, in bytes. */
+  /** Price of what has arrived of requests that are not open yet, in bytes. */
   headPriceBytes: number;
   /** Responses that are not complete, in the order of their requests. */
   readonly responses: Set<ServerResponse>;
   /** Whether it closes after its last response, for want of room for what came behind. */
   isRefused: boolean;
-  /** Listener of what the connection receives. */
-  readonly onRead: () => void;
 }
 
 export interface CallerConnectionsOptions {
@@ -47,9 +40,8 @@
 /**
  * Bounds the number of open connections, and the memory of the request heads that they have not finished,
  * for all servers of an entry VM together. Node keeps such a head in its parser, and reports nothing of it
- * until it is complete; what a connection has received is known all the same. It is looked at after each read:
- * thousands of connections are read in one turn of the event loop, so that a timer would come too late. This
- * takes some 12 us a request, as Node's parser then gets its data through the socket and not past it.
+ * until it is complete; the order of the connection knows what it has given to the parser. It says so after each
+ * read: thousands of connections are read in one turn of the event loop, so that a timer would come too late.
  *
  * Where heads take too much, those that take most are refused: a head mostly comes in one piece, and a large
  * unfinished one costs as much as hundreds of others.
@@ -97,16 +89,11 @@
     const connection: OpenConnection = {
       socket,
       side,
-      finishedBytes: 0,
-      unreadBodies: 0,
       headPriceBytes: 0,
       responses: new Set(),
       isRefused: false,
-      onRead: () => this.handleRead(connection),
     };
     this.open.set(socket, connection);
-    // Called after the listener of the HTTP parser, which has then handled the bytes.
-    socket.on('data', connection.onRead);
     socket.on('close', () => this.remove(connection));
     this.unread.push(socket);
     this.readUnread();
@@ -128,46 +115,19 @@
     this.readUnread();
   }
 
-  /** Records that the head of a request is complete. */
-  addRequest(incoming: IncomingMessage, outgoing: ServerResponse): void {
-    const connection = this.open.get(incoming.socket);
+  /** Records that a request is open until its response has ended. */
+  addRequest({ socket }: IncomingMessage, outgoing: ServerResponse): void {
+    const connection = this.open.get(socket);
     if (connection === undefined) return;
-    connection.finishedBytes += countHeadBytes(incoming);
-    connection.unreadBodies += 1;
     connection.responses.add(outgoing);
     outgoing.on('close', () => CallerConnections.removeResponse(connection, outgoing));
   }
 
-  /**
-   * Records that the body of a request is complete.
-   *
-   * @param sentBytes size of the body with its chunk headers
-   */
-  finishBody({ socket }: IncomingMessage, sentBytes: number): void {
-    const connection = this.open.get(socket);
-    if (connection === undefined) return;
-    // What is counted too low, as spaces and trailers, can't be more than was read at once.
-    connection.finishedBytes = Math.max(
-      connection.finishedBytes + sentBytes,
-      socket.bytesRead - READ_BYTES,
-    );
-    connection.unreadBodies -= 1;
-    // What follows may have come with the end of the body, which is reported after both were read.
-    this.handleRead(connection);
-  }
-
-  /** Records that a connection is used for another protocol from now on. */
-  handleUpgrade({ socket }: IncomingMessage): void {
+  /** Records how many bytes have arrived of requests of a connection that are not open yet. */
+  setHeld(socket: Socket, bytes: number): void {
     const connection = this.open.get(socket);
     if (connection === undefined) return;
-    socket.off('data', connection.onRead);
-    this.setHeadPrice(connection, 0);
-  }
-
-  private handleRead(connection: OpenConnection): void {
-    const { socket, finishedBytes, unreadBodies } = connection;
-    const headBytes = unreadBodies > 0 ? 0 : Math.max(0, socket.bytesRead - finishedBytes);
-    this.setHeadPrice(connection, computeUnfinishedHeadPrice(headBytes));
+    this.setHeadPrice(connection, computeUnfinishedHeadPrice(bytes));
     while (this.headPriceBytes > this.options.headBytes) {
       const largest = this.findLargestHead();
       if (largest === undefined) return;
--- a/packages/entry/src/gateway/memory/consts.ts
+++ b/packages/entry/src/gateway/memory/consts.ts
@@ -51,6 +51,3 @@
 
 /** Most that the fields of one unfinished head take besides its bytes, as the parser keeps 2,000 at most. */
 export const MAX_FIELDS_PRICE_BYTES = 140_000;
-
-/** Largest part of a connection that is read at once, in bytes. */
-export const READ_BYTES = 65_536;
