--- a/packages/entry/src/gateway/peer-socket.ts
+++ b/packages/entry/src/gateway/peer-socket.ts
@@ -6,6 +6,9 @@
 
 const formatAddress = ({ host, port }: NetworkAddress): string => `${host}:${port}`;
 
+/** Addresses of which the form is remembered; a sender can name any address. */
+const MAX_COMPACT_READERS = 4_096;
+
 /** Bytes of datagrams sent to and received from peers. */
 export interface PeerTraffic {
   sentBytes: number;
@@ -114,6 +117,8 @@
 
   /** A peer that is replaced by an earlier build reads only the named form again. */
   private recordFormat(peer: NetworkAddress, readsCompact: boolean): void {
+    // Peers send snapshots all the time, so that what is forgotten is known again soon.
+    if (this.compactReaders.size >= MAX_COMPACT_READERS) this.compactReaders.clear();
     if (readsCompact) this.compactReaders.add(formatAddress(peer));
     else this.compactReaders.delete(formatAddress(peer));
   }
--- a/packages/entry/src/gateway/store/table-feed-messages.ts
+++ b/packages/entry/src/gateway/store/table-feed-messages.ts
@@ -66,6 +66,9 @@
 /** Largest message, in bytes: 900 registrations and a configuration of 1 MB. */
 export const MAX_TABLE_FEED_BYTES = 4_194_304;
 
+/** Largest request of a reader, in bytes: a version for each of a few tables. */
+export const MAX_TABLE_REQUEST_BYTES = 65_536;
+
 const packr = new Packr({ useRecords: false });
 
 /**
--- a/packages/entry/src/gateway/store/table-feed-server.ts
+++ b/packages/entry/src/gateway/store/table-feed-server.ts
@@ -5,7 +5,7 @@
 import {
   decodeTableFeedMessage,
   encodeTableFeedMessage,
-  MAX_TABLE_FEED_BYTES,
+  MAX_TABLE_REQUEST_BYTES,
   TABLE_FEED_PATH,
   type TableFeedContent,
   type TableFeedMessage,
@@ -124,7 +124,7 @@
     return new Server({
       noServer: true,
       path: TABLE_FEED_PATH,
-      maxPayload: MAX_TABLE_FEED_BYTES,
+      maxPayload: MAX_TABLE_REQUEST_BYTES,
       perMessageDeflate: false,
     });
   }
@@ -136,6 +136,7 @@
   }
 
   private addReader(socket: WebSocket): void {
+    socket.on('error', () => socket.terminate());
     if (this.readers.size >= MAX_READERS) {
       socket.terminate();
       return;
@@ -150,7 +151,6 @@
         () => socket.terminate(),
       ),
     );
-    socket.on('error', () => socket.terminate());
     socket.on('close', () => this.readers.delete(reader));
   }
 
--- a/packages/entry/test/gateway/table-feed.test.ts
+++ b/packages/entry/test/gateway/table-feed.test.ts
@@ -4,7 +4,7 @@
 import type { GatewayPeer } from '@savorywind/model';
 import { createGatewayContract, reservePort } from '@savorywind/stand-ins';
 import { afterEach, describe, expect, it } from 'vitest';
-import { WebSocketServer } from 'ws';
+import { WebSocket, WebSocketServer } from 'ws';
 import { Containment } from '../../src/runtime/containment.js';
 import { StoreEra } from '../../src/gateway/store/store-era.js';
 import {
@@ -271,3 +271,22 @@
     silent.close();
   });
 });
+
+describe('a reader that sends more than a request', () => {
+  it('is disconnected before its message is complete', async () => {
+    const { source } = await startPair();
+    const { host, port } = source.peer.address;
+    const socket = new WebSocket(`ws://${host}:${port}/tables`);
+    let closedWith: number | undefined;
+    socket.on('error', () => {});
+    socket.on('close', (code) => {
+      closedWith = code;
+    });
+    await new Promise((resolve) => {
+      socket.on('open', resolve);
+    });
+    socket.send(Buffer.alloc(1_000_000), { fin: false });
+    await waitUntil(() => closedWith !== undefined);
+    expect(closedWith).toBe(1_009);
+  });
+});
