--- a/packages/entry/src/gateway/store/table-feed-messages.ts
+++ b/packages/entry/src/gateway/store/table-feed-messages.ts
@@ -26,6 +26,26 @@
     .max(MAX_TABLES),
 });
 
+/** A changed or removed row. */
+interface FeedRow {
+  readonly key: string;
+  readonly value: Uint8Array;
+  readonly removed: boolean;
+}
+
+const isRow = (value: unknown): value is FeedRow => {
+  const row = value as Partial<FeedRow> | null | undefined;
+  return typeof row?.key === 'string' && isBytes(row.value) && typeof row.removed === 'boolean';
+};
+
+/**
+ * Checked by hand, and up to the first wrong row: a schema describes each wrong entry, which for a frame full
+ * of them takes more memory than the process has.
+ */
+const rowsSchema = z
+  .custom<FeedRow[]>((value) => Array.isArray(value) && value.every(isRow), 'a row is invalid')
+  .transform((rows) => rows.map(({ key, value, removed }) => ({ key, value, removed })));
+
 const contentSchema = z.object({
   table: z.string(),
   kind: z.enum(['snapshot', 'changes']),
@@ -33,9 +53,7 @@
   version: countSchema,
   /** Time since the sender's newest read that was answered had been sent, in milliseconds. */
   ageMs: z.number().nonnegative().max(Number.MAX_SAFE_INTEGER),
-  rows: z.array(
-    z.object({ key: z.string(), value: z.custom<Uint8Array>(isBytes), removed: z.boolean() }),
-  ),
+  rows: rowsSchema,
 });
 
 const responseSchema = z.object({
