Name the function that opens an address by a verb of the list

`packages/model/test/verbs.test.ts` failed at `listenOn` in the run of all tests near this work (`npx vitest run packages/decisions/test/gateway packages/model packages/entry/test platform/test`: 1,049 of 1,050 passed). It is `openAddress` now; 16 of 16 of packages/model, request-server.test.ts and gateway-metrics.test.ts pass.

--- a/packages/entry/src/gateway/callers/request-server.ts
+++ b/packages/entry/src/gateway/callers/request-server.ts
@@ -5,7 +5,7 @@
 import type { CallerLimits, NetworkAddress } from '@savorywind/model';
 import { BodyBudget } from '../../callers/body-budget.js';
 import type { GatewayWire, RequestMetadata } from '../types.js';
-import { listenOn } from '../listen-on.js';
+import { openAddress } from '../open-address.js';
 import { BodyReader, type BodyFailure } from './body-reader.js';
 import { CallerExchange, type ReceivedRequest } from './caller-exchange.js';
 import { findCloseReason, recordClose } from './closed-connections.js';
@@ -177,7 +177,7 @@
 
   start(): Promise<void> {
     const { address, onAcceptFailed } = this.options;
-    return listenOn(this.server, address, onAcceptFailed);
+    return openAddress(this.server, address, onAcceptFailed);
   }
 
   /** Applies new limits to all connections. */
--- a/packages/entry/src/gateway/metrics/metrics-server.ts
+++ b/packages/entry/src/gateway/metrics/metrics-server.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server, type ServerResponse } from 'node:http';
 import type { NetworkAddress } from '@savorywind/model';
 import type { Containment } from '../../runtime/containment.js';
-import { listenOn } from '../listen-on.js';
+import { openAddress } from '../open-address.js';
 
 const METRICS_PATH = '/metrics';
 const HTTP_OK = 200;
@@ -28,7 +28,7 @@
   }
 
   start(): Promise<void> {
-    return listenOn(this.server, this.address, (error) =>
+    return openAddress(this.server, this.address, (error) =>
       this.containment.record({ work: 'metrics.accept', owner: 'observation' }, error),
     );
   }
--- a/packages/entry/src/gateway/listen-on.ts
+++ b/packages/entry/src/gateway/open-address.ts
@@ -8,9 +8,9 @@
  * @param onFailed called with each error after the start
  * @returns a promise that is rejected if the address can't be opened
  * @example
- * await listenOn(server, { host: '127.0.0.1', port: 8_000 }, (error) => console.log(error));
+ * await openAddress(server, { host: '127.0.0.1', port: 8_000 }, (error) => console.log(error));
  */
-export const listenOn = (
+export const openAddress = (
   server: Server,
   { host, port }: NetworkAddress,
   onFailed: (error: Error) => void,
--- a/packages/entry/src/gateway/readiness-server.ts
+++ b/packages/entry/src/gateway/readiness-server.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server } from 'node:http';
 import type { NetworkAddress } from '@savorywind/model';
 import type { Containment } from '../runtime/containment.js';
-import { listenOn } from './listen-on.js';
+import { openAddress } from './open-address.js';
 
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
@@ -27,7 +27,7 @@
   }
 
   start(): Promise<void> {
-    return listenOn(this.server, this.address, (error) =>
+    return openAddress(this.server, this.address, (error) =>
       this.containment.record({ work: 'readiness.accept', owner: 'request' }, error),
     );
   }
