--- a/packages/entry/src/gateway/callers/request-server.ts
+++ b/packages/entry/src/gateway/callers/request-server.ts
@@ -10,7 +10,7 @@
 import { computeRequestPrice } from '../memory/head-prices.js';
 import type { ShortageReason } from '../memory/types.js';
 import type { GatewayWire, RequestMetadata } from '../types.js';
-import { listenOn } from '../listen-on.js';
+import { openAddress } from '../open-address.js';
 import { BodyReader, type BodyFailure } from './body-reader.js';
 import { CallerConnection } from './caller-connection.js';
 import { CallerExchange, type ReceivedRequest } from './caller-exchange.js';
@@ -200,7 +200,7 @@
 
   start(): Promise<void> {
     const { address, onAcceptFailed } = this.options;
-    return listenOn(this.server, address, onAcceptFailed);
+    return openAddress(this.server, address, onAcceptFailed);
   }
 
   /** Applies new limits to all connections. */
--- a/packages/entry/src/gateway/metrics/metrics-server.ts
+++ b/packages/entry/src/gateway/metrics/metrics-server.ts
@@ -1,8 +1,8 @@
 import type { Server, ServerResponse } from 'node:http';
 import type { NetworkAddress } from '@savorywind/model';
 import type { Containment } from '../../runtime/containment.js';
-import { listenOn } from '../listen-on.js';
 import { createStatusServer } from '../status-server.js';
+import { openAddress } from '../open-address.js';
 
 const METRICS_PATH = '/metrics';
 const HTTP_OK = 200;
@@ -29,7 +29,7 @@
   }
 
   start(): Promise<void> {
-    return listenOn(this.server, this.address, (error) =>
+    return openAddress(this.server, this.address, (error) =>
       this.containment.record({ work: 'metrics.accept', owner: 'observation' }, error),
     );
   }
--- a/packages/entry/src/gateway/readiness-server.ts
+++ b/packages/entry/src/gateway/readiness-server.ts
@@ -1,8 +1,8 @@
 import type { Server } from 'node:http';
 import type { NetworkAddress } from '@savorywind/model';
 import type { Containment } from '../runtime/containment.js';
-import { listenOn } from './listen-on.js';
 import { createStatusServer } from './status-server.js';
+import { openAddress } from './open-address.js';
 
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
@@ -28,7 +28,7 @@
   }
 
   start(): Promise<void> {
-    return listenOn(this.server, this.address, (error) =>
+    return openAddress(this.server, this.address, (error) =>
       this.containment.record({ work: 'readiness.accept', owner: 'request' }, error),
     );
   }
