Parse no bodies of requests for the state of a VM

Cause: at the servers for readiness and metrics Node's parser reads the sockets by itself. Evidence: one core busy for 3.2 s in user mode, profile outside functions of the code, stacks in llhttp below LibuvStreamWrap::OnUvRead.

Both servers now use the order on a connection that callers have: the parser gets one head, and what follows a request with a body, or one that is sent without waiting, is dropped. The response is no longer lost by a reset either. An expectation is refused with 417 in the same way.

--- a/packages/entry/src/gateway/callers/caller-connection.ts
+++ b/packages/entry/src/gateway/callers/caller-connection.ts
@@ -149,6 +149,11 @@
     return this.isCut;
   }
 
+  /** Whether bytes have arrived behind what the parser was given. */
+  get hasInputBehind(): boolean {
+    return this.heldBytes > 0;
+  }
+
   /** Whether the last response was sent and the caller may still send. */
   get isLingering(): boolean {
     return this.lingerTimer !== undefined && !this.socket.destroyed;
@@ -201,6 +206,12 @@
     open.outgoing.shouldKeepAlive = open.keepsAlive;
   }
 
+  /** Makes the open response the last one: nothing is parsed that follows the head of its request. */
+  cutInput(): void {
+    this.dropInput();
+    this.updateKeepAlive();
+  }
+
   /** Refuses input that is no request, and closes the connection. */
   refuseInput(status: number): void {
     this.dropInput();
--- a/packages/entry/src/gateway/status-server.ts
+++ b/packages/entry/src/gateway/status-server.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { CallerConnection } from './callers/caller-connection.js';
 
 /** Most open connections; those who ask for the state of a VM are few. Beyond it the oldest is closed. */
 const MAX_CONNECTIONS = 64;
@@ -10,19 +11,25 @@
 /** Longest time for a request to arrive, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 5_000;
 
+const HTTP_EXPECTATION_FAILED = 417;
+
 const hasBody = ({ headers }: IncomingMessage): boolean =>
   headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 
-/** Sends what was written, reads nothing more and closes. */
-const closeSoon = (socket: Socket): void => {
-  socket.pause();
-  socket.destroySoon();
-};
+const openConnection = (socket: Socket): CallerConnection =>
+  new CallerConnection({
+    socket,
+    mayHalfClose: true,
+    isStopping: () => false,
+    isClosing: () => false,
+    onInputHeld: () => {},
+  });
 
 /**
  * Creates an HTTP server that tells the state of this VM. Whoever asks must not cost the requests of callers
  * their time: a connection has one request at a time, and one that sends more of them without waiting, or a
- * body, is closed after its response. Connections that are kept open keep nobody else out.
+ * body, is closed after its response. What it sends behind that request is not parsed: each chunk of a body
+ * would take a call. Connections that are kept open keep nobody else out.
  *
  * @param respond ends the response before it returns
  * @example
@@ -31,7 +38,14 @@
 export const createStatusServer = (
   respond: (incoming: IncomingMessage, outgoing: ServerResponse) => void,
 ): Server => {
-  const answering = new WeakSet<Socket>();
+  /** In the order in which they were opened. */
+  const connections = new Map<Socket, CallerConnection>();
+  const openRequest = (incoming: IncomingMessage, outgoing: ServerResponse): void => {
+    const connection = connections.get(incoming.socket);
+    connection?.openNext(incoming, outgoing);
+    if (connection?.hasInputBehind || hasBody(incoming)) connection?.cutInput();
+    outgoing.on('close', () => connection?.finishOpen(outgoing));
+  };
   const server = createServer(
     {
       maxHeaderSize: MAX_HEAD_BYTES,
@@ -39,26 +53,19 @@
       requestTimeout: REQUEST_TIMEOUT_MS,
     },
     (incoming, outgoing) => {
-      const { socket } = incoming;
-      if (answering.has(socket)) {
-        closeSoon(socket);
-        return;
-      }
-      answering.add(socket);
-      outgoing.on('close', () => answering.delete(socket));
-      if (hasBody(incoming)) {
-        outgoing.shouldKeepAlive = false;
-        outgoing.on('finish', () => closeSoon(socket));
-      }
+      openRequest(incoming, outgoing);
       respond(incoming, outgoing);
     },
   );
-  const open = new Set<Socket>();
+  server.on('checkExpectation', (incoming: IncomingMessage, outgoing: ServerResponse) => {
+    openRequest(incoming, outgoing);
+    outgoing.writeHead(HTTP_EXPECTATION_FAILED, { 'Content-Length': '0' }).end();
+  });
   server.on('connection', (socket) => {
-    open.add(socket);
-    socket.on('close', () => open.delete(socket));
+    connections.set(socket, openConnection(socket));
+    socket.on('close', () => connections.delete(socket));
     // A new one asks at once, and one that asks in turn comes again.
-    if (open.size > MAX_CONNECTIONS) [...open][0]?.destroy();
+    if (connections.size > MAX_CONNECTIONS) [...connections.keys()][0]?.destroy();
   });
   return server;
 };
