Tell in which era of the store an entry VM last had proof of its configuration

Cause: what proves that a copy is old, the era of the last proof, was known to processes only. Without a new era, the lease begins with the response that is there: no start waits longer than for the rows of the entry VMs, which it reads anyway. Log event 863.

Ruled out: a fixed wait at each start, witnesses that are told no version (docs/design/platform.md).

--- a/packages/decisions/src/gateway/configuration-proof.ts
+++ b/packages/decisions/src/gateway/configuration-proof.ts
@@ -42,9 +42,15 @@
   /** The last response that proved something. */
   private lastProof: { readonly version: number; readonly requestedAtMs: MonotonicMs } | undefined;
 
-  /** Until when responses prove nothing after the begin of an era. */
+  /** Until when responses prove nothing after the begin of an era, or after the start of this process. */
   private heldUntilMs = Number.NEGATIVE_INFINITY;
 
+  /** Whether the hold is that of a start, before it is known in which era of the store others had proof. */
+  private isStarting = false;
+
+  /** When the last response was requested that would have proved something without the hold of a start. */
+  private heldRequestedAtMs: MonotonicMs | undefined;
+
   /**
    * Counts time that the clock missed: what was known before it lies further back. The hold after an era
    * is not shortened, as the time may be a step of the wall clock.
@@ -82,9 +88,44 @@
     return lastProof.version < version && knownSinceMs <= lastProof.requestedAtMs;
   }
 
+  /**
+   * Holds proofs until the eras are known in which registered entry VMs had proof: a process that starts
+   * remembers none, and may have started after the store came back from an older copy.
+   *
+   * @param rewriteMs time within which what the store has lost is written again
+   */
+  start(nowMs: MonotonicMs, rewriteMs: number): void {
+    this.isStarting = true;
+    this.heldUntilMs = nowMs + rewriteMs;
+  }
+
+  /** Whether it is not known yet in which era of the store other entry VMs had proof. */
+  get isAwaitingEras(): boolean {
+    return this.isStarting;
+  }
+
+  /** Leaves the hold of a start, as the store has begun a new era since the last proof that is known of. */
+  keepHold(): void {
+    this.isStarting = false;
+  }
+
+  /**
+   * Ends the hold of a start.
+   *
+   * @returns when the response was requested that proves the configuration now; undefined if there is none
+   */
+  endHold(nowMs: MonotonicMs): MonotonicMs | undefined {
+    this.isStarting = false;
+    this.heldUntilMs = Number.NEGATIVE_INFINITY;
+    const { heldRequestedAtMs } = this;
+    if (heldRequestedAtMs === undefined) return undefined;
+    return this.takeProof(heldRequestedAtMs, nowMs) ? heldRequestedAtMs : undefined;
+  }
+
   /** @param rewriteMs time within which what the store has lost is written again */
   handleEraRaised(nowMs: MonotonicMs, rewriteMs: number): void {
     this.shownVersion = undefined;
+    this.isStarting = false;
     this.heldUntilMs = nowMs + rewriteMs;
   }
 
@@ -100,6 +141,7 @@
    */
   takeProof(requestedAtMs: MonotonicMs, nowMs: MonotonicMs): boolean {
     const { shownVersion } = this;
+    if (this.isStarting) this.heldRequestedAtMs = requestedAtMs;
     if (shownVersion === undefined || nowMs < this.heldUntilMs) return false;
     const isOutdated = this.knownVersions.some(
       ({ version, knownSinceMs }) => knownSinceMs <= requestedAtMs && version > shownVersion,
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -174,6 +174,12 @@
 
   private readonly proof = new ConfigurationProof();
 
+  /** The newest era of the store that is known; undefined if it names none. */
+  private storeEra: number | undefined;
+
+  /** The era in which the configuration was last proved to be current. */
+  private provenEra: number | undefined;
+
   private routeIndex: RouteIndex | undefined;
 
   private isReady = false;
@@ -348,6 +354,7 @@
     const { requests } = this;
     return {
       woken: () => {},
+      'process.started': () => this.proof.start(this.context.nowMs, this.reregistrationMs),
       drainRequested: ({ timeLeftMs }) => this.startDrain(timeLeftMs),
       'time.lost': ({ lostMs }) => {
         this.lease.addLostTime(lostMs);
@@ -378,7 +385,8 @@
       },
       'store.eraRaised': (event) => this.handleEraRaised(event),
       'store.failed': (event) => this.handleStoreFailure(event),
-      'peers.read': ({ peers }) => {
+      'peers.read': ({ peers, storeEra, provenEra }) => {
+        this.handleErasRead(storeEra, provenEra);
         peers.forEach((peer) => {
           this.fleetLoad.peers.add(peer, this.context.nowMs);
           this.fleetLoad.peers.recordRegistered(peer);
@@ -450,7 +458,28 @@
     this.proof.handleShown({ version: configuration?.version, source });
     if (configuration !== undefined) this.applyConfiguration(configuration);
     if (this.routeIndex !== undefined && this.proof.takeProof(requestedAtMs, nowMs))
-      this.lease.renew(requestedAtMs);
+      this.handleProof(requestedAtMs);
+  }
+
+  private handleProof(requestedAtMs: MonotonicMs): void {
+    this.lease.renew(requestedAtMs);
+    if (this.storeEra === undefined || this.storeEra === this.provenEra) return;
+    this.provenEra = this.storeEra;
+    this.context.emit({ kind: 'registration.prove', era: this.storeEra });
+  }
+
+  private handleErasRead(storeEra: number | undefined, provenEra: number | undefined): void {
+    const { nowMs } = this.context;
+    if (storeEra !== undefined) this.storeEra = Math.max(storeEra, this.storeEra ?? storeEra);
+    if (!this.proof.isAwaitingEras) return;
+    // If nobody ever had proof, no credential was served that may have been revoked since.
+    if (provenEra !== undefined && storeEra !== undefined && provenEra < storeEra) {
+      this.proof.keepHold();
+      this.context.log(logEvents.eraUnproven, { provenEra, storeEra });
+      return;
+    }
+    const requestedAtMs = this.proof.endHold(nowMs);
+    if (requestedAtMs !== undefined) this.handleProof(requestedAtMs);
   }
 
   private applyConfiguration(configuration: GatewayConfiguration): void {
@@ -472,6 +501,7 @@
     const { nowMs } = this.context;
     const version = this.routeIndex?.version;
     this.context.log(logEvents.storeEraRaised, { previousEra, era, version });
+    this.storeEra = era;
     this.proof.handleEraRaised(nowMs, this.reregistrationMs);
     this.table.handleEraRaised(nowMs);
     this.renewalTimer?.cancel();
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -176,7 +176,16 @@
   | { readonly kind: 'tables.sourceFailed'; readonly peer: EntryVmId; readonly detail: string }
   /** A peer asked for the tables of the store. */
   | { readonly kind: 'tables.asked' }
-  | { readonly kind: 'peers.read'; readonly peers: readonly GatewayPeer[] }
+  /** Comes before all others where the process may have been preceded by others with the same store. */
+  | { readonly kind: 'process.started' }
+  | {
+      readonly kind: 'peers.read';
+      readonly peers: readonly GatewayPeer[];
+      /** Era of the store in which they were read; undefined if it names none. */
+      readonly storeEra?: number | undefined;
+      /** Latest era in which one of them, or an earlier process of this VM, had proof of its configuration. */
+      readonly provenEra?: number | undefined;
+    }
   | { readonly kind: 'peer.received'; readonly snapshot: WorkSnapshot }
   /** A peer asks for a permit. */
   | { readonly kind: 'permit.requested'; readonly request: PermitRequest }
@@ -412,6 +421,8 @@
   | { readonly kind: 'tables.sourceChanged'; readonly source: TableSource }
   /** Checks the row of this entry VM in the store, writes it again if needed, and reads the peers. */
   | { readonly kind: 'registration.renew' }
+  /** Has the registration tell the era in which the configuration was proved to be current. */
+  | { readonly kind: 'registration.prove'; readonly era: number }
   | { readonly kind: 'callerLimits.changed'; readonly limits: CallerLimits }
   /** Closes keep-alive connections to an endpoint that was removed, restarted or stalled. */
   | { readonly kind: 'endpoint.forgotten'; readonly endpoint: EndpointId }
--- a/packages/decisions/test/gateway/store-eras.test.ts
+++ b/packages/decisions/test/gateway/store-eras.test.ts
@@ -4,8 +4,8 @@
 import {
   createConfiguration,
   createEndpoint,
+  GatewayDriver,
   startDriver,
-  type GatewayDriver,
 } from '../fixtures/gateway-driver.js';
 
 const REVOKED = { teams: [{ name: 'counter', credentials: ['another'], priority: undefined }] };
@@ -174,6 +174,64 @@
   });
 });
 
+describe('the configuration of a process that starts', () => {
+  const readEras = (storeEra: number | undefined, provenEra: number | undefined): void =>
+    driver.dispatch({ kind: 'peers.read', peers: [], storeEra, provenEra });
+
+  beforeEach(() => {
+    driver = new GatewayDriver();
+    driver.dispatch({ kind: 'process.started' });
+    showEndpoints(createEndpoint('e1'));
+    showVersion(4);
+  });
+
+  it('is not confirmed before it is known in which eras others had proof', () => {
+    expect(isAdmitted()).toBe(false);
+    readEras(2, 2);
+    expect(isAdmitted()).toBe(true);
+  });
+
+  it.each([
+    ['no entry VM ever had proof', 3, undefined],
+    ['the store names no era', undefined, undefined],
+    ['the proof is of a later era than the row was read in', 2, 3],
+  ])('is confirmed by the response that came before if %s', (_label, storeEra, provenEra) => {
+    readEras(storeEra, provenEra);
+    expect(isAdmitted()).toBe(true);
+  });
+
+  it('is not confirmed by an older copy that nobody remembers, before all must be written again', () => {
+    readEras(2, 1);
+    showVersion(4);
+    expect(isAdmitted()).toBe(false);
+    driver.advance(REWRITE_MS - 100);
+    showVersion(4);
+    expect(isAdmitted()).toBe(false);
+    driver.advance(200);
+    showVersion(4);
+    expect(isAdmitted()).toBe(true);
+  });
+
+  it('is confirmed as soon as the operator has written in the new era', () => {
+    readEras(2, 1);
+    driver.confirm(createConfiguration({ version: 5 }));
+    expect(isAdmitted()).toBe(true);
+  });
+
+  it('is confirmed after a bounded time if the rows of the entry VMs can not be read', () => {
+    driver.advance(REWRITE_MS + 1);
+    showVersion(4);
+    expect(isAdmitted()).toBe(true);
+  });
+
+  it('is told to be proved once in each era', () => {
+    readEras(2, 2);
+    showVersion(4);
+    showVersion(4);
+    expect(driver.list('registration.prove')).toEqual([{ kind: 'registration.prove', era: 2 }]);
+  });
+});
+
 describe('registrations, when the store comes back from an older copy', () => {
   it('that the copy lacks are kept until there was time to write them again', () => {
     raiseEra();
--- a/packages/entry/src/gateway/effect-owners.ts
+++ b/packages/entry/src/gateway/effect-owners.ts
@@ -81,6 +81,7 @@
   // The store is read at an interval in any case.
   'tables.readNow': { owner: 'store', fail: none },
   'registration.renew': { owner: 'store', fail: none },
+  'registration.prove': { owner: 'store', fail: none },
   'tables.sourceChanged': {
     owner: 'peer',
     readId: ({ source }) => source.peer?.id,
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -195,9 +195,9 @@
       rows: adapter.rows,
       self,
       containment: this.containment,
-      onRead: (peers) => {
+      onRead: (peers, eras) => {
         this.peerHosts = new Set(peers.map(({ address }) => address.host));
-        this.dispatch({ kind: 'peers.read', peers });
+        this.dispatch({ kind: 'peers.read', peers, ...eras });
       },
       onFoundRegistered: () => this.logger.write(logEvents.gatewayRestarted, {}),
       onUnreadable: (row) => this.logger.write(logEvents.storeEntryUnreadable, { key: row.key }),
@@ -215,6 +215,7 @@
     this.startMetrics();
     this.heapWatch.start();
     this.logger.write(logEvents.gatewayStarted, { callers: this.settings.callers.port });
+    this.dispatch({ kind: 'process.started' });
     this.storeTables.start();
     await this.registration.renew();
   }
@@ -409,6 +410,9 @@
         this.peerSocket.sendMessage({ kind: 'permit.answer', answer }, to),
       'tables.readNow': () => this.readTablesAgain(),
       'tables.sourceChanged': ({ source }) => this.changeTableSource(source),
+      'registration.prove': ({ era }) => {
+        this.registration.prove(era);
+      },
       'registration.renew': () => {
         this.registration.renew();
       },
--- a/packages/entry/src/gateway/store/peer-registration.ts
+++ b/packages/entry/src/gateway/store/peer-registration.ts
@@ -1,7 +1,15 @@
 import type { GatewayPeer } from '@savorywind/model';
 import type { Containment } from '../../runtime/containment.js';
 import type { GatewayRows } from '../types.js';
-import type { TableClient, TableRow } from './types.js';
+import type { TableClient, TableRow, TableRows } from './types.js';
+
+/** What a reading of the registered entry VMs shows of the store's eras. */
+export interface ReadEras {
+  /** Era in which they were read; undefined if the store names none. */
+  readonly storeEra: number | undefined;
+  /** Latest era in which one of them had proof of its configuration; undefined if none is known of. */
+  readonly provenEra: number | undefined;
+}
 
 export interface PeerRegistrationOptions {
   readonly tables: TableClient;
@@ -9,7 +17,7 @@
   readonly self: GatewayPeer;
   readonly containment: Containment;
   /** Called with all registered entry VMs each time they were read. */
-  readonly onRead: (peers: readonly GatewayPeer[]) => void;
+  readonly onRead: (peers: readonly GatewayPeer[], eras: ReadEras) => void;
   /** Called once if the row was there before this process has written it: it was started again. */
   readonly onFoundRegistered?: () => void;
   /** Called with each row that can't be decoded, and is ignored. */
@@ -37,6 +45,12 @@
 
   private retryTimer: NodeJS.Timeout | undefined;
 
+  /**
+   * Era in which this entry VM last had proof of its configuration. It is kept from the row of an earlier
+   * process, as nothing else remembers it.
+   */
+  private provenEra: number | undefined;
+
   constructor(private readonly options: PeerRegistrationOptions) {}
 
   /** Writes the row, and then reads those of all entry VMs. Is repeated until it succeeds. */
@@ -49,6 +63,17 @@
     return this.attempt('registration.read', () => this.readAndWrite());
   }
 
+  /** Writes into the row in which era of the store this entry VM has proof of its configuration. */
+  prove(era: number): Promise<void> {
+    this.provenEra = era;
+    this.hasReadRows = true;
+    return this.attempt('registration.write', async () => {
+      const { tables, rows, self } = this.options;
+      const written = await tables.putRow(rows.peerTable, self.id, this.encodeOwn());
+      if (written.err) this.retry(() => this.renew());
+    });
+  }
+
   stop(): void {
     this.isStopped = true;
     clearTimeout(this.retryTimer);
@@ -67,10 +92,10 @@
   private async write(): Promise<void> {
     const { rows, tables, self } = this.options;
     this.hasReadRows = true;
-    const written = await tables.putRow(rows.peerTable, self.id, rows.encodePeer(self));
+    const written = await tables.putRow(rows.peerTable, self.id, this.encodeOwn());
     const read = written.err ? undefined : await tables.readAll(rows.peerTable, READ_TIMEOUT_MS);
     if (read === undefined || read.err) this.retry(() => this.register());
-    else this.report(read.val.rows);
+    else this.report(read.val);
   }
 
   private async readAndWrite(): Promise<void> {
@@ -81,10 +106,12 @@
       return;
     }
     const own = read.val.rows.find(({ key, removed }) => key === self.id && !removed);
-    if (own !== undefined && !this.hasReadRows) this.options.onFoundRegistered?.();
+    if (own !== undefined && !this.hasReadRows) {
+      this.provenEra ??= this.decodeProvenEra(own);
+      this.options.onFoundRegistered?.();
+    }
     this.hasReadRows = true;
-    if (own !== undefined && isSameValue(own.value, rows.encodePeer(self)))
-      this.report(read.val.rows);
+    if (own !== undefined && isSameValue(own.value, this.encodeOwn())) this.report(read.val);
     else await this.register();
   }
 
@@ -97,22 +124,39 @@
     }, RETRY_MS).unref();
   }
 
-  private report(tableRows: readonly TableRow[]): void {
+  private encodeOwn(): Uint8Array {
+    const { rows, self } = this.options;
+    return rows.encodePeer(self, this.provenEra);
+  }
+
+  private report({ rows: tableRows, era: storeEra }: TableRows): void {
     if (this.isStopped) return;
-    const peers = tableRows
-      .filter(({ removed }) => !removed)
-      .flatMap((row) => this.decodePeer(row) ?? []);
-    this.options.onRead(peers);
+    const present = tableRows.filter(({ removed }) => !removed);
+    const peers = present.flatMap((row) => this.decodePeer(row) ?? []);
+    const eras = present.flatMap((row) => this.decodeProvenEra(row) ?? []);
+    const provenEra = eras.length === 0 ? undefined : Math.max(...eras);
+    this.options.onRead(peers, { storeEra, provenEra });
   }
 
-  /** A row that a decoder can't take says nothing of the other rows. */
   private decodePeer(row: TableRow): GatewayPeer | undefined {
-    const { rows, containment, onUnreadable } = this.options;
-    let peer: GatewayPeer | undefined;
-    containment.run({ work: 'row.decode', owner: 'store', ownerId: row.key }, () => {
-      peer = rows.decodePeer(row);
-    });
-    if (peer === undefined) onUnreadable(row);
+    const peer = this.decode(row, this.options.rows.decodePeer);
+    if (peer === undefined) this.options.onUnreadable(row);
     return peer;
   }
+
+  private decodeProvenEra(row: TableRow): number | undefined {
+    return this.decode(row, this.options.rows.decodeProvenEra);
+  }
+
+  /** A row that a decoder can't take says nothing of the other rows. */
+  private decode<Value>(
+    row: TableRow,
+    decoder: (row: TableRow) => Value | undefined,
+  ): Value | undefined {
+    let value: Value | undefined;
+    this.options.containment.run({ work: 'row.decode', owner: 'store', ownerId: row.key }, () => {
+      value = decoder(row);
+    });
+    return value;
+  }
 }
--- a/packages/entry/src/gateway/types.ts
+++ b/packages/entry/src/gateway/types.ts
@@ -100,7 +100,9 @@
   ): GatewayConfiguration | undefined;
   decodeEndpoint(row: TableRow): GatewayEndpoint | undefined;
   decodePeer(row: TableRow): GatewayPeer | undefined;
-  encodePeer(peer: GatewayPeer): Uint8Array;
+  /** Decodes the era of the store in which the entry VM last knew that its configuration was current. */
+  decodeProvenEra(row: TableRow): number | undefined;
+  encodePeer(peer: GatewayPeer, provenEra: number | undefined): Uint8Array;
 }
 
 /** Response of an engine to a reservation. */
--- a/packages/entry/test/gateway/peer-registration.test.ts
+++ b/packages/entry/test/gateway/peer-registration.test.ts
@@ -1,7 +1,7 @@
 import { Err, Ok, type GatewayPeer, type Result } from '@savorywind/model';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { Containment } from '../../src/runtime/containment.js';
-import { PeerRegistration } from '../../src/gateway/store/peer-registration.js';
+import { PeerRegistration, type ReadEras } from '../../src/gateway/store/peer-registration.js';
 import type { TableClient, TableFailure, TableRow } from '../../src/gateway/store/types.js';
 import type { GatewayRows } from '../../src/gateway/types.js';
 
@@ -11,13 +11,16 @@
   address: { host: '127.0.0.1', port },
 });
 
-const encodePeer = (peer: GatewayPeer): Uint8Array => Buffer.from(JSON.stringify(peer));
+const encodePeer = (peer: GatewayPeer, provenEra?: number): Uint8Array =>
+  Buffer.from(JSON.stringify({ ...peer, provenEra }));
 
 const rows = {
   peerTable: 'peers',
   encodePeer,
   decodePeer: ({ value }: TableRow) =>
     JSON.parse(Buffer.from(value).toString()) as GatewayPeer | undefined,
+  decodeProvenEra: ({ value }: TableRow) =>
+    (JSON.parse(Buffer.from(value).toString()) as { provenEra?: number }).provenEra,
 } as GatewayRows;
 
 const REFUSED: TableFailure = { kind: 'refused', detail: 'test', era: undefined };
@@ -30,8 +33,10 @@
 
   failures = 0;
 
+  era: number | undefined;
+
   readonly client: TableClient = {
-    readAll: () => this.answer('read', { rows: this.listRows(), version: 1, era: undefined }),
+    readAll: () => this.answer('read', { rows: this.listRows(), version: 1, era: this.era }),
     readChanges: () => new Promise(() => {}),
     putRow: (_table, key, value) => {
       const answer = this.answer<void>('put', undefined);
@@ -60,6 +65,7 @@
 let unreadable: string[];
 let notifyRead = (): void => {};
 let foundRegistered: number;
+let eras: ReadEras | undefined;
 
 beforeEach(() => {
   table = new PeerTableStandIn();
@@ -71,7 +77,8 @@
     tables: table.client,
     rows,
     self: createPeer('vm-1'),
-    onRead: (peers) => {
+    onRead: (peers, readEras) => {
+      eras = readEras;
       reads.push(peers.map(({ id }) => id));
       notifyRead();
     },
@@ -169,3 +176,36 @@
     expect(reads).toEqual([['vm-2', 'vm-1']]);
   });
 });
+
+describe('the eras of the store in which entry VMs had proof of their configuration', () => {
+  const readEras = async (): Promise<ReadEras | undefined> => {
+    await registration.renew();
+    return eras;
+  };
+
+  it('are read with the era of the store, and the latest counts', async () => {
+    table.era = 3;
+    table.stored.set('vm-2', encodePeer(createPeer('vm-2'), 2));
+    table.stored.set('vm-3', encodePeer(createPeer('vm-3'), 1));
+    expect(await readEras()).toEqual({ storeEra: 3, provenEra: 2 });
+  });
+
+  it('are none if no row tells of one', async () => {
+    table.stored.set('vm-2', encodePeer(createPeer('vm-2')));
+    expect(await readEras()).toEqual({ storeEra: undefined, provenEra: undefined });
+  });
+
+  it('include that of an earlier process of this VM, which its row goes on to tell', async () => {
+    table.stored.set('vm-1', encodePeer(createPeer('vm-1', 6_000), 2));
+    expect((await readEras())?.provenEra).toBe(2);
+    expect(table.stored.get('vm-1')).toEqual(encodePeer(createPeer('vm-1'), 2));
+  });
+
+  it('are told with one call as soon as there is proof in a later one', async () => {
+    await registration.renew();
+    table.calls.length = 0;
+    await registration.prove(4);
+    expect(table.calls).toEqual(['put']);
+    expect(table.stored.get('vm-1')).toEqual(encodePeer(createPeer('vm-1'), 4));
+  });
+});
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -169,6 +169,11 @@
     'warn',
     'the heap is near its limit, at which the process ends without another line',
   ],
+  eraUnproven: [
+    863,
+    'warn',
+    'the store has begun an era in which no entry VM has had proof of its configuration; credentials wait for it',
+  ],
   roomShort: [
     870,
     'warn',
