Keep an engine's limit when its registration lapses

Callers saw nothing; the engine got more than it takes. An engine with a limit whose registration went for some seconds and came back for the same process had its limit forgotten by all entry VMs, and the requests that waited went there at once (LIMIT).

Cause: a removed registration dropped all that was known of the endpoint. The limit belongs to the process.

Ruled out: the requests of the time between the end of the lapse and the first response, before a VM knows a limit, as the VMs had been told before. An older copy of the store lost the limit in the same way.

--- a/packages/decisions/src/gateway/endpoint-table.ts
+++ b/packages/decisions/src/gateway/endpoint-table.ts
@@ -1,4 +1,5 @@
 import type { EndpointId, GatewayEndpoint, MonotonicMs, ServiceId } from '@savorywind/model';
+import { GoneEndpoints } from './gone-endpoints.js';
 import type { EndpointChange } from './types.js';
 
 /** An endpoint that left, or announced that it leaves. */
@@ -21,6 +22,16 @@
  */
 const WITHHOLD_MS = 10_000;
 
+export interface EndpointTableListener {
+  /** Called when an endpoint has lost its registration, or another process has it. */
+  readonly onUnregistered: (endpoint: EndpointId) => void;
+  /**
+   * Called when what is known of the process of an endpoint is over: another process is registered under its
+   * id, or it has been gone for too long.
+   */
+  readonly onForgotten: (endpoint: EndpointId) => void;
+}
+
 const isEarlierStart = (a: number | undefined, b: number | undefined): boolean =>
   a !== undefined && b !== undefined && a < b;
 
@@ -34,6 +45,8 @@
  * lacks are retained as after an outage. Those of endpoints that had left or announced that they leave are
  * withheld until they change in the new era, start anew, or are still there after `WITHHOLD_MS` in which
  * the store answers. The registration of an earlier process under the same id is ignored.
+ *
+ * A removed endpoint is remembered for a while: if the same process comes back, what is known of it still holds.
  */
 export class EndpointTable {
   private readonly endpoints = new Map<EndpointId, GatewayEndpoint>();
@@ -41,6 +54,8 @@
   /** Endpoints whose registration disappeared during an outage of the store or soon after it. */
   private readonly retained = new Set<EndpointId>();
 
+  private readonly gone: GoneEndpoints;
+
   private readonly departures = new Map<EndpointId, Departure>();
 
   /** Registrations of departed endpoints that the store's copy still has. */
@@ -64,9 +79,10 @@
   constructor(
     /** Time within which live endpoints register again after an outage of the store. */
     private reregistrationMs: number,
-    /** Called when an endpoint is removed, or restarted under the same id. */
-    private readonly onInvalidated: (endpoint: EndpointId) => void,
-  ) {}
+    private readonly listener: EndpointTableListener,
+  ) {
+    this.gone = new GoneEndpoints(listener.onForgotten);
+  }
 
   /** Whether the registrations have been read at least once. */
   get isLoaded(): boolean {
@@ -117,7 +133,7 @@
       .filter((id) => !present.has(id))
       .forEach((id) => this.removeOrRetain(id, nowMs));
     endpoints.forEach((endpoint) => {
-      if (this.mayBelieve(endpoint, nowMs)) this.set(endpoint);
+      if (this.mayBelieve(endpoint, nowMs)) this.set(endpoint, nowMs);
     });
     this.hasLoaded = true;
   }
@@ -127,7 +143,7 @@
       this.withheld.delete(id);
       if (nowMs < this.withheldUntilMs) this.changedInEra.add(id);
       if (endpoint === undefined) this.removeOrRetain(id, nowMs);
-      else this.set(endpoint);
+      else this.set(endpoint, nowMs);
     });
   }
 
@@ -141,7 +157,7 @@
     if (nowMs < this.withheldUntilMs) return;
     const withheld = [...this.withheld.values()];
     this.withheld.clear();
-    withheld.forEach((endpoint) => this.set(endpoint));
+    withheld.forEach((endpoint) => this.set(endpoint, nowMs));
   }
 
   /** When `expire` has something to do next; undefined if it has nothing to do. */
@@ -185,13 +201,15 @@
     return false;
   }
 
-  private set(endpoint: GatewayEndpoint): void {
-    const previous = this.endpoints.get(endpoint.id);
-    this.retained.delete(endpoint.id);
-    this.endpoints.set(endpoint.id, endpoint);
-    if (previous !== undefined && previous.startedAtMs !== endpoint.startedAtMs) {
-      this.onInvalidated(endpoint.id);
-    }
+  private set(endpoint: GatewayEndpoint, nowMs: MonotonicMs): void {
+    const { id } = endpoint;
+    const registered = this.endpoints.get(id);
+    const previous = registered ?? this.gone.take(id, nowMs);
+    this.retained.delete(id);
+    this.endpoints.set(id, endpoint);
+    if (previous === undefined || previous.startedAtMs === endpoint.startedAtMs) return;
+    if (registered !== undefined) this.listener.onUnregistered(id);
+    this.listener.onForgotten(id);
   }
 
   private removeOrRetain(id: EndpointId, nowMs: MonotonicMs): void {
@@ -209,9 +227,11 @@
 
   private remove(id: EndpointId, nowMs: MonotonicMs): void {
     const endpoint = this.endpoints.get(id);
-    if (endpoint !== undefined) this.recordDeparture(endpoint, nowMs);
     this.endpoints.delete(id);
     this.retained.delete(id);
-    this.onInvalidated(id);
+    if (endpoint === undefined) return;
+    this.recordDeparture(endpoint, nowMs);
+    this.listener.onUnregistered(id);
+    this.gone.add(endpoint, nowMs);
   }
 }
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -192,7 +192,10 @@
     this.context = new GatewayContext(`${self.id}.${incarnation}`, options.seed);
     this.lease = new CredentialLease(estimateLeaseMs(contract));
     this.reregistrationMs = contract.reregistrationMs;
-    this.table = new EndpointTable(computeRetentionMs(contract), (id) => this.removeEndpoint(id));
+    this.table = new EndpointTable(computeRetentionMs(contract), {
+      onUnregistered: (endpoint) => this.handleUnregistered(endpoint),
+      onForgotten: (endpoint) => this.removeEndpoint(endpoint),
+    });
     this.availability = new EndpointAvailability({
       context: this.context,
       table: this.table,
@@ -219,7 +222,11 @@
       peers: this.fleetLoad.peers,
       onChanged: () => this.snapshots.handleWorkChanged(),
     });
-    this.limits = new EndpointLimits(this.context, () => this.snapshots.handleWorkChanged());
+    this.limits = new EndpointLimits({
+      context: this.context,
+      table: this.table,
+      onChanged: () => this.snapshots.handleWorkChanged(),
+    });
     this.snapshots = new SnapshotSender(
       this.context,
       this.fleetLoad,
@@ -579,17 +586,21 @@
     });
   }
 
-  private removeEndpoint(endpoint: EndpointId): void {
+  private handleUnregistered(endpoint: EndpointId): void {
     this.health.remove(endpoint);
     this.probes.remove(endpoint);
     this.availability.remove(endpoint);
-    this.limits.remove(endpoint);
     this.permits.remove(endpoint);
     this.coordinator.remove(endpoint);
     this.context.log(logEvents.endpointForgotten, { endpoint });
     this.context.emit({ kind: 'endpoint.forgotten', endpoint });
   }
 
+  /** Forgets what is bound to a process of an endpoint. */
+  private removeEndpoint(endpoint: EndpointId): void {
+    this.limits.remove(endpoint);
+  }
+
   private armExpiryTimer(): void {
     const { nextExpiryMs } = this.table;
     this.expiryTimer?.cancel();
--- a/packages/decisions/src/gateway/permits/endpoint-limits.ts
+++ b/packages/decisions/src/gateway/permits/endpoint-limits.ts
@@ -4,6 +4,7 @@
   type LimitObservation,
   type MonotonicMs,
 } from '@savorywind/model';
+import type { EndpointTable } from '../endpoint-table.js';
 import type { GatewayContext } from '../gateway-context.js';
 import type { RequestLimitReport } from '../types.js';
 
@@ -17,8 +18,16 @@
   reportedUntilMs: MonotonicMs;
 }
 
+export interface EndpointLimitsOptions {
+  readonly context: GatewayContext;
+  readonly table: EndpointTable;
+  /** Called when a response of an endpoint starts, changes or ends its limit. */
+  readonly onChanged: () => void;
+}
+
 /** What metrics show of the limits of endpoints. */
 export interface LimitUsage {
+  /** Registered endpoints that have a limit. */
   readonly limitedEndpoints: number;
   /** Attempts that this entry VM has started at endpoints while they had a limit. */
   readonly attempts: number;
@@ -33,7 +42,8 @@
 /**
  * The limits of requests per second that endpoints name in their responses. A limit is in force from the
  * first response that names it until a response without it to an attempt that started later. What peers
- * observed counts the same; of two observations that differ, the newer one counts.
+ * observed counts the same; of two observations that differ, the newer one counts. It belongs to the process
+ * that named it, whether or not its registration lapses meanwhile.
  *
  * @example
  * limits.report('engine-1', 1.5, startedAtMs);
@@ -44,16 +54,11 @@
 
   private attempts = 0;
 
-  constructor(
-    private readonly context: GatewayContext,
-    /** Called when a response of an endpoint starts, changes or ends its limit. */
-    private readonly onChanged: () => void,
-  ) {}
+  constructor(private readonly options: EndpointLimitsOptions) {}
 
   get usage(): LimitUsage {
-    const current = [...this.known.values()];
-    const limitedEndpoints = current.filter(({ perSecond }) => perSecond !== undefined).length;
-    return { limitedEndpoints, attempts: this.attempts };
+    const limited = this.listRegistered().filter(([, { perSecond }]) => perSecond !== undefined);
+    return { limitedEndpoints: limited.length, attempts: this.attempts };
   }
 
   /** Whether any endpoint has had a limit. */
@@ -68,25 +73,25 @@
    */
   report(endpoint: EndpointId, report: RequestLimitReport, startedAtMs: MonotonicMs): void {
     if (report === 'unreadable') {
-      this.context.log(logEvents.endpointLimitUnreadable, { endpoint });
+      this.options.context.log(logEvents.endpointLimitUnreadable, { endpoint });
       return;
     }
     const hasChanged =
       report === 'none'
         ? this.end(endpoint, startedAtMs)
-        : this.set(endpoint, report, this.context.nowMs);
-    if (hasChanged) this.onChanged();
+        : this.set(endpoint, report, this.options.context.nowMs);
+    if (hasChanged) this.options.onChanged();
   }
 
   /** Applies what a peer knows of an endpoint that is registered. */
   applyObservation({ endpoint, perSecond, ageMs }: LimitObservation): void {
-    const observedAtMs = this.context.nowMs - ageMs;
+    const observedAtMs = this.options.context.nowMs - ageMs;
     const previous = this.known.get(endpoint);
     // The time of the same observation is not renewed: it would become later on each way back and forth.
     if (previous === undefined ? perSecond === undefined : previous.perSecond === perSecond) return;
     if (previous === undefined || observedAtMs > previous.observedAtMs)
       this.set(endpoint, perSecond, observedAtMs);
-    else previous.reportedUntilMs = this.context.nowMs + END_REPORT_MS;
+    else previous.reportedUntilMs = this.options.context.nowMs + END_REPORT_MS;
   }
 
   /**
@@ -108,14 +113,16 @@
   /** Describes what is known of an endpoint's limit, for a peer. */
   describe(endpoint: EndpointId): LimitObservation {
     const { perSecond, observedAtMs } = this.known.get(endpoint) ?? {};
-    const ageMs = Math.round(this.context.nowMs - (observedAtMs ?? this.context.nowMs));
+    const ageMs = Math.round(
+      this.options.context.nowMs - (observedAtMs ?? this.options.context.nowMs),
+    );
     return { endpoint, perSecond, ageMs };
   }
 
-  /** Lists the limits in force and those that ended not long ago, for the peers. */
+  /** Lists the limits in force and those that ended not long ago, of registered endpoints, for the peers. */
   listObservations(): LimitObservation[] {
-    const { nowMs } = this.context;
-    return [...this.known]
+    const { nowMs } = this.options.context;
+    return this.listRegistered()
       .filter(([, limit]) => limit.perSecond !== undefined || nowMs < limit.reportedUntilMs)
       .map(([endpoint]) => this.describe(endpoint));
   }
@@ -124,11 +131,15 @@
     if (this.find(endpoint) !== undefined) this.attempts += 1;
   }
 
-  /** Forgets an endpoint that was removed, or restarted under the same id. */
+  /** Forgets the limit of a process. */
   remove(endpoint: EndpointId): void {
     this.known.delete(endpoint);
   }
 
+  private listRegistered(): [EndpointId, KnownLimit][] {
+    return [...this.known].filter(([id]) => this.options.table.find(id) !== undefined);
+  }
+
   /**
    * Ends a limit if the attempt started after it was observed. The response to an earlier attempt may
    * have been made before the endpoint named the limit.
@@ -146,11 +157,12 @@
     observedAtMs: MonotonicMs,
   ): boolean {
     const previous = this.find(endpoint);
-    const reportedUntilMs = this.context.nowMs + END_REPORT_MS;
+    const reportedUntilMs = this.options.context.nowMs + END_REPORT_MS;
     this.known.set(endpoint, { perSecond, observedAtMs, reportedUntilMs });
     if (perSecond === previous) return false;
-    if (perSecond === undefined) this.context.log(logEvents.endpointLimitEnded, { endpoint });
-    else this.context.log(logEvents.endpointLimited, { endpoint, perSecond });
+    if (perSecond === undefined)
+      this.options.context.log(logEvents.endpointLimitEnded, { endpoint });
+    else this.options.context.log(logEvents.endpointLimited, { endpoint, perSecond });
     return true;
   }
 }
--- /dev/null
+++ b/packages/decisions/test/gateway/registration-that-lapses.test.ts
@@ -0,0 +1,133 @@
+import type { GatewayEndpoint } from '@savorywind/model';
+import { describe, expect, it } from 'vitest';
+import { createEndpoint, startDriver, type GatewayDriver } from '../fixtures/gateway-driver.js';
+import { createEngines, GatewayFleet } from '../fixtures/gateway-fleet.js';
+
+/**
+ * Guards against LIMIT, DRAIN and BUDGET: what an engine had said was forgotten when its registration went
+ * for some seconds and came back for the same process.
+ */
+
+const LAPSE_MS = 3_000;
+
+/** The time in which endpoints write again what an older copy of the store lacks, in the test contract. */
+const REWRITE_MS = 2_300;
+
+const change = (driver: GatewayDriver, id: string, endpoint: GatewayEndpoint | undefined): void =>
+  driver.dispatch({ kind: 'endpoints.changed', changes: [{ id, endpoint }] });
+
+/** Has the registration of an endpoint go, and come back for a process that started at a given time. */
+const lapse = (
+  driver: GatewayDriver,
+  id: string,
+  { ms = LAPSE_MS, startedAtMs = 1 }: { ms?: number; startedAtMs?: number } = {},
+): void => {
+  change(driver, id, undefined);
+  driver.advance(ms);
+  driver.confirm();
+  change(driver, id, createEndpoint(id, { startedAtMs }));
+};
+
+/** Has an endpoint name a limit in the response to a request. */
+const limit = (driver: GatewayDriver, perSecond: number): void => {
+  const { attemptId } = driver.findAttempt(driver.request('/chat/'))!;
+  driver.dispatch({ kind: 'attempt.limitReported', attemptId, limit: perSecond });
+};
+
+/** Whether a request starts at the engine at once, as only one without a limit gets it. */
+const isUnlimited = (driver: GatewayDriver): boolean =>
+  driver.findAttempt(driver.request('/chat/')) !== undefined;
+
+describe('the limit of an engine whose registration lapses', () => {
+  it('holds for the same process when it is back', () => {
+    const driver = startDriver('e1');
+    limit(driver, 1);
+    lapse(driver, 'e1');
+    expect(isUnlimited(driver)).toBe(false);
+  });
+
+  it('holds where all registrations are read again', () => {
+    const driver = startDriver('e1');
+    limit(driver, 1);
+    driver.dispatch({ kind: 'endpoints.read', endpoints: [] });
+    driver.advance(LAPSE_MS);
+    driver.dispatch({ kind: 'endpoints.read', endpoints: [createEndpoint('e1')] });
+    expect(isUnlimited(driver)).toBe(false);
+  });
+
+  it('holds where an older copy of the store lacks the registration for too long', () => {
+    const driver = startDriver('e1');
+    limit(driver, 1);
+    driver.dispatch({ kind: 'store.eraRaised', previousEra: 1, era: 2 });
+    driver.dispatch({ kind: 'endpoints.read', endpoints: [] });
+    driver.advance(REWRITE_MS + 100);
+    expect(driver.findRefusal(driver.request('/chat/'))?.reason).toBe('noEndpoint');
+    change(driver, 'e1', createEndpoint('e1'));
+    expect(isUnlimited(driver)).toBe(false);
+  });
+
+  it('holds where an older copy still has the process before it', () => {
+    const driver = startDriver();
+    change(driver, 'e1', createEndpoint('e1', { startedAtMs: 5 }));
+    limit(driver, 1);
+    change(driver, 'e1', undefined);
+    driver.dispatch({ kind: 'store.eraRaised', previousEra: 1, era: 2 });
+    driver.dispatch({ kind: 'endpoints.read', endpoints: [createEndpoint('e1')] });
+    driver.advance(LAPSE_MS);
+    change(driver, 'e1', createEndpoint('e1', { startedAtMs: 5 }));
+    expect(isUnlimited(driver)).toBe(false);
+  });
+
+  it('does not pass to the next process under the id', () => {
+    const driver = startDriver('e1');
+    limit(driver, 1);
+    lapse(driver, 'e1', { startedAtMs: 2 });
+    expect(isUnlimited(driver)).toBe(true);
+  });
+
+  it('does not pass to another engine that gets its address', () => {
+    const driver = startDriver('e1');
+    limit(driver, 1);
+    change(driver, 'e1', undefined);
+    change(driver, 'e2', createEndpoint('e2'));
+    expect(isUnlimited(driver)).toBe(true);
+  });
+
+  it('ends with the registration if the start of its process is not known', () => {
+    const driver = startDriver();
+    const endpoint = createEndpoint('e1', { startedAtMs: undefined });
+    change(driver, 'e1', endpoint);
+    limit(driver, 1);
+    change(driver, 'e1', undefined);
+    change(driver, 'e1', endpoint);
+    expect(isUnlimited(driver)).toBe(true);
+  });
+
+  it('is not counted as that of an endpoint while the registration is gone', () => {
+    const driver = startDriver('e1');
+    limit(driver, 1);
+    change(driver, 'e1', undefined);
+    expect(driver.limitUsage.limitedEndpoints).toBe(0);
+    change(driver, 'e1', createEndpoint('e1'));
+    expect(driver.limitUsage.limitedEndpoints).toBe(1);
+  });
+
+  it.each([1, 2, 3])('is kept by nine entry VMs whose requests wait, seed %i', (seed) => {
+    const fleet = new GatewayFleet({
+      seed,
+      domains: ['a', 'b', 'c'],
+      entryVmsPerDomain: 3,
+      endpoints: createEngines(2, ['a', 'b']).map((engine) => ({ ...engine, slots: 100 })),
+      requestsPerS: 30,
+      drawRequest: () => ({ path: '/chat/', promptTokens: 500 }),
+    });
+    const { id } = fleet.endpoints[0]!;
+    fleet.run(4_000);
+    fleet.limit([id], 2);
+    fleet.run(9_000);
+    fleet.lapse(id, LAPSE_MS);
+    fleet.run(9_000);
+    expect(fleet.outcomes.served).toBeGreaterThan(150);
+    expect(fleet.violations).toEqual([]);
+  });
+});
