Count permits given out before an engine's registration lapsed

The coordinator's account of an engine, and the permit that a VM held, were dropped with the registration. When it was back for the same process, permits given out up to a second ahead were given out again, and the permit of a VM was lost. Both are bound to the process now and dropped when another one is registered.

Evidence: registration-that-lapses.test.ts, 2 of 3 new tests failed before: the fourth permit of a limit of 1, asked for 500 ms after the first three, could be used after 1,000 ms instead of 3,500. Ruled out: a permit that outlives its time, as it expires by itself.

--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -590,8 +590,6 @@
     this.health.remove(endpoint);
     this.probes.remove(endpoint);
     this.availability.remove(endpoint);
-    this.permits.remove(endpoint);
-    this.coordinator.remove(endpoint);
     this.context.log(logEvents.endpointForgotten, { endpoint });
     this.context.emit({ kind: 'endpoint.forgotten', endpoint });
   }
@@ -599,6 +597,8 @@
   /** Forgets what is bound to a process of an endpoint. */
   private removeEndpoint(endpoint: EndpointId): void {
     this.limits.remove(endpoint);
+    this.permits.remove(endpoint);
+    this.coordinator.remove(endpoint);
   }
 
   private armExpiryTimer(): void {
--- a/packages/decisions/test/gateway/registration-that-lapses.test.ts
+++ b/packages/decisions/test/gateway/registration-that-lapses.test.ts
@@ -32,6 +32,7 @@
 const limit = (driver: GatewayDriver, perSecond: number): void => {
   const { attemptId } = driver.findAttempt(driver.request('/chat/'))!;
   driver.dispatch({ kind: 'attempt.limitReported', attemptId, limit: perSecond });
+  driver.dispatch({ kind: 'attempt.ended', attemptId });
 };
 
 /** Whether a request starts at the engine at once, as only one without a limit gets it. */
@@ -131,3 +132,39 @@
     expect(fleet.violations).toEqual([]);
   });
 });
+
+describe('the permits of an engine whose registration lapses', () => {
+  /** Asks this entry VM, the only one, for a permit as a peer, and returns the time until it can be used. */
+  const ask = (driver: GatewayDriver, endpoint: string): number => {
+    const replyTo = { host: '10.0.1.9', port: 7_000 };
+    const observation = { endpoint, perSecond: 1, ageMs: 0 };
+    const request = { permitId: 'p', replyTo, limit: observation, maxDelayMs: 60_000 };
+    driver.dispatch({ kind: 'permit.requested', request });
+    return driver.list('permit.answer').at(-1)!.answer.delayMs;
+  };
+
+  it('that were given out count when the next ones are', () => {
+    const driver = startDriver('e1');
+    expect([ask(driver, 'e1'), ask(driver, 'e1'), ask(driver, 'e1')]).toEqual([
+      1_000, 2_000, 3_000,
+    ]);
+    lapse(driver, 'e1', { ms: 500 });
+    expect(ask(driver, 'e1')).toBe(3_500);
+  });
+
+  it('that this entry VM holds can still be used', () => {
+    const driver = startDriver('e1');
+    limit(driver, 1);
+    driver.dispatch({ kind: 'request.abandoned', requestId: driver.request('/chat/') });
+    lapse(driver, 'e1', { ms: 500 });
+    driver.advance(510);
+    expect(driver.findAttempt(driver.request('/chat/'))).toBeDefined();
+  });
+
+  it('are not counted against the next process under the id', () => {
+    const driver = startDriver('e1');
+    [1, 2, 3].forEach(() => ask(driver, 'e1'));
+    lapse(driver, 'e1', { startedAtMs: 2, ms: 10 });
+    expect(ask(driver, 'e1')).toBe(1_000);
+  });
+});
