Keep an engine ejected when its registration lapses

An engine that fails requests of a VM is ejected for up to 4 s. The ejection was dropped with its registration, so an engine that came back for the same process got requests at once, and its failures in a row were counted from nothing. They are bound to the process now. When the VM has its path to the service back, the ejections of engines that are gone at that moment end as well, as the engines were sound all the while.

Price: an engine that is back after a cut may rest for up to 4 s more; ejected engines are still used if there are no others.

--- a/packages/decisions/src/gateway/endpoint-table.ts
+++ b/packages/decisions/src/gateway/endpoint-table.ts
@@ -177,6 +177,12 @@
     return this.endpoints.get(id);
   }
 
+  /** Lists the endpoints of a service whose process is known: registered ones and those that are gone. */
+  listKnown(service: ServiceId): GatewayEndpoint[] {
+    const known = [...this.endpoints.values(), ...this.gone.list()];
+    return known.filter((endpoint) => endpoint.service === service);
+  }
+
   listIds(): EndpointId[] {
     return [...this.endpoints.keys()];
   }
--- a/packages/decisions/test/gateway/registration-that-lapses.test.ts
+++ b/packages/decisions/test/gateway/registration-that-lapses.test.ts
@@ -168,3 +168,70 @@
     expect(ask(driver, 'e1')).toBe(1_000);
   });
 });
+
+/** Sends requests one after the other and lists the endpoints that serve them. */
+const listPlaced = (driver: GatewayDriver): string[] => {
+  const placed = Array.from({ length: 20 }, () => {
+    const { attemptId, endpoint } = driver.findAttempt(driver.request('/chat/'))!;
+    driver.dispatch({ kind: 'attempt.ended', attemptId });
+    return endpoint.id;
+  });
+  return [...new Set(placed)].sort();
+};
+
+/** Has the first request that an endpoint gets fail there, so that it is ejected. */
+const eject = (driver: GatewayDriver, endpoint: string): void => {
+  for (;;) {
+    const id = driver.request('/chat/');
+    const isThere = driver.findAttempt(id)!.endpoint.id === endpoint;
+    if (isThere) driver.fail(id, 'notSent');
+    const { attemptId } = driver.findAttempt(id)!;
+    driver.dispatch({ kind: 'attempt.ended', attemptId });
+    if (isThere) return;
+  }
+};
+
+/** Answers all probes so far; those that were answered before are ignored. */
+const answerProbes = (driver: GatewayDriver, outcome: 'connected' | 'failed'): void => {
+  driver
+    .list('path.probe')
+    .forEach(({ endpoint }) =>
+      driver.dispatch({ kind: 'path.probed', endpoint: endpoint.id, outcome }),
+    );
+};
+
+describe('the ejection of an engine whose registration lapses', () => {
+  it('goes on until its time is over', () => {
+    const driver = startDriver('e1', 'e2');
+    eject(driver, 'e1');
+    lapse(driver, 'e1', { ms: 100 });
+    expect(listPlaced(driver)).toEqual(['e2']);
+    driver.advance(200);
+    expect(listPlaced(driver)).toEqual(['e1', 'e2']);
+  });
+
+  it('does not pass to the next process under the id', () => {
+    const driver = startDriver('e1', 'e2');
+    eject(driver, 'e1');
+    lapse(driver, 'e1', { ms: 10, startedAtMs: 2 });
+    expect(listPlaced(driver)).toEqual(['e1', 'e2']);
+  });
+
+  it('ends when this entry VM has its path to the service back, also meanwhile', () => {
+    const driver = startDriver('e1', 'e2');
+    [1, 2, 3, 4, 5].forEach(() => {
+      eject(driver, 'e1');
+      driver.advance(4_000);
+      driver.confirm();
+    });
+    eject(driver, 'e1');
+    answerProbes(driver, 'failed');
+    change(driver, 'e1', undefined);
+    [1, 2].forEach(() => {
+      driver.advance(400);
+      answerProbes(driver, 'connected');
+    });
+    change(driver, 'e1', createEndpoint('e1'));
+    expect(listPlaced(driver)).toEqual(['e1', 'e2']);
+  });
+});
