--- a/packages/decisions/test/gateway/reservations-of-a-dark-engine.test.ts
+++ b/packages/decisions/test/gateway/reservations-of-a-dark-engine.test.ts
@@ -6,6 +6,9 @@
 
 const HUGE = { promptTokens: 700_000, waitsMs: 15_000 };
 const STEP_MS = 50;
+/** Time until a probe has failed. */
+const MAX_PROBE_MS = 400;
+
 const ENGINES = Array.from({ length: 12 }, (_, index) => `e${index + 1}`);
 
 /** Time after which an engine ends the work that depends on one that is dark. */
@@ -82,6 +85,20 @@
     expect(driver.findAttempt(id)!.endpoint.id).not.toBe(dark);
   });
 
+  it('is released after two probes that fail, although the registration lapses between them', () => {
+    const run = startJointPrefill(true);
+    const { driver, id } = run;
+    const { reservationId, holdMs } = driver.list('reservation.ask')[0]!;
+    const dark = driver.findAttempt(id)!.endpoint.id;
+    const probeIntervalMs = holdMs / 3;
+    const betweenMs = probeIntervalMs + MAX_PROBE_MS;
+    advance(run, betweenMs, dark);
+    const changes = [{ id: dark, endpoint: undefined }];
+    driver.dispatch({ kind: 'endpoints.changed', changes });
+    advance(run, 2 * probeIntervalMs + MAX_PROBE_MS - betweenMs, dark);
+    expect(isReleased(driver, reservationId)).toBe(true);
+  });
+
   it('expires in time if the request may not run again', () => {
     const run = startJointPrefill(false);
     const { driver, id } = run;
