Keep what an engine has said of leaving for as long as its process lives

An engine that had said that it leaves got requests again. Its word was dropped 60 s after it was said, at the next word of another engine, if its registration was gone at that moment; when the registration came back for the same process, or an older copy of the store showed it again, the engine counted as serving (DRAIN). The state after a time to come back was dropped in the same way, and four requests went where one is due.

Cause: each module had a memory of its own for endpoints that are gone.

Evidence: 3 of 4 new tests in registration-that-lapses.test.ts and 1 in departures-told-by-peers.test.ts failed before. Ruled out: the time to come back itself, which held through a lapse before as well.

--- a/packages/decisions/src/gateway/availability/endpoint-availability.ts
+++ b/packages/decisions/src/gateway/availability/endpoint-availability.ts
@@ -169,7 +169,7 @@
     this.closures.addLostTime(lostMs);
   }
 
-  /** Forgets what concerns an endpoint that was removed, or restarted under the same id. */
+  /** Forgets what concerns an endpoint that is over, or has started anew under the same id. */
   remove(endpoint: EndpointId): void {
     this.leaving.remove(endpoint);
     this.closures.remove(endpoint);
--- a/packages/decisions/src/gateway/availability/endpoint-closures.ts
+++ b/packages/decisions/src/gateway/availability/endpoint-closures.ts
@@ -121,7 +121,7 @@
     });
   }
 
-  /** Forgets an endpoint that was removed or restarted, unless the start of its process is known. */
+  /** Forgets an endpoint that is over or has started anew, unless the start of its process is known. */
   remove(endpoint: EndpointId): void {
     if (this.closures.get(endpoint)?.startedAtMs === undefined) this.closures.delete(endpoint);
   }
@@ -129,7 +129,7 @@
   private dropOutdated(): void {
     const { context, table } = this.options;
     this.closures.forEach(({ untilMs }, id) => {
-      if (untilMs <= context.nowMs && table.find(id) === undefined) this.closures.delete(id);
+      if (untilMs <= context.nowMs && table.findKnown(id) === undefined) this.closures.delete(id);
     });
   }
 }
--- a/packages/decisions/src/gateway/availability/leaving-endpoints.ts
+++ b/packages/decisions/src/gateway/availability/leaving-endpoints.ts
@@ -25,10 +25,10 @@
 }
 
 /**
- * Time for which the word of an endpoint is kept that is no longer registered. A registration that comes
- * back from an older copy of the store comes back within seconds.
+ * Least time for which the word of an endpoint is kept that is neither registered nor remembered as gone: it may
+ * be sent by a process whose registration this entry VM has not read yet.
  */
-const UNREGISTERED_MEMORY_MS = 60_000;
+const UNKNOWN_MEMORY_MS = 60_000;
 
 /**
  * The endpoints that have said in a response that they leave. It holds for the process that said it: neither
@@ -76,7 +76,7 @@
     return observations.sort((a, b) => a.ageMs - b.ageMs).slice(0, MAX_LEAVING_OBSERVATIONS);
   }
 
-  /** Forgets an endpoint that was removed or restarted, unless the start of its process is known. */
+  /** Forgets an endpoint that is over or has started anew, unless the start of its process is known. */
   remove(endpoint: EndpointId): void {
     if (this.known.get(endpoint)?.startedAtMs === undefined) this.known.delete(endpoint);
   }
@@ -84,8 +84,8 @@
   private dropOutdated(): void {
     const { context, table } = this.options;
     this.known.forEach(({ observedAtMs }, id) => {
-      const isOld = context.nowMs - observedAtMs > UNREGISTERED_MEMORY_MS;
-      if (isOld && table.find(id) === undefined) this.known.delete(id);
+      const isOld = context.nowMs - observedAtMs > UNKNOWN_MEMORY_MS;
+      if (isOld && table.findKnown(id) === undefined) this.known.delete(id);
     });
   }
 }
--- a/packages/decisions/src/gateway/availability/told-departures.ts
+++ b/packages/decisions/src/gateway/availability/told-departures.ts
@@ -47,7 +47,7 @@
     return this.context.nowMs < told.toldAtMs + TOLD_MEMORY_MS;
   }
 
-  /** Forgets an endpoint that was removed, or restarted under the same id. */
+  /** Forgets an endpoint that is over, or has started anew under the same id. */
   remove(endpoint: EndpointId): void {
     this.told.delete(endpoint);
   }
--- a/packages/decisions/src/gateway/endpoint-table.ts
+++ b/packages/decisions/src/gateway/endpoint-table.ts
@@ -177,6 +177,11 @@
     return this.endpoints.get(id);
   }
 
+  /** Finds an endpoint that is registered, or gone and remembered. */
+  findKnown(id: EndpointId): GatewayEndpoint | undefined {
+    return this.endpoints.get(id) ?? this.gone.find(id);
+  }
+
   /** Lists the endpoints of a service whose process is known: registered ones and those that are gone. */
   listKnown(service: ServiceId): GatewayEndpoint[] {
     const known = [...this.endpoints.values(), ...this.gone.list()];
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -587,7 +587,6 @@
   }
 
   private handleUnregistered(endpoint: EndpointId): void {
-    this.availability.remove(endpoint);
     this.context.log(logEvents.endpointForgotten, { endpoint });
     this.context.emit({ kind: 'endpoint.forgotten', endpoint });
   }
@@ -596,6 +595,7 @@
   private removeEndpoint(endpoint: EndpointId): void {
     this.health.remove(endpoint);
     this.probes.remove(endpoint);
+    this.availability.remove(endpoint);
     this.limits.remove(endpoint);
     this.permits.remove(endpoint);
     this.coordinator.remove(endpoint);
--- a/packages/decisions/test/gateway/departures-told-by-peers.test.ts
+++ b/packages/decisions/test/gateway/departures-told-by-peers.test.ts
@@ -127,6 +127,15 @@
     expect(listPlaced(driver)).toContain('e1');
   });
 
+  it('counts for the same process when its registration has lapsed', () => {
+    const driver = startDriver('e1', 'e2');
+    tell(driver, observe('e1'));
+    [undefined, createEndpoint('e1')].forEach((endpoint) =>
+      driver.dispatch({ kind: 'endpoints.changed', changes: [{ id: 'e1', endpoint }] }),
+    );
+    expect(listPlaced(driver)).toEqual(new Set(['e2']));
+  });
+
   it('does not revive an endpoint that told this entry VM itself', () => {
     const driver = startDriver('e1', 'e2');
     reportLeaving(driver, 'e1');
--- a/packages/decisions/test/gateway/registration-that-lapses.test.ts
+++ b/packages/decisions/test/gateway/registration-that-lapses.test.ts
@@ -1,5 +1,6 @@
 import type { GatewayEndpoint } from '@savorywind/model';
 import { describe, expect, it } from 'vitest';
+import type { EndpointNotice } from '../../src/gateway/types.js';
 import { createEndpoint, startDriver, type GatewayDriver } from '../fixtures/gateway-driver.js';
 import { createEngines, GatewayFleet } from '../fixtures/gateway-fleet.js';
 
@@ -235,3 +236,69 @@
     expect(listPlaced(driver)).toEqual(['e1', 'e2']);
   });
 });
+
+describe('what an engine has said of its readiness, while its registration lapses', () => {
+  const report = (
+    driver: GatewayDriver,
+    id: string,
+    notice: Partial<EndpointNotice>,
+    startedAtMs = 1,
+  ): void =>
+    driver.dispatch({
+      kind: 'endpoint.noticeReported',
+      endpoint: { id, startedAtMs },
+      notice: { leaving: 'no', retryAfterMs: 'none', ...notice },
+    });
+
+  /** Longer than the word of an engine is kept whose registration nobody has seen. */
+  const LONG_MS = 61_000;
+
+  it('holds for as long as its process lives: it leaves', () => {
+    const driver = startDriver('e1', 'e2', 'e3');
+    report(driver, 'e1', { leaving: 'yes' });
+    driver.advance(LONG_MS);
+    change(driver, 'e1', undefined);
+    report(driver, 'e3', { leaving: 'yes' });
+    driver.advance(LAPSE_MS);
+    driver.confirm();
+    change(driver, 'e1', createEndpoint('e1'));
+    expect(listPlaced(driver)).toEqual(['e2']);
+  });
+
+  it('holds where an older copy of the store has the registration again', () => {
+    const driver = startDriver('e1', 'e2', 'e3');
+    report(driver, 'e1', { leaving: 'yes' });
+    driver.advance(LONG_MS);
+    change(driver, 'e1', undefined);
+    driver.advance(LONG_MS);
+    report(driver, 'e3', { leaving: 'yes' });
+    driver.dispatch({ kind: 'store.eraRaised', previousEra: 1, era: 2 });
+    const copy = ['e1', 'e2', 'e3'].map((id) => createEndpoint(id));
+    driver.dispatch({ kind: 'endpoints.read', endpoints: copy });
+    driver.advance(12_000);
+    driver.confirm();
+    expect(listPlaced(driver)).toEqual(['e2']);
+  });
+
+  it('does not concern the next process under the id', () => {
+    const driver = startDriver('e1', 'e2');
+    report(driver, 'e1', { leaving: 'yes', retryAfterMs: 60_000 });
+    lapse(driver, 'e1', { startedAtMs: 2 });
+    expect(listPlaced(driver)).toEqual(['e1', 'e2']);
+  });
+
+  it('holds until its time to come back is over, which ends meanwhile with one request', () => {
+    const driver = startDriver('e1', 'e2');
+    report(driver, 'e1', { retryAfterMs: 2_000 });
+    change(driver, 'e1', undefined);
+    driver.advance(1_000);
+    change(driver, 'e1', createEndpoint('e1'));
+    expect(listPlaced(driver)).toEqual(['e2']);
+    change(driver, 'e1', undefined);
+    driver.advance(LAPSE_MS);
+    report(driver, 'e2', { retryAfterMs: 60_000 });
+    change(driver, 'e1', createEndpoint('e1'));
+    const placed = [1, 2, 3, 4].map(() => driver.findAttempt(driver.request('/chat/')));
+    expect(placed.filter((attempt) => attempt !== undefined)).toHaveLength(1);
+  });
+});
