Let late words of a process concern no other one

An attempt may still be open at a process that is over. The limit that its response named was taken for that of the next process under the id, its failure ejected the next process, and its response ended the ejection of the next process.

Cause: limits and ejections were reported by id. They are reported with the process now, which the table compares with the one that it knows. A response that a peer passes on names its process as well; builds that don't say it are believed.

Evidence: all 4 new tests in registration-that-lapses.test.ts failed before. forwarded-requests.test.ts: the event of a limit that a peer has passed on carries the process instead of the id, so the test that sends it does; a case for an earlier process is new.

--- a/packages/decisions/src/gateway/endpoint-health.ts
+++ b/packages/decisions/src/gateway/endpoint-health.ts
@@ -1,5 +1,7 @@
 import type { EndpointId, MonotonicMs } from '@savorywind/model';
 import { FIRST_EJECTION_MS, MAX_EJECTION_MS } from './consts.js';
+import type { EndpointTable } from './endpoint-table.js';
+import type { EndpointProcess } from './types.js';
 
 interface FailureState {
   /** Consecutive failures. */
@@ -9,16 +11,21 @@
 
 /**
  * Ejects endpoints that fail attempts of this entry VM (outlier ejection). The ejection doubles
- * with each consecutive failure, and the first response ends it.
+ * with each consecutive failure, and the first response ends it. Both count only if they are of the process
+ * that is known.
  */
 export class EndpointHealth {
   private readonly failureStates = new Map<EndpointId, FailureState>();
 
-  reportResponse(id: EndpointId): void {
-    this.failureStates.delete(id);
+  constructor(private readonly table: EndpointTable) {}
+
+  reportResponse(process: EndpointProcess): void {
+    if (this.table.isKnown(process)) this.failureStates.delete(process.id);
   }
 
-  reportFailure(id: EndpointId, nowMs: MonotonicMs): void {
+  reportFailure(process: EndpointProcess, nowMs: MonotonicMs): void {
+    if (!this.table.isKnown(process)) return;
+    const { id } = process;
     const state = this.failureStates.get(id) ?? { failures: 0, ejectedUntilMs: 0 };
     state.failures += 1;
     const ejectionMs = FIRST_EJECTION_MS * 2 ** (state.failures - 1);
--- a/packages/decisions/src/gateway/endpoint-table.ts
+++ b/packages/decisions/src/gateway/endpoint-table.ts
@@ -1,6 +1,6 @@
 import type { EndpointId, GatewayEndpoint, MonotonicMs, ServiceId } from '@savorywind/model';
 import { GoneEndpoints } from './gone-endpoints.js';
-import type { EndpointChange } from './types.js';
+import type { EndpointChange, EndpointProcess } from './types.js';
 
 /** An endpoint that left, or announced that it leaves. */
 interface Departure {
@@ -182,6 +182,14 @@
     return this.endpoints.get(id) ?? this.gone.find(id);
   }
 
+  /** Whether a process is the known one of its endpoint, as far as both say when they started. */
+  isKnown({ id, startedAtMs }: EndpointProcess): boolean {
+    const known = this.findKnown(id);
+    if (known === undefined) return false;
+    const isUnsaid = startedAtMs === undefined || known.startedAtMs === undefined;
+    return isUnsaid || startedAtMs === known.startedAtMs;
+  }
+
   /** Lists the endpoints of a service whose process is known: registered ones and those that are gone. */
   listKnown(service: ServiceId): GatewayEndpoint[] {
     const known = [...this.endpoints.values(), ...this.gone.list()];
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -135,7 +135,7 @@
 
   private readonly contact = new StoreContact();
 
-  private readonly health = new EndpointHealth();
+  private readonly health: EndpointHealth;
 
   private readonly harmful: HarmfulRequests;
 
@@ -222,6 +222,7 @@
       peers: this.fleetLoad.peers,
       onChanged: () => this.snapshots.handleWorkChanged(),
     });
+    this.health = new EndpointHealth(this.table);
     this.limits = new EndpointLimits({
       context: this.context,
       table: this.table,
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -54,6 +54,7 @@
 } from './request-record.js';
 import type {
   CloseReason,
+  EndpointProcess,
   GatewayResponseHead,
   GatewayAttemptFailure,
   GatewayEvent,
@@ -197,10 +198,10 @@
     open.forEach((record) => this.end(record, 'stopping'));
   }
 
-  handleLimit(attemptId: string, limit: RequestLimitReport, servedBy?: EndpointId): void {
+  handleLimit(attemptId: string, limit: RequestLimitReport, servedBy?: EndpointProcess): void {
     const attempt = this.attempts.find(attemptId)?.attempt;
     if (attempt === undefined) return;
-    const endpoint = attempt.target === 'peer' ? servedBy : attempt.endpoint.id;
+    const endpoint = attempt.target === 'peer' ? servedBy : attempt.endpoint;
     if (endpoint !== undefined) this.options.limits.report(endpoint, limit, attempt.startedAtMs);
   }
 
@@ -295,17 +296,17 @@
     { failure, detail, atFault }: AttemptFailed,
   ): void {
     const { context, health, paths } = this.options;
-    const { id: failedId } = findFailedEndpoint(attempt, atFault);
-    logFailure(context, record, { failed: failedId, failure, detail });
+    const failed = findFailedEndpoint(attempt, atFault);
+    logFailure(context, record, { failed: failed.id, failure, detail });
     if (CONNECTION_FAILURES.has(failure)) this.reportLoss(record, attempt);
     if (failure === 'rejected') this.options.paths.find(record.service.name).recordResponse();
     if (failure === 'broken' && !paths.isCutOff) this.options.harmful.recordLoss(record, attempt);
     this.attempts.detach(record);
     releaseReservations(record);
-    if (failure === 'unsendable') record.unsendableAt ??= failedId;
+    if (failure === 'unsendable') record.unsendableAt ??= failed;
     else this.blameUnsendable(record);
-    if (!BLAMELESS_FAILURES.has(failure)) health.reportFailure(failedId, context.nowMs);
-    if (failure !== 'withdrawn') record.failedEndpoints.add(failedId);
+    if (!BLAMELESS_FAILURES.has(failure)) health.reportFailure(failed, context.nowMs);
+    if (failure !== 'withdrawn') record.failedEndpoints.add(failed.id);
     this.retryOrFail(record, failure);
   }
 
@@ -319,7 +320,7 @@
   private reportHead(attempt: GatewayAttempt): void {
     if (attempt.target === 'peer') return;
     this.options.availability.recordResponse(attempt.attemptId);
-    this.options.health.reportResponse(attempt.endpoint.id);
+    this.options.health.reportResponse(attempt.endpoint);
     this.reportResponse(attempt);
   }
 
@@ -350,7 +351,7 @@
     if (!this.mayStartBeforeStop(record)) return;
     if (!budget.takeRetry(record.service.name, context.nowMs)) return;
     if (attempt.target === 'endpoint') {
-      health.reportFailure(attempt.endpoint.id, context.nowMs);
+      health.reportFailure(attempt.endpoint, context.nowMs);
       this.reportLoss(record, attempt);
       // Keep-alive connections to the endpoint may be dead.
       context.emit({ kind: 'endpoint.forgotten', endpoint: attempt.endpoint.id });
@@ -375,7 +376,7 @@
   private reportAbandonedStall({ isStalled, attempt, forwardedFrom }: GatewayRecord): void {
     if (!isStalled || forwardedFrom === undefined || attempt?.target !== 'endpoint') return;
     const { context, health } = this.options;
-    health.reportFailure(attempt.endpoint.id, context.nowMs);
+    health.reportFailure(attempt.endpoint, context.nowMs);
     context.emit({ kind: 'endpoint.forgotten', endpoint: attempt.endpoint.id });
   }
 
--- a/packages/decisions/src/gateway/permits/endpoint-limits.ts
+++ b/packages/decisions/src/gateway/permits/endpoint-limits.ts
@@ -6,7 +6,7 @@
 } from '@savorywind/model';
 import type { EndpointTable } from '../endpoint-table.js';
 import type { GatewayContext } from '../gateway-context.js';
-import type { RequestLimitReport } from '../types.js';
+import type { EndpointProcess, RequestLimitReport } from '../types.js';
 
 /** What is known of an endpoint's limit. */
 interface KnownLimit {
@@ -46,7 +46,7 @@
  * that named it, whether or not its registration lapses meanwhile.
  *
  * @example
- * limits.report('engine-1', 1.5, startedAtMs);
+ * limits.report({ id: 'engine-1', startedAtMs: 5 }, 1.5, attemptedAtMs);
  * limits.find('engine-1'); // 1.5
  */
 export class EndpointLimits {
@@ -67,18 +67,20 @@
   }
 
   /**
-   * Records what a response says.
+   * Records what a response says. That of a process which is over concerns no other one.
    *
-   * @param startedAtMs start of the attempt that got the response
+   * @param attemptedAtMs start of the attempt that got the response
    */
-  report(endpoint: EndpointId, report: RequestLimitReport, startedAtMs: MonotonicMs): void {
+  report(process: EndpointProcess, report: RequestLimitReport, attemptedAtMs: MonotonicMs): void {
+    if (!this.options.table.isKnown(process)) return;
+    const { id: endpoint } = process;
     if (report === 'unreadable') {
       this.options.context.log(logEvents.endpointLimitUnreadable, { endpoint });
       return;
     }
     const hasChanged =
       report === 'none'
-        ? this.end(endpoint, startedAtMs)
+        ? this.end(endpoint, attemptedAtMs)
         : this.set(endpoint, report, this.options.context.nowMs);
     if (hasChanged) this.options.onChanged();
   }
@@ -144,10 +146,10 @@
    * Ends a limit if the attempt started after it was observed. The response to an earlier attempt may
    * have been made before the endpoint named the limit.
    */
-  private end(endpoint: EndpointId, startedAtMs: MonotonicMs): boolean {
+  private end(endpoint: EndpointId, attemptedAtMs: MonotonicMs): boolean {
     const previous = this.known.get(endpoint);
-    if (previous?.perSecond === undefined || startedAtMs <= previous.observedAtMs) return false;
-    return this.set(endpoint, undefined, startedAtMs);
+    if (previous?.perSecond === undefined || attemptedAtMs <= previous.observedAtMs) return false;
+    return this.set(endpoint, undefined, attemptedAtMs);
   }
 
   /** @returns whether the limit differs from the previous one */
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -14,7 +14,7 @@
 import type { ForwardedFrom, PeerRefusal } from './forwarding/types.js';
 import type { ReservationSet } from './memory-reservations.js';
 import type { LocalWork } from './fleet-load-tracker.js';
-import type { GatewayRequest, GatewayResponseHead } from './types.js';
+import type { EndpointProcess, GatewayRequest, GatewayResponseHead } from './types.js';
 
 /** State that each attempt has. */
 interface AttemptState {
@@ -97,7 +97,7 @@
   /** Attempts that could not be put into bytes. */
   unsendable: number;
   /** Endpoint of the first of these, until it is known whether the request or the endpoint is the cause. */
-  unsendableAt: EndpointId | undefined;
+  unsendableAt: EndpointProcess | undefined;
   /** Endpoints to which no connection could be opened for the request. */
   connectFailures: number;
   /** Endpoints at which an attempt was started. */
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -194,7 +194,7 @@
       readonly kind: 'attempt.limitReported';
       readonly attemptId: AttemptId;
       /** The endpoint that named it, if the attempt was forwarded to a peer. */
-      readonly endpoint?: EndpointId | undefined;
+      readonly endpoint?: EndpointProcess | undefined;
       readonly limit: RequestLimitReport;
     }
   /** A response of the endpoint carries a notice; comes before what the response means for its request. */
--- a/packages/decisions/test/gateway/forwarded-requests.test.ts
+++ b/packages/decisions/test/gateway/forwarded-requests.test.ts
@@ -441,10 +441,22 @@
       endpoint: { id: 'e2', startedAtMs: 1 },
       notice: { leaving: 'yes', retryAfterMs: 'none' },
     });
-    driver.dispatch({ kind: 'attempt.limitReported', attemptId, limit: 2, endpoint: 'e3' });
+    const endpoint = { id: 'e3', startedAtMs: 1 };
+    driver.dispatch({ kind: 'attempt.limitReported', attemptId, limit: 2, endpoint });
     driver.dispatch({ kind: 'attempt.headReceived', attemptId, head });
     expect(driver.limitUsage.limitedEndpoints).toBe(1);
   });
+
+  it.each([
+    ['of a build that does not say which process it is', undefined, 1],
+    ['of an earlier process', 0, 0],
+  ])('makes the limit %s known or not', (_, startedAtMs, limitedEndpoints) => {
+    const { driver, id } = startForwarded();
+    const { attemptId } = findForward(driver, id)!;
+    const endpoint = { id: 'e3', startedAtMs };
+    driver.dispatch({ kind: 'attempt.limitReported', attemptId, limit: 2, endpoint });
+    expect(driver.limitUsage.limitedEndpoints).toBe(limitedEndpoints);
+  });
 });
 
 describe('a request of a peer', () => {
--- a/packages/decisions/test/gateway/registration-that-lapses.test.ts
+++ b/packages/decisions/test/gateway/registration-that-lapses.test.ts
@@ -302,3 +302,56 @@
     expect(placed.filter((attempt) => attempt !== undefined)).toHaveLength(1);
   });
 });
+
+describe('what comes late of the process before', () => {
+  const REPLACED = createEndpoint('e1', { startedAtMs: 2 });
+
+  /** Sends a request to an engine, and returns it while its attempt is open. */
+  const open = (driver: GatewayDriver, endpoint: string): string => {
+    for (;;) {
+      const id = driver.request('/chat/');
+      const { attemptId, endpoint: placed } = driver.findAttempt(id)!;
+      if (placed.id === endpoint) return id;
+      driver.dispatch({ kind: 'attempt.ended', attemptId });
+    }
+  };
+
+  it('limits nothing', () => {
+    const driver = startDriver('e1');
+    const id = open(driver, 'e1');
+    change(driver, 'e1', REPLACED);
+    const { attemptId } = driver.findAttempt(id)!;
+    driver.dispatch({ kind: 'attempt.limitReported', attemptId, limit: 1 });
+    expect(isUnlimited(driver)).toBe(true);
+  });
+
+  it('ejects nothing', () => {
+    const driver = startDriver('e1', 'e2');
+    const id = open(driver, 'e1');
+    change(driver, 'e1', REPLACED);
+    driver.fail(id, 'broken');
+    const { attemptId } = driver.findAttempt(id)!;
+    driver.dispatch({ kind: 'attempt.ended', attemptId });
+    expect(listPlaced(driver)).toEqual(['e1', 'e2']);
+  });
+
+  it('ends no ejection', () => {
+    const driver = startDriver('e1', 'e2');
+    const id = open(driver, 'e1');
+    change(driver, 'e1', REPLACED);
+    eject(driver, 'e1');
+    driver.sendEvent(id, '1');
+    expect(listPlaced(driver)).toEqual(['e2']);
+  });
+
+  it('stays behind for no endpoint that is over', () => {
+    const driver = startDriver('e2');
+    const endpoint = createEndpoint('e1', { startedAtMs: undefined });
+    change(driver, 'e1', endpoint);
+    const { attemptId } = driver.findAttempt(open(driver, 'e1'))!;
+    change(driver, 'e1', undefined);
+    driver.dispatch({ kind: 'attempt.limitReported', attemptId, limit: 1 });
+    change(driver, 'e1', endpoint);
+    expect(driver.limitUsage.limitedEndpoints).toBe(0);
+  });
+});
--- a/packages/entry/src/gateway/peers/peer-target.ts
+++ b/packages/entry/src/gateway/peers/peer-target.ts
@@ -47,7 +47,7 @@
   { id, startedAtMs }: ServedHeader,
   { requestLimit, notice }: ResponseMetadata,
 ): GatewayEvent[] => [
-  { kind: 'attempt.limitReported', attemptId, limit: requestLimit, endpoint: id },
+  { kind: 'attempt.limitReported', attemptId, limit: requestLimit, endpoint: { id, startedAtMs } },
   ...listNotices({ id, startedAtMs }, { ...notice, retryAfterMs: 'none' }),
 ];
 
