Apply what peers tell of an engine whose registration is gone for the moment

A peer may have read a registration that is back a moment earlier. It is applied to each endpoint whose process is known, registered or gone. Of others it is ignored as before, so that strangers' datagrams take no memory. Limits of endpoints that are gone are told to nobody, so that messages don't grow with them.

--- a/packages/decisions/src/gateway/availability/told-departures.ts
+++ b/packages/decisions/src/gateway/availability/told-departures.ts
@@ -23,8 +23,8 @@
 
 /**
  * The endpoints that leave according to peers. Other endpoints are preferred to them, but the word of a peer
- * alone closes none: a false one can't empty a service. It counts only for the process that is registered, so
- * that a late message does not concern its successor.
+ * alone closes none: a false one can't empty a service. It counts only for the process that is known, so that a
+ * late message does not concern its successor.
  */
 export class ToldDepartures {
   private readonly told = new Map<EndpointId, ToldDeparture>();
@@ -35,7 +35,7 @@
   ) {}
 
   apply(from: EntryVmId, { endpoint, startedAtMs, ageMs }: LeavingObservation): void {
-    if (this.table.find(endpoint)?.startedAtMs !== startedAtMs) return;
+    if (this.table.findKnown(endpoint)?.startedAtMs !== startedAtMs) return;
     if (!this.isTold({ id: endpoint, startedAtMs }))
       this.context.log(logEvents.endpointLeavingTold, { endpoint, startedAtMs, from, ageMs });
     this.told.set(endpoint, { startedAtMs, toldAtMs: this.context.nowMs });
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -445,9 +445,7 @@
       const isDisproved = this.proof.recordCommitted(configuration.version, knownSinceMs);
       if (isDisproved) this.lease.clear();
     }
-    limits
-      .filter(({ endpoint }) => this.table.find(endpoint) !== undefined)
-      .forEach((observation) => this.limits.applyObservation(observation));
+    limits.forEach((observation) => this.limits.applyObservation(observation));
     this.availability.applyObservations(from.id, leaving);
     this.harmful.applyObservations(harm);
   }
--- a/packages/decisions/src/gateway/permits/endpoint-limits.ts
+++ b/packages/decisions/src/gateway/permits/endpoint-limits.ts
@@ -85,8 +85,9 @@
     if (hasChanged) this.options.onChanged();
   }
 
-  /** Applies what a peer knows of an endpoint that is registered. */
+  /** Applies what a peer knows of an endpoint, if this entry VM knows the endpoint at all. */
   applyObservation({ endpoint, perSecond, ageMs }: LimitObservation): void {
+    if (this.options.table.findKnown(endpoint) === undefined) return;
     const observedAtMs = this.options.context.nowMs - ageMs;
     const previous = this.known.get(endpoint);
     // The time of the same observation is not renewed: it would become later on each way back and forth.
--- a/packages/decisions/src/gateway/permits/permit-coordinator.ts
+++ b/packages/decisions/src/gateway/permits/permit-coordinator.ts
@@ -67,9 +67,9 @@
   /** Decides a request for a permit, of a peer or of this entry VM itself. */
   decide({ limit, maxDelayMs }: Pick<PermitRequest, 'limit' | 'maxDelayMs'>): PermitDecision {
     const { context, self, table, limits } = this.options;
+    limits.applyObservation(limit);
     const endpoint = table.find(limit.endpoint);
     if (endpoint === undefined) return OTHER_VIEW;
-    limits.applyObservation(limit);
     const coordinator = this.find(endpoint);
     if (coordinator?.peer.id !== self.id) return OTHER_VIEW;
     const perSecond = limits.find(endpoint.id);
--- a/packages/decisions/test/gateway/registration-that-lapses.test.ts
+++ b/packages/decisions/test/gateway/registration-that-lapses.test.ts
@@ -1,6 +1,7 @@
-import type { GatewayEndpoint } from '@savorywind/model';
+import type { GatewayEndpoint, WorkSnapshot } from '@savorywind/model';
 import { describe, expect, it } from 'vitest';
 import type { EndpointNotice } from '../../src/gateway/types.js';
+import { createPeers } from '../fixtures/fleet-driver.js';
 import { createEndpoint, startDriver, type GatewayDriver } from '../fixtures/gateway-driver.js';
 import { createEngines, GatewayFleet } from '../fixtures/gateway-fleet.js';
 
@@ -355,3 +356,68 @@
     expect(driver.limitUsage.limitedEndpoints).toBe(0);
   });
 });
+
+describe('what a peer tells of an engine while its registration is gone here', () => {
+  const [PEER] = createPeers('b', 1);
+
+  let sequence = 0;
+
+  const tell = (driver: GatewayDriver, told: Pick<WorkSnapshot, 'limits' | 'leaving'>): void => {
+    sequence += 1;
+    const snapshot = { from: PEER!, incarnation: 1, sequence, work: [], ...told };
+    driver.dispatch({ kind: 'peer.received', snapshot });
+  };
+
+  const observe = (endpoint: string): NonNullable<WorkSnapshot['limits']> => [
+    { endpoint, perSecond: 1, ageMs: 0 },
+  ];
+
+  it('counts when it is back: its limit', () => {
+    const driver = startDriver('e1');
+    change(driver, 'e1', undefined);
+    tell(driver, { limits: observe('e1') });
+    change(driver, 'e1', createEndpoint('e1'));
+    expect(isUnlimited(driver)).toBe(false);
+  });
+
+  it('counts when it is back: its limit in a request for a permit, which is denied', () => {
+    const driver = startDriver('e1');
+    change(driver, 'e1', undefined);
+    const [observation] = observe('e1');
+    const request = { permitId: 'p', replyTo: PEER!.address, maxDelayMs: 60_000 };
+    driver.dispatch({ kind: 'permit.requested', request: { ...request, limit: observation! } });
+    expect(driver.list('permit.answer').at(-1)!.answer.outcome).toBe('denied');
+    change(driver, 'e1', createEndpoint('e1'));
+    expect(isUnlimited(driver)).toBe(false);
+  });
+
+  it('counts when it is back: that it leaves', () => {
+    const driver = startDriver('e1', 'e2');
+    change(driver, 'e1', undefined);
+    tell(driver, { leaving: [{ endpoint: 'e1', startedAtMs: 1, ageMs: 0 }] });
+    change(driver, 'e1', createEndpoint('e1'));
+    expect(listPlaced(driver)).toEqual(['e2']);
+  });
+
+  it('does not count of one that was never registered', () => {
+    const driver = startDriver();
+    tell(driver, { limits: observe('e1') });
+    change(driver, 'e1', createEndpoint('e1'));
+    expect(isUnlimited(driver)).toBe(true);
+  });
+
+  it('is not told on until it is back', () => {
+    const driver = startDriver('e1');
+    driver.dispatch({ kind: 'peers.read', peers: [PEER!] });
+    const listTold = (): WorkSnapshot['limits'] => {
+      driver.advance(1_000);
+      return driver.list('peers.send').at(-1)!.snapshot.limits;
+    };
+    limit(driver, 1);
+    expect(listTold()).toHaveLength(1);
+    change(driver, 'e1', undefined);
+    expect(listTold()).toEqual([]);
+    change(driver, 'e1', createEndpoint('e1'));
+    expect(listTold()).toHaveLength(1);
+  });
+});
