Tell with a limit which process has named it

An engine that started anew under its id, without a limit, was held to the limit of the process before it. Entry VMs read the new registration at different moments; the one that was last told the old limit to those that had forgotten it, and they told it back. Without requests it stayed for good, with requests until the first response after a permit, up to 4 s at each engine.

Cause: what VMs tell of limits names the id only. A coordinator that knows another process than the VM that asks denies the permit for 250 ms, as it may know of no limit.

--- a/packages/decisions/src/gateway/consts.ts
+++ b/packages/decisions/src/gateway/consts.ts
@@ -44,7 +44,7 @@
 export const IDLE_SNAPSHOT_BYTES = 100;
 
 /** Bytes that one observed limit adds to a snapshot: upper bound as for the work on an engine. */
-export const LIMIT_OBSERVATION_BYTES = 48;
+export const LIMIT_OBSERVATION_BYTES = 57;
 
 /** Bytes that one endpoint that leaves adds to a snapshot: upper bound as for the work on an engine. */
 export const LEAVING_OBSERVATION_BYTES = 48;
--- a/packages/decisions/src/gateway/permits/endpoint-limits.ts
+++ b/packages/decisions/src/gateway/permits/endpoint-limits.ts
@@ -85,9 +85,9 @@
     if (hasChanged) this.options.onChanged();
   }
 
-  /** Applies what a peer knows of an endpoint, if this entry VM knows the endpoint at all. */
-  applyObservation({ endpoint, perSecond, ageMs }: LimitObservation): void {
-    if (this.options.table.findKnown(endpoint) === undefined) return;
+  /** Applies what a peer knows of a process, if this entry VM knows the same one. */
+  applyObservation({ endpoint, perSecond, ageMs, startedAtMs }: LimitObservation): void {
+    if (!this.options.table.isKnown({ id: endpoint, startedAtMs })) return;
     const observedAtMs = this.options.context.nowMs - ageMs;
     const previous = this.known.get(endpoint);
     // The time of the same observation is not renewed: it would become later on each way back and forth.
@@ -119,7 +119,8 @@
     const ageMs = Math.round(
       this.options.context.nowMs - (observedAtMs ?? this.options.context.nowMs),
     );
-    return { endpoint, perSecond, ageMs };
+    const startedAtMs = this.options.table.findKnown(endpoint)?.startedAtMs;
+    return { endpoint, perSecond, ageMs, startedAtMs };
   }
 
   /** Lists the limits in force and those that ended not long ago, of registered endpoints, for the peers. */
--- a/packages/decisions/src/gateway/permits/permit-coordinator.ts
+++ b/packages/decisions/src/gateway/permits/permit-coordinator.ts
@@ -23,7 +23,7 @@
 }
 
 /**
- * Denial of an entry VM that does not know the endpoint, or that by its own view is not the coordinator:
+ * Denial of an entry VM that does not know the endpoint, knows another process of it, or that by its own view is not the coordinator:
  * after this time the snapshots have brought the views closer.
  */
 const OTHER_VIEW: PermitDecision = { outcome: 'denied', delayMs: SNAPSHOT_INTERVAL_MS };
@@ -69,7 +69,8 @@
     const { context, self, table, limits } = this.options;
     limits.applyObservation(limit);
     const endpoint = table.find(limit.endpoint);
-    if (endpoint === undefined) return OTHER_VIEW;
+    const { endpoint: id, startedAtMs } = limit;
+    if (endpoint === undefined || !table.isKnown({ id, startedAtMs })) return OTHER_VIEW;
     const coordinator = this.find(endpoint);
     if (coordinator?.peer.id !== self.id) return OTHER_VIEW;
     const perSecond = limits.find(endpoint.id);
--- a/packages/decisions/test/gateway/permits.test.ts
+++ b/packages/decisions/test/gateway/permits.test.ts
@@ -233,6 +233,19 @@
     expect(driver.ask('unknown')).toMatchObject({ outcome: 'denied', delayMs: 250 });
   });
 
+  it('denies permits of a process other than it knows, whose limit may be another one', () => {
+    const driver = new PermitDriver('a');
+    const own = findOwn(driver);
+    const ask = (startedAtMs: number): string => {
+      const limit = { endpoint: own, perSecond: undefined, ageMs: 0, startedAtMs };
+      const { address: replyTo } = driver.peerA;
+      const request = { permitId: 'p', replyTo, limit, maxDelayMs: 60_000 };
+      driver.dispatch({ kind: 'permit.requested', request });
+      return driver.list('permit.answer').at(-1)!.answer.outcome;
+    };
+    expect([ask(1), ask(2)]).toEqual(['granted', 'denied']);
+  });
+
   it('grants only its part of the limit while it does not hear the other VMs of the domain', () => {
     const driver = new PermitDriver('a');
     const own = findOwn(driver);
--- a/packages/decisions/test/gateway/registration-that-lapses.test.ts
+++ b/packages/decisions/test/gateway/registration-that-lapses.test.ts
@@ -421,3 +421,73 @@
     expect(listTold()).toHaveLength(1);
   });
 });
+
+describe('the limit of a process that is over, in what peers tell', () => {
+  const [PEER] = createPeers('b', 1);
+
+  const tell = (driver: GatewayDriver, startedAtMs: number | undefined): void => {
+    const limits = [{ endpoint: 'e1', perSecond: 1, ageMs: 0, startedAtMs }];
+    const snapshot = { from: PEER!, incarnation: 1, sequence: 1, work: [], limits };
+    driver.dispatch({ kind: 'peer.received', snapshot });
+  };
+
+  it.each([
+    ['counts', 'the same process', 2, false],
+    ['counts', 'a build that does not say which', undefined, false],
+    ['does not count', 'the process before', 1, true],
+    ['does not count', 'a process that is not read yet', 3, true],
+  ])('%s if it is of %s', (_, __, startedAtMs, expected) => {
+    const driver = startDriver();
+    change(driver, 'e1', createEndpoint('e1', { startedAtMs: 2 }));
+    tell(driver, startedAtMs);
+    expect(isUnlimited(driver)).toBe(expected);
+  });
+
+  it('can be told from that of the next one, also in a request for a permit', () => {
+    const driver = startDriver('e1');
+    driver.dispatch({ kind: 'peers.read', peers: [PEER!] });
+    tell(driver, 1);
+    driver.advance(1_000);
+    const [told] = driver.list('peers.send').at(-1)!.snapshot.limits!;
+    expect(told).toMatchObject({ endpoint: 'e1', startedAtMs: 1 });
+    const peer = createPeers('a', 1)[0]!;
+    const sequence = { incarnation: 1, sequence: 1, work: [], limits: [] };
+    driver.dispatch({ kind: 'peer.received', snapshot: { from: peer, ...sequence } });
+    Array.from({ length: 8 }, (_, index) => {
+      const id = `e${index + 10}`;
+      change(driver, id, createEndpoint(id, { startedAtMs: 7 }));
+      limit(driver, 1);
+      return id;
+    });
+    Array.from({ length: 9 }, () => driver.request('/chat/'));
+    driver.advance(100);
+    const asked = driver.list('permit.request').map(({ request }) => request.limit);
+    expect(asked.length).toBeGreaterThan(0);
+    asked.forEach(({ endpoint, startedAtMs }) =>
+      expect(startedAtMs).toBe(endpoint === 'e1' ? 1 : 7),
+    );
+  });
+
+  it.each([1, 2, 3])('ends in all entry VMs, whoever reads the next one first, seed %i', (seed) => {
+    const fleet = new GatewayFleet({
+      seed,
+      domains: ['a', 'b', 'c'],
+      entryVmsPerDomain: 3,
+      endpoints: createEngines(2, ['a', 'b']),
+      requestsPerS: 20,
+      drawRequest: () => ({ path: '/chat/', promptTokens: 500 }),
+    });
+    const { id } = fleet.endpoints[0]!;
+    const countLimited = (): number =>
+      fleet.vms.reduce((sum, { node }) => sum + node.limitUsage.limitedEndpoints, 0);
+    fleet.run(4_000);
+    fleet.limit([id], 1);
+    fleet.run(6_000);
+    fleet.changeLoad(0);
+    fleet.run(15_000);
+    expect(countLimited()).toBe(9);
+    fleet.restart(id, 500);
+    fleet.run(3_000);
+    expect(countLimited()).toBe(0);
+  });
+});
--- a/packages/entry/src/gateway/compact-snapshot.ts
+++ b/packages/entry/src/gateway/compact-snapshot.ts
@@ -13,8 +13,9 @@
  * engine, the limits of endpoints, {@link VALUES_PER_LIMIT} values each, and the version
  * and age of the configuration, and if there are any the endpoints that leave,
  * {@link VALUES_PER_LEAVING} values each, the suspects, {@link VALUES_PER_SUSPECT} values each, for how
- * long the store has answered, and whether requests of peers are accepted, with the services whose endpoints
- * can't be connected to. Earlier builds send and read only the first elements.
+ * long the store has answered, whether requests of peers are accepted, with the services whose endpoints
+ * can't be connected to, and the start of the process that named each limit. Earlier builds send and read only
+ * the first elements.
  */
 export type CompactSnapshot = readonly [
   version: number,
@@ -28,7 +29,10 @@
   limits: readonly (string | number)[],
   configurationVersion: number | undefined,
   configurationAgeMs: number | undefined,
-  /** Endpoints that leave, suspects, contact with the store, requests of peers: as many as the last one that is not empty. */
+  /**
+   * Endpoints that leave, suspects, contact with the store, requests of peers, starts of limited processes: as
+   * many as the last one that is not empty.
+   */
   ...optional: (readonly unknown[])[],
 ];
 
@@ -48,6 +52,9 @@
 /** Stands for the requests per second of a limit that has ended. */
 const ENDED = -1;
 
+/** Stands for the start of a process that is not known. */
+const UNKNOWN_START = -1;
+
 const listLimitValues = ({ endpoint, perSecond, ageMs }: LimitObservation): (string | number)[] => [
   endpoint,
   perSecond ?? ENDED,
@@ -73,11 +80,18 @@
   ]),
 ];
 
+/** Lists the starts in the order of the limits; none if no limit has one. */
+const listLimitStarts = (limits: readonly LimitObservation[]): number[] => {
+  const starts = limits.map(({ startedAtMs }) => startedAtMs ?? UNKNOWN_START);
+  return starts.every((start) => start === UNKNOWN_START) ? [] : starts;
+};
+
 const listForwardingValues = (offer: ForwardingOffer | undefined): unknown[] =>
   offer === undefined ? [] : [offer.isAccepting, ...offer.lostServices];
 
 /** Lists the elements at the end that are left out where there is nothing to tell. */
 const listOptional = ({
+  limits = [],
   leaving = [],
   harm = [],
   storeAvailableMs,
@@ -88,6 +102,7 @@
     harm.flatMap(listSuspectValues),
     storeAvailableMs === undefined ? [] : [storeAvailableMs],
     listForwardingValues(forwarding),
+    listLimitStarts(limits),
   ];
   while (elements.at(-1)?.length === 0) elements.pop();
   return elements;
@@ -146,14 +161,16 @@
   return work;
 };
 
-const decodeLimits = (values: readonly unknown[]): unknown[] => {
+const decodeLimits = (values: readonly unknown[], starts: readonly unknown[]): unknown[] => {
   const limits: unknown[] = [];
   for (let index = 0; index < values.length; index += VALUES_PER_LIMIT) {
     const perSecond = values[index + 1];
+    const startedAtMs = starts[index / VALUES_PER_LIMIT];
     limits.push({
       endpoint: values[index],
       perSecond: perSecond === ENDED ? undefined : perSecond,
       ageMs: values[index + 2],
+      startedAtMs: startedAtMs === UNKNOWN_START ? undefined : startedAtMs,
     });
   }
   return limits;
@@ -227,6 +244,7 @@
     harm,
     storeContact,
     forwarding,
+    starts,
   ] = datagram;
   if (version !== COMPACT_VERSION || !Array.isArray(work)) return undefined;
   const from = { id, failureDomain, address: { host, port } };
@@ -235,7 +253,9 @@
     incarnation,
     sequence,
     work: decodeWork(work),
-    limits: Array.isArray(limits) ? decodeLimits(limits) : undefined,
+    limits: Array.isArray(limits)
+      ? decodeLimits(limits, Array.isArray(starts) ? starts : [])
+      : undefined,
     configuration: decodeConfiguration([configurationVersion, configurationAgeMs]),
     leaving: Array.isArray(leaving) ? decodeLeaving(leaving) : undefined,
     harm: Array.isArray(harm) ? decodeHarm(harm) : undefined,
--- a/packages/entry/src/gateway/permit-messages.ts
+++ b/packages/entry/src/gateway/permit-messages.ts
@@ -35,7 +35,8 @@
 export const isObservation = (value: Partial<LimitObservation> | undefined): boolean =>
   isShortText(value?.endpoint) &&
   (value.perSecond === undefined || isNonNegative(value.perSecond)) &&
-  isNonNegative(value.ageMs);
+  isNonNegative(value.ageMs) &&
+  (value.startedAtMs === undefined || isNonNegative(value.startedAtMs));
 
 const isRequest = (value: Partial<PermitRequest> | undefined): boolean =>
   isShortText(value?.permitId) &&
--- a/packages/entry/test/gateway/snapshot-codec.test.ts
+++ b/packages/entry/test/gateway/snapshot-codec.test.ts
@@ -94,6 +94,43 @@
     expect(codec.decode(codec.encode(snapshot, 'named')).err).toBe(true);
   });
 
+  it.each<SnapshotFormat>(['named', 'compact'])('tells whose limits it knows, %s', (format) => {
+    const limits = [
+      { endpoint: 'i-20000001', perSecond: 1.5, ageMs: 250, startedAtMs: 1_764_820_800_123 },
+      { endpoint: 'i-20000002', perSecond: undefined, ageMs: 0, startedAtMs: undefined },
+      { endpoint: 'i-20000003', perSecond: 0, ageMs: 90_000, startedAtMs: 1_764_820_900_456 },
+    ];
+    const snapshot = { ...createSnapshot(3), limits };
+    const bytes = codec.encode(snapshot, format);
+    expect(codec.decode(bytes).unwrap()).toMatchObject({ snapshot });
+    if (format === 'compact')
+      expect(bytes.length + DATAGRAM_HEADER_BYTES).toBeLessThan(estimateDatagramBytes(snapshot));
+  });
+
+  it('keeps the elements that earlier builds read where the processes of limits are known', () => {
+    const packr = new Packr({ useRecords: false });
+    const unpack = (snapshot: WorkSnapshot): unknown[] =>
+      packr.unpack(codec.encode(snapshot, 'compact')) as unknown[];
+    const offer = { isAccepting: true, lostServices: [] };
+    const before = { ...createSnapshot(3), forwarding: offer };
+    const limits = before.limits!.map((limit) => ({ ...limit, startedAtMs: 5 }));
+    const elements = unpack(before);
+    const extended = unpack({ ...before, limits });
+    expect(extended.slice(0, elements.length)).toEqual(elements);
+    expect(extended).toHaveLength(elements.length + 1);
+    const decoded = codec.decode(packr.pack(extended.slice(0, elements.length))).unwrap();
+    expect(decoded).toMatchObject({ snapshot: before });
+  });
+
+  it.each([-2, Number.NaN, '5', null])(
+    'with an invalid start of a limited process is refused, %j',
+    (startedAtMs) => {
+      const limits = [{ endpoint: 'e', perSecond: 1, ageMs: 1, startedAtMs }];
+      const snapshot = { ...createSnapshot(1), limits } as unknown as WorkSnapshot;
+      expect(codec.decode(codec.encode(snapshot, 'named')).err).toBe(true);
+    },
+  );
+
   it.each<SnapshotFormat>(['named', 'compact'])('tells who leaves, %s', (format) => {
     const leaving = [
       { endpoint: 'i-20000003', startedAtMs: 1_764_820_800_123, ageMs: 40 },
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -211,6 +211,8 @@
   readonly perSecond: number | undefined;
   /** Time from the observation to the sending of this message, in milliseconds. */
   readonly ageMs: number;
+  /** Start of the process that named it; undefined if it is not known, or from builds that do not send it. */
+  readonly startedAtMs?: number | undefined;
 }
 
 /** An endpoint that has told an entry VM itself, in a response, that it leaves. */
