Let registrations lapse and endpoints start anew in the randomised limits

Endpoints now lose theirs for up to 6.5 s, single ones and the busiest, and start anew under their ids, read by the VMs within half a second; attempts there break. A restart of the fixture breaks open attempts, since a response of the process before would name the limit of the next one.

--- a/packages/decisions/test/gateway/randomised-limits.test.ts
+++ b/packages/decisions/test/gateway/randomised-limits.test.ts
@@ -29,7 +29,10 @@
     ? { path: '/chat/', promptTokens: 5_000 }
     : { path: '/review/', promptTokens: 180_000 };
 
-/** Runs a fleet whose endpoints name and end limits while entry VMs and their links fail at random. */
+/**
+ * Runs a fleet whose endpoints name and end limits, lose their registration and start anew while entry VMs and
+ * their links fail at random.
+ */
 class RandomisedFleet {
   readonly fleet: GatewayFleet;
 
@@ -67,6 +70,11 @@
     return this.fleet.endpoints.map(({ id }) => id).filter(() => this.draw(3) === 0);
   }
 
+  private drawEndpoint(): string {
+    const { endpoints } = this.fleet;
+    return endpoints[this.draw(endpoints.length)]!.id;
+  }
+
   private runRandomStep(): void {
     const { fleet } = this;
     const steps = [
@@ -77,6 +85,9 @@
       () => fleet.freeze(this.draw(fleet.vms.length), 200 + this.draw(4_000)),
       () => fleet.cut(DOMAINS[this.draw(DOMAINS.length)]!, 500 + this.draw(6_000)),
       () => fleet.changeLoad(5 + this.draw(80)),
+      () => this.drawEndpoints().forEach((id) => fleet.lapse(id, 500 + this.draw(6_000))),
+      () => fleet.listBusiest(3).forEach((id) => fleet.lapse(id, 500 + this.draw(6_000))),
+      () => fleet.restart(this.drawEndpoint(), this.draw(500)),
     ];
     steps[this.draw(steps.length)]!();
   }
