--- a/packages/entry/test/gateway/snapshot-codec.test.ts
+++ b/packages/entry/test/gateway/snapshot-codec.test.ts
@@ -33,6 +33,9 @@
   ],
 });
 
+/** Most bytes that one datagram carries over IPv4. */
+const MAX_DATAGRAM_BYTES = 65_507;
+
 /** Elements of the compact form in builds that know no limits. */
 const ELEMENTS_WITHOUT_LIMITS = 8;
 
@@ -107,6 +110,17 @@
       expect(bytes.length + DATAGRAM_HEADER_BYTES).toBeLessThan(estimateDatagramBytes(snapshot));
   });
 
+  it('fits a datagram with the limits of 1,500 engines, and work on 500', () => {
+    const limits = Array.from({ length: 1_500 }, (_, index) => ({
+      endpoint: `i-${String(10_000_000 + index)}`,
+      perSecond: 1.5,
+      ageMs: 250,
+      startedAtMs: 1_764_820_800_123,
+    }));
+    const bytes = codec.encode({ ...createSnapshot(500), limits }, 'compact');
+    expect(bytes.length).toBeLessThan(MAX_DATAGRAM_BYTES);
+  });
+
   it('keeps the elements that earlier builds read where the processes of limits are known', () => {
     const packr = new Packr({ useRecords: false });
     const unpack = (snapshot: WorkSnapshot): unknown[] =>
