--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -135,7 +135,7 @@
 
   private readonly contact = new StoreContact();
 
-  private readonly health = new EndpointHealth();
+  private readonly health: EndpointHealth;
 
   private readonly harmful: HarmfulRequests;
 
@@ -198,7 +198,10 @@
     this.context = new GatewayContext(`${self.id}.${incarnation}`, options.seed);
     this.lease = new CredentialLease(estimateLeaseMs(contract));
     this.reregistrationMs = contract.reregistrationMs;
-    this.table = new EndpointTable(computeRetentionMs(contract), (id) => this.removeEndpoint(id));
+    this.table = new EndpointTable(computeRetentionMs(contract), {
+      onUnregistered: (endpoint) => this.handleUnregistered(endpoint),
+      onForgotten: (endpoint) => this.removeEndpoint(endpoint),
+    });
     this.availability = new EndpointAvailability({
       context: this.context,
       table: this.table,
@@ -225,7 +228,12 @@
       peers: this.fleetLoad.peers,
       onChanged: () => this.snapshots.handleWorkChanged(),
     });
-    this.limits = new EndpointLimits(this.context, () => this.snapshots.handleWorkChanged());
+    this.health = new EndpointHealth(this.table);
+    this.limits = new EndpointLimits({
+      context: this.context,
+      table: this.table,
+      onChanged: () => this.snapshots.handleWorkChanged(),
+    });
     this.snapshots = new SnapshotSender(
       this.context,
       this.fleetLoad,
@@ -445,9 +453,7 @@
       const isDisproved = this.proof.recordCommitted(configuration.version, knownSinceMs);
       if (isDisproved) this.lease.clear();
     }
-    limits
-      .filter(({ endpoint }) => this.table.find(endpoint) !== undefined)
-      .forEach((observation) => this.limits.applyObservation(observation));
+    limits.forEach((observation) => this.limits.applyObservation(observation));
     this.availability.applyObservations(from.id, leaving);
     this.harmful.applyObservations(harm);
   }
@@ -566,7 +572,7 @@
 
   /** The endpoints were sound all the while. */
   private handlePathRegained(service: ServiceId): void {
-    this.table.listServing(service).forEach(({ id }) => this.health.remove(id));
+    this.table.listKnown(service).forEach(({ id }) => this.health.remove(id));
     this.snapshots.handleWorkChanged();
   }
 
@@ -609,6 +615,12 @@
     });
   }
 
+  private handleUnregistered(endpoint: EndpointId): void {
+    this.context.log(logEvents.endpointForgotten, { endpoint });
+    this.context.emit({ kind: 'endpoint.forgotten', endpoint });
+  }
+
+  /** Forgets what is bound to a process of an endpoint. */
   private removeEndpoint(endpoint: EndpointId): void {
     this.health.remove(endpoint);
     this.probes.remove(endpoint);
@@ -616,8 +628,6 @@
     this.limits.remove(endpoint);
     this.permits.remove(endpoint);
     this.coordinator.remove(endpoint);
-    this.context.log(logEvents.endpointForgotten, { endpoint });
-    this.context.emit({ kind: 'endpoint.forgotten', endpoint });
   }
 
   private armExpiryTimer(): void {
