Share the processor time of a turn of the event loop among connections

What callers saw: while 1,000 connections sent 64 kB each at once, sound requests waited for seconds, some got 504 or lost their connection. The worst: pipelined requests that get 404.

Cause: what has arrived from all connections is parsed, and what it sets off at once is done, in the same turn of the event loop. ChunkPacer held a message in small chunks only after its first read, and nothing else was held at all: the requests behind a refused one were worked on until none was left.

Changed: ParsingTurns. Input is given to the parser in small parts (a head, a body with a length, 256 chunk sizes or trailers); no part is begun once 8 ms of a turn are used. What has just arrived goes before the rest of what others have sent. Bodies that wait are held as bytes, up to 64 kB and a read for each connection, counted at their size together with unfinished heads, and the largest is refused with 503 (a request whose body is not complete has not run). ChunkPacer stays for responses of endpoints.

--- a/packages/entry/src/gateway/callers/body-reader.ts
+++ b/packages/entry/src/gateway/callers/body-reader.ts
@@ -1,7 +1,5 @@
 import type { IncomingMessage } from 'node:http';
 import type { BodyBudget } from '../../callers/body-budget.js';
-import type { ChunkPacer } from '../memory/chunk-pacer.js';
-import { ReadingHold } from '../memory/reading-hold.js';
 
 /** Why a request body could not be read completely. The request has not run. */
 export type BodyFailure =
@@ -15,8 +13,6 @@
   readonly incoming: IncomingMessage;
   /** Memory budget shared by the bodies of all requests. */
   readonly budget: Pick<BodyBudget, 'reserve' | 'release'>;
-  /** Paces bodies in small chunks; none are if this is missing. */
-  readonly pacer?: ChunkPacer;
   readonly maxBytes: number;
   readonly timeoutMs: number;
   /**
@@ -54,20 +50,11 @@
   private readonly maxCapacity: number;
 
   constructor(private readonly options: BodyReaderOptions) {
-    const { incoming, timeoutMs, maxBytes, pacer } = options;
+    const { incoming, timeoutMs, maxBytes } = options;
     const declaredBytes = Number(incoming.headers?.['content-length'] ?? maxBytes);
     this.maxCapacity = Math.min(maxBytes, declaredBytes);
     this.timer = setTimeout(() => this.fail('tooSlow'), timeoutMs);
-    const hold = new ReadingHold(incoming);
-    const pace = pacer?.createPace({
-      isComplete: () => incoming.complete,
-      hold: () => hold.hold('turn'),
-      release: () => hold.release('turn'),
-    });
-    incoming.on('data', (chunk: Buffer) => {
-      this.handleChunk(chunk);
-      pace?.(chunk.length);
-    });
+    incoming.on('data', (chunk: Buffer) => this.handleChunk(chunk));
     incoming.on('end', () => this.handleEnd());
   }
 
--- a/packages/entry/src/gateway/callers/caller-connection.ts
+++ b/packages/entry/src/gateway/callers/caller-connection.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import { renderInputRefusal } from './input-refusals.js';
 import { MessageEndFinder, type BodyLength } from './message-end-finder.js';
+import type { ParsingOrder, ParsingTurns } from './parsing-turns.js';
 
 /**
  * Bytes behind an open request that are kept, in bytes: what arrives at once. Beyond it nothing is read
@@ -9,6 +10,11 @@
  */
 const MAX_HELD_BYTES = 65_536;
 
+/** Largest head that is parsed before what others have sent earlier, in bytes. */
+const MAX_SMALL_HEAD_BYTES = 4_096;
+
+const HEAD_END = '\r\n\r\n';
+
 /**
  * Longest time for which a connection stays open after its last response for a caller that still sends, in
  * milliseconds. Closing it earlier resets it, which may discard the response.
@@ -48,6 +54,7 @@
 
 export interface CallerConnectionOptions {
   readonly socket: Socket;
+  readonly turns: ParsingTurns;
   /** Whether a caller that closes its direction of the connection may wait for responses. */
   readonly mayHalfClose: boolean;
   /** Whether the last response of each connection closes it. */
@@ -56,9 +63,10 @@
   readonly isClosing: () => boolean;
   /**
    * Called with the bytes that have arrived of requests that are not open yet, when their number may have
-   * changed: an unfinished head, and what follows the open request.
+   * changed: an unfinished head, and what follows the open request. What waits to be read of the open request
+   * itself is reported as the second number.
    */
-  readonly onInputHeld: (bytes: number) => void;
+  readonly onInputHeld: (bytes: number, bodyBytes: number) => void;
 }
 
 const findBodyLength = ({ headers }: IncomingMessage): BodyLength =>
@@ -92,6 +100,12 @@
 
   private isFeeding = false;
 
+  /** Whether the next part waits for a turn. */
+  private isQueued = false;
+
+  /** Whether the next part is the first of what has just arrived. */
+  private isFirst = false;
+
   /** Whether reading was stopped because of the bytes that are held. */
   private hasPaused = false;
 
@@ -106,6 +120,9 @@
 
   private hasEnded = false;
 
+  /** Whether the input has ended behind parts that wait for a turn. */
+  private isEndHeld = false;
+
   private halfClosedTimer: NodeJS.Timeout | undefined;
 
   private lingerTimer: NodeJS.Timeout | undefined;
@@ -114,7 +131,9 @@
 
   private readonly onEnd = (): void => this.handleEnd();
 
-  private readonly onResume = (): void => this.feed();
+  private readonly onResume = (): void => this.handleResume();
+
+  private readonly onTurn = (): void => this.handleTurn();
 
   /** Takes the listeners of the HTTP server off the socket, and calls them for one request at a time. */
   constructor(private readonly options: CallerConnectionOptions) {
@@ -154,6 +173,11 @@
     return this.lingerTimer !== undefined && !this.socket.destroyed;
   }
 
+  /** Whether something that has arrived waits for its turn. */
+  get hasInputQueued(): boolean {
+    return this.isQueued;
+  }
+
   /** Opens the request that the parser has received. */
   openNext(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const open: OpenRequest = {
@@ -228,13 +252,20 @@
   /** Whether the parser may not be given anything: what it read could not be answered now. */
   private get isBlocked(): boolean {
     const { socket } = this;
-    const isWaiting = this.open?.incoming.complete === true;
-    return isWaiting || socket.isPaused() || socket.destroyed || !socket.writable;
+    // A socket that was paused for what is held is read on once it is parsed.
+    const isPaused = socket.isPaused() && !this.hasPaused;
+    return this.isWaiting || isPaused || socket.destroyed || !socket.writable;
+  }
+
+  /** Whether the open request was read and has no response yet. */
+  private get isWaiting(): boolean {
+    return this.open?.incoming.complete === true;
   }
 
   private handleData(bytes: Buffer): void {
-    if (this.open?.incoming.complete === true) this.checkInputBehind();
+    if (this.isWaiting) this.checkInputBehind();
     if (this.isCut) return;
+    this.isFirst = this.held.length === 0;
     this.held.push({ bytes, receivedAtMs: performance.now() });
     this.heldBytes += bytes.length;
     this.feed();
@@ -253,27 +284,83 @@
     this.hasLateInput ||= isLate;
   }
 
-  private feed(): void {
-    if (this.isFeeding) return;
+  /**
+   * Gives the parser what it may be given, in parts; some in a later turn of the event loop.
+   *
+   * @param hasTurn whether the first part has its turn
+   */
+  private feed(hasTurn = false): void {
+    if (this.isFeeding || this.isQueued) return;
     this.isFeeding = true;
     try {
-      while (this.held.length > 0 && !this.isBlocked) this.feedPart(this.held.shift()!);
+      if (hasTurn) this.feedPart();
+      while (this.mayFeed && !this.isQueued) this.feedNext();
     } finally {
       this.isFeeding = false;
     }
     this.updateKeepAlive();
+    this.resumeInput();
+    this.endParsed();
     this.endAnswered();
     this.reportHeld();
   }
 
+  private get mayFeed(): boolean {
+    return this.held.length > 0 && !this.isBlocked;
+  }
+
+  private feedNext(): void {
+    // The body of a request that has its turn costs next to nothing.
+    if (this.finder.isInBody) {
+      this.feedPart();
+      return;
+    }
+    this.isQueued = true;
+    this.options.turns.run(this.findOrder(), this.onTurn);
+  }
+
+  private findOrder(): ParsingOrder {
+    const { bytes } = this.held[0]!;
+    const isSmall =
+      this.open !== undefined ||
+      bytes.length <= MAX_SMALL_HEAD_BYTES ||
+      bytes.subarray(0, MAX_SMALL_HEAD_BYTES).includes(HEAD_END);
+    return this.isFirst && isSmall ? 'first' : 'rest';
+  }
+
+  private handleTurn(): void {
+    this.isQueued = false;
+    // At once, or in a later turn.
+    if (this.isFeeding) this.feedPart();
+    else this.feed(true);
+  }
+
   /** Gives the parser the bytes up to the next end of a head or a message. */
-  private feedPart({ bytes, receivedAtMs }: HeldBytes): void {
+  private feedPart(): void {
+    if (!this.mayFeed) return;
+    const { bytes, receivedAtMs } = this.held.shift()!;
     const count = this.finder.countToEnd(bytes);
     this.heldBytes -= count;
+    // The rest of a short message goes with its head.
+    this.isFirst &&= this.heldBytes <= MAX_SMALL_HEAD_BYTES;
     if (count < bytes.length) this.held.unshift({ bytes: bytes.subarray(count), receivedAtMs });
     this.receivedAtMs = receivedAtMs;
     if (this.open === undefined) this.headBytes += count;
     this.parse(bytes.subarray(0, count));
+    if (this.isWaiting) this.isFirst = false;
+  }
+
+  /** Node reads on when the reader of a message has taken what it got, whatever is held here. */
+  private handleResume(): void {
+    if (this.hasPaused) this.socket.pause();
+    else this.feed();
+  }
+
+  /** Reads on once what is held of the open request is parsed. */
+  private resumeInput(): void {
+    if (!this.hasPaused || this.isWaiting || this.heldBytes > 0 || this.isDetached) return;
+    this.hasPaused = false;
+    this.socket.resume();
   }
 
   /** Ends a connection on which all requests are answered and no other one can follow. */
@@ -283,11 +370,23 @@
     else if (this.hasEnded) this.parseEnd();
   }
 
+  /** Acts on the end of the input once what has arrived before it is parsed. */
+  private endParsed(): void {
+    if (!this.isEndHeld || this.isQueued || this.open === undefined) return;
+    this.isEndHeld = false;
+    this.finishInput();
+  }
+
   private handleEnd(): void {
     if (this.hasEnded) return;
     this.hasEnded = true;
-    const isWaiting = this.open?.incoming.complete === true;
-    if (isWaiting && this.options.mayHalfClose) this.armHalfClosedTimer();
+    this.isEndHeld = this.isQueued && this.options.mayHalfClose;
+    if (!this.isEndHeld) this.finishInput();
+  }
+
+  /** Decides what becomes of the open request when nothing more arrives. */
+  private finishInput(): void {
+    if (this.isWaiting && this.options.mayHalfClose) this.armHalfClosedTimer();
     else this.parseEnd();
   }
 
@@ -309,7 +408,10 @@
   }
 
   private reportHeld(): void {
-    this.options.onInputHeld(this.headBytes + this.heldBytes);
+    const { onInputHeld } = this.options;
+    // Of a request that is not complete, its body is held; it is bytes and makes nothing else.
+    if (this.open === undefined || this.isWaiting) onInputHeld(this.headBytes + this.heldBytes, 0);
+    else onInputHeld(0, this.heldBytes);
   }
 
   /** Sends the last bytes, and closes the connection once the caller has read them and closed, too. */
@@ -323,6 +425,7 @@
   private handleClose(): void {
     clearTimeout(this.halfClosedTimer);
     clearTimeout(this.lingerTimer);
+    this.options.turns.remove(this.onTurn);
     this.dropInput();
   }
 }
--- a/packages/entry/src/gateway/callers/message-end-finder.ts
+++ b/packages/entry/src/gateway/callers/message-end-finder.ts
@@ -4,6 +4,12 @@
 /** Part of the end that may have arrived without the rest, in bytes. */
 const MAX_TAIL_BYTES = HEAD_END.length - 1;
 
+/**
+ * Sizes of chunks and trailers after which a part of a message ends. The parser needs about a microsecond for
+ * each, whatever its size.
+ */
+const MAX_PART_LINES = 256;
+
 const NEWLINE = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const HEXADECIMAL = 16;
@@ -41,6 +47,9 @@
   /** Whether the digits of the size of a chunk have ended: extensions may follow. */
   private hasChunkBytes = false;
 
+  /** Sizes of chunks and trailers since the last end. */
+  private lines = 0;
+
   /** Characters of the trailer that is being read. */
   private trailerCharacters = 0;
 
@@ -59,10 +68,19 @@
     if (length === 0) this.part = 'head';
   }
 
-  /** Counts the bytes up to the next end of a head or of a message; all if neither is among them. */
+  /** Whether the body of a message is being read that says its length, so that it costs next to nothing. */
+  get isInBody(): boolean {
+    return this.part === 'body';
+  }
+
+  /**
+   * Counts the bytes up to the next end of a head or of a message; all if neither is among them. Many small chunks
+   * and trailers are counted in parts.
+   */
   countToEnd(bytes: Buffer): number {
+    this.lines = 0;
     let progress: Progress = { next: 0, isAtEnd: false };
-    while (!progress.isAtEnd && progress.next < bytes.length) {
+    while (!progress.isAtEnd && progress.next < bytes.length && this.lines < MAX_PART_LINES) {
       progress = this.readers[this.part](bytes, progress.next);
     }
     return progress.next;
@@ -104,6 +122,7 @@
       next += 1;
     }
     if (next === bytes.length) return { next, isAtEnd: false };
+    this.lines += 1;
     this.part = this.chunkBytes > 0 ? 'chunk' : 'trailers';
     this.bytesLeft = this.chunkBytes + LINE_END_BYTES;
     this.chunkBytes = 0;
@@ -124,6 +143,7 @@
       next += 1;
     }
     if (next === bytes.length) return { next, isAtEnd: false };
+    this.lines += 1;
     const isAtEnd = this.trailerCharacters === 0;
     if (isAtEnd) this.part = 'head';
     this.trailerCharacters = 0;
--- a/packages/entry/src/gateway/callers/request-server.ts
+++ b/packages/entry/src/gateway/callers/request-server.ts
@@ -6,7 +6,6 @@
 import { BodyBudget } from '../../callers/body-budget.js';
 import { findRequestHeadFault } from '../http/find-request-head-fault.js';
 import type { CallerConnections, ConnectionSide } from '../memory/caller-connections.js';
-import { ChunkPacer } from '../memory/chunk-pacer.js';
 import { computeRequestPrice } from '../memory/head-prices.js';
 import type { ShortageReason } from '../memory/types.js';
 import type { GatewayWire, RequestMetadata } from '../types.js';
@@ -16,6 +15,7 @@
 import { CallerExchange, type ReceivedRequest } from './caller-exchange.js';
 import { findCloseReason, recordClose } from './closed-connections.js';
 import { findInputStatus } from './input-refusals.js';
+import { ParsingTurns } from './parsing-turns.js';
 import { RequestFingerprint } from './request-fingerprint.js';
 import { UnreadRefusals, type UnreadRequest } from './unread-refusals.js';
 
@@ -84,8 +84,8 @@
   readonly connections?: CallerConnections;
   /** Who opens the connections; `callers` by default. */
   readonly side?: ConnectionSide;
-  /** Paces bodies in small chunks, for several servers together. */
-  readonly pacer?: ChunkPacer;
+  /** Shares processor time among the connections of several servers; those of this one if it is missing. */
+  readonly turns?: ParsingTurns;
   /** Called when a request is refused for want of memory. */
   readonly onShortage?: (reason: ShortageReason) => void;
   /** Begins the ids of its requests, so that those of several servers differ. */
@@ -139,7 +139,7 @@
 
   private readonly bodyBudget: Pick<BodyBudget, 'reserve' | 'release'>;
 
-  private readonly ownPacer = new ChunkPacer();
+  private readonly turns: ParsingTurns;
 
   private readonly connections = new Map<Duplex, CallerConnection>();
 
@@ -159,6 +159,7 @@
 
   constructor(private readonly options: RequestServerOptions) {
     this.bodyBudget = options.bodyBudget ?? new BodyBudget(MAX_BUFFERED_BODY_BYTES);
+    this.turns = options.turns ?? new ParsingTurns();
     this.unreadRefusals = new UnreadRefusals(options.onUnreadRefused);
     this.server = createServer(
       {
@@ -254,17 +255,21 @@
    */
   private closeIdleConnections(): void {
     const isSending = [...this.openResponses].some(({ writableEnded }) => writableEnded);
-    const isLingering = [...this.connections.values()].some((connection) => connection.isLingering);
-    if (!isSending && !isLingering) this.server.closeIdleConnections();
+    const isInUse = [...this.connections.values()].some(
+      ({ isLingering, hasInputQueued }) => isLingering || hasInputQueued,
+    );
+    if (!isSending && !isInUse) this.server.closeIdleConnections();
   }
 
   private openConnection(socket: Socket): void {
     const connection = new CallerConnection({
       socket,
+      turns: this.turns,
       mayHalfClose: this.options.isHalfCloseLeaving !== true,
       isStopping: () => this.isStopping,
       isClosing: () => this.isClosing,
-      onInputHeld: (bytes) => this.options.connections?.setHeld(socket, bytes),
+      onInputHeld: (bytes, bodyBytes) =>
+        this.options.connections?.setHeld(socket, bytes, bodyBytes),
     });
     this.connections.set(socket, connection);
     socket.on('close', () => {
@@ -351,7 +356,6 @@
     const reader = new BodyReader({
       incoming,
       budget: this.bodyBudget,
-      pacer: this.options.pacer ?? this.ownPacer,
       maxBytes: this.limits.maxBodyBytes,
       timeoutMs: Math.min(metadata.waitsMs ?? MAX_BODY_READ_MS, MAX_BODY_READ_MS),
       onChunkRead: (chunk) => fingerprint.add(chunk),
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -14,6 +14,7 @@
 import { Containment, type Work } from '../runtime/containment.js';
 import { StateMachineRunner, type EffectHandlersOf } from '../runtime/state-machine-runner.js';
 import type { CallerExchange } from './callers/caller-exchange.js';
+import { ParsingTurns } from './callers/parsing-turns.js';
 import { RequestServer, type RequestServerOptions } from './callers/request-server.js';
 import { resolveFailedEffect } from './effect-owners.js';
 import { ElapsedClock } from './elapsed-clock.js';
@@ -155,7 +156,7 @@
       wire,
       bodyBudget: this.room.memory,
       connections: this.room.connections,
-      pacer: this.room.pacer,
+      turns: new ParsingTurns(),
       onShortage: (reason) => this.room.recordRefusal(reason),
       onRequestReceived: (exchange, path, host) => this.openExchange(exchange, path, host),
       onDisconnected: (requestId, closedFor) => this.requests.abandon(requestId, closedFor),
--- a/packages/entry/src/gateway/memory/caller-connections.ts
+++ b/packages/entry/src/gateway/memory/caller-connections.ts
@@ -39,6 +39,9 @@
   readonly onRefused: (reason: ShortageReason) => void;
 }
 
+/** Whether the response is for a request that may run; it can't before its body is complete. */
+const isOwed = ({ req, headersSent }: ServerResponse): boolean => req.complete || headersSent;
+
 /**
  * Bounds the number of open connections, and the memory of the request heads that they have not finished,
  * for all servers of an entry VM together. Node keeps such a head in its parser, and reports nothing of it
@@ -128,11 +131,14 @@
     outgoing.on('close', () => CallerConnections.removeResponse(connection, outgoing));
   }
 
-  /** Records how many bytes have arrived of requests of a connection that are not open yet. */
-  setHeld(socket: Socket, bytes: number): void {
+  /**
+   * Records how many bytes have arrived of requests of a connection that are not open yet, and of the body of the
+   * open one that wait for their turn.
+   */
+  setHeld(socket: Socket, bytes: number, bodyBytes = 0): void {
     const connection = this.open.get(socket);
     if (connection === undefined) return;
-    this.setHeadPrice(connection, computeUnfinishedHeadPrice(bytes));
+    this.setHeadPrice(connection, computeUnfinishedHeadPrice(bytes) + bodyBytes);
     while (this.headPriceBytes > this.options.headBytes) {
       const largest = this.findLargestHead();
       if (largest === undefined) return;
@@ -171,7 +177,7 @@
     // What is refused must not be counted any more, or small heads would be refused for it.
     connection.dropInput();
     this.setHeadPrice(connection, 0);
-    if (responses.size === 0) {
+    if (![...responses].some(isOwed)) {
       CallerConnections.answerAndClose(socket);
       return;
     }
--- a/packages/entry/test/gateway/message-end-finder.test.ts
+++ b/packages/entry/test/gateway/message-end-finder.test.ts
@@ -54,4 +54,14 @@
   it('do not depend on a size of a chunk that is no number: the parser refuses it', () => {
     expect(divide(`${HEAD}zz\r\nhi\r\n\r\n`, ['chunked'])).toEqual([HEAD, 'zz\r\nhi\r\n\r\n']);
   });
+
+  it.each([
+    ['chunks', '1\r\nx\r\n'],
+    ['trailers', '0\r\nX-A: 1\r\n'],
+  ])('may be counted in parts, of which each has 256 lines at most: %s', (_name, line) => {
+    const finder = new MessageEndFinder();
+    finder.startBody('chunked');
+    const body = Buffer.from(line.repeat(1_000));
+    expect(finder.countToEnd(body)).toBeLessThanOrEqual(256 * line.length);
+  });
 });
