--- a/packages/entry/src/gateway/memory/caller-connections.ts
+++ b/packages/entry/src/gateway/memory/caller-connections.ts
@@ -27,6 +27,8 @@
   readonly responses: Set<ServerResponse>;
   /** Whether it closes after its last response, for want of room for what came behind. */
   isRefused: boolean;
+  /** Drops what was received and not interpreted. */
+  readonly dropInput: () => void;
 }
 
 export interface CallerConnectionsOptions {
@@ -37,6 +39,9 @@
   readonly onRefused: (reason: ShortageReason) => void;
 }
 
+/** Whether the response is for a request that may run; it can't before its body is complete. */
+const isOwed = ({ req, headersSent }: ServerResponse): boolean => req.complete || headersSent;
+
 /**
  * Bounds the number of open connections, and the memory of the request heads that they have not finished,
  * for all servers of an entry VM together. Node keeps such a head in its parser, and reports nothing of it
@@ -78,8 +83,10 @@
   /**
    * Counts a new connection and begins to read it soon, or answers and closes it if there are too many. It must
    * not be read yet.
+   *
+   * @param dropInput drops what was received and not interpreted, once it is refused
    */
-  accept(socket: Socket, side: ConnectionSide): void {
+  accept(socket: Socket, side: ConnectionSide, dropInput = (): void => {}): void {
     if (this.counts[side] >= this.options.maxConnections[side]) {
       this.options.onRefused('connections');
       CallerConnections.answerAndClose(socket);
@@ -92,6 +99,7 @@
       headPriceBytes: 0,
       responses: new Set(),
       isRefused: false,
+      dropInput,
     };
     this.open.set(socket, connection);
     socket.on('close', () => this.remove(connection));
@@ -123,11 +131,14 @@
     outgoing.on('close', () => CallerConnections.removeResponse(connection, outgoing));
   }
 
-  /** Records how many bytes have arrived of requests of a connection that are not open yet. */
-  setHeld(socket: Socket, bytes: number): void {
+  /**
+   * Records how many bytes have arrived of requests of a connection that are not open yet, and of the body of the
+   * open one that wait for their turn.
+   */
+  setHeld(socket: Socket, bytes: number, bodyBytes = 0): void {
     const connection = this.open.get(socket);
     if (connection === undefined) return;
-    this.setHeadPrice(connection, computeUnfinishedHeadPrice(bytes));
+    this.setHeadPrice(connection, computeUnfinishedHeadPrice(bytes) + bodyBytes);
     while (this.headPriceBytes > this.options.headBytes) {
       const largest = this.findLargestHead();
       if (largest === undefined) return;
@@ -163,9 +174,11 @@
     const { socket, responses } = connection;
     connection.isRefused = true;
     this.options.onRefused('heads');
-    if (responses.size === 0) {
+    // What is refused must not be counted any more, or small heads would be refused for it.
+    connection.dropInput();
+    this.setHeadPrice(connection, 0);
+    if (![...responses].some(isOwed)) {
       CallerConnections.answerAndClose(socket);
-      this.setHeadPrice(connection, 0);
       return;
     }
     socket.pause();
