Count what waits for callers that read slowly, and bound it

What callers saw: nothing yet; the process would have been ended.

Cause: memory counted for the request and not for its response. What was read of an endpoint waits for the caller, and a connection that is held takes one more read of 64 kB.

Ruled out: a fixed price of 150 kB for each request would refuse sound ones that have nothing waiting; holding the endpoints' connections earlier does not help, as each takes the read that is under way.

Change: a response is counted from the moment at which its caller falls behind until it has read on, or is closed. New work is refused where the whole budget is used up, as before.

--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -129,7 +129,7 @@
  * - `stopping`: the time of the stopping process has ended
  * - `fault`: an exception has ended what passes the response on
  */
-export type CloseReason = 'malformedInput' | 'stopping' | 'fault';
+export type CloseReason = 'malformedInput' | 'stopping' | 'fault' | 'slowReader';
 
 /** Input of the gateway's decisions. */
 export type GatewayEvent =
--- a/packages/entry/src/gateway/callers/caller-exchange.ts
+++ b/packages/entry/src/gateway/callers/caller-exchange.ts
@@ -1,7 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { EndpointProcess, GatewayRefusal } from '@savorywind/decisions';
+import type { CloseReason, EndpointProcess, GatewayRefusal } from '@savorywind/decisions';
 import { isForwardingHeader } from '../peers/forwarding-headers.js';
 import type { RequestMetadata } from '../types.js';
+import { recordClose } from './closed-connections.js';
 import { listEndToEndHeaders } from './end-to-end-headers.js';
 import { REFUSAL_STATUS } from './refusal-statuses.js';
 
@@ -106,10 +107,27 @@
     else this.outgoing.once('close', onClosed);
   }
 
+  /** Whether the response has ended, completely or not. */
+  get isClosed(): boolean {
+    return this.outgoing.closed;
+  }
+
+  /** Bytes that were sent and not yet handed to the operating system. */
+  get waitingBytes(): number {
+    return this.outgoing.writableLength;
+  }
+
   finish(): void {
     this.outgoing.end();
   }
 
+  /** Closes the connection at once, so that nothing of what was sent stays in memory. */
+  disconnect(reason: CloseReason): void {
+    const { socket } = this.incoming;
+    recordClose(socket, reason);
+    socket.resetAndDestroy();
+  }
+
   /**
    * Closes the connection, so that the caller sees that the response is incomplete, after what was
    * written has been sent. A response by HTTP/1.0 may end with its connection, so it is reset.
--- a/packages/entry/src/gateway/endpoints/event-splitter.ts
+++ b/packages/entry/src/gateway/endpoints/event-splitter.ts
@@ -68,6 +68,11 @@
     return this.partialEvent.length > 0;
   }
 
+  /** Memory that is taken for the incomplete event, in bytes. */
+  get capacity(): number {
+    return this.partialEvent.capacity;
+  }
+
   /** Whether the incomplete event exceeds the size limit. */
   get isEventTooLong(): boolean {
     return this.partialEvent.length > MAX_EVENT_BYTES;
--- a/packages/entry/src/gateway/endpoints/response-relay.ts
+++ b/packages/entry/src/gateway/endpoints/response-relay.ts
@@ -1,8 +1,10 @@
 import type { IncomingMessage } from 'node:http';
 import { nextTick } from 'node:process';
 import type { CallerExchange } from '../callers/caller-exchange.js';
+import { READ_BYTES } from '../memory/consts.js';
 import type { GatewayRoom } from '../memory/gateway-room.js';
 import { ReadingHold } from '../memory/reading-hold.js';
+import type { WaitingResponse } from '../memory/slow-readers.js';
 import type { ResponseMetadata, DispatchGatewayEvent } from '../types.js';
 import { EventOrder } from './event-order.js';
 import { EventSplitter, type StreamEvent } from './event-splitter.js';
@@ -81,6 +83,9 @@
   /** Memory that is reserved for what is buffered, in bytes. */
   private reservedBytes = 0;
 
+  /** What counts as a slow reader's while the caller reads more slowly. */
+  private readonly waiting: WaitingResponse;
+
   private readonly onAllReceived: (nothing: undefined) => void;
 
   constructor(
@@ -88,7 +93,9 @@
     deliversEvents: boolean,
   ) {
     this.splitter = deliversEvents ? new EventSplitter() : undefined;
-    const { response, lastEventId, room } = options;
+    const { response, lastEventId, room, exchange } = options;
+    this.waiting = { close: () => exchange.disconnect('slowReader') };
+    if (room !== undefined) exchange.waitForClose(() => room.readers.remove(this.waiting));
     this.order = new EventOrder(lastEventId);
     this.hold = new ReadingHold(response);
     this.onAllReceived = options.guard('attempt.data', () => this.handleReceived());
@@ -282,7 +289,8 @@
   }
 
   private sendJoined(): void {
-    if (!this.isPaused && this.joined.length > 0) this.handOver(this.joined.take());
+    if (this.isPaused) this.countWaiting();
+    else if (this.joined.length > 0) this.handOver(this.joined.take());
   }
 
   private handOver(bytes: Buffer): void {
@@ -291,6 +299,19 @@
     this.hold.hold('receiver');
     this.reportFlow('held');
     this.waitForDrain();
+    this.countWaiting();
+  }
+
+  /**
+   * Counts what is kept until the caller has read on: the reads that what was sent is part of, one more read
+   * that the endpoint's connection may have taken before it was held, and what is joined for later.
+   */
+  private countWaiting(): void {
+    const { exchange, room } = this.options;
+    if (exchange.isClosed) return;
+    const sentBytes = Math.max(READ_BYTES, exchange.waitingBytes - this.reservedBytes);
+    const keptBytes = this.joined.capacity + (this.splitter?.capacity ?? 0);
+    room?.readers.set(this.waiting, sentBytes + READ_BYTES + keptBytes);
   }
 
   private waitForDrain(): void {
@@ -301,6 +322,7 @@
         return;
       }
       this.isPaused = false;
+      this.options.room?.readers.remove(this.waiting);
       this.hold.release('receiver');
       this.reportFlow('flowing');
     });
@@ -308,7 +330,10 @@
 
   /** Sends what was read last, also to a caller that reads slowly: nothing follows it. */
   private sendLast(): void {
-    if (this.joined.length > 0) this.options.exchange.send(this.joined.take());
+    const { exchange, room } = this.options;
+    if (this.joined.length === 0 || exchange.send(this.joined.take())) return;
+    this.countWaiting();
+    exchange.waitForDrain(() => room?.readers.remove(this.waiting));
   }
 
   private reportFlow(flow: 'held' | 'flowing'): void {
--- a/packages/entry/src/gateway/memory/consts.ts
+++ b/packages/entry/src/gateway/memory/consts.ts
@@ -25,6 +25,12 @@
  */
 export const RESPONSE_FRACTION = 0.25;
 
+/** Part of the memory that is given out that responses may take which wait for callers that read slowly. */
+export const READER_FRACTION = 0.5;
+
+/** Most that is read of a connection at once, in bytes. */
+export const READ_BYTES = 65_536;
+
 /** Descriptors that the platform reserves for files. */
 export const FILE_DESCRIPTORS = 200;
 
--- a/packages/entry/src/gateway/memory/gateway-room.ts
+++ b/packages/entry/src/gateway/memory/gateway-room.ts
@@ -2,10 +2,11 @@
 import { CallerConnections } from './caller-connections.js';
 import { ChunkPacer } from './chunk-pacer.js';
 import { computeRoomLimits } from './compute-room-limits.js';
-import { RESPONSE_FRACTION } from './consts.js';
+import { READER_FRACTION, RESPONSE_FRACTION } from './consts.js';
 import { MemoryBudget } from './memory-budget.js';
 import { MemoryShare } from './memory-share.js';
 import { ShortageMonitor, type Refusals } from './shortage-monitor.js';
+import { SlowReaders } from './slow-readers.js';
 import type { RoomLimits, ShortageReason, VmLimits } from './types.js';
 
 const UNKNOWN_LIMITS: VmLimits = { memoryBytes: undefined, descriptors: undefined };
@@ -26,6 +27,9 @@
   /** Part of the memory for responses that are buffered until they are complete. */
   readonly responses: MemoryShare;
 
+  /** Responses that wait for callers that read slowly. */
+  readonly readers: SlowReaders;
+
   readonly pacer = new ChunkPacer();
 
   readonly connections: CallerConnections;
@@ -46,6 +50,11 @@
       onEnded: (refused, durationS) =>
         writeLog(logEvents.roomRegained, { ...refused, durationS, ...this.describeUse() }),
     });
+    this.readers = new SlowReaders({
+      budget: this.memory,
+      maxBytes: memoryBytes * READER_FRACTION,
+      onClosed: () => this.recordRefusal('readers'),
+    });
     this.connections = new CallerConnections({
       budget: this.memory,
       headBytes,
--- a/packages/entry/src/gateway/memory/shortage-monitor.ts
+++ b/packages/entry/src/gateway/memory/shortage-monitor.ts
@@ -18,6 +18,7 @@
 const createCounts = (): Record<ShortageReason, number> => ({
   requests: 0,
   heads: 0,
+  readers: 0,
   connections: 0,
   descriptors: 0,
 });
@@ -82,6 +83,7 @@
     const refused = {
       requests: counts.requests - before.requests,
       heads: counts.heads - before.heads,
+      readers: counts.readers - before.readers,
       connections: counts.connections - before.connections,
       descriptors: counts.descriptors - before.descriptors,
     };
--- a/packages/entry/src/gateway/memory/types.ts
+++ b/packages/entry/src/gateway/memory/types.ts
@@ -4,6 +4,8 @@
   | 'requests'
   /** Memory for heads that are not yet complete. */
   | 'heads'
+  /** Memory for responses that wait for callers that read slowly. */
+  | 'readers'
   /** The number of connections. */
   | 'connections'
   /** Descriptors for a connection to an endpoint or a peer. */
--- a/packages/entry/src/gateway/metrics/room-gauges.ts
+++ b/packages/entry/src/gateway/metrics/room-gauges.ts
@@ -2,7 +2,13 @@
 import type { GatewayRoom } from '../memory/gateway-room.js';
 
 /** Lists what shows how much of the VM's memory and connections is used, and what was refused for want of them. */
-export const listRoomGauges = ({ memory, connections, limits, refusals }: GatewayRoom): Gauge[] => [
+export const listRoomGauges = ({
+  memory,
+  connections,
+  readers,
+  limits,
+  refusals,
+}: GatewayRoom): Gauge[] => [
   {
     metric: 'savorywind_counted_memory_bytes',
     help: 'Memory of requests, bodies, unfinished heads and buffered responses, by their prices.',
@@ -18,6 +24,11 @@
     help: 'Memory of request heads that are not complete, by their price; part of the counted memory.',
     value: connections.unfinishedHeadBytes,
   },
+  {
+    metric: 'savorywind_slow_readers_bytes',
+    help: 'Memory of responses that wait for callers that read slowly; part of the counted memory.',
+    value: readers.usedBytes,
+  },
   {
     metric: 'savorywind_open_connections',
     help: 'Open connections of callers and of peers.',
