Bound what a peer keeps of an unfinished message of the table feed

What would be seen: the end of the process for want of memory. A peer that reads the tables may leave a message unfinished. Its bytes are bounded by 64 kB, but each read of a frame and each fragment is an object of its own.

Cause: as for small chunks, the bound is on the payload and not on what it costs. The library's own bounds are 262,144 reads and 16,384 fragments.

For 122 connections that would be 1.6 GB.

Change: 16 fragments, and one read for each 512 bytes that a message may have: 128 for a request of a reader, 8,192 for what a source passes on. Entry VMs, older builds too, send each message as one frame. With 64 kB of content this is 12 MB for all 122 connections, so it needs no part of the budget.

Not bounded yet, and listed: rows that wait for readers of the feed that read slowly, 8 MB each.

--- a/packages/entry/src/gateway/store/table-feed-client.ts
+++ b/packages/entry/src/gateway/store/table-feed-client.ts
@@ -3,6 +3,7 @@
 import type { RawData, WebSocket } from 'ws';
 import type { Containment } from '../../runtime/containment.js';
 import {
+  computeTableFeedLimits,
   decodeTableFeedMessage,
   encodeTableFeedMessage,
   MAX_TABLE_FEED_BYTES,
@@ -88,7 +89,7 @@
     const { WebSocket: Socket } = await import('ws');
     if (this.session !== session) return;
     const socket = new Socket(`ws://${host}:${port}${TABLE_FEED_PATH}`, {
-      maxPayload: MAX_TABLE_FEED_BYTES,
+      ...computeTableFeedLimits(MAX_TABLE_FEED_BYTES),
       perMessageDeflate: false,
     });
     session.socket = socket;
--- a/packages/entry/src/gateway/store/table-feed-messages.ts
+++ b/packages/entry/src/gateway/store/table-feed-messages.ts
@@ -87,6 +87,33 @@
 /** Largest request of a reader, in bytes: a version for each of a few tables. */
 export const MAX_TABLE_REQUEST_BYTES = 65_536;
 
+/** Most fragments of a message; entry VMs send each in one. */
+const MAX_FRAGMENTS = 16;
+
+/** Size that reads of an unfinished frame have at least on the whole, in bytes: a small segment of TCP. */
+const MIN_READ_BYTES = 512;
+
+/** Limits of a connection of the feed, as an unfinished message takes much more than its bytes. */
+export interface TableFeedLimits {
+  /** Largest message, in bytes. */
+  readonly maxPayload: number;
+  readonly maxFragments: number;
+  /** Most reads of which an unfinished frame is kept. */
+  readonly maxBufferedChunks: number;
+}
+
+/**
+ * Computes the limits for messages up to a size in bytes, by the names of the WebSocket library.
+ *
+ * @example
+ * new WebSocketServer({ noServer: true, ...computeTableFeedLimits(MAX_TABLE_REQUEST_BYTES) });
+ */
+export const computeTableFeedLimits = (maxBytes: number): TableFeedLimits => ({
+  maxPayload: maxBytes,
+  maxFragments: MAX_FRAGMENTS,
+  maxBufferedChunks: Math.ceil(maxBytes / MIN_READ_BYTES),
+});
+
 const packr = new Packr({ useRecords: false });
 
 /**
--- a/packages/entry/src/gateway/store/table-feed-server.ts
+++ b/packages/entry/src/gateway/store/table-feed-server.ts
@@ -3,6 +3,7 @@
 import type { RawData, WebSocket, WebSocketServer } from 'ws';
 import type { Containment } from '../../runtime/containment.js';
 import {
+  computeTableFeedLimits,
   decodeTableFeedMessage,
   encodeTableFeedMessage,
   MAX_TABLE_REQUEST_BYTES,
@@ -124,7 +125,7 @@
     return new Server({
       noServer: true,
       path: TABLE_FEED_PATH,
-      maxPayload: MAX_TABLE_REQUEST_BYTES,
+      ...computeTableFeedLimits(MAX_TABLE_REQUEST_BYTES),
       perMessageDeflate: false,
     });
   }
--- a/packages/entry/test/gateway/table-feed.test.ts
+++ b/packages/entry/test/gateway/table-feed.test.ts
@@ -1,5 +1,5 @@
 import { createServer as createHttpServer } from 'node:http';
-import { createServer } from 'node:net';
+import { connect, createServer, type Socket } from 'node:net';
 import { computeReadTimings, type GatewayEvent } from '@savorywind/decisions';
 import type { GatewayPeer } from '@savorywind/model';
 import { createGatewayContract, reservePort } from '@savorywind/stand-ins';
@@ -272,6 +272,59 @@
   });
 });
 
+/** Opens a connection to the feed whose frames are written by hand. */
+const openRawReader = async ({ peer }: Member): Promise<Socket> => {
+  const socket = connect(peer.address.port, HOST).setNoDelay(true);
+  socket.on('error', () => {});
+  const upgrade = new Promise((resolve) => {
+    socket.once('data', resolve);
+  });
+  socket.write(
+    `GET ${TABLE_FEED_PATH} HTTP/1.1\r\nHost: peer\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n` +
+      'Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n',
+  );
+  await upgrade;
+  return socket;
+};
+
+/** Head of a message of 64,000 bytes, with a mask of zeros. */
+const LONG_MESSAGE_HEAD = Buffer.from([0x82, 0xfe, 0xfa, 0x00, 0, 0, 0, 0]);
+
+// Each fragment and each read takes some 200 to 600 bytes, so that 64 kB of them take up to 14 MB.
+describe('a reader that sends a request in small pieces', () => {
+  it('is disconnected: a message of a thousand fragments', async () => {
+    const { source } = await startPair();
+    const { host, port } = source.peer.address;
+    const socket = new WebSocket(`ws://${host}:${port}${TABLE_FEED_PATH}`);
+    let closedWith: number | undefined;
+    socket.on('error', () => {});
+    socket.on('close', (code) => {
+      closedWith = code;
+    });
+    await new Promise((resolve) => {
+      socket.on('open', resolve);
+    });
+    for (let count = 0; count < 1_000; count += 1) socket.send('x', { fin: false });
+    await waitUntil(() => closedWith !== undefined);
+    expect(closedWith).toBe(1_008);
+  });
+
+  it('is disconnected: a frame that comes byte by byte', async () => {
+    const { source } = await startPair();
+    const socket = await openRawReader(source);
+    let isClosed = false;
+    socket.on('close', () => {
+      isClosed = true;
+    });
+    socket.write(LONG_MESSAGE_HEAD);
+    for (let count = 0; count < 1_000 && !isClosed; count += 1) {
+      socket.write('x');
+      await pause(2);
+    }
+    expect(isClosed).toBe(true);
+  });
+});
+
 describe('a reader that sends more than a request', () => {
   it('is disconnected before its message is complete', async () => {
     const { source } = await startPair();
