--- a/packages/decisions/test/gateway/registration-that-lapses.test.ts
+++ b/packages/decisions/test/gateway/registration-that-lapses.test.ts
@@ -115,7 +115,14 @@
     expect(driver.limitUsage.limitedEndpoints).toBe(1);
   });
 
-  it.each([1, 2, 3])('is kept by nine entry VMs whose requests wait, seed %i', (seed) => {
+  it.each([
+    [1, 0],
+    [2, 0],
+    [3, 0],
+    [1, 2_000],
+    [2, 2_000],
+    [3, 2_000],
+  ])('is kept by nine entry VMs whose requests wait, seed %i, read in %i ms', (seed, spreadMs) => {
     const fleet = new GatewayFleet({
       seed,
       domains: ['a', 'b', 'c'],
@@ -128,7 +135,7 @@
     fleet.run(4_000);
     fleet.limit([id], 2);
     fleet.run(9_000);
-    fleet.lapse(id, LAPSE_MS);
+    fleet.lapse(id, LAPSE_MS, spreadMs);
     fleet.run(9_000);
     expect(fleet.outcomes.served).toBeGreaterThan(150);
     expect(fleet.violations).toEqual([]);
