Bound the processor time that datagrams take

Changed: DatagramTime. Datagrams of one sender get 50 ms in a second, all together 250 ms; others are dropped, and the first of a series is logged.

Ruled out: limits of size or number and a look at the sender's registration, see docs/design/processor-time.md.

--- a/packages/entry/src/gateway/peer-socket.ts
+++ b/packages/entry/src/gateway/peer-socket.ts
@@ -1,6 +1,7 @@
 import { createSocket } from 'node:dgram';
 import type { NetworkAddress, WorkSnapshot } from '@savorywind/model';
 import type { Containment } from '../runtime/containment.js';
+import { DatagramTime } from './datagram-time.js';
 import type { PermitMessage } from './permit-messages.js';
 import { SnapshotCodec, type SnapshotFormat } from './snapshot-codec.js';
 
@@ -36,16 +37,24 @@
   /** Addresses of peers that are known to read the compact form. */
   private readonly compactReaders = new Set<string>();
 
+  private readonly time = new DatagramTime();
+
+  /** Whether the last datagram was not read. */
+  private isDropping = false;
+
   private readonly traffic: PeerTraffic = { sentBytes: 0, receivedBytes: 0 };
 
   constructor(private readonly options: PeerSocketOptions) {
     const { containment } = options;
-    this.socket.on(
-      'message',
-      containment.guard({ work: 'peer.datagram', owner: 'peer' }, (bytes) =>
-        this.handleDatagram(bytes),
-      ),
+    const read = containment.guard({ work: 'peer.datagram', owner: 'peer' }, (bytes: Buffer) =>
+      this.handleDatagram(bytes),
     );
+    this.socket.on('message', (bytes, { address, port }) => {
+      this.traffic.receivedBytes += bytes.length;
+      const sender = `${address}:${port}`;
+      if (this.time.hasLeft(sender)) this.time.measure(sender, () => read(bytes));
+      else this.drop(sender);
+    });
     this.socket.on('error', (error) => options.onFailed(error.message));
   }
 
@@ -99,8 +108,15 @@
     });
   }
 
+  /** Reports the first datagram of a series that is not read. */
+  private drop(sender: string): void {
+    if (this.isDropping) return;
+    this.isDropping = true;
+    this.options.onFailed(`datagrams of ${sender} and others take too much time and are dropped`);
+  }
+
   private handleDatagram(bytes: Buffer): void {
-    this.traffic.receivedBytes += bytes.length;
+    this.isDropping = false;
     const decoded = this.codec.decode(bytes);
     if (decoded.err) {
       this.options.onFailed(decoded.val);
