Take streams that break shortly after their first event as evidence of harm

Callers saw: a part of prompts under which each engine ended after the first event of its answer was never blocked.

Cause: `recordLoss` left out all attempts whose head was forwarded, `recordBegun` took the first event for a proof and dropped the crashes before it, and `mayRun` let a stream that had begun go on at the next engine.

Change: a loss counts unless an answer has proved the request sound: one that is complete, or a stream that sends an event 1 s after its first one, and again each further second. Only such a proof acquits, and only a stream with it goes on at another engine; any other one with a blocked suspect is broken off.

Ruled out: counting each loss of a stream however long it went on (every engine that ends for another reason ends streams), and answers that count only when complete (a sound part would stay blocked for a whole stream).

Changed tests: "for engines that ended after its answer had begun" demanded the fault itself; it is now the same with answers that had gone on for a second, beside new ones that demand the block.

--- a/packages/decisions/src/gateway/create-gateway-record.ts
+++ b/packages/decisions/src/gateway/create-gateway-record.ts
@@ -88,6 +88,7 @@
     hasForwardedHead: false,
     isContinuable: true,
     lastEventId: request.lastEventId,
+    isSound: false,
     isTrial: false,
     times: { firstAtMs: undefined, lastAtMs: undefined, longestGapMs: 0 },
     placementFields: {},
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -107,6 +107,7 @@
       stallTimer: undefined,
       head: undefined,
       isPaused: false,
+      provesSoundAtMs: undefined,
     };
     record.attempt = attempt;
     record.firstPlacedAtMs ??= this.options.context.nowMs;
@@ -133,6 +134,7 @@
       stallTimer: undefined,
       head: undefined,
       isPaused: false,
+      provesSoundAtMs: undefined,
     };
     record.attempt = attempt;
     record.firstPlacedAtMs ??= context.nowMs;
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -262,6 +262,7 @@
     record.isContinuable = eventId !== undefined;
     recordEvent(record.times, this.options.context.nowMs);
     this.reportResponse(record.attempt);
+    this.options.harmful.recordEvent(record, record.attempt);
     this.attempts.handleEvent(record, record.attempt);
   }
 
@@ -275,6 +276,9 @@
     const record = this.attempts.find(attemptId);
     if (record === undefined) return;
     logConnectionEnd(this.options.context, record);
+    const { head } = record.attempt ?? {};
+    if (head?.content === 'events' && isSuccess(head.status))
+      this.options.harmful.recordSound(record);
     const isLate = logIfLate(this.options.context, record);
     this.attempts.detach(record);
     this.options.context.emit({ kind: 'caller.finish', requestId: record.request.requestId });
@@ -537,10 +541,12 @@
   private relay(record: GatewayRecord, attempt: GatewayAttempt): void {
     const { requestId } = record.request;
     if (record.hasForwardedHead) logContinued(this.options.context, record, attempt);
-    if (attempt.head !== undefined && isSuccess(attempt.head.status))
-      this.options.harmful.recordBegun(record);
+    const { status, content } = attempt.head ?? {};
+    // Of any other response than a stream, the whole or a large part is there.
+    if (status !== undefined && isSuccess(status) && content === 'whole')
+      this.options.harmful.recordSound(record);
     record.hasForwardedHead = true;
-    record.isContinuable = attempt.head?.content === 'events';
+    record.isContinuable = content === 'events';
     this.options.context.emit({
       kind: 'caller.relay',
       requestId,
--- a/packages/decisions/src/gateway/harm/begun-history.ts
+++ b/packages/decisions/src/gateway/harm/begun-history.ts
@@ -1,7 +1,7 @@
 import { MAX_REMEMBERED_PARTS } from './consts.js';
 
 /**
- * How many answers have begun with each part that was in use lately. A part with many of them is an unlikely
+ * How many answers have proved each part sound that was in use lately. A part with many of them is an unlikely
  * cause of a crash.
  */
 export class BegunHistory {
--- a/packages/decisions/src/gateway/harm/consts.ts
+++ b/packages/decisions/src/gateway/harm/consts.ts
@@ -12,13 +12,19 @@
  */
 export const CRASH_CONFIRMATION_MS = 100;
 
+/**
+ * Time from the first event of an answer after which another event proves its request sound, in milliseconds.
+ * An engine that crashes because of what it writes does so well within it.
+ */
+export const SOUND_AFTER_MS = 1_000;
+
 /**
  * By how much the times of two losses that peers told may be off against each other, in milliseconds: the
  * delay of a datagram and of the process that reads it.
  */
 export const TIME_TOLERANCE_MS = 20;
 
-/** An answer this shortly before a crash still contradicts it: what peers tell is this late, in milliseconds. */
+/** A proof this shortly before a crash still contradicts it: what peers tell is this late, in milliseconds. */
 export const TOLD_DELAY_MS = 50;
 
 /**
--- a/packages/decisions/src/gateway/harm/find-blocked-suspects.ts
+++ b/packages/decisions/src/gateway/harm/find-blocked-suspects.ts
@@ -56,7 +56,7 @@
  * crashes that a blocked suspect explains do not count against the others; if the real cause is another one,
  * endpoints go on ending under other requests with it.
  *
- * @param countBegun returns how many answers with a part have begun lately
+ * @param countBegun returns how many answers have proved a part sound lately
  * @returns the blocked suspects by key
  *
  * @example
--- a/packages/decisions/src/gateway/harm/harmful-requests.ts
+++ b/packages/decisions/src/gateway/harm/harmful-requests.ts
@@ -7,13 +7,14 @@
 import { hashText, rankOwners } from '../../membership/rendezvous.js';
 import type { GatewayContext } from '../gateway-context.js';
 import type { PeerTable, SnapshotFrequency } from '../peer-table.js';
-import type { EndpointAttempt, GatewayRecord } from '../request-record.js';
+import type { EndpointAttempt, GatewayAttempt, GatewayRecord } from '../request-record.js';
 import type { EndpointProcess } from '../types.js';
 import { addCrashTo } from './add-crash-to.js';
 import { BegunHistory } from './begun-history.js';
 import {
   CRASH_CONFIRMATION_MS,
   REQUEST_DEPTH,
+  SOUND_AFTER_MS,
   TIME_TOLERANCE_MS,
   TOLD_DELAY_MS,
   TRIAL_TURN_MS,
@@ -38,8 +39,8 @@
 /**
  * Recognises requests that crash each engine that begins to answer them, by what they have in common, and
  * refuses them. The evidence of all entry VMs counts: they tell each other which engines were lost under
- * which suspects, and when answers with a suspect have begun. An answer acquits; without one, a blocked
- * suspect gets a trial now and then, one request of the whole fleet at a time.
+ * which suspects, and when an answer with a suspect has proved it sound. Such an answer acquits; without
+ * one, a blocked suspect gets a trial now and then, one request of the whole fleet at a time.
  *
  * @example
  * harmful.recordLoss(record, attempt); // at each of several engines
@@ -75,9 +76,23 @@
     return { suspects: this.table.size, blocked, ...this.counts };
   }
 
-  /** Records that the answer to a request has begun, which no engine does for a harmful one. */
-  recordBegun(record: GatewayRecord): void {
+  /**
+   * Records that an engine has sent an event. An engine may crash after the first events of a harmful answer,
+   * but not go on for long: an event much later than the first one proves the request sound, again and again.
+   */
+  recordEvent(record: GatewayRecord, attempt: GatewayAttempt): void {
+    const { nowMs } = this.options.context;
+    if (attempt.provesSoundAtMs !== undefined) {
+      if (nowMs < attempt.provesSoundAtMs) return;
+      this.recordSound(record);
+    }
+    attempt.provesSoundAtMs = nowMs + SOUND_AFTER_MS;
+  }
+
+  /** Records that the answer to a request is complete, or has gone on for long, which no harmful one does. */
+  recordSound(record: GatewayRecord): void {
     const { nowMs } = this.options.context;
+    record.isSound = true;
     listCommonFeatures(record).forEach(({ key, depth }) => {
       if (depth !== REQUEST_DEPTH) this.history.record(key);
       const suspect = this.table.find(key);
@@ -93,11 +108,12 @@
   }
 
   /**
-   * Records that the connection of an attempt broke before its answer had begun. It counts as a crash unless
-   * the engine sends something afterwards.
+   * Records that the connection of an attempt broke, also shortly after its answer had begun. It counts as a
+   * crash unless the engine sends something afterwards. The loss of a request that was proved sound is no
+   * evidence, nor that of a long answer of another kind than a stream, of which a large part was sent.
    */
-  recordLoss(record: GatewayRecord, { endpoint, startedAtMs }: EndpointAttempt): void {
-    if (record.hasForwardedHead) return;
+  recordLoss(record: GatewayRecord, { endpoint, startedAtMs, head }: EndpointAttempt): void {
+    if (record.isSound || head?.content === 'whole') return;
     const { context } = this.options;
     const lostAtMs = context.nowMs;
     const crash: Crash = {
@@ -127,11 +143,11 @@
   }
 
   /**
-   * Whether a request may be sent to an engine. Takes the trial of a blocked suspect if it is this entry VM's
-   * turn.
+   * Whether a request may be sent to an engine, also to continue a stream that broke. Takes the trial of a
+   * blocked suspect if it is this entry VM's turn.
    */
   mayRun(record: GatewayRecord): boolean {
-    if (this.blocked.size === 0 || record.hasForwardedHead) return true;
+    if (this.blocked.size === 0 || record.isSound) return true;
     if (record.isTrial && record.sends === 0) return true;
     const found = listCommonFeatures(record).flatMap(({ key }) => this.blocked.get(key) ?? []);
     if (found.length === 0) return true;
@@ -197,7 +213,7 @@
     this.hasNewEvidence = true;
   }
 
-  /** Drops the crashes that an answer which began later contradicts. */
+  /** Drops the crashes that an answer contradicts which has proved the suspect sound since. */
   private acquit(suspect: Suspect, begunAtMs: MonotonicMs): void {
     if (begunAtMs <= suspect.begunAtMs) return;
     suspect.begunAtMs = begunAtMs;
--- a/packages/decisions/src/gateway/harm/types.ts
+++ b/packages/decisions/src/gateway/harm/types.ts
@@ -8,7 +8,7 @@
   readonly depth: number;
 }
 
-/** The loss of an endpoint process under unanswered requests. */
+/** The loss of an endpoint process under requests that no answer has proved sound. */
 export interface Crash {
   readonly atMs: MonotonicMs;
   /** Time from the start of the attempt to the loss, in milliseconds. */
@@ -19,13 +19,16 @@
 
 /**
  * A common feature of requests under which endpoints were lost. What is known of it is evidence for harm
- * (endpoints that were lost before they had begun to answer a request with it) and against (answers with it
- * that have begun since).
+ * (endpoints that were lost before, or shortly after, they had begun to answer a request with it) and against
+ * (answers with it that were complete since, or have gone on for long).
  */
 export interface Suspect extends CommonFeature {
   /** The losses of endpoint processes, by the hash of their identity. */
   readonly crashes: Map<number, Crash>;
-  /** When an answer with it last began, here or at a peer; negative infinity if none is known. */
+  /**
+   * When an answer last proved it sound, here or at a peer; negative infinity if none is known. Earlier builds
+   * tell when one last began.
+   */
   begunAtMs: MonotonicMs;
   /** The same for answers of this entry VM, which alone are told to peers. */
   ownBegunAtMs: MonotonicMs;
@@ -58,7 +61,7 @@
   readonly suspects: number;
   /** In the order in which they were blocked. */
   readonly blocked: readonly BlockedUsage[];
-  /** Engine processes that this entry VM saw end under unanswered requests. */
+  /** Engine processes that this entry VM saw end under requests that no answer had proved sound. */
   readonly crashes: number;
   readonly refused: number;
   readonly trials: number;
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -25,6 +25,8 @@
   head: GatewayResponseHead | undefined;
   /** Whether the response is paused because the caller reads slowly. */
   isPaused: boolean;
+  /** When another event would prove that the request does no harm; undefined before the first event. */
+  provesSoundAtMs: MonotonicMs | undefined;
 }
 
 /** One attempt to have a request served by an endpoint. */
@@ -125,6 +127,8 @@
    */
   isContinuable: boolean;
   lastEventId: string | undefined;
+  /** Whether an answer to it was complete or has gone on for so long that it does no harm to endpoints. */
+  isSound: boolean;
   /** Whether it was let through although something that it has in common with others is blocked. */
   isTrial: boolean;
   readonly times: EventTimes;
--- a/packages/decisions/test/gateway/harm/harmful-prompt-parts.test.ts
+++ b/packages/decisions/test/gateway/harm/harmful-prompt-parts.test.ts
@@ -74,6 +74,47 @@
   });
 });
 
+describe('a part under which three engines were lost after the first event of their answers', () => {
+  it('is refused, and the other parts are not', () => {
+    const driver = new CrashingEngines();
+    for (let crash = 0; crash < 3; crash += 1) driver.crashAfterEvent(BAD);
+    expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
+    expect(driver.findRefusalOf(['aa', 'cc'])).toBeUndefined();
+  });
+
+  it('gets no further engine for a stream that has begun, which is broken off', () => {
+    const driver = new CrashingEngines();
+    for (let crash = 0; crash < 2; crash += 1) driver.crashAfterEvent(BAD);
+    const requestId = driver.begin(BAD);
+    driver.crashAfterEvent(BAD);
+    const attempts = driver.list('attempt.start').length;
+    driver.loseEngine(requestId);
+    expect(driver.list('attempt.start')).toHaveLength(attempts);
+    expect(driver.list('caller.breakOff')).toEqual([{ kind: 'caller.breakOff', requestId }]);
+  });
+
+  it('stays refused when the answer to its trial begins, and engines end after it', () => {
+    const driver = new CrashingEngines();
+    for (let crash = 0; crash < 3; crash += 1) driver.crashAfterEvent(BAD);
+    driver.advance(1_000);
+    const trial = driver.begin(BAD);
+    expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
+    driver.advance(APART_MS);
+    driver.loseEngine(trial);
+    driver.advance(2_000);
+    expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
+  });
+
+  it('is refused although another entry VM has passed on the first events of its answers', () => {
+    const driver = new CrashingEngines();
+    createCrashes(2).forEach((crash) =>
+      driver.receiveHarm([createHarm('part/pool/llm/bad', [crash])]),
+    );
+    driver.crashAfterEvent(BAD);
+    expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
+  });
+});
+
 describe('a request that comes again and under which three engines were lost', () => {
   it('is refused, and not the parts that it shares with others', () => {
     const driver = new CrashingEngines();
@@ -102,10 +143,11 @@
     expect(driver.findRefusalOf(['aa', 'bb'])).toBeUndefined();
   });
 
-  it('for engines that ended after its answer had begun', () => {
+  it('for engines that ended after its answer had gone on for a while', () => {
     const driver = new CrashingEngines();
     for (let round = 0; round < 6; round += 1) {
-      const requestId = driver.answer([`a${round}`, 'bb']);
+      const requestId = driver.begin([`a${round}`, 'bb']);
+      driver.goOn(requestId);
       driver.advance(APART_MS);
       driver.loseEngine(requestId);
       driver.advance(APART_MS);
@@ -115,6 +157,16 @@
     expect(driver.findRefusalOf(['aa', 'bb'])).toBeUndefined();
   });
 
+  it('for engines that ended after the first event, while another answer with it went on', () => {
+    const driver = new CrashingEngines();
+    const other = driver.begin(['aa', 'bb']);
+    for (let round = 0; round < 6; round += 1) {
+      driver.crashAfterEvent(['aa', 'bb']);
+      driver.goOn(other);
+    }
+    expect(driver.findRefusalOf(['aa', 'bb'])).toBeUndefined();
+  });
+
   it('for calls that break after a part of their long response was forwarded', () => {
     const driver = new CrashingEngines();
     const replicas = [0, 1, 2, 3, 4, 5, 6, 7].map((index) =>
@@ -148,7 +200,7 @@
   it('for responses that break while the engine goes on answering others', () => {
     const driver = new CrashingEngines();
     let answered = 0;
-    const others = Array.from({ length: 20 }, () => driver.answer(['aa', 'bb']));
+    const others = Array.from({ length: 20 }, () => driver.begin(['aa', 'bb']));
     for (let round = 0; round < 4; round += 1) {
       // The engine of one of them breaks the response to another request.
       const requestId = driver.chat(['aa', 'cc']);
@@ -188,6 +240,16 @@
     expect(driver.findAttempt(trial)).toBeDefined();
     expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
     driver.sendEvent(trial, '1');
+    driver.finish(trial);
+    expect(driver.findRefusalOf(BAD)).toBeUndefined();
+  });
+
+  it('is free when the answer to its trial goes on for a while', () => {
+    const driver = new CrashingEngines();
+    block(driver);
+    driver.advance(1_000);
+    const trial = driver.begin(BAD);
+    driver.goOn(trial);
     expect(driver.findRefusalOf(BAD)).toBeUndefined();
   });
 
--- a/packages/decisions/test/gateway/harm/randomised-harmful-requests.test.ts
+++ b/packages/decisions/test/gateway/harm/randomised-harmful-requests.test.ts
@@ -22,6 +22,9 @@
 /** What does harm: a part, a part whose callers repeat each request, or one request that comes again. */
 const KINDS = ['part', 'repeatedPart', 'request', 'call'] as const;
 
+/** Time from the first event of a harmful stream to the crash; the engine crashes before it if there is none. */
+const CRASH_DELAYS_MS = [undefined, 0, 5, 150, 450] as const;
+
 /** The generator's first numbers are nearly the same for all small seeds. */
 const FIRST_DRAWS = 16;
 
@@ -49,6 +52,7 @@
   const kind = KINDS[seed % KINDS.length]!;
   const harmfulFraction = 0.01 + 0.3 * draw() ** 2;
   const monitor = new CrashMonitor({ decisiveCrash: DECISIVE_CRASH[kind] });
+  const crashDelayMs = CRASH_DELAYS_MS[Math.floor(seed / KINDS.length) % CRASH_DELAYS_MS.length];
   let hasBegun = false;
   let harmful = 0;
 
@@ -82,6 +86,7 @@
     drawRequest,
     findHarm,
     crashMonitor: monitor,
+    ...(crashDelayMs === undefined ? {} : { crashDelayMs }),
     datagramLoss: 0.02,
   });
   fleet.run(4_000);
--- a/packages/decisions/test/gateway/prompt-part-that-crashes-engine-after-engine.test.ts
+++ b/packages/decisions/test/gateway/prompt-part-that-crashes-engine-after-engine.test.ts
@@ -12,13 +12,15 @@
 interface HarmfulRun {
   readonly seed: number;
   readonly harmfulFraction: number;
+  /** Time from the first event of the answer to the crash; the engine crashes before it if this is missing. */
+  readonly crashDelayMs?: number;
 }
 
 const findHarm = ({ sharedParts = [] }: FleetRequest): string | undefined =>
   sharedParts.find((part) => part === HARMFUL);
 
 /** Nine entry VMs and 23 engines; after five seconds a fraction of the requests has the harmful part. */
-const runFleet = ({ seed, harmfulFraction }: HarmfulRun): CrashMonitor => {
+const runFleet = ({ seed, harmfulFraction, crashDelayMs }: HarmfulRun): CrashMonitor => {
   const crashMonitor = new CrashMonitor({ decisiveCrash: 5 });
   let fraction = 0;
   let drawn = 0;
@@ -36,6 +38,7 @@
       return { path: '/chat/', promptTokens: 5_000, sharedParts: [first, second] };
     },
     findHarm,
+    ...(crashDelayMs === undefined ? {} : { crashDelayMs }),
     crashMonitor,
   });
   fleet.run(5_000);
@@ -49,6 +52,10 @@
     { seed: 1, harmfulFraction: 0.02 },
     { seed: 2, harmfulFraction: 0.1 },
     { seed: 3, harmfulFraction: 0.3 },
+    { seed: 6, harmfulFraction: 0.02, crashDelayMs: 5 },
+    { seed: 7, harmfulFraction: 0.1, crashDelayMs: 5 },
+    { seed: 8, harmfulFraction: 0.3, crashDelayMs: 5 },
+    { seed: 9, harmfulFraction: 0.1, crashDelayMs: 500 },
   ])('is not sent to engine after engine, %j', (run) => {
     const monitor = runFleet(run);
     expect(monitor.crashes).toBeGreaterThanOrEqual(3);
@@ -58,6 +65,8 @@
   it.each([
     { seed: 4, harmfulFraction: 0.1 },
     { seed: 5, harmfulFraction: 0.3 },
+    { seed: 10, harmfulFraction: 0.1, crashDelayMs: 5 },
+    { seed: 11, harmfulFraction: 0.3, crashDelayMs: 500 },
   ])('stops no sound request that shares the other parts, %j', (run) => {
     const soundAfter = runFleet(run).countSoundAfter();
     expect(soundAfter.sent).toBeGreaterThan(200);
--- a/packages/entry/src/gateway/metrics/harm-gauges.ts
+++ b/packages/entry/src/gateway/metrics/harm-gauges.ts
@@ -28,7 +28,7 @@
   },
   {
     metric: 'savorywind_harm_crashes_total',
-    help: 'Losses of engines under unanswered requests of this VM, one for each attempt.',
+    help: 'Losses of engines under requests of this VM that no answer had proved sound, one for each attempt.',
     type: 'counter',
     value: usage.crashes,
   },
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -222,7 +222,7 @@
   readonly ageMs: number;
 }
 
-/** An engine process that was lost under unanswered requests. */
+/** An engine process that was lost under requests that no answer has proved sound. */
 export interface CrashObservation {
   /** Hash of the identity of the process. */
   readonly process: number;
@@ -241,7 +241,10 @@
   /** Position of the part in the prompt; deeper suspects are common to fewer requests. */
   readonly depth: number;
   readonly crashes: readonly CrashObservation[];
-  /** Time since an answer with it last began at this entry VM, in milliseconds; undefined if none did. */
+  /**
+   * Time since an answer of this entry VM last proved it sound, in milliseconds; undefined if none did. Earlier
+   * builds tell the time since an answer last began.
+   */
   readonly begunAgeMs: number | undefined;
   /** Time since this entry VM last let a request with it through as a trial, in milliseconds. */
   readonly triedAgeMs: number | undefined;
