Tell all shared parts of a prompt apart, and refuse prompts of more than 256 by name

Cause: `readSharedParts` ignored all beyond the first 32, to bound memory. What isn't read can't be blocked.

Change: all shared parts are read; the head's limit bounds them. Requests with more than 256 are refused as `tooManyParts` with 431 before they are sent. Up to 1,024 suspects are kept, those of four such prompts, and the weakest is found without sorting. A stream that proves its parts again each second counts once in their history.

Ruled out: reading all that a head holds (one lost prompt would push out all other suspects), and looking only at parts that two lost prompts had at one VM (found too late at several VMs and a slow pace).

--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -20,6 +20,7 @@
 import { CredentialLease } from './credential-lease.js';
 import { DomainReachability } from './domain-reachability.js';
 import { EndpointLimits, type LimitUsage } from './permits/endpoint-limits.js';
+import { MAX_SHARED_PARTS } from './harm/consts.js';
 import { HarmfulRequests } from './harm/harmful-requests.js';
 import type { HarmUsage } from './harm/types.js';
 import { EndpointHealth } from './endpoint-health.js';
@@ -83,6 +84,13 @@
  */
 const NOT_READY_RETRY_AFTER_MS = 500;
 
+/** Reasons for which a request would be refused again. */
+const FINAL_REFUSALS: ReadonlySet<GatewayRefusalReason> = new Set([
+  'noRoute',
+  'wrongCredential',
+  'tooManyParts',
+]);
+
 /**
  * Time over which entry VMs spread the renewal of their rows after the store came back from an older copy:
  * three calls of each of 330 VMs then stay below a third of what the store takes in a second.
@@ -551,6 +559,9 @@
     if (isCredentialRequired && team === undefined) return 'wrongCredential';
     const isTeamFaulty = isCredentialRequired && team?.fault !== undefined;
     if (route.fault !== undefined || isTeamFaulty) return 'misconfigured';
+    // Of a forwarded request, the entry VM that forwards it decides; an earlier build does not know the reason.
+    if (request.forwardedFrom === undefined && request.sharedParts.length > MAX_SHARED_PARTS)
+      return 'tooManyParts';
     const service = routeIndex.findService(this.pickService(route));
     if (service === undefined) return 'noEndpoint';
     const tightestGapMs = routeIndex.findTightestGapMs(service.name);
@@ -568,8 +579,8 @@
   }
 
   private refuse(request: GatewayRequest, reason: GatewayRefusalReason): void {
-    const isFinal = reason === 'noRoute' || reason === 'wrongCredential';
-    const refusal = { reason, retryAfterMs: isFinal ? undefined : NOT_READY_RETRY_AFTER_MS };
+    const retryAfterMs = FINAL_REFUSALS.has(reason) ? undefined : NOT_READY_RETRY_AFTER_MS;
+    const refusal = { reason, retryAfterMs };
     this.context.log(logEvents.requestTurnedAway, { request: request.callerAttempt, reason });
     this.context.emit({ kind: 'request.measured', measured: measureRefused(request, reason) });
     this.context.emit({
--- a/packages/decisions/src/gateway/harm/consts.ts
+++ b/packages/decisions/src/gateway/harm/consts.ts
@@ -60,8 +60,17 @@
 /** Time after the last crash or trial for which a suspect stays blocked, in milliseconds. */
 export const BLOCK_MEMORY_MS = 2 * MAX_TRIAL_DELAY_MS;
 
-/** Most suspects. Those with the fewest crashes are dropped first, of them the oldest. */
-export const MAX_SUSPECTS = 256;
+/**
+ * Most shared parts of a prompt, which are all told apart: a part that isn't could do harm unseen. Prompts
+ * consist of a few parts. Requests with more are refused.
+ */
+export const MAX_SHARED_PARTS = 256;
+
+/**
+ * Most suspects: those of a few lost prompts with as many parts as are permitted. Those with the fewest crashes
+ * are dropped first, of them the oldest.
+ */
+export const MAX_SUSPECTS = 4 * MAX_SHARED_PARTS;
 
 /** Most crashes kept of one suspect. */
 export const MAX_CRASHES = 12;
@@ -81,7 +90,7 @@
 /** Interval at which blocked suspects are told again, for entry VMs that have started, in milliseconds. */
 export const BLOCK_REPORT_INTERVAL_MS = 1_000;
 
-/** Most suspects in one snapshot: those that are blocked, then those with most crashes. */
+/** Most suspects in one snapshot. Where there are more, the next snapshots tell the others. */
 export const MAX_TOLD_SUSPECTS = 12;
 
 /** Depth of a request as a whole, which is deeper than all parts of its prompt. */
--- a/packages/decisions/src/gateway/harm/harmful-requests.ts
+++ b/packages/decisions/src/gateway/harm/harmful-requests.ts
@@ -92,9 +92,10 @@
   /** Records that the answer to a request is complete, or has gone on for long, which no harmful one does. */
   recordSound(record: GatewayRecord): void {
     const { nowMs } = this.options.context;
+    const isFirst = !record.isSound;
     record.isSound = true;
     listCommonFeatures(record).forEach(({ key, depth }) => {
-      if (depth !== REQUEST_DEPTH) this.history.record(key);
+      if (isFirst && depth !== REQUEST_DEPTH) this.history.record(key);
       const suspect = this.table.find(key);
       if (suspect === undefined) return;
       suspect.ownBegunAtMs = nowMs;
@@ -162,8 +163,10 @@
   /** Lists what this entry VM knows, for a snapshot to the peers. */
   listObservations(frequency: SnapshotFrequency): HarmObservation[] | undefined {
     if (this.table.size === 0) return undefined;
-    const { nowMs } = this.options.context;
-    return this.report.list(this.table.list(), this.blocked, frequency, nowMs);
+    const { context, onChanged } = this.options;
+    const told = this.report.list(this.table.list(), this.blocked, frequency, context.nowMs);
+    if (this.report.hasUntold) context.schedule(0, onChanged);
+    return told;
   }
 
   /** Tells a peer whose process has just started what is blocked. */
--- a/packages/decisions/src/gateway/harm/suspect-table.ts
+++ b/packages/decisions/src/gateway/harm/suspect-table.ts
@@ -2,7 +2,6 @@
 import {
   ACQUITTAL_MEMORY_MS,
   BLOCK_MEMORY_MS,
-  MAX_CRASHES,
   MAX_SUSPECTS,
   SUSPICION_MEMORY_MS,
 } from './consts.js';
@@ -16,6 +15,11 @@
   return crashes.size === 0 ? ACQUITTAL_MEMORY_MS : SUSPICION_MEMORY_MS;
 };
 
+const isWeaker = (a: Suspect, b: Suspect): boolean =>
+  a.crashes.size === b.crashes.size
+    ? a.changedAtMs < b.changedAtMs
+    : a.crashes.size < b.crashes.size;
+
 /** The suspects of an entry VM, in a bounded number. */
 export class SuspectTable {
   private readonly suspects = new Map<string, Suspect>();
@@ -63,11 +67,10 @@
 
   /** A suspect under which engines go on ending has the newest crash, and so is not the weakest. */
   private dropWeakest(): void {
-    const [weakest] = this.list().sort(
-      (a, b) =>
-        Math.min(a.crashes.size, MAX_CRASHES) - Math.min(b.crashes.size, MAX_CRASHES) ||
-        a.changedAtMs - b.changedAtMs,
-    );
+    let weakest: Suspect | undefined;
+    this.suspects.forEach((suspect) => {
+      if (weakest === undefined || isWeaker(suspect, weakest)) weakest = suspect;
+    });
     if (weakest !== undefined) this.suspects.delete(weakest.key);
   }
 }
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -271,6 +271,8 @@
   | 'rejected'
   /** Engines crashed under requests that have something in common with this one. */
   | 'harmful'
+  /** Its prompt has more shared parts than can be told apart. */
+  | 'tooManyParts'
   /** The process stops before the response could be complete. */
   | 'stopping'
   | 'broken'
--- a/packages/entry/src/gateway/callers/refusal-statuses.ts
+++ b/packages/entry/src/gateway/callers/refusal-statuses.ts
@@ -15,6 +15,7 @@
   noRoom: 503,
   rejected: 503,
   harmful: 503,
+  tooManyParts: 431,
   stopping: 503,
   broken: 502,
   timeout: 504,
--- a/packages/entry/src/gateway/peers/forwarding-headers.ts
+++ b/packages/entry/src/gateway/peers/forwarding-headers.ts
@@ -57,6 +57,7 @@
     'noRoom',
     'rejected',
     'harmful',
+    'tooManyParts',
     'stopping',
     'broken',
     'timeout',
