Count the ends of engines that harmful requests of one moment crash

Cause: crashes count only if each attempt started after the loss before it was known. That keeps a cut from blocking what its attempts had in common, but says of a group that one event has ended all its engines.

Change: five engine processes under a part, three under a request, block it also if they ended at fewer moments, if nothing has ever proved it sound and at least two thirds of the processes lost at these moments were lost under it, as seen by this VM and its peers; each process counts once. Attempts that were on the way at the block are no trials. Turns for a trial are 50 ms, go round, and one VM alone has each; a new request waits for that of its VM up to 0.5 s. Messages are unchanged.

Ruled out: counting each end (a cut blocks a sound part; without either condition a test fails), counting failure domains, waiting for new processes, a first trial at once (an attempt on the way can't be told from it).

Changed tests: the one on turns and the one on what is told on looked whether a request was not refused; such a request may now wait for its turn, so they look whether it was sent, the second after its turn.

--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -387,7 +387,8 @@
     const { context, placement } = this.options;
     this.removeFromQueue(record);
     releaseReservations(record);
-    if (!this.options.harmful.mayRun(record)) {
+    const mayRun = this.options.harmful.decideRun(record);
+    if (mayRun === 'refuse') {
       this.fail(record, 'harmful');
       return;
     }
@@ -401,6 +402,10 @@
       this.fail(record, 'stopping');
       return;
     }
+    if (mayRun === 'wait') {
+      this.queueRequest(record);
+      return;
+    }
     const forwarding = this.peerAttempts.forward(record);
     if (forwarding === 'forwarded') return;
     if (forwarding === 'hopeless') {
--- a/packages/decisions/src/gateway/harm/add-crash-to.ts
+++ b/packages/decisions/src/gateway/harm/add-crash-to.ts
@@ -1,11 +1,11 @@
 import { MAX_CRASHES } from './consts.js';
-import { listIndependent } from './list-independent.js';
+import { listMoments } from './list-moments.js';
 import type { Crash } from './types.js';
 
 /** Finds a process whose loss counts together with an earlier one; without any, the one lost first. */
 const findLeastUseful = (crashes: ReadonlyMap<number, Crash>): number | undefined => {
   const sorted = [...crashes].sort(([, a], [, b]) => a.atMs - b.atMs);
-  const independent = new Set(listIndependent([...crashes.values()]));
+  const independent = new Set(listMoments([...crashes.values()]).map(([first]) => first));
   const [process] = sorted.find(([, crash]) => !independent.has(crash)) ?? sorted[0] ?? [];
   return process;
 };
--- a/packages/decisions/src/gateway/harm/consts.ts
+++ b/packages/decisions/src/gateway/harm/consts.ts
@@ -6,6 +6,24 @@
  */
 export const MIN_CRASHES = 3;
 
+/**
+ * Ends of engines from which requests with a suspect are refused also if the engines ended at fewer moments:
+ * under one part of prompts, and under one request. From so many on, the users permit only a few more requests.
+ */
+export const MIN_ENDS = { part: 5, request: 3 } as const;
+
+/**
+ * Least share of the engine processes lost at the same moments that must have ended under a suspect for their
+ * number to count. Of what all of them had, as in a cut, the rarer suspects are only at some.
+ */
+export const MIN_ENDS_SHARE = 2 / 3;
+
+/** Time from a crash until all entry VMs refuse what it blocks, in milliseconds. */
+export const BLOCK_KNOWN_MS = 500;
+
+/** Most engine processes that are remembered as lost. */
+export const MAX_LOST_PROCESSES = 1_024;
+
 /**
  * A lost attempt is evidence of a crash only if the engine sends this entry VM nothing for this long, in
  * milliseconds. Data that was on the way arrives well within it.
@@ -43,10 +61,16 @@
 export const MAX_TRIAL_DELAY_MS = 3_600_000;
 
 /**
- * Time by which the entry VMs' turns for a trial are apart, in milliseconds: the word of a trial reaches the
- * next one before its turn, so that seldom two are sent.
+ * Length of an entry VM's turn for a trial, in milliseconds: the word of a trial reaches the next one before
+ * its turn, so that seldom two are sent, also where requests come to several at the same moment.
  */
-export const TRIAL_TURN_MS = 500;
+export const TRIAL_TURN_MS = 50;
+
+/** Time by which the entry VMs' turns are apart where some get snapshots only now and then, in milliseconds. */
+export const LARGE_FLEET_TURN_MS = 500;
+
+/** Longest time for which a request waits for the turn of its entry VM, in milliseconds. */
+export const MAX_TRIAL_WAIT_MS = 500;
 
 /** Time for which crashes are remembered as long as the suspect is not blocked, in milliseconds. */
 export const SUSPICION_MEMORY_MS = 600_000;
--- a/packages/decisions/src/gateway/harm/harmful-requests.ts
+++ b/packages/decisions/src/gateway/harm/harmful-requests.ts
@@ -13,6 +13,8 @@
 import { BegunHistory } from './begun-history.js';
 import {
   CRASH_CONFIRMATION_MS,
+  LARGE_FLEET_TURN_MS,
+  MAX_TRIAL_WAIT_MS,
   REQUEST_DEPTH,
   SOUND_AFTER_MS,
   TIME_TOLERANCE_MS,
@@ -22,8 +24,16 @@
 import { findBlockedSuspects } from './find-blocked-suspects.js';
 import { HarmReport } from './harm-report.js';
 import { listCommonFeatures } from './list-common-features.js';
+import { LostProcesses } from './lost-processes.js';
 import { SuspectTable } from './suspect-table.js';
-import type { BlockedSuspect, CommonFeature, Crash, HarmUsage, Suspect } from './types.js';
+import type {
+  BlockedSuspect,
+  CommonFeature,
+  Crash,
+  HarmUsage,
+  RunDecision,
+  Suspect,
+} from './types.js';
 
 export interface HarmfulRequestsOptions {
   readonly context: GatewayContext;
@@ -44,13 +54,15 @@
  *
  * @example
  * harmful.recordLoss(record, attempt); // at each of several engines
- * harmful.mayRun(record); // false
+ * harmful.decideRun(record); // 'refuse'
  */
 export class HarmfulRequests {
   private readonly table = new SuspectTable();
 
   private readonly history = new BegunHistory();
 
+  private readonly lost = new LostProcesses();
+
   /** When this entry VM last lost an attempt at each engine process that has sent it nothing since. */
   private readonly lossesMs = new Map<number, MonotonicMs>();
 
@@ -114,7 +126,7 @@
    * evidence, nor that of a long answer of another kind than a stream, of which a large part was sent.
    */
   recordLoss(record: GatewayRecord, { endpoint, startedAtMs, head }: EndpointAttempt): void {
-    if (record.isSound || head?.content === 'whole') return;
+    const isEvidence = !record.isSound && head?.content !== 'whole';
     const { context } = this.options;
     const lostAtMs = context.nowMs;
     const crash: Crash = {
@@ -126,10 +138,15 @@
     this.lossesMs.set(process, lostAtMs);
     context.schedule(CRASH_CONFIRMATION_MS, () => {
       if (!this.lossesMs.has(process)) return;
-      this.counts.crashes += 1;
-      listCommonFeatures(record).forEach((feature) =>
-        this.addCrash(this.open(feature), process, crash),
+      const features = isEvidence ? listCommonFeatures(record) : [];
+      this.lost.record(
+        process,
+        lostAtMs,
+        features.map(({ key }) => key),
       );
+      if (!isEvidence) return;
+      this.counts.crashes += 1;
+      features.forEach((feature) => this.addCrash(this.open(feature), process, crash));
       this.assess();
       this.options.onChanged();
     });
@@ -144,20 +161,25 @@
   }
 
   /**
-   * Whether a request may be sent to an engine, also to continue a stream that broke. Takes the trial of a
-   * blocked suspect if it is this entry VM's turn.
+   * Decides whether a request may be sent to an engine, also to continue a stream that broke. Takes the trial of
+   * a blocked suspect in this entry VM's turn; a new request waits for it if it comes soon.
    */
-  mayRun(record: GatewayRecord): boolean {
-    if (this.blocked.size === 0 || record.isSound) return true;
-    if (record.isTrial && record.sends === 0) return true;
+  decideRun(record: GatewayRecord): RunDecision {
+    if (this.blocked.size === 0 || record.isSound) return 'run';
+    if (record.isTrial && record.sends === 0) return 'run';
     const found = listCommonFeatures(record).flatMap(({ key }) => this.blocked.get(key) ?? []);
-    if (found.length === 0) return true;
-    if (found.every((blocked) => this.isTrialDue(blocked))) {
+    if (found.length === 0) return 'run';
+    const { nowMs } = this.options.context;
+    const isDue = found.every(({ trialMs }) => nowMs >= trialMs);
+    // Of several suspects the first decides whose turn it is; their turns might never meet.
+    const waitMs = isDue ? this.estimateTurnWaitMs(found[0]!) : Number.POSITIVE_INFINITY;
+    if (waitMs === 0) {
       found.forEach((blocked) => this.startTrial(record, blocked));
-      return true;
+      return 'run';
     }
+    if (waitMs <= MAX_TRIAL_WAIT_MS && record.sends === 0) return 'wait';
     this.counts.refused += 1;
-    return false;
+    return 'refuse';
   }
 
   /** Lists what this entry VM knows, for a snapshot to the peers. */
@@ -230,12 +252,22 @@
     this.options.onChanged();
   }
 
-  private isTrialDue({ suspect, trialMs }: BlockedSuspect): boolean {
+  /**
+   * Estimates the time to this entry VM's next turn for a trial that is due; 0 in its turn. In a large fleet,
+   * where the word of a trial takes long to reach all, the turns of entry VMs begin one after another and don't
+   * end, so that it does not take long until one has a request.
+   */
+  private estimateTurnWaitMs({ suspect, trialMs }: BlockedSuspect): number {
     const { context, self, peers } = this.options;
-    if (context.nowMs < trialMs) return false;
+    const dueForMs = context.nowMs - trialMs;
     const active = peers.listActive(context.nowMs).map(({ peer }) => peer.id);
-    const turn = rankOwners(suspect.key, [self.id, ...active]).indexOf(self.id);
-    return context.nowMs >= trialMs + turn * TRIAL_TURN_MS;
+    const owners = rankOwners(suspect.key, [self.id, ...active]);
+    const turn = owners.indexOf(self.id);
+    if (peers.hasPeriodicPeers)
+      return dueForMs >= turn * LARGE_FLEET_TURN_MS ? 0 : Number.POSITIVE_INFINITY;
+    const roundMs = owners.length * TRIAL_TURN_MS;
+    const sinceTurnMs = (dueForMs - turn * TRIAL_TURN_MS + roundMs) % roundMs;
+    return sinceTurnMs < TRIAL_TURN_MS ? 0 : roundMs - sinceTurnMs;
   }
 
   private startTrial(record: GatewayRecord, { suspect, crashes }: BlockedSuspect): void {
@@ -257,7 +289,10 @@
     this.hasNewEvidence = false;
     const previous = this.blocked;
     this.table.dropOutdated((key) => previous.has(key), context.nowMs);
-    this.blocked = findBlockedSuspects(this.table.list(), (key) => this.history.count(key));
+    this.blocked = findBlockedSuspects(this.table.list(), {
+      countProofs: (key) => this.history.count(key),
+      lost: this.lost,
+    });
     this.blocked.forEach(({ suspect, crashes }, key) => {
       if (previous.has(key)) return;
       this.blockedSinceMs.set(key, context.nowMs);
--- a/packages/decisions/src/gateway/harm/types.ts
+++ b/packages/decisions/src/gateway/harm/types.ts
@@ -43,12 +43,15 @@
 /** A suspect whose requests are refused. */
 export interface BlockedSuspect {
   readonly suspect: Suspect;
-  /** Crashes that count as independent of each other. */
+  /** Crashes that count: those independent of each other, or the ends of engines. */
   readonly crashes: number;
   /** When a request may be let through as a trial. */
   readonly trialMs: MonotonicMs;
 }
 
+/** Whether a request may be sent; `wait`: it may get the trial of a blocked suspect soon. */
+export type RunDecision = 'run' | 'wait' | 'refuse';
+
 /** A blocked suspect as operators see it. */
 export interface BlockedUsage {
   readonly suspect: string;
--- a/packages/decisions/test/gateway/harm/harmful-prompt-parts.test.ts
+++ b/packages/decisions/test/gateway/harm/harmful-prompt-parts.test.ts
@@ -158,6 +158,89 @@
   });
 });
 
+describe('a part under which five engines were lost at one moment', () => {
+  /** Sends requests with the same parts until they are at so many engines that have none of the others. */
+  const spread = (
+    driver: CrashingEngines,
+    parts: readonly string[],
+    engines: number,
+    others: readonly string[] = [],
+  ): string[] => {
+    const findEngine = (id: string): string => driver.findAttempt(id)!.endpoint.id;
+    const taken = new Set(others.map(findEngine));
+    const requests: string[] = [];
+    const countEngines = (): number =>
+      new Set(requests.map(findEngine).filter((engine) => !taken.has(engine))).size;
+    while (countEngines() < engines) requests.push(driver.chat(parts));
+    return requests;
+  };
+
+  /** Has the engines of requests end at the same moment. */
+  const crashAtOnce = (driver: CrashingEngines, requests: readonly string[]): void => {
+    driver.advance(50);
+    const ended = new Set(requests.map((requestId) => driver.findAttempt(requestId)!.endpoint.id));
+    requests.forEach((requestId) => driver.fail(requestId, 'broken'));
+    requests.forEach((requestId) => driver.dispatch({ kind: 'request.abandoned', requestId }));
+    const changes = [...ended].map((id) => ({ id, endpoint: undefined }));
+    driver.dispatch({ kind: 'endpoints.changed', changes });
+    driver.advance(APART_MS);
+  };
+
+  it('is refused, gets one trial after a second, and is then refused for 15 s', () => {
+    const driver = new CrashingEngines();
+    crashAtOnce(driver, spread(driver, BAD, 5));
+    expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
+    driver.advance(1_000);
+    const trial = driver.chat(BAD);
+    expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
+    expect(driver.findAttempt(trial)).toBeDefined();
+    driver.loseEngine(trial);
+    driver.advance(14_000);
+    driver.confirm();
+    expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
+  });
+
+  it('is free as soon as the trial is answered, and other parts are not refused', () => {
+    const driver = new CrashingEngines();
+    crashAtOnce(driver, spread(driver, BAD, 5));
+    expect(driver.findRefusalOf(['aa', 'cc'])).toBeUndefined();
+    driver.advance(1_000);
+    const trial = driver.begin(BAD);
+    expect(driver.findRefusalOf(BAD)).toEqual(HARMFUL);
+    driver.finish(trial);
+    expect(driver.findRefusalOf(BAD)).toBeUndefined();
+    expect(driver.findRefusalOf(BAD)).toBeUndefined();
+  });
+
+  it('counts once if a third of the engines that ended then did so under others, as in a cut', () => {
+    const driver = new CrashingEngines();
+    driver.answer(['aa', 'cc']);
+    const bad = spread(driver, BAD, 6);
+    const others = spread(driver, ['aa', 'cc'], 4, bad);
+    crashAtOnce(driver, [...bad, ...others]);
+    driver.chat(BAD);
+    expect(driver.findRefusalOf(BAD)).toBeUndefined();
+  });
+
+  it('counts once if an answer has proved it sound before', () => {
+    const driver = new CrashingEngines();
+    driver.answer(BAD);
+    driver.advance(1_000);
+    crashAtOnce(driver, spread(driver, BAD, 6));
+    driver.chat(BAD);
+    expect(driver.findRefusalOf(BAD)).toBeUndefined();
+  });
+
+  it('counts each engine once, however many requests with it were lost there', () => {
+    const driver = new CrashingEngines();
+    const requests = spread(driver, BAD, 4);
+    expect(requests.length).toBeGreaterThan(5);
+    crashAtOnce(driver, requests);
+    driver.chat(BAD);
+    expect(driver.findRefusalOf(BAD)).toBeUndefined();
+  });
+});
+
 describe('a request that comes again and under which three engines were lost', () => {
   it('is refused, and not the parts that it shares with others', () => {
     const driver = new CrashingEngines();
@@ -334,6 +417,19 @@
 });
 
 describe('entry VMs that know the same', () => {
+  it('let only the one take the trial whose turn it is, of requests that come at one moment', () => {
+    const driver = new CrashingEngines();
+    driver.receiveHarm([createHarm('part/pool/llm/bad', createCrashes(3, 3_000))]);
+    const first = driver.chat(BAD);
+    const second = driver.chat(BAD);
+    driver.receiveHarm([createHarm('part/pool/llm/bad', [], { triedAgeMs: 0 })]);
+    driver.advance(100);
+    const tried = [first, second].filter((id) => driver.findAttempt(id) !== undefined);
+    const refused = [first, second].filter((id) => driver.findRefusal(id) !== undefined);
+    expect(tried.length).toBeLessThanOrEqual(1);
+    expect(tried.length + refused.length).toBe(2);
+  });
+
   it('take turns for the trial of a part', () => {
     const parts = Array.from({ length: 20 }, (_, index) => `p${index}`);
     const driver = new CrashingEngines();
@@ -345,15 +441,15 @@
         }));
         driver.receiveHarm([createHarm(`part/pool/llm/${part}`, crashes)]);
       });
-    const listTried = (): string[] =>
-      parts.filter((part) => driver.findRefusalOf([part]) === undefined);
     tell();
-    const atOnce = listTried();
-    expect(atOnce.length).toBeGreaterThan(0);
-    expect(atOnce.length).toBeLessThan(parts.length);
+    const requests = parts.map((part) => driver.chat([part]));
+    const countTried = (): number =>
+      requests.filter((requestId) => driver.findAttempt(requestId) !== undefined).length;
+    expect(countTried()).toBeGreaterThan(0);
+    expect(countTried()).toBeLessThan(parts.length);
     driver.receiveHarm([]);
-    driver.advance(600);
-    expect([...atOnce, ...listTried()].sort()).toEqual([...parts].sort());
+    driver.advance(100);
+    expect(countTried()).toBe(parts.length);
   });
 });
 
@@ -392,8 +488,10 @@
     expect(lastMs).toBeGreaterThan(8_000);
     const started = new CrashingEngines();
     started.receiveHarm(told.at(-1)!.snapshot.harm!);
-    // The first one may be a trial.
-    started.chat(BAD);
+    // The first one is the trial, if not at once then in the turn of this entry VM.
+    const trial = started.chat(BAD);
+    started.advance(100);
+    expect(started.findAttempt(trial)).toBeDefined();
     expect(started.findRefusalOf(BAD)).toEqual(HARMFUL);
   });
 });
