Give the parser the rest of a head with its end

What callers saw: with 250 MB, and 3,000 connections whose heads of 45 kB were unfinished, the process ended for want of memory, or sound callers got 503 and 504. With fields of two characters it ended with 350 MB, too.

Cause: the price was measured on a bare HTTP server, whose parser keeps 1,000 fields. Ours has no bound on fields, as one would drop fields silently: a head of 45 kB of ab:cd takes 416 kB (a:b: 160 kB) and was counted as 185 kB. And what is refused stays until its connection has closed; with thousands of them on a busy machine that is most of the heap.

The test as it is now, with 250 and 350 MB, on the code before: 1 of 8 failed (504 to a sound caller), so it shows the fault only at times. heads-in-pieces.test.ts shows the cause each time: 2 of 6 failed (421 kB a head, and no refusal of a head without end before its time).

Ruled out: the price alone. A trial with 12 bytes for each byte counted enough, and still ended at the heap's limit with 250 and 350 MB, as refused heads stay for a while.

Change: the parser gets the first 1,024 bytes of a head as they come, so that the time for the head counts and malformed request lines are refused at once, and the rest with the end of the head. Until then the rest is bytes in one buffer. A head that has not ended after 64 kB is answered with 431; the parser counted names and values only.

Tests that changed: unfinished-heads.test.ts takes a larger head to use up the same room, and heads-that-earlier-requests-pay-for.test.ts takes the price from the function: a byte that is not parsed costs less.

--- a/packages/entry/src/gateway/callers/caller-connection.ts
+++ b/packages/entry/src/gateway/callers/caller-connection.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { renderInputRefusal } from './input-refusals.js';
+import { GrowingBuffer } from '../endpoints/growing-buffer.js';
+import { PARSED_HEAD_BYTES } from '../memory/consts.js';
+import { HTTP_HEADERS_TOO_LARGE, renderInputRefusal } from './input-refusals.js';
 import { MessageEndFinder, type BodyLength } from './message-end-finder.js';
 
 /**
@@ -9,6 +11,9 @@
  */
 const MAX_HELD_BYTES = 65_536;
 
+/** Largest head, in bytes, with spaces and separators. */
+const MAX_HEAD_BYTES = 65_536;
+
 /**
  * Longest time for which a connection stays open after its last response for a caller that still sends, in
  * milliseconds. Closing it earlier resets it, which may discard the response.
@@ -82,9 +87,12 @@
 
   private heldBytes = 0;
 
-  /** Bytes of the head that the parser was given and that is not complete. */
+  /** Bytes of the head that is not complete. */
   private headBytes = 0;
 
+  /** The part of it that the parser gets only with its end: each field takes much more than its bytes there. */
+  private readonly headRest = new GrowingBuffer();
+
   /** When the last byte arrived of what the parser was given, in milliseconds. */
   private receivedAtMs = 0;
 
@@ -268,12 +276,40 @@
 
   /** Gives the parser the bytes up to the next end of a head or a message. */
   private feedPart({ bytes, receivedAtMs }: HeldBytes): void {
+    const isHead = this.finder.isInHead;
     const count = this.finder.countToEnd(bytes);
     this.heldBytes -= count;
     if (count < bytes.length) this.held.unshift({ bytes: bytes.subarray(count), receivedAtMs });
     this.receivedAtMs = receivedAtMs;
-    if (this.open === undefined) this.headBytes += count;
-    this.parse(bytes.subarray(0, count));
+    if (isHead) this.feedHead(bytes.subarray(0, count));
+    else this.parse(bytes.subarray(0, count));
+  }
+
+  /**
+   * Gives the parser the beginning of a head, from which on the time for the head counts, and the rest with its
+   * end.
+   */
+  private feedHead(bytes: Buffer): void {
+    const parsedBytes = Math.max(0, PARSED_HEAD_BYTES - this.headBytes);
+    this.headBytes += bytes.length;
+    if (this.finder.hasFoundEnd) {
+      this.parseHeadRest(bytes);
+      return;
+    }
+    if (parsedBytes > 0) this.parse(bytes.subarray(0, parsedBytes));
+    if (this.isCut) return;
+    if (this.headBytes > MAX_HEAD_BYTES) this.refuseInput(HTTP_HEADERS_TOO_LARGE);
+    else if (bytes.length > parsedBytes) this.headRest.append(bytes.subarray(parsedBytes));
+  }
+
+  /** Gives the parser what it has not got yet of a head, with the bytes that follow. */
+  private parseHeadRest(bytes: Buffer): void {
+    if (this.headRest.length === 0) {
+      this.parse(bytes);
+      return;
+    }
+    this.headRest.append(bytes);
+    this.parse(this.headRest.take());
   }
 
   /** Ends a connection on which all requests are answered and no other one can follow. */
@@ -286,6 +322,7 @@
   private handleEnd(): void {
     if (this.hasEnded) return;
     this.hasEnded = true;
+    if (this.headRest.length > 0) this.parse(this.headRest.take());
     const isWaiting = this.open?.incoming.complete === true;
     if (isWaiting && this.options.mayHalfClose) this.armHalfClosedTimer();
     else this.parseEnd();
@@ -304,6 +341,7 @@
     this.held = [];
     this.heldBytes = 0;
     this.headBytes = 0;
+    this.headRest.take();
     this.reportHeld();
   }
 
--- a/packages/entry/src/gateway/callers/input-refusals.ts
+++ b/packages/entry/src/gateway/callers/input-refusals.ts
@@ -3,7 +3,7 @@
 const HTTP_BAD_REQUEST = 400;
 const HTTP_REQUEST_TIMEOUT = 408;
 const HTTP_CONTENT_TOO_LARGE = 413;
-const HTTP_HEADERS_TOO_LARGE = 431;
+export const HTTP_HEADERS_TOO_LARGE = 431;
 
 /** Errors of the parser begin with it. */
 const PARSE_ERROR_PREFIX = 'HPE_';
--- a/packages/entry/src/gateway/callers/message-end-finder.ts
+++ b/packages/entry/src/gateway/callers/message-end-finder.ts
@@ -44,6 +44,8 @@
   /** Characters of the trailer that is being read. */
   private trailerCharacters = 0;
 
+  private isAtEnd = false;
+
   private readonly readers: Readonly<Record<Part, (bytes: Buffer, start: number) => Progress>> = {
     head: (bytes, start) => this.readHead(bytes, start),
     body: (bytes, start) => this.readBody(bytes, start),
@@ -52,6 +54,16 @@
     trailers: (bytes, start) => this.readTrailers(bytes, start),
   };
 
+  /** Whether the next byte belongs to a head. */
+  get isInHead(): boolean {
+    return this.part === 'head';
+  }
+
+  /** Whether what was counted last ends with a head or a message. */
+  get hasFoundEnd(): boolean {
+    return this.isAtEnd;
+  }
+
   /** Goes on with the body of the message whose head was read. */
   startBody(length: BodyLength): void {
     this.part = length === 'chunked' ? 'chunkSize' : 'body';
@@ -65,6 +77,7 @@
     while (!progress.isAtEnd && progress.next < bytes.length) {
       progress = this.readers[this.part](bytes, progress.next);
     }
+    this.isAtEnd = progress.isAtEnd;
     return progress.next;
   }
 
--- a/packages/entry/src/gateway/memory/consts.ts
+++ b/packages/entry/src/gateway/memory/consts.ts
@@ -55,5 +55,8 @@
  */
 export const UNFINISHED_HEAD_BYTE_PRICE = 12;
 
-/** Most that the fields of one unfinished head take besides its bytes, as the parser keeps 2,000 at most. */
-export const MAX_FIELDS_PRICE_BYTES = 140_000;
+/** Bytes of a head that the parser is given before the head is complete. */
+export const PARSED_HEAD_BYTES = 1_024;
+
+/** Price of a byte of an unfinished head that the parser is not given yet: a buffer up to twice its size. */
+export const UNPARSED_BYTE_PRICE = 2;
--- a/packages/entry/src/gateway/memory/head-prices.ts
+++ b/packages/entry/src/gateway/memory/head-prices.ts
@@ -1,9 +1,10 @@
 import type { IncomingMessage } from 'node:http';
 import {
   HEAD_BYTE_PRICE,
-  MAX_FIELDS_PRICE_BYTES,
+  PARSED_HEAD_BYTES,
   REQUEST_PRICE_BYTES,
   UNFINISHED_HEAD_BYTE_PRICE,
+  UNPARSED_BYTE_PRICE,
 } from './consts.js';
 
 /** Bytes of the version, the separators and the line end of a request line. */
@@ -28,6 +29,8 @@
  *
  * @example
  * computeUnfinishedHeadPrice(500); // 6_000
+ * computeUnfinishedHeadPrice(2_024); // 14_288
  */
 export const computeUnfinishedHeadPrice = (headBytes: number): number =>
-  Math.min(headBytes * UNFINISHED_HEAD_BYTE_PRICE, headBytes + MAX_FIELDS_PRICE_BYTES);
+  UNFINISHED_HEAD_BYTE_PRICE * Math.min(headBytes, PARSED_HEAD_BYTES) +
+  UNPARSED_BYTE_PRICE * Math.max(0, headBytes - PARSED_HEAD_BYTES);
--- a/packages/entry/test/gateway/heads-that-earlier-requests-pay-for.test.ts
+++ b/packages/entry/test/gateway/heads-that-earlier-requests-pay-for.test.ts
@@ -5,6 +5,7 @@
 import type { CallerExchange } from '../../src/gateway/callers/caller-exchange.js';
 import { RequestServer } from '../../src/gateway/callers/request-server.js';
 import { CallerConnections } from '../../src/gateway/memory/caller-connections.js';
+import { computeUnfinishedHeadPrice } from '../../src/gateway/memory/head-prices.js';
 import { MemoryBudget } from '../../src/gateway/memory/memory-budget.js';
 import type { ShortageReason } from '../../src/gateway/memory/types.js';
 import { createAdapter, createGatewayConfiguration } from '../fixtures/test-gateway.js';
@@ -26,7 +27,7 @@
 
 /** Price of the unfinished head on a new connection, in bytes. */
 const UNFINISHED_HEAD = `GET /a HTTP/1.1\r\nA: ${'b'.repeat(4_000)}`;
-const PRICE_BYTES = 12 * UNFINISHED_HEAD.length;
+const PRICE_BYTES = computeUnfinishedHeadPrice(UNFINISHED_HEAD.length);
 
 let budget: MemoryBudget;
 let connections: CallerConnections;
--- a/packages/entry/test/gateway/unfinished-heads.test.ts
+++ b/packages/entry/test/gateway/unfinished-heads.test.ts
@@ -12,7 +12,7 @@
 const HOST = '127.0.0.1';
 const MAX_CONNECTIONS = 8;
 
-/** Memory for unfinished heads, in bytes: for some 1,600 bytes of them. */
+/** Memory for unfinished heads, in bytes: for some 1,600 bytes of small ones, or one of 4,800. */
 const HEAD_BYTES = 20_000;
 
 const REQUEST = 'POST /a HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 2\r\n\r\nab';
@@ -22,7 +22,7 @@
 const buildUnfinishedHead = (bytes: number): string =>
   `POST /a HTTP/1.1\r\nA: ${'b'.repeat(bytes)}`;
 const SMALL_HEAD = buildUnfinishedHead(200);
-const LARGE_HEAD = buildUnfinishedHead(2_000);
+const LARGE_HEAD = buildUnfinishedHead(6_000);
 const REFUSED = 'HTTP/1.1 503 ';
 
 let budget: MemoryBudget;
