Refuse strangers that ask for the feed of tables

What would be seen: any host that reaches the port for peers may open the feed and read the whole configuration, the keys of teams among it, and all registrations.

Cause: the check of the sender was made for requests; a connection for another protocol takes another event of the HTTP server.

Entry VMs ask for the feed from the address that they have registered, as they do for forwarded requests. A VM that is refused goes on to read the store.

--- a/packages/entry/src/gateway/callers/input-refusals.ts
+++ b/packages/entry/src/gateway/callers/input-refusals.ts
@@ -28,7 +28,7 @@
 };
 
 /**
- * Renders the response to input that is no request, the last one of its connection.
+ * Renders the response to input that is not served as a request, the last one of its connection.
  *
  * @example
  * socket.end(renderInputRefusal(400));
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -295,7 +295,7 @@
 
   private createStoreTables(): StoreTables {
     const { rows, tables } = this.adapter;
-    const { contract } = this.settings;
+    const { contract, self } = this.settings;
     const updates = new StoreUpdates({
       rows,
       containment: this.containment,
@@ -306,6 +306,7 @@
     });
     return new StoreTables({
       tables,
+      localHost: self.address.host,
       names: { configuration: rows.configurationTable, endpoints: rows.endpointTable },
       timings: computeReadTimings(contract),
       era: this.era,
--- a/packages/entry/src/gateway/peers/peer-server.ts
+++ b/packages/entry/src/gateway/peers/peer-server.ts
@@ -1,8 +1,14 @@
 import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+import { renderInputRefusal } from '../callers/input-refusals.js';
 import { RequestServer, type RequestServerOptions } from '../callers/request-server.js';
 import { ForwardedExchange } from './forwarded-exchange.js';
 import { decodeForwarded, forwardingHeaders } from './forwarding-headers.js';
 
+const HTTP_FORBIDDEN = 403;
+
+const STRANGER_DETAIL = 'sender is not registered';
+
 /** Size of the header that describes a forwarded request, with margin, in bytes. */
 const FORWARDED_HEAD_BYTES = 8_192;
 
@@ -13,13 +19,20 @@
   readonly isPeer: (host: string) => boolean;
   /** Called for each request that is refused because of its sender or because it is malformed. */
   readonly onStrangerRefused: (host: string, detail: string) => void;
-  /** Called when a peer opens a connection for another protocol. */
+  /** Called when a registered entry VM opens a connection for another protocol. */
   readonly onUpgrade: NonNullable<RequestServerOptions['onUpgrade']>;
 }
 
+/** Answers a connection of which nothing is read any more, and closes it. */
+const refuseConnection = (socket: Socket): void => {
+  socket.on('error', () => socket.destroy());
+  socket.write(renderInputRefusal(HTTP_FORBIDDEN));
+  socket.destroySoon();
+};
+
 /**
- * Creates the HTTP server at the address for peers: it takes requests that entry VMs forward, and refuses
- * those of everybody else.
+ * Creates the HTTP server at the address for peers: it takes requests that entry VMs forward and
+ * connections by which they read the tables, and refuses those of everybody else.
  *
  * @example
  * const server = createPeerServer({ requestOptions, isPeer, onStrangerRefused, onUpgrade });
@@ -36,7 +49,7 @@
     const forwarded = decodeForwarded(headers[forwardingHeaders.forwarded]);
     const isKnown = isPeer(remoteAddress);
     if (isKnown && forwarded.ok) return true;
-    const detail = forwarded.ok ? 'sender is not registered' : forwarded.val;
+    const detail = forwarded.ok ? STRANGER_DETAIL : forwarded.val;
     onStrangerRefused(remoteAddress, detail);
     return false;
   };
@@ -52,6 +65,14 @@
       const forwarded = decodeForwarded(incoming.headers[forwardingHeaders.forwarded]).unwrap();
       return new ForwardedExchange(requestId, received, incoming, outgoing, forwarded);
     },
-    onUpgrade,
+    onUpgrade: (incoming, socket, head) => {
+      const { remoteAddress = '' } = incoming.socket;
+      if (isPeer(remoteAddress)) {
+        onUpgrade(incoming, socket, head);
+        return;
+      }
+      onStrangerRefused(remoteAddress, STRANGER_DETAIL);
+      refuseConnection(incoming.socket);
+    },
   });
 };
--- a/packages/entry/src/gateway/store/store-tables.ts
+++ b/packages/entry/src/gateway/store/store-tables.ts
@@ -12,6 +12,8 @@
 
 export interface StoreTablesOptions {
   readonly tables: TableClient;
+  /** Address of this entry VM, by which peers know it; any if this is missing. */
+  readonly localHost?: string;
   /** Names of the tables. */
   readonly names: { readonly configuration: string; readonly endpoints: string };
   readonly timings: TableReadTimings;
@@ -78,6 +80,7 @@
     });
     this.client = new TableFeedClient({
       mirrors,
+      localHost: options.localHost,
       maxAgesMs: new Map([
         [names.configuration, timings.configuration.maxRelayedAgeMs],
         [names.endpoints, timings.endpoints.maxRelayedAgeMs],
--- a/packages/entry/src/gateway/store/table-feed-client.ts
+++ b/packages/entry/src/gateway/store/table-feed-client.ts
@@ -15,6 +15,8 @@
 
 export interface TableFeedClientOptions {
   readonly mirrors: readonly TableMirror[];
+  /** Address of this entry VM, by which peers know it; any if this is missing. */
+  readonly localHost?: string | undefined;
   /** Age from which what a peer passes on of a table is too old, in milliseconds. */
   readonly maxAgesMs: ReadonlyMap<string, number>;
   readonly timing: RelayTiming;
@@ -91,6 +93,7 @@
     const socket = new Socket(`ws://${host}:${port}${TABLE_FEED_PATH}`, {
       ...computeTableFeedLimits(MAX_TABLE_FEED_BYTES),
       perMessageDeflate: false,
+      localAddress: this.options.localHost,
     });
     session.socket = socket;
     const guard = <Value>(listener: (value: Value) => void): ((value: Value) => void) =>
