--- a/packages/entry/src/gateway/callers/caller-connection.ts
+++ b/packages/entry/src/gateway/callers/caller-connection.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { renderInputRefusal } from './input-refusals.js';
+import { GrowingBuffer } from '../endpoints/growing-buffer.js';
+import { PARSED_HEAD_BYTES } from '../memory/consts.js';
+import { HTTP_HEADERS_TOO_LARGE, renderInputRefusal } from './input-refusals.js';
 import { MessageEndFinder, type BodyLength } from './message-end-finder.js';
 import type { ParsingOrder, ParsingTurns } from './parsing-turns.js';
 
@@ -15,6 +17,9 @@
 
 const HEAD_END = '\r\n\r\n';
 
+/** Largest head, in bytes, with spaces and separators. */
+const MAX_HEAD_BYTES = 65_536;
+
 /**
  * Longest time for which a connection stays open after its last response for a caller that still sends, in
  * milliseconds. Closing it earlier resets it, which may discard the response.
@@ -90,9 +95,12 @@
 
   private heldBytes = 0;
 
-  /** Bytes of the head that the parser was given and that is not complete. */
+  /** Bytes of the head that is not complete. */
   private headBytes = 0;
 
+  /** The part of it that the parser gets only with its end: each field takes much more than its bytes there. */
+  private readonly headRest = new GrowingBuffer();
+
   /** When the last byte arrived of what the parser was given, in milliseconds. */
   private receivedAtMs = 0;
 
@@ -350,17 +358,45 @@
   private feedPart(): void {
     if (!this.mayFeed) return;
     const { bytes, receivedAtMs } = this.held.shift()!;
+    const isHead = this.finder.isInHead;
     const count = this.finder.countToEnd(bytes);
     this.heldBytes -= count;
     // The rest of a short message goes with its head.
     this.isFirst &&= this.heldBytes <= MAX_SMALL_HEAD_BYTES;
     if (count < bytes.length) this.held.unshift({ bytes: bytes.subarray(count), receivedAtMs });
     this.receivedAtMs = receivedAtMs;
-    if (this.open === undefined) this.headBytes += count;
-    this.parse(bytes.subarray(0, count));
+    if (isHead) this.feedHead(bytes.subarray(0, count));
+    else this.parse(bytes.subarray(0, count));
     if (this.isWaiting) this.isFirst = false;
   }
 
+  /**
+   * Gives the parser the beginning of a head, from which on the time for the head counts, and the rest with its
+   * end.
+   */
+  private feedHead(bytes: Buffer): void {
+    const parsedBytes = Math.max(0, PARSED_HEAD_BYTES - this.headBytes);
+    this.headBytes += bytes.length;
+    if (this.finder.hasFoundEnd) {
+      this.parseHeadRest(bytes);
+      return;
+    }
+    if (parsedBytes > 0) this.parse(bytes.subarray(0, parsedBytes));
+    if (this.isCut) return;
+    if (this.headBytes > MAX_HEAD_BYTES) this.refuseInput(HTTP_HEADERS_TOO_LARGE);
+    else if (bytes.length > parsedBytes) this.headRest.append(bytes.subarray(parsedBytes));
+  }
+
+  /** Gives the parser what it has not got yet of a head, with the bytes that follow. */
+  private parseHeadRest(bytes: Buffer): void {
+    if (this.headRest.length === 0) {
+      this.parse(bytes);
+      return;
+    }
+    this.headRest.append(bytes);
+    this.parse(this.headRest.take());
+  }
+
   /** Node reads on when the reader of a message has taken what it got, whatever is held here. */
   private handleResume(): void {
     if (this.hasPaused) this.socket.pause();
@@ -397,6 +433,7 @@
 
   /** Decides what becomes of the open request when nothing more arrives. */
   private finishInput(): void {
+    if (this.headRest.length > 0) this.parse(this.headRest.take());
     if (this.isWaiting && this.options.mayHalfClose) this.armHalfClosedTimer();
     else this.parseEnd();
   }
@@ -415,6 +452,7 @@
     this.held = [];
     this.heldBytes = 0;
     this.headBytes = 0;
+    this.headRest.take();
     this.reportHeld();
   }
 
