Search the end of a chunk's size line instead of reading each of its bytes

Cause: each byte of an extension was turned into a digit, some 20 ns a byte, 1.36 s of a profile of the process in readChunkSize. The line's end is now searched, and bytes are read only until the digits end. Ruled out, each by a run: the order of turns and the resumption of paused sockets (both taken back).

--- a/packages/entry/src/gateway/callers/message-end-finder.ts
+++ b/packages/entry/src/gateway/callers/message-end-finder.ts
@@ -127,20 +127,20 @@
   }
 
   private readChunkSize(bytes: Buffer, start: number): Progress {
-    let next = start;
-    while (next < bytes.length && bytes[next] !== NEWLINE) {
+    const newline = bytes.indexOf(NEWLINE, start);
+    const end = newline === -1 ? bytes.length : newline;
+    for (let next = start; next < end && !this.hasChunkBytes; next += 1) {
       const digit = Number.parseInt(String.fromCharCode(bytes[next]!), HEXADECIMAL);
-      this.hasChunkBytes ||= Number.isNaN(digit);
+      this.hasChunkBytes = Number.isNaN(digit);
       if (!this.hasChunkBytes) this.chunkBytes = this.chunkBytes * HEXADECIMAL + digit;
-      next += 1;
     }
-    if (next === bytes.length) return { next, isAtEnd: false };
+    if (newline === -1) return { next: end, isAtEnd: false };
     this.lines += 1;
     this.part = this.chunkBytes > 0 ? 'chunk' : 'trailers';
     this.bytesLeft = this.chunkBytes + LINE_END_BYTES;
     this.chunkBytes = 0;
     this.hasChunkBytes = false;
-    return { next: next + 1, isAtEnd: false };
+    return { next: end + 1, isAtEnd: false };
   }
 
   private readChunk(bytes: Buffer, start: number): Progress {
