--- a/packages/decisions/src/gateway/harm/find-blocked-suspects.ts
+++ b/packages/decisions/src/gateway/harm/find-blocked-suspects.ts
@@ -1,3 +1,4 @@
+import type { MonotonicMs } from '@savorywind/model';
 import {
   MIN_CRASHES,
   MIN_ENDS,
@@ -27,9 +28,29 @@
   return { suspect, crashes, trialMs: lastMs + trialDelayMs };
 };
 
-/** Engine processes that were lost, by any of the suspects, with the time of the loss. */
-const collectLosses = (suspects: readonly Suspect[]): ReadonlyMap<number, number> =>
-  new Map(suspects.flatMap(({ crashes }) => [...crashes].map(([id, { atMs }]) => [id, atMs])));
+interface Loss {
+  readonly process: number;
+  readonly atMs: MonotonicMs;
+}
+
+/** Engine processes that were lost, by any of the suspects, in the order of time. */
+const collectLosses = (suspects: readonly Suspect[]): Loss[] => {
+  const times = new Map<number, MonotonicMs>();
+  suspects.forEach(({ crashes }) => crashes.forEach(({ atMs }, id) => times.set(id, atMs)));
+  return [...times].map(([process, atMs]) => ({ process, atMs })).sort((a, b) => a.atMs - b.atMs);
+};
+
+/** Finds the place of the first loss with a time that is late enough. */
+const findPlace = (losses: readonly Loss[], isLate: (atMs: MonotonicMs) => boolean): number => {
+  let low = 0;
+  let high = losses.length;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if (isLate(losses[middle]!.atMs)) high = middle;
+    else low = middle + 1;
+  }
+  return low;
+};
 
 /** What the suspects that are blocked so far explain. */
 class Explanations {
@@ -70,7 +91,7 @@
 const isSpecific = (
   { key, crashes }: Suspect,
   moments: readonly (readonly Crash[])[],
-  losses: ReadonlyMap<number, number>,
+  losses: readonly Loss[],
   { lost }: BlockEvidence,
   explanations: Explanations,
 ): boolean => {
@@ -78,9 +99,9 @@
   moments.forEach((moment) => {
     const fromMs = moment[0]!.atMs - TIME_TOLERANCE_MS;
     const toMs = moment.at(-1)!.atMs + TIME_TOLERANCE_MS;
-    losses.forEach((atMs, process) => {
-      if (atMs >= fromMs && atMs <= toMs) others.add(process);
-    });
+    const first = findPlace(losses, (atMs) => atMs >= fromMs);
+    const end = findPlace(losses, (atMs) => atMs > toMs);
+    losses.slice(first, end).forEach(({ process }) => others.add(process));
     lost.listWithout(key, fromMs, toMs).forEach((process) => others.add(process));
   });
   const without = [...others].filter((id) => !crashes.has(id) && !explanations.explains(id)).length;
--- a/packages/decisions/src/gateway/harm/harmful-requests.ts
+++ b/packages/decisions/src/gateway/harm/harmful-requests.ts
@@ -75,6 +75,9 @@
   /** Whether evidence was added since the suspects were assessed. */
   private hasNewEvidence = false;
 
+  /** Whether a suspect was acquitted since then. */
+  private hasAcquitted = false;
+
   private readonly counts = { crashes: 0, refused: 0, trials: 0 };
 
   constructor(private readonly options: HarmfulRequestsOptions) {}
@@ -113,6 +116,7 @@
       suspect.ownBegunAtMs = nowMs;
       this.acquit(suspect, nowMs);
     });
+    this.applyEvidence();
   }
 
   /** Records that an endpoint has sent something, which it would not do after a crash. */
@@ -175,6 +179,8 @@
     const waitMs = isDue ? this.estimateTurnWaitMs(found[0]!) : Number.POSITIVE_INFINITY;
     if (waitMs === 0) {
       found.forEach((blocked) => this.startTrial(record, blocked));
+      this.assess();
+      this.options.onChanged();
       return 'run';
     }
     if (waitMs <= MAX_TRIAL_WAIT_MS && record.sends === 0) return 'wait';
@@ -201,7 +207,7 @@
   /** Applies what a peer knows. */
   applyObservations(observations: readonly HarmObservation[]): void {
     observations.forEach((observation) => this.applyObservation(observation));
-    if (this.hasNewEvidence) this.assess();
+    this.applyEvidence();
   }
 
   private applyObservation({
@@ -248,7 +254,16 @@
     if (contradicted.length === 0) return;
     contradicted.forEach(([process]) => suspect.crashes.delete(process));
     suspect.changedAtMs = this.options.context.nowMs;
+    this.hasNewEvidence = true;
+    this.hasAcquitted = true;
+  }
+
+  /** Assesses the suspects once, whatever one event has changed, and tells the peers at once if one is acquitted. */
+  private applyEvidence(): void {
+    if (!this.hasNewEvidence) return;
     this.assess();
+    if (!this.hasAcquitted) return;
+    this.hasAcquitted = false;
     this.options.onChanged();
   }
 
@@ -271,7 +286,7 @@
   }
 
   private startTrial(record: GatewayRecord, { suspect, crashes }: BlockedSuspect): void {
-    const { context, onChanged } = this.options;
+    const { context } = this.options;
     record.isTrial = true;
     this.counts.trials += 1;
     suspect.triedAtMs = context.nowMs;
@@ -279,8 +294,6 @@
     suspect.changedAtMs = context.nowMs;
     const { callerAttempt } = record.request;
     context.log(logEvents.suspectTried, { suspect: suspect.key, crashes, request: callerAttempt });
-    this.assess();
-    onChanged();
   }
 
   /** Decides anew which suspects are blocked. */
