--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -20,6 +20,7 @@
 import { CredentialLease } from './credential-lease.js';
 import { DomainReachability } from './domain-reachability.js';
 import { EndpointLimits, type LimitUsage } from './permits/endpoint-limits.js';
+import { MAX_SHARED_PARTS } from './harm/consts.js';
 import { HarmfulRequests } from './harm/harmful-requests.js';
 import type { HarmUsage } from './harm/types.js';
 import { EndpointHealth } from './endpoint-health.js';
@@ -83,6 +84,13 @@
  */
 const NOT_READY_RETRY_AFTER_MS = 500;
 
+/** Reasons for which a request would be refused again. */
+const FINAL_REFUSALS: ReadonlySet<GatewayRefusalReason> = new Set([
+  'noRoute',
+  'wrongCredential',
+  'tooManyParts',
+]);
+
 /**
  * Time over which entry VMs spread the renewal of their rows after the store came back from an older copy:
  * three calls of each of 330 VMs then stay below a third of what the store takes in a second.
@@ -135,7 +143,7 @@
 
   private readonly contact = new StoreContact();
 
-  private readonly health = new EndpointHealth();
+  private readonly health: EndpointHealth;
 
   private readonly harmful: HarmfulRequests;
 
@@ -174,6 +182,12 @@
 
   private readonly proof = new ConfigurationProof();
 
+  /** The newest era of the store that is known; undefined if it names none. */
+  private storeEra: number | undefined;
+
+  /** The era in which the configuration was last proved to be current. */
+  private provenEra: number | undefined;
+
   private routeIndex: RouteIndex | undefined;
 
   private isReady = false;
@@ -192,7 +206,10 @@
     this.context = new GatewayContext(`${self.id}.${incarnation}`, options.seed);
     this.lease = new CredentialLease(estimateLeaseMs(contract));
     this.reregistrationMs = contract.reregistrationMs;
-    this.table = new EndpointTable(computeRetentionMs(contract), (id) => this.removeEndpoint(id));
+    this.table = new EndpointTable(computeRetentionMs(contract), {
+      onUnregistered: (endpoint) => this.handleUnregistered(endpoint),
+      onForgotten: (endpoint) => this.removeEndpoint(endpoint),
+    });
     this.availability = new EndpointAvailability({
       context: this.context,
       table: this.table,
@@ -219,7 +236,12 @@
       peers: this.fleetLoad.peers,
       onChanged: () => this.snapshots.handleWorkChanged(),
     });
-    this.limits = new EndpointLimits(this.context, () => this.snapshots.handleWorkChanged());
+    this.health = new EndpointHealth(this.table);
+    this.limits = new EndpointLimits({
+      context: this.context,
+      table: this.table,
+      onChanged: () => this.snapshots.handleWorkChanged(),
+    });
     this.snapshots = new SnapshotSender(
       this.context,
       this.fleetLoad,
@@ -348,6 +370,7 @@
     const { requests } = this;
     return {
       woken: () => {},
+      'process.started': () => this.proof.start(this.context.nowMs, this.reregistrationMs),
       drainRequested: ({ timeLeftMs }) => this.startDrain(timeLeftMs),
       'time.lost': ({ lostMs }) => {
         this.lease.addLostTime(lostMs);
@@ -378,7 +401,8 @@
       },
       'store.eraRaised': (event) => this.handleEraRaised(event),
       'store.failed': (event) => this.handleStoreFailure(event),
-      'peers.read': ({ peers }) => {
+      'peers.read': ({ peers, storeEra, provenEra }) => {
+        this.handleErasRead(storeEra, provenEra);
         peers.forEach((peer) => {
           this.fleetLoad.peers.add(peer, this.context.nowMs);
           this.fleetLoad.peers.recordRegistered(peer);
@@ -437,9 +461,7 @@
       const isDisproved = this.proof.recordCommitted(configuration.version, knownSinceMs);
       if (isDisproved) this.lease.clear();
     }
-    limits
-      .filter(({ endpoint }) => this.table.find(endpoint) !== undefined)
-      .forEach((observation) => this.limits.applyObservation(observation));
+    limits.forEach((observation) => this.limits.applyObservation(observation));
     this.availability.applyObservations(from.id, leaving);
     this.harmful.applyObservations(harm);
   }
@@ -450,7 +472,28 @@
     this.proof.handleShown({ version: configuration?.version, source });
     if (configuration !== undefined) this.applyConfiguration(configuration);
     if (this.routeIndex !== undefined && this.proof.takeProof(requestedAtMs, nowMs))
-      this.lease.renew(requestedAtMs);
+      this.handleProof(requestedAtMs);
+  }
+
+  private handleProof(requestedAtMs: MonotonicMs): void {
+    this.lease.renew(requestedAtMs);
+    if (this.storeEra === undefined || this.storeEra === this.provenEra) return;
+    this.provenEra = this.storeEra;
+    this.context.emit({ kind: 'registration.prove', era: this.storeEra });
+  }
+
+  private handleErasRead(storeEra: number | undefined, provenEra: number | undefined): void {
+    const { nowMs } = this.context;
+    if (storeEra !== undefined) this.storeEra = Math.max(storeEra, this.storeEra ?? storeEra);
+    if (!this.proof.isAwaitingEras) return;
+    // If nobody ever had proof, no credential was served that may have been revoked since.
+    if (provenEra !== undefined && storeEra !== undefined && provenEra < storeEra) {
+      this.proof.keepHold();
+      this.context.log(logEvents.eraUnproven, { provenEra, storeEra });
+      return;
+    }
+    const requestedAtMs = this.proof.endHold(nowMs);
+    if (requestedAtMs !== undefined) this.handleProof(requestedAtMs);
   }
 
   private applyConfiguration(configuration: GatewayConfiguration): void {
@@ -472,6 +515,7 @@
     const { nowMs } = this.context;
     const version = this.routeIndex?.version;
     this.context.log(logEvents.storeEraRaised, { previousEra, era, version });
+    this.storeEra = era;
     this.proof.handleEraRaised(nowMs, this.reregistrationMs);
     this.table.handleEraRaised(nowMs);
     this.renewalTimer?.cancel();
@@ -536,7 +580,7 @@
 
   /** The endpoints were sound all the while. */
   private handlePathRegained(service: ServiceId): void {
-    this.table.listServing(service).forEach(({ id }) => this.health.remove(id));
+    this.table.listKnown(service).forEach(({ id }) => this.health.remove(id));
     this.snapshots.handleWorkChanged();
   }
 
@@ -551,6 +595,9 @@
     if (isCredentialRequired && team === undefined) return 'wrongCredential';
     const isTeamFaulty = isCredentialRequired && team?.fault !== undefined;
     if (route.fault !== undefined || isTeamFaulty) return 'misconfigured';
+    // Of a forwarded request, the entry VM that forwards it decides; an earlier build does not know the reason.
+    if (request.forwardedFrom === undefined && request.sharedParts.length > MAX_SHARED_PARTS)
+      return 'tooManyParts';
     const service = routeIndex.findService(this.pickService(route));
     if (service === undefined) return 'noEndpoint';
     const tightestGapMs = routeIndex.findTightestGapMs(service.name);
@@ -568,8 +615,8 @@
   }
 
   private refuse(request: GatewayRequest, reason: GatewayRefusalReason): void {
-    const isFinal = reason === 'noRoute' || reason === 'wrongCredential';
-    const refusal = { reason, retryAfterMs: isFinal ? undefined : NOT_READY_RETRY_AFTER_MS };
+    const retryAfterMs = FINAL_REFUSALS.has(reason) ? undefined : NOT_READY_RETRY_AFTER_MS;
+    const refusal = { reason, retryAfterMs };
     this.context.log(logEvents.requestTurnedAway, { request: request.callerAttempt, reason });
     this.context.emit({ kind: 'request.measured', measured: measureRefused(request, reason) });
     this.context.emit({
@@ -579,6 +626,12 @@
     });
   }
 
+  private handleUnregistered(endpoint: EndpointId): void {
+    this.context.log(logEvents.endpointForgotten, { endpoint });
+    this.context.emit({ kind: 'endpoint.forgotten', endpoint });
+  }
+
+  /** Forgets what is bound to a process of an endpoint. */
   private removeEndpoint(endpoint: EndpointId): void {
     this.health.remove(endpoint);
     this.probes.remove(endpoint);
@@ -586,8 +639,6 @@
     this.limits.remove(endpoint);
     this.permits.remove(endpoint);
     this.coordinator.remove(endpoint);
-    this.context.log(logEvents.endpointForgotten, { endpoint });
-    this.context.emit({ kind: 'endpoint.forgotten', endpoint });
   }
 
   private armExpiryTimer(): void {
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -54,6 +54,7 @@
 } from './request-record.js';
 import type {
   CloseReason,
+  EndpointProcess,
   GatewayResponseHead,
   GatewayAttemptFailure,
   GatewayEvent,
@@ -197,10 +198,10 @@
     open.forEach((record) => this.end(record, 'stopping'));
   }
 
-  handleLimit(attemptId: string, limit: RequestLimitReport, servedBy?: EndpointId): void {
+  handleLimit(attemptId: string, limit: RequestLimitReport, servedBy?: EndpointProcess): void {
     const attempt = this.attempts.find(attemptId)?.attempt;
     if (attempt === undefined) return;
-    const endpoint = attempt.target === 'peer' ? servedBy : attempt.endpoint.id;
+    const endpoint = attempt.target === 'peer' ? servedBy : attempt.endpoint;
     if (endpoint !== undefined) this.options.limits.report(endpoint, limit, attempt.startedAtMs);
   }
 
@@ -262,6 +263,7 @@
     record.isContinuable = eventId !== undefined;
     recordEvent(record.times, this.options.context.nowMs);
     this.reportResponse(record.attempt);
+    this.options.harmful.recordEvent(record, record.attempt);
     this.attempts.handleEvent(record, record.attempt);
   }
 
@@ -275,6 +277,9 @@
     const record = this.attempts.find(attemptId);
     if (record === undefined) return;
     logConnectionEnd(this.options.context, record);
+    const { head } = record.attempt ?? {};
+    if (head?.content === 'events' && isSuccess(head.status))
+      this.options.harmful.recordSound(record);
     const isLate = logIfLate(this.options.context, record);
     this.attempts.detach(record);
     this.options.context.emit({ kind: 'caller.finish', requestId: record.request.requestId });
@@ -295,17 +300,17 @@
     { failure, detail, atFault }: AttemptFailed,
   ): void {
     const { context, health, paths } = this.options;
-    const { id: failedId } = findFailedEndpoint(attempt, atFault);
-    logFailure(context, record, { failed: failedId, failure, detail });
+    const failed = findFailedEndpoint(attempt, atFault);
+    logFailure(context, record, { failed: failed.id, failure, detail });
     if (CONNECTION_FAILURES.has(failure)) this.reportLoss(record, attempt);
     if (failure === 'rejected') this.options.paths.find(record.service.name).recordResponse();
     if (failure === 'broken' && !paths.isCutOff) this.options.harmful.recordLoss(record, attempt);
     this.attempts.detach(record);
     releaseReservations(record);
-    if (failure === 'unsendable') record.unsendableAt ??= failedId;
+    if (failure === 'unsendable') record.unsendableAt ??= failed;
     else this.blameUnsendable(record);
-    if (!BLAMELESS_FAILURES.has(failure)) health.reportFailure(failedId, context.nowMs);
-    if (failure !== 'withdrawn') record.failedEndpoints.add(failedId);
+    if (!BLAMELESS_FAILURES.has(failure)) health.reportFailure(failed, context.nowMs);
+    if (failure !== 'withdrawn') record.failedEndpoints.add(failed.id);
     this.retryOrFail(record, failure);
   }
 
@@ -319,7 +324,7 @@
   private reportHead(attempt: GatewayAttempt): void {
     if (attempt.target === 'peer') return;
     this.options.availability.recordResponse(attempt.attemptId);
-    this.options.health.reportResponse(attempt.endpoint.id);
+    this.options.health.reportResponse(attempt.endpoint);
     this.reportResponse(attempt);
   }
 
@@ -350,7 +355,7 @@
     if (!this.mayStartBeforeStop(record)) return;
     if (!budget.takeRetry(record.service.name, context.nowMs)) return;
     if (attempt.target === 'endpoint') {
-      health.reportFailure(attempt.endpoint.id, context.nowMs);
+      health.reportFailure(attempt.endpoint, context.nowMs);
       this.reportLoss(record, attempt);
       // Keep-alive connections to the endpoint may be dead.
       context.emit({ kind: 'endpoint.forgotten', endpoint: attempt.endpoint.id });
@@ -375,7 +380,7 @@
   private reportAbandonedStall({ isStalled, attempt, forwardedFrom }: GatewayRecord): void {
     if (!isStalled || forwardedFrom === undefined || attempt?.target !== 'endpoint') return;
     const { context, health } = this.options;
-    health.reportFailure(attempt.endpoint.id, context.nowMs);
+    health.reportFailure(attempt.endpoint, context.nowMs);
     context.emit({ kind: 'endpoint.forgotten', endpoint: attempt.endpoint.id });
   }
 
@@ -383,7 +388,8 @@
     const { context, placement } = this.options;
     this.removeFromQueue(record);
     releaseReservations(record);
-    if (!this.options.harmful.mayRun(record)) {
+    const mayRun = this.options.harmful.decideRun(record);
+    if (mayRun === 'refuse') {
       this.fail(record, 'harmful');
       return;
     }
@@ -397,6 +403,10 @@
       this.fail(record, 'stopping');
       return;
     }
+    if (mayRun === 'wait') {
+      this.queueRequest(record);
+      return;
+    }
     const forwarding = this.peerAttempts.forward(record);
     if (forwarding === 'forwarded') return;
     if (forwarding === 'hopeless') {
@@ -537,10 +547,12 @@
   private relay(record: GatewayRecord, attempt: GatewayAttempt): void {
     const { requestId } = record.request;
     if (record.hasForwardedHead) logContinued(this.options.context, record, attempt);
-    if (attempt.head !== undefined && isSuccess(attempt.head.status))
-      this.options.harmful.recordBegun(record);
+    const { status, content } = attempt.head ?? {};
+    // Of any other response than a stream, the whole or a large part is there.
+    if (status !== undefined && isSuccess(status) && content === 'whole')
+      this.options.harmful.recordSound(record);
     record.hasForwardedHead = true;
-    record.isContinuable = attempt.head?.content === 'events';
+    record.isContinuable = content === 'events';
     this.options.context.emit({
       kind: 'caller.relay',
       requestId,
--- a/packages/decisions/src/gateway/harm/consts.ts
+++ b/packages/decisions/src/gateway/harm/consts.ts
@@ -6,19 +6,43 @@
  */
 export const MIN_CRASHES = 3;
 
+/**
+ * Ends of engines from which requests with a suspect are refused also if the engines ended at fewer moments:
+ * under one part of prompts, and under one request. From so many on, the users permit only a few more requests.
+ */
+export const MIN_ENDS = { part: 5, request: 3 } as const;
+
+/**
+ * Least share of the engine processes lost at the same moments that must have ended under a suspect for their
+ * number to count. Of what all of them had, as in a cut, the rarer suspects are only at some.
+ */
+export const MIN_ENDS_SHARE = 2 / 3;
+
+/** Time from a crash until all entry VMs refuse what it blocks, in milliseconds. */
+export const BLOCK_KNOWN_MS = 500;
+
+/** Most engine processes that are remembered as lost. */
+export const MAX_LOST_PROCESSES = 1_024;
+
 /**
  * A lost attempt is evidence of a crash only if the engine sends this entry VM nothing for this long, in
  * milliseconds. Data that was on the way arrives well within it.
  */
 export const CRASH_CONFIRMATION_MS = 100;
 
+/**
+ * Time from the first event of an answer after which another event proves its request sound, in milliseconds.
+ * An engine that crashes because of what it writes does so well within it.
+ */
+export const SOUND_AFTER_MS = 1_000;
+
 /**
  * By how much the times of two losses that peers told may be off against each other, in milliseconds: the
  * delay of a datagram and of the process that reads it.
  */
 export const TIME_TOLERANCE_MS = 20;
 
-/** An answer this shortly before a crash still contradicts it: what peers tell is this late, in milliseconds. */
+/** A proof this shortly before a crash still contradicts it: what peers tell is this late, in milliseconds. */
 export const TOLD_DELAY_MS = 50;
 
 /**
@@ -37,10 +61,16 @@
 export const MAX_TRIAL_DELAY_MS = 3_600_000;
 
 /**
- * Time by which the entry VMs' turns for a trial are apart, in milliseconds: the word of a trial reaches the
- * next one before its turn, so that seldom two are sent.
+ * Length of an entry VM's turn for a trial, in milliseconds: the word of a trial reaches the next one before
+ * its turn, so that seldom two are sent, also where requests come to several at the same moment.
  */
-export const TRIAL_TURN_MS = 500;
+export const TRIAL_TURN_MS = 50;
+
+/** Time by which the entry VMs' turns are apart where some get snapshots only now and then, in milliseconds. */
+export const LARGE_FLEET_TURN_MS = 500;
+
+/** Longest time for which a request waits for the turn of its entry VM, in milliseconds. */
+export const MAX_TRIAL_WAIT_MS = 500;
 
 /** Time for which crashes are remembered as long as the suspect is not blocked, in milliseconds. */
 export const SUSPICION_MEMORY_MS = 600_000;
@@ -54,8 +84,17 @@
 /** Time after the last crash or trial for which a suspect stays blocked, in milliseconds. */
 export const BLOCK_MEMORY_MS = 2 * MAX_TRIAL_DELAY_MS;
 
-/** Most suspects. Those with the fewest crashes are dropped first, of them the oldest. */
-export const MAX_SUSPECTS = 256;
+/**
+ * Most shared parts of a prompt, which are all told apart: a part that isn't could do harm unseen. Prompts
+ * consist of a few parts. Requests with more are refused.
+ */
+export const MAX_SHARED_PARTS = 256;
+
+/**
+ * Most suspects: those of a few lost prompts with as many parts as are permitted. Those with the fewest crashes
+ * are dropped first, of them the oldest.
+ */
+export const MAX_SUSPECTS = 4 * MAX_SHARED_PARTS;
 
 /** Most crashes kept of one suspect. */
 export const MAX_CRASHES = 12;
@@ -75,7 +114,7 @@
 /** Interval at which blocked suspects are told again, for entry VMs that have started, in milliseconds. */
 export const BLOCK_REPORT_INTERVAL_MS = 1_000;
 
-/** Most suspects in one snapshot: those that are blocked, then those with most crashes. */
+/** Most suspects in one snapshot. Where there are more, the next snapshots tell the others. */
 export const MAX_TOLD_SUSPECTS = 12;
 
 /** Depth of a request as a whole, which is deeper than all parts of its prompt. */
--- a/packages/decisions/src/gateway/permits/permit-coordinator.ts
+++ b/packages/decisions/src/gateway/permits/permit-coordinator.ts
@@ -23,7 +23,7 @@
 }
 
 /**
- * Denial of an entry VM that does not know the endpoint, or that by its own view is not the coordinator:
+ * Denial of an entry VM that does not know the endpoint, knows another process of it, or that by its own view is not the coordinator:
  * after this time the snapshots have brought the views closer.
  */
 const OTHER_VIEW: PermitDecision = { outcome: 'denied', delayMs: SNAPSHOT_INTERVAL_MS };
@@ -67,9 +67,10 @@
   /** Decides a request for a permit, of a peer or of this entry VM itself. */
   decide({ limit, maxDelayMs }: Pick<PermitRequest, 'limit' | 'maxDelayMs'>): PermitDecision {
     const { context, self, table, limits } = this.options;
-    const endpoint = table.find(limit.endpoint);
-    if (endpoint === undefined) return OTHER_VIEW;
     limits.applyObservation(limit);
+    const endpoint = table.find(limit.endpoint);
+    const { endpoint: id, startedAtMs } = limit;
+    if (endpoint === undefined || !table.isKnown({ id, startedAtMs })) return OTHER_VIEW;
     const coordinator = this.find(endpoint);
     if (coordinator?.peer.id !== self.id) return OTHER_VIEW;
     const perSecond = limits.find(endpoint.id);
--- a/packages/decisions/src/gateway/request-record.ts
+++ b/packages/decisions/src/gateway/request-record.ts
@@ -14,7 +14,7 @@
 import type { ForwardedFrom, PeerRefusal } from './forwarding/types.js';
 import type { ReservationSet } from './memory-reservations.js';
 import type { LocalWork } from './fleet-load-tracker.js';
-import type { GatewayRequest, GatewayResponseHead } from './types.js';
+import type { EndpointProcess, GatewayRequest, GatewayResponseHead } from './types.js';
 
 /** State that each attempt has. */
 interface AttemptState {
@@ -25,6 +25,8 @@
   head: GatewayResponseHead | undefined;
   /** Whether the response is paused because the caller reads slowly. */
   isPaused: boolean;
+  /** When another event would prove that the request does no harm; undefined before the first event. */
+  provesSoundAtMs: MonotonicMs | undefined;
 }
 
 /** One attempt to have a request served by an endpoint. */
@@ -97,7 +99,7 @@
   /** Attempts that could not be put into bytes. */
   unsendable: number;
   /** Endpoint of the first of these, until it is known whether the request or the endpoint is the cause. */
-  unsendableAt: EndpointId | undefined;
+  unsendableAt: EndpointProcess | undefined;
   /** Endpoints to which no connection could be opened for the request. */
   connectFailures: number;
   /** Endpoints at which an attempt was started. */
@@ -125,6 +127,8 @@
    */
   isContinuable: boolean;
   lastEventId: string | undefined;
+  /** Whether an answer to it was complete or has gone on for so long that it does no harm to endpoints. */
+  isSound: boolean;
   /** Whether it was let through although something that it has in common with others is blocked. */
   isTrial: boolean;
   readonly times: EventTimes;
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -129,7 +129,7 @@
  * - `stopping`: the time of the stopping process has ended
  * - `fault`: an exception has ended what passes the response on
  */
-export type CloseReason = 'malformedInput' | 'stopping' | 'fault';
+export type CloseReason = 'malformedInput' | 'stopping' | 'fault' | 'slowReader';
 
 /** Input of the gateway's decisions. */
 export type GatewayEvent =
@@ -176,7 +176,16 @@
   | { readonly kind: 'tables.sourceFailed'; readonly peer: EntryVmId; readonly detail: string }
   /** A peer asked for the tables of the store. */
   | { readonly kind: 'tables.asked' }
-  | { readonly kind: 'peers.read'; readonly peers: readonly GatewayPeer[] }
+  /** Comes before all others where the process may have been preceded by others with the same store. */
+  | { readonly kind: 'process.started' }
+  | {
+      readonly kind: 'peers.read';
+      readonly peers: readonly GatewayPeer[];
+      /** Era of the store in which they were read; undefined if it names none. */
+      readonly storeEra?: number | undefined;
+      /** Latest era in which one of them, or an earlier process of this VM, had proof of its configuration. */
+      readonly provenEra?: number | undefined;
+    }
   | { readonly kind: 'peer.received'; readonly snapshot: WorkSnapshot }
   /** A peer asks for a permit. */
   | { readonly kind: 'permit.requested'; readonly request: PermitRequest }
@@ -194,7 +203,7 @@
       readonly kind: 'attempt.limitReported';
       readonly attemptId: AttemptId;
       /** The endpoint that named it, if the attempt was forwarded to a peer. */
-      readonly endpoint?: EndpointId | undefined;
+      readonly endpoint?: EndpointProcess | undefined;
       readonly limit: RequestLimitReport;
     }
   /** A response of the endpoint carries a notice; comes before what the response means for its request. */
@@ -271,6 +280,8 @@
   | 'rejected'
   /** Engines crashed under requests that have something in common with this one. */
   | 'harmful'
+  /** Its prompt has more shared parts than can be told apart. */
+  | 'tooManyParts'
   /** The process stops before the response could be complete. */
   | 'stopping'
   | 'broken'
@@ -412,6 +423,8 @@
   | { readonly kind: 'tables.sourceChanged'; readonly source: TableSource }
   /** Checks the row of this entry VM in the store, writes it again if needed, and reads the peers. */
   | { readonly kind: 'registration.renew' }
+  /** Has the registration tell the era in which the configuration was proved to be current. */
+  | { readonly kind: 'registration.prove'; readonly era: number }
   | { readonly kind: 'callerLimits.changed'; readonly limits: CallerLimits }
   /** Closes keep-alive connections to an endpoint that was removed, restarted or stalled. */
   | { readonly kind: 'endpoint.forgotten'; readonly endpoint: EndpointId }
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -14,6 +14,7 @@
 import { Containment, type Work } from '../runtime/containment.js';
 import { StateMachineRunner, type EffectHandlersOf } from '../runtime/state-machine-runner.js';
 import type { CallerExchange } from './callers/caller-exchange.js';
+import { ParsingTurns } from './callers/parsing-turns.js';
 import { RequestServer, type RequestServerOptions } from './callers/request-server.js';
 import { resolveFailedEffect } from './effect-owners.js';
 import { ElapsedClock } from './elapsed-clock.js';
@@ -155,7 +156,7 @@
       wire,
       bodyBudget: this.room.memory,
       connections: this.room.connections,
-      pacer: this.room.pacer,
+      turns: new ParsingTurns(),
       onShortage: (reason) => this.room.recordRefusal(reason),
       onRequestReceived: (exchange, path, host) => this.openExchange(exchange, path, host),
       onDisconnected: (requestId, closedFor) => this.requests.abandon(requestId, closedFor),
@@ -195,9 +196,9 @@
       rows: adapter.rows,
       self,
       containment: this.containment,
-      onRead: (peers) => {
+      onRead: (peers, eras) => {
         this.peerHosts = new Set(peers.map(({ address }) => address.host));
-        this.dispatch({ kind: 'peers.read', peers });
+        this.dispatch({ kind: 'peers.read', peers, ...eras });
       },
       onFoundRegistered: () => this.logger.write(logEvents.gatewayRestarted, {}),
       onUnreadable: (row) => this.logger.write(logEvents.storeEntryUnreadable, { key: row.key }),
@@ -215,6 +216,7 @@
     this.startMetrics();
     this.heapWatch.start();
     this.logger.write(logEvents.gatewayStarted, { callers: this.settings.callers.port });
+    this.dispatch({ kind: 'process.started' });
     this.storeTables.start();
     await this.registration.renew();
   }
@@ -295,7 +297,7 @@
 
   private createStoreTables(): StoreTables {
     const { rows, tables } = this.adapter;
-    const { contract } = this.settings;
+    const { contract, self } = this.settings;
     const updates = new StoreUpdates({
       rows,
       containment: this.containment,
@@ -306,6 +308,7 @@
     });
     return new StoreTables({
       tables,
+      localHost: self.address.host,
       names: { configuration: rows.configurationTable, endpoints: rows.endpointTable },
       timings: computeReadTimings(contract),
       era: this.era,
@@ -409,6 +412,9 @@
         this.peerSocket.sendMessage({ kind: 'permit.answer', answer }, to),
       'tables.readNow': () => this.readTablesAgain(),
       'tables.sourceChanged': ({ source }) => this.changeTableSource(source),
+      'registration.prove': ({ era }) => {
+        this.registration.prove(era);
+      },
       'registration.renew': () => {
         this.registration.renew();
       },
--- a/packages/entry/src/gateway/memory/consts.ts
+++ b/packages/entry/src/gateway/memory/consts.ts
@@ -25,6 +25,12 @@
  */
 export const RESPONSE_FRACTION = 0.25;
 
+/** Part of the memory that is given out that responses may take which wait for callers that read slowly. */
+export const READER_FRACTION = 0.5;
+
+/** Most that is read of a connection at once, in bytes. */
+export const READ_BYTES = 65_536;
+
 /** Descriptors that the platform reserves for files. */
 export const FILE_DESCRIPTORS = 200;
 
@@ -49,5 +55,8 @@
  */
 export const UNFINISHED_HEAD_BYTE_PRICE = 12;
 
-/** Most that the fields of one unfinished head take besides its bytes, as the parser keeps 2,000 at most. */
-export const MAX_FIELDS_PRICE_BYTES = 140_000;
+/** Bytes of a head that the parser is given before the head is complete. */
+export const PARSED_HEAD_BYTES = 1_024;
+
+/** Price of a byte of an unfinished head that the parser is not given yet: a buffer up to twice its size. */
+export const UNPARSED_BYTE_PRICE = 2;
--- a/packages/entry/src/gateway/status-server.ts
+++ b/packages/entry/src/gateway/status-server.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { CallerConnection } from './callers/caller-connection.js';
+import { ParsingTurns } from './callers/parsing-turns.js';
 
 /** Most open connections; those who ask for the state of a VM are few. Beyond it the oldest is closed. */
 const MAX_CONNECTIONS = 64;
@@ -16,9 +17,10 @@
 const hasBody = ({ headers }: IncomingMessage): boolean =>
   headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 
-const openConnection = (socket: Socket): CallerConnection =>
+const openConnection = (socket: Socket, turns: ParsingTurns): CallerConnection =>
   new CallerConnection({
     socket,
+    turns,
     mayHalfClose: true,
     isStopping: () => false,
     isClosing: () => false,
@@ -40,6 +42,7 @@
 ): Server => {
   /** In the order in which they were opened. */
   const connections = new Map<Socket, CallerConnection>();
+  const turns = new ParsingTurns();
   const openRequest = (incoming: IncomingMessage, outgoing: ServerResponse): void => {
     const connection = connections.get(incoming.socket);
     connection?.openNext(incoming, outgoing);
@@ -62,7 +65,7 @@
     outgoing.writeHead(HTTP_EXPECTATION_FAILED, { 'Content-Length': '0' }).end();
   });
   server.on('connection', (socket) => {
-    connections.set(socket, openConnection(socket));
+    connections.set(socket, openConnection(socket, turns));
     socket.on('close', () => connections.delete(socket));
     // A new one asks at once, and one that asks in turn comes again.
     if (connections.size > MAX_CONNECTIONS) [...connections.keys()][0]?.destroy();
--- a/packages/entry/src/gateway/store/table-feed-client.ts
+++ b/packages/entry/src/gateway/store/table-feed-client.ts
@@ -3,6 +3,7 @@
 import type { RawData, WebSocket } from 'ws';
 import type { Containment } from '../../runtime/containment.js';
 import {
+  computeTableFeedLimits,
   decodeTableFeedMessage,
   encodeTableFeedMessage,
   MAX_TABLE_FEED_BYTES,
@@ -14,6 +15,8 @@
 
 export interface TableFeedClientOptions {
   readonly mirrors: readonly TableMirror[];
+  /** Address of this entry VM, by which peers know it; any if this is missing. */
+  readonly localHost?: string | undefined;
   /** Age from which what a peer passes on of a table is too old, in milliseconds. */
   readonly maxAgesMs: ReadonlyMap<string, number>;
   readonly timing: RelayTiming;
@@ -88,8 +91,9 @@
     const { WebSocket: Socket } = await import('ws');
     if (this.session !== session) return;
     const socket = new Socket(`ws://${host}:${port}${TABLE_FEED_PATH}`, {
-      maxPayload: MAX_TABLE_FEED_BYTES,
+      ...computeTableFeedLimits(MAX_TABLE_FEED_BYTES),
       perMessageDeflate: false,
+      localAddress: this.options.localHost,
     });
     session.socket = socket;
     const guard = <Value>(listener: (value: Value) => void): ((value: Value) => void) =>
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -211,6 +211,8 @@
   readonly perSecond: number | undefined;
   /** Time from the observation to the sending of this message, in milliseconds. */
   readonly ageMs: number;
+  /** Start of the process that named it; undefined if it is not known, or from builds that do not send it. */
+  readonly startedAtMs?: number | undefined;
 }
 
 /** An endpoint that has told an entry VM itself, in a response, that it leaves. */
@@ -222,7 +224,7 @@
   readonly ageMs: number;
 }
 
-/** An engine process that was lost under unanswered requests. */
+/** An engine process that was lost under requests that no answer has proved sound. */
 export interface CrashObservation {
   /** Hash of the identity of the process. */
   readonly process: number;
@@ -241,7 +243,10 @@
   /** Position of the part in the prompt; deeper suspects are common to fewer requests. */
   readonly depth: number;
   readonly crashes: readonly CrashObservation[];
-  /** Time since an answer with it last began at this entry VM, in milliseconds; undefined if none did. */
+  /**
+   * Time since an answer of this entry VM last proved it sound, in milliseconds; undefined if none did. Earlier
+   * builds tell the time since an answer last began.
+   */
   readonly begunAgeMs: number | undefined;
   /** Time since this entry VM last let a request with it through as a trial, in milliseconds. */
   readonly triedAgeMs: number | undefined;
