Give placement and waiting folders of their own

Cause: the gateway's folder holds 42 files, and the parts to come (evacuated failure domains, cold endpoints, competition for room, kept beginnings) each add to placement, waiting and availability. Change: the seven files of placement move to placement/, the queue to waiting/; imports follow. No behaviour changes. Checked: typecheck, eslint of packages/decisions and its tests pass as before.

--- a/packages/decisions/src/gateway/attempt-rules.ts
+++ b/packages/decisions/src/gateway/attempt-rules.ts
@@ -1,6 +1,6 @@
 import type { GatewayEndpoint, MonotonicMs, NetworkAddress } from '@savorywind/model';
 import { MAX_HELPERS, MIN_ATTEMPT_MS } from './consts.js';
-import { estimateMinFirstEventMs } from './placement-policy.js';
+import { estimateMinFirstEventMs } from './placement/placement-policy.js';
 import type { EndpointAttempt, GatewayRecord } from './request-record.js';
 import type { GatewayAttemptFailure, GatewayResponseHead } from './types.js';
 
--- a/packages/decisions/src/gateway/create-gateway-record.ts
+++ b/packages/decisions/src/gateway/create-gateway-record.ts
@@ -5,7 +5,7 @@
   Route,
   RoutedService,
 } from '@savorywind/model';
-import { estimatePrefillMs } from './engine-costs.js';
+import { estimatePrefillMs } from './placement/engine-costs.js';
 import type { GatewayRecord } from './request-record.js';
 import type { GatewayRequest } from './types.js';
 
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -7,7 +7,7 @@
 } from '@savorywind/model';
 import type { EndpointAvailability } from './availability/endpoint-availability.js';
 import { CONNECT_TIMEOUT_MS } from './consts.js';
-import type { PlacedHelper } from './placement-estimates.js';
+import type { PlacedHelper } from './placement/placement-estimates.js';
 import type { EndpointLimits } from './permits/endpoint-limits.js';
 import type { FleetLoadTracker, LocalWork } from './fleet-load-tracker.js';
 import type { GatewayContext } from './gateway-context.js';
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -41,7 +41,7 @@
 import { PermitCoordinator } from './permits/permit-coordinator.js';
 import { PermitHolder } from './permits/permit-holder.js';
 import { PermittedPlacement } from './permits/permitted-placement.js';
-import { PlacementPolicy } from './placement-policy.js';
+import { PlacementPolicy } from './placement/placement-policy.js';
 import { RouteIndex } from './route-index.js';
 import { SnapshotSender } from './snapshot-sender.js';
 import { StoreContact } from './store-contact.js';
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -45,7 +45,7 @@
 import type { EndpointProbes } from './path/endpoint-probes.js';
 import type { ProbeOutcome } from './path/probe-round.js';
 import type { PermittedPlacement } from './permits/permitted-placement.js';
-import type { WaitDecision } from './placement-policy.js';
+import type { WaitDecision } from './placement/placement-policy.js';
 import {
   mayRerun,
   type EndpointAttempt,
@@ -75,7 +75,7 @@
   logServerError,
   logUnforwardable,
 } from './request-log.js';
-import { RequestQueue } from './request-queue.js';
+import { RequestQueue } from './waiting/request-queue.js';
 import { StopDeadline } from './stop-deadline.js';
 
 export interface GatewayRequestsOptions {
--- a/packages/decisions/src/gateway/memory-reservations.ts
+++ b/packages/decisions/src/gateway/memory-reservations.ts
@@ -1,6 +1,6 @@
 import type { EndpointId, GatewayEndpoint } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
-import type { PlacedHelper } from './placement-estimates.js';
+import type { PlacedHelper } from './placement/placement-estimates.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { ReservationOutcome } from './types.js';
 
--- a/packages/decisions/src/gateway/permits/permitted-placement.ts
+++ b/packages/decisions/src/gateway/permits/permitted-placement.ts
@@ -1,7 +1,7 @@
 import type { MonotonicMs } from '@savorywind/model';
 import type { AttemptPlan } from '../gateway-attempts.js';
 import type { GatewayContext } from '../gateway-context.js';
-import type { PlacementDecision, PlacementPolicy } from '../placement-policy.js';
+import type { PlacementDecision, PlacementPolicy } from '../placement/placement-policy.js';
 import type { GatewayRecord } from '../request-record.js';
 import type { PermitHolder } from './permit-holder.js';
 
--- a/packages/decisions/src/gateway/place-long-prompt.ts
+++ b/packages/decisions/src/gateway/placement/place-long-prompt.ts
@@ -1,5 +1,5 @@
 import type { EngineTraits } from '@savorywind/model';
-import { MAX_HELPERS, MEMORY_BUDGET_FRACTION } from './consts.js';
+import { MAX_HELPERS, MEMORY_BUDGET_FRACTION } from '../consts.js';
 import { estimatePassMs } from './engine-costs.js';
 import {
   buildPlacement,
--- a/packages/decisions/src/gateway/placement-estimates.ts
+++ b/packages/decisions/src/gateway/placement/placement-estimates.ts
@@ -1,7 +1,7 @@
 import type { EngineTraits, GatewayEndpoint } from '@savorywind/model';
-import { GAP_BUDGET_FRACTION, MEMORY_BUDGET_FRACTION } from './consts.js';
+import { GAP_BUDGET_FRACTION, MEMORY_BUDGET_FRACTION } from '../consts.js';
 import { estimatePassMs } from './engine-costs.js';
-import type { EngineLoad } from './fleet-load-tracker.js';
+import type { EngineLoad } from '../fleet-load-tracker.js';
 
 /** Properties of a generation on which its placement depends. */
 export interface PlacementInput {
--- a/packages/decisions/src/gateway/placement-policy.ts
+++ b/packages/decisions/src/gateway/placement/placement-policy.ts
@@ -1,14 +1,14 @@
 import type { FailureDomainId, GatewayEndpoint, LogFields, MonotonicMs } from '@savorywind/model';
-import type { EndpointAvailability } from './availability/endpoint-availability.js';
-import { MAX_HELPERS } from './consts.js';
-import type { EndpointHealth } from './endpoint-health.js';
-import type { DomainReachability } from './domain-reachability.js';
+import type { EndpointAvailability } from '../availability/endpoint-availability.js';
+import { MAX_HELPERS } from '../consts.js';
+import type { EndpointHealth } from '../endpoint-health.js';
+import type { DomainReachability } from '../domain-reachability.js';
 import { estimatePassMs } from './engine-costs.js';
 import { placeGeneration } from './place-generation.js';
-import { createIdleLoad, type FleetLoadTracker } from './fleet-load-tracker.js';
-import type { GatewayContext } from './gateway-context.js';
-import type { EndpointLimits } from './permits/endpoint-limits.js';
-import type { PermitHolder } from './permits/permit-holder.js';
+import { createIdleLoad, type FleetLoadTracker } from '../fleet-load-tracker.js';
+import type { GatewayContext } from '../gateway-context.js';
+import type { EndpointLimits } from '../permits/endpoint-limits.js';
+import type { PermitHolder } from '../permits/permit-holder.js';
 import { pickReplica } from './pick-replica.js';
 import {
   TARGET_BUDGET_FRACTION,
@@ -18,7 +18,7 @@
   type PlacedHelper,
   type Placement,
 } from './placement-estimates.js';
-import type { GatewayRecord } from './request-record.js';
+import type { GatewayRecord } from '../request-record.js';
 
 /** Where a request is placed. */
 interface PlacedDecision {
--- a/packages/decisions/src/gateway/stop-deadline.ts
+++ b/packages/decisions/src/gateway/stop-deadline.ts
@@ -1,5 +1,5 @@
 import type { MonotonicMs } from '@savorywind/model';
-import { estimateDecodeMs, estimateMinFirstEventMs } from './placement-policy.js';
+import { estimateDecodeMs, estimateMinFirstEventMs } from './placement/placement-policy.js';
 import { MAX_HELPERS } from './consts.js';
 import type { GatewayRecord } from './request-record.js';
 
--- a/packages/decisions/src/gateway/request-queue.ts
+++ b/packages/decisions/src/gateway/waiting/request-queue.ts
@@ -1,6 +1,6 @@
 import type { MonotonicMs, ServiceId } from '@savorywind/model';
-import { MAX_QUEUED_REQUESTS } from './consts.js';
-import type { GatewayRecord } from './request-record.js';
+import { MAX_QUEUED_REQUESTS } from '../consts.js';
+import type { GatewayRecord } from '../request-record.js';
 
 const isLate = ({ arrivedAtMs, route }: GatewayRecord, nowMs: MonotonicMs): boolean =>
   nowMs > arrivedAtMs + route.targetLatencyMs;
--- a/packages/decisions/test/gateway/peer-load.test.ts
+++ b/packages/decisions/test/gateway/peer-load.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, describe, expect, it, vi } from 'vitest';
-import { PlacementPolicy } from '../../src/gateway/placement-policy.js';
+import { PlacementPolicy } from '../../src/gateway/placement/placement-policy.js';
 import { createWork, startDriver } from '../fixtures/gateway-driver.js';
 
 afterEach(() => {
