Read changes of a table that follow one another closely in one call

Cause: a long poll returns with the first change, and the next one is sent at once. When many rows change in a row, as when the engines of a service are replaced one after the other, each VM that reads the store makes a call a change. Change: after a long poll that returned changes of the era in force, the table is read again after a sixteenth of the tightest bound (187 ms for 3,000). A change that comes alone is known as soon as before. The age up to which a peer's registrations are used grows by the same time.

--- a/packages/decisions/src/gateway/table-reads/read-timing.ts
+++ b/packages/decisions/src/gateway/table-reads/read-timing.ts
@@ -10,6 +10,8 @@
   readonly responseTimeoutMs: number;
   /** Longest pause after a failed read. */
   readonly maxBackoffMs: number;
+  /** Pause after a long poll that returned changes: those that follow are read together. */
+  readonly changePauseMs: number;
   /** Age from which what a peer passes on of the table is too old. */
   readonly maxRelayedAgeMs: number;
 }
@@ -58,6 +60,12 @@
 /** Longest pause after a failed read, however long the resynchronisation time is, in milliseconds. */
 const MAX_BACKOFF_MS = 400;
 
+/**
+ * Fraction of the tightest bound on a change for which a table is not read after a change. Only a change that
+ * follows another one so closely is known later by it.
+ */
+const CHANGE_PAUSE_FRACTION = 1 / 16;
+
 /**
  * Fractions of the tightest bound on a change. A source that has stopped reading is noticed when what it
  * passes on is too old, at the next question; two sources that do not answer, and then a read of the store,
@@ -87,6 +95,7 @@
   const responseTimeoutMs = Math.min(MAX_RESPONSE_TIMEOUT_MS, RESPONSE_TIMEOUT_FRACTION * resyncMs);
   const maxBackoffMs = Math.min(MAX_BACKOFF_MS, BACKOFF_FRACTION * resyncMs);
   const boundMs = findTightestBoundMs(contract);
+  const changePauseMs = Math.floor(CHANGE_PAUSE_FRACTION * boundMs);
   const longPollMs = Math.floor(Math.min(leavingNoticeMs, LONG_POLL_FRACTION * resyncMs));
   const pollIntervalMs = Math.floor(
     Math.min(credentialFreshnessMs / POLLS_PER_FRESHNESS_PERIOD, LONG_POLL_FRACTION * resyncMs),
@@ -97,6 +106,7 @@
       pollIntervalMs,
       responseTimeoutMs,
       maxBackoffMs,
+      changePauseMs,
       maxRelayedAgeMs: MAX_AGE_FRACTION * boundMs,
     },
     endpoints: {
@@ -104,8 +114,9 @@
       pollIntervalMs: undefined,
       responseTimeoutMs,
       maxBackoffMs,
+      changePauseMs,
       // Answered before the next long poll ends. That the source still reads shows in the configuration.
-      maxRelayedAgeMs: 2 * longPollMs + responseTimeoutMs,
+      maxRelayedAgeMs: 2 * longPollMs + changePauseMs + responseTimeoutMs,
     },
     relay: {
       askIntervalMs: ASK_INTERVAL_FRACTION * boundMs,
--- a/packages/decisions/test/gateway/cut-off-from-the-store.test.ts
+++ b/packages/decisions/test/gateway/cut-off-from-the-store.test.ts
@@ -158,6 +158,14 @@
     expect(longPollMs).toBeLessThanOrEqual(contract.leavingNoticeMs);
   });
 
+  it('return a change that follows another one in half of the time of the tightest bound', () => {
+    const { changePauseMs, responseTimeoutMs } = timings.endpoints;
+    const { credentialFreshnessMs, leavingNoticeMs, applyMs, resyncMs } = contract;
+    const boundMs = Math.min(credentialFreshnessMs, leavingNoticeMs, applyMs, resyncMs);
+    expect(timings.configuration.changePauseMs).toBe(changePauseMs);
+    expect(changePauseMs + responseTimeoutMs).toBeLessThanOrEqual(boundMs / 2);
+  });
+
   it('notice and repeat a lost read of the configuration in time', () => {
     const { pollIntervalMs, responseTimeoutMs, maxBackoffMs } = timings.configuration;
     const noticedMs = pollIntervalMs! + responseTimeoutMs + maxBackoffMs;
--- a/packages/entry/src/gateway/store/table-watcher.ts
+++ b/packages/entry/src/gateway/store/table-watcher.ts
@@ -54,8 +54,14 @@
   readonly initialPauseMs: number;
   /** Pause after each successful read. */
   readonly pauseMs: number;
+  /** Pause after a read that returned changes. */
+  readonly changePauseMs: number;
 }
 
+/** Whether a read returned changes of the era from which it went on. */
+const hasChanges = ({ kind, era }: PendingRead, result: ReadResult): boolean =>
+  kind === 'changes' && result.ok && result.val.era === era && result.val.rows.length > 0;
+
 const openChannel = (pending: Promise<ReadResult>): Channel<ReadResult> => {
   const channel = csp.chan<ReadResult>(csp.buffers.fixed(1));
   pending.then((result) => csp.putAsync(channel, result));
@@ -66,7 +72,8 @@
  * Watches one table: reads all rows first, then only changes. Reads all rows again when the store's
  * history no longer covers the last known version, or when the store has begun a new era. Responses of an
  * older era are discarded. After a failed read the store is asked for an immediate answer, as what was lost
- * meanwhile must be known soon. Retries failed reads until it is stopped.
+ * meanwhile must be known soon. After changes it pauses, so that many of them in a row, as when all engines of
+ * a service are replaced, are read together instead of one a call. Retries failed reads until it is stopped.
  */
 export class TableWatcher {
   private isStopped = false;
@@ -82,12 +89,13 @@
 
   /** Begins to read, or goes on after a pause, with a read that is answered immediately. */
   start(): void {
-    const { longPollMs, pollIntervalMs } = this.options.timing;
+    const { longPollMs, pollIntervalMs, changePauseMs } = this.options.timing;
     this.isPaused = false;
     this.pollNumber += 1;
-    this.startPolling(longPollMs, { initialPauseMs: 0, pauseMs: 0 });
+    this.startPolling(longPollMs, { initialPauseMs: 0, pauseMs: 0, changePauseMs });
     if (pollIntervalMs === undefined) return;
-    this.startPolling(0, { initialPauseMs: pollIntervalMs, pauseMs: pollIntervalMs });
+    const pauseMs = pollIntervalMs;
+    this.startPolling(0, { initialPauseMs: pauseMs, pauseMs, changePauseMs: pauseMs });
   }
 
   /** Sends no more reads until {@link start} is called again. */
@@ -117,7 +125,8 @@
    *
    * @param waitMs how long the store may wait for a change; 0 for an immediate answer
    */
-  private startPolling(waitMs: number, { initialPauseMs, pauseMs }: PollTiming): void {
+  private startPolling(waitMs: number, timing: PollTiming): void {
+    const { initialPauseMs, pauseMs, changePauseMs } = timing;
     const startRead = (pollMs: number): PendingRead => this.startRead(pollMs);
     const handleResult = (read: PendingRead, result: ReadResult): boolean =>
       this.reportResult(read, result);
@@ -134,7 +143,8 @@
         const result: ReadResult = yield csp.take(openChannel(read.result));
         const hasFailed = !isStopped() && !handleResult(read, result);
         failures = hasFailed ? failures + 1 : 0;
-        const nextPauseMs = hasFailed ? computeBackoffMs(failures, maxBackoffMs) : pauseMs;
+        const successPauseMs = hasChanges(read, result) ? changePauseMs : pauseMs;
+        const nextPauseMs = hasFailed ? computeBackoffMs(failures, maxBackoffMs) : successPauseMs;
         if (nextPauseMs > 0 && !isStopped()) yield csp.take(csp.timeout(nextPauseMs));
       }
     });
