Send nothing more to the endpoints of a failure domain that the operator evacuates

Change: the rows are decoded with the configuration and become an event; EvacuatedDomains keeps them, and the one question whether an endpoint may be sent something answers 'evacuated' before all ways to it, path probes included. What is not sent yet is withdrawn, memory reserved for it released, and what waits placed anew, on the evacuation and on its end. A store that comes back from an older copy neither lifts nor revives an evacuation before the operator had the time to write again. If all endpoints of a service are evacuated, callers are refused at once and told to come back in one to two seconds.

--- a/packages/decisions/src/gateway/availability/endpoint-availability.ts
+++ b/packages/decisions/src/gateway/availability/endpoint-availability.ts
@@ -12,12 +12,15 @@
 import type { GatewayContext } from '../gateway-context.js';
 import type { EndpointNotice, EndpointProcess } from '../types.js';
 import { EndpointClosures } from './endpoint-closures.js';
+import { EvacuatedDomains } from './evacuated-domains.js';
 import { LeavingEndpoints } from './leaving-endpoints.js';
 import { ToldDepartures } from './told-departures.js';
 
 /** Why an endpoint may not be sent anything. */
 export type UnavailableReason =
   | 'unregistered'
+  /** The operator has its failure domain evacuated. */
+  | 'evacuated'
   /** By its registration or by its own responses. */
   | 'leaving'
   /** It has named a time to come back that is not over. */
@@ -50,8 +53,12 @@
 export interface EndpointAvailabilityOptions {
   readonly context: GatewayContext;
   readonly table: EndpointTable;
+  /** Time after an older copy of the store by which the operator has written again, in milliseconds. */
+  readonly rewriteMs: number;
   /** Called when an endpoint may not be sent anything from now on. */
   readonly onClosed: (endpoint: EndpointId) => void;
+  /** Called when the evacuation of failure domains has begun or ended. */
+  readonly onEvacuationChanged: () => void;
 }
 
 const ALLOWED: Availability = { allowed: true };
@@ -65,6 +72,9 @@
  * availability.check(endpoint.id); // { allowed: false, reason: 'leaving', untilMs: undefined }
  */
 export class EndpointAvailability {
+  /** The failure domains that the operator has evacuated. */
+  readonly evacuated: EvacuatedDomains;
+
   private readonly leaving: LeavingEndpoints;
 
   private readonly closures: EndpointClosures;
@@ -74,7 +84,12 @@
   private unreadable = 0;
 
   constructor(private readonly options: EndpointAvailabilityOptions) {
-    const { context, table } = options;
+    const { context, table, rewriteMs } = options;
+    this.evacuated = new EvacuatedDomains({
+      context,
+      rewriteMs,
+      onChanged: () => options.onEvacuationChanged(),
+    });
     this.leaving = new LeavingEndpoints({
       context,
       table,
@@ -89,7 +104,7 @@
   }
 
   get usage(): AvailabilityUsage {
-    const unavailable = { leaving: 0, closed: 0, returning: 0 };
+    const unavailable = { evacuated: 0, leaving: 0, closed: 0, returning: 0 };
     this.options.table.listIds().forEach((id) => {
       const answer = this.check(id);
       if (!answer.allowed && answer.reason !== 'unregistered') unavailable[answer.reason] += 1;
@@ -111,11 +126,24 @@
     const endpoint = this.options.table.find(id);
     if (endpoint === undefined)
       return { allowed: false, reason: 'unregistered', untilMs: undefined };
+    if (this.isEvacuated(endpoint))
+      return { allowed: false, reason: 'evacuated', untilMs: undefined };
     if (endpoint.state === 'leaving' || this.leaving.isLeaving(endpoint))
       return { allowed: false, reason: 'leaving', untilMs: undefined };
     return this.checkClosure(endpoint);
   }
 
+  /** Whether nothing may be sent to an endpoint, not even a probe, because its failure domain is evacuated. */
+  isEvacuated({ failureDomain }: Pick<GatewayEndpoint, 'failureDomain'>): boolean {
+    return this.evacuated.has(failureDomain);
+  }
+
+  /** Whether a service has endpoints that serve, and all of them are in evacuated failure domains. */
+  isServiceEvacuated(service: ServiceId): boolean {
+    const serving = this.options.table.listServing(service);
+    return serving.length > 0 && serving.every((endpoint) => this.isEvacuated(endpoint));
+  }
+
   isOpen(id: EndpointId): boolean {
     return this.check(id).allowed;
   }
@@ -167,6 +195,7 @@
   /** Counts time that the clock missed. */
   addLostTime(lostMs: number): void {
     this.closures.addLostTime(lostMs);
+    this.evacuated.addLostTime(lostMs);
   }
 
   /** Forgets what concerns an endpoint that is over, or has started anew under the same id. */
--- a/packages/decisions/src/gateway/create-refusal.ts
+++ b/packages/decisions/src/gateway/create-refusal.ts
@@ -8,8 +8,8 @@
 const RETRY_AFTER_MS = 250;
 
 /**
- * Shortest retry-after time of refusals for lack of capacity, and of timeouts without any run;
- * some streams end within this time and free capacity. Jitter adds up to the same time again.
+ * Shortest retry-after time of refusals for lack of capacity, also where all failure domains of a service are
+ * evacuated, and of timeouts without any run; some streams end within this time and free capacity. Jitter adds up to the same time again.
  */
 const CAPACITY_RETRY_AFTER_MS = 1_000;
 
@@ -19,6 +19,8 @@
 export interface RetryAfterOptions {
   /** Time for which all endpoints of the service are closed; 0 if one may get a request now. */
   readonly closedForMs: number;
+  /** Whether all endpoints of the service are in evacuated failure domains. */
+  readonly isEvacuated: boolean;
   /** Random number from 0 to 1 that spreads the callers' retries. */
   readonly jitter: number;
 }
@@ -48,7 +50,7 @@
 export const createRefusal = (
   record: GatewayRecord,
   reason: GatewayRefusalReason,
-  { closedForMs, jitter }: RetryAfterOptions,
+  { closedForMs, isEvacuated, jitter }: RetryAfterOptions,
 ): GatewayRefusal => {
   const forwarding = describeOutcome(record);
   if (record.runs > 0) {
@@ -66,7 +68,7 @@
   // It would be refused again.
   if (reason === 'harmful') return { reason, retryAfterMs: undefined, ...forwarding };
   const isFull = reason === 'noRoom' || reason === 'timeout';
-  const baseMs = isFull ? CAPACITY_RETRY_AFTER_MS : RETRY_AFTER_MS;
+  const baseMs = isFull || isEvacuated ? CAPACITY_RETRY_AFTER_MS : RETRY_AFTER_MS;
   const spreadMs = Math.max(baseMs, CLOSED_SPREAD_FRACTION * closedForMs);
   const retryAfterMs = Math.max(baseMs, closedForMs) + spreadMs * jitter;
   return { reason: isFull ? 'noRoom' : reason, retryAfterMs, ...forwarding };
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -199,14 +199,22 @@
     this.detach(record);
   }
 
-  /** Withdraws the attempts that involve an endpoint, where their requests are not sent yet. */
-  withdraw(endpoint: EndpointId): void {
-    this.records.forEach(({ attempt }) => {
-      if (attempt?.target !== 'endpoint' || attempt.head !== undefined) return;
-      const involved = [attempt.endpoint, ...attempt.helpers];
-      if (!involved.some(({ id }) => id === endpoint)) return;
-      this.options.context.emit({ kind: 'attempt.withdraw', attemptId: attempt.attemptId });
-    });
+  /** Withdraws the attempts that involve certain endpoints, where their requests are not sent yet. */
+  withdraw(matches: (endpoint: GatewayEndpoint) => boolean): void {
+    this.listInvolving(matches)
+      .filter(({ head }) => head === undefined)
+      .forEach(({ attemptId }) =>
+        this.options.context.emit({ kind: 'attempt.withdraw', attemptId }),
+      );
+  }
+
+  /** Lists the attempts that certain endpoints take part in, as helpers too. */
+  listInvolving(matches: (endpoint: GatewayEndpoint) => boolean): EndpointAttempt[] {
+    return [...this.records.values()].flatMap(({ attempt }) =>
+      attempt?.target === 'endpoint' && [attempt.endpoint, ...attempt.helpers].some(matches)
+        ? [attempt]
+        : [],
+    );
   }
 
   /** Withdraws all attempts at endpoints of a service, where their requests are not sent yet. */
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -15,6 +15,7 @@
   EndpointAvailability,
   type AvailabilityUsage,
 } from './availability/endpoint-availability.js';
+import type { EvacuationUsage } from './availability/evacuated-domains.js';
 import { LEASE_MARGIN_MS } from './consts.js';
 import { ConfigurationProof } from './configuration-proof.js';
 import { CredentialLease } from './credential-lease.js';
@@ -213,15 +214,18 @@
     this.availability = new EndpointAvailability({
       context: this.context,
       table: this.table,
+      rewriteMs: contract.reregistrationMs,
       onClosed: (endpoint) => {
         this.requests.handleClosed(endpoint);
         this.snapshots.handleWorkChanged();
       },
+      onEvacuationChanged: () => this.requests.handleEvacuationChanged(),
     });
     this.probes = new EndpointProbes(this.context);
     this.paths = new EndpointPaths({
       context: this.context,
       table: this.table,
+      mayProbe: (endpoint) => !this.availability.isEvacuated(endpoint),
       onLost: (service) => this.handlePathLost(service),
       onRegained: (service) => this.handlePathRegained(service),
     });
@@ -302,6 +306,12 @@
     return this.availability.usage;
   }
 
+  /** What metrics show of failure domains that are evacuated. */
+  get evacuationUsage(): EvacuationUsage {
+    const domains = this.availability.evacuated.usage;
+    return { domains, attempts: this.requests.attemptsInEvacuation };
+  }
+
   /** What metrics show of requests that crash engines. */
   get harmUsage(): HarmUsage {
     return this.harmful.usage;
@@ -391,6 +401,7 @@
         this.handleConfirmation(event);
         this.handleStoreResponse(event);
       },
+      'evacuations.read': (event) => this.availability.evacuated.handleRead(event),
       'endpoints.read': (event) => {
         this.handleStoreResponse(event);
         this.table.setAll(event.endpoints, this.context.nowMs);
@@ -518,6 +529,7 @@
     this.storeEra = era;
     this.proof.handleEraRaised(nowMs, this.reregistrationMs);
     this.table.handleEraRaised(nowMs);
+    this.availability.evacuated.handleEraRaised();
     this.renewalTimer?.cancel();
     const delayMs = this.context.drawRandom() * RENEWAL_SPREAD_MS;
     this.renewalTimer = this.context.schedule(delayMs, () =>
@@ -531,6 +543,7 @@
     if (!isRegained) return;
     const mayHaveExpired = contact.mayHaveBeenAway(context.nowMs);
     this.table.reportStoreAvailable(context.nowMs, mayHaveExpired);
+    this.availability.evacuated.handleStoreRegained();
     context.log(logEvents.storeRegained, { mayHaveExpired });
     // Other reads may still wait for the answer to a question that was lost.
     context.emit({ kind: 'tables.readNow' });
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -2,6 +2,7 @@
   CallerWaitLimits,
   EndpointId,
   EntryVmId,
+  GatewayEndpoint,
   MonotonicMs,
   ServiceId,
 } from '@savorywind/model';
@@ -124,6 +125,9 @@
 
   private peerRequests = 0;
 
+  private readonly isEvacuated = (endpoint: GatewayEndpoint): boolean =>
+    this.options.availability.isEvacuated(endpoint);
+
   constructor(private readonly options: GatewayRequestsOptions) {
     const { context, self, availability, fleetLoad, limits, paths, forwarder } = options;
     const { onWorkChanged } = options;
@@ -225,7 +229,27 @@
 
   /** Takes back the requests that are on the way to an endpoint that takes no more, where possible. */
   handleClosed(endpoint: EndpointId): void {
-    this.attempts.withdraw(endpoint);
+    this.attempts.withdraw(({ id }) => id === endpoint);
+  }
+
+  /**
+   * Takes back what is not sent yet to evacuated failure domains, with the memory reserved there for it, and
+   * places what waits anew, by what may be used now.
+   */
+  handleEvacuationChanged(): void {
+    this.attempts.withdraw(this.isEvacuated);
+    [...this.records.values()]
+      .filter(({ attempt, reservations }) => attempt === undefined && reservations !== undefined)
+      .filter(({ reservations }) =>
+        reservations!.held.some(({ endpoint }) => this.isEvacuated(endpoint)),
+      )
+      .forEach((record) => this.place(record));
+    this.placeQueued();
+  }
+
+  /** Attempts that go on at endpoints of evacuated failure domains. */
+  get attemptsInEvacuation(): number {
+    return this.attempts.listInvolving(this.isEvacuated).length;
   }
 
   handleHead(attemptId: string, head: GatewayResponseHead): void {
@@ -347,8 +371,10 @@
 
   private handleStall(record: GatewayRecord, attempt: GatewayAttempt): void {
     if (record.attempt !== attempt) return;
-    const { context, health, budget } = this.options;
+    const { context, health, budget, availability } = this.options;
     record.isStalled = true;
+    // What runs in an evacuated failure domain is left there if nothing else may get it.
+    if (availability.isServiceEvacuated(record.service.name)) return;
     // The stalled endpoint may have executed the request.
     if (!mayRetry({ ...record, runs: record.runs + 1 })) return;
     // A stopping process leaves the silent endpoint the rest of the time if no other could answer in it.
@@ -479,7 +505,7 @@
   private probePrimary({ attempt }: GatewayRecord): boolean {
     if (attempt?.target !== 'endpoint') return true;
     const { probes } = this.options;
-    probes.probe(attempt.endpoint);
+    if (!this.isEvacuated(attempt.endpoint)) probes.probe(attempt.endpoint);
     return !probes.isUnreachable(attempt.endpoint.id);
   }
 
@@ -574,6 +600,7 @@
     const { availability, budget, context } = this.options;
     // The endpoint's own answer is better than a refusal because all endpoints are closed.
     if (availability.findOpeningMs(record.service.name) !== undefined) return false;
+    if (availability.isServiceEvacuated(record.service.name)) return false;
     if (!budget.takeRetry(record.service.name, context.nowMs)) return false;
     this.excludeTarget(record, record.attempt);
     return true;
@@ -631,6 +658,7 @@
     const openingMs = availability.findOpeningMs(record.service.name) ?? context.nowMs;
     const refusal = createRefusal(record, reason, {
       closedForMs: openingMs - context.nowMs,
+      isEvacuated: availability.isServiceEvacuated(record.service.name),
       jitter: context.drawRandom(),
     });
     logRefusal(context, record, reason);
--- a/packages/decisions/src/gateway/path/endpoint-path.ts
+++ b/packages/decisions/src/gateway/path/endpoint-path.ts
@@ -36,6 +36,8 @@
 export interface EndpointPathOptions {
   readonly context: GatewayContext;
   readonly table: EndpointTable;
+  /** Whether a connection may be opened to an endpoint only to see whether there is a path. */
+  readonly mayProbe: (endpoint: GatewayEndpoint) => boolean;
   readonly service: ServiceId;
   /** Called when no endpoint can be connected to any more. */
   readonly onLost: () => void;
@@ -215,9 +217,10 @@
 
   /** Picks endpoints at random, of as many failure domains as there are. */
   private pickEndpoints(): GatewayEndpoint[] {
-    const { context, table, service } = this.options;
+    const { context, table, mayProbe, service } = this.options;
     const shuffled = table
       .listServing(service)
+      .filter(mayProbe)
       .map((endpoint) => ({ endpoint, random: context.drawRandom() }))
       .sort((a, b) => a.random - b.random)
       .map(({ endpoint }) => endpoint);
--- a/packages/decisions/src/gateway/path/endpoint-paths.ts
+++ b/packages/decisions/src/gateway/path/endpoint-paths.ts
@@ -1,4 +1,4 @@
-import type { EndpointId, ServiceId } from '@savorywind/model';
+import type { EndpointId, GatewayEndpoint, ServiceId } from '@savorywind/model';
 import type { EndpointTable } from '../endpoint-table.js';
 import type { GatewayContext } from '../gateway-context.js';
 import { EndpointPath, type PathUsage } from './endpoint-path.js';
@@ -7,6 +7,8 @@
 export interface EndpointPathsOptions {
   readonly context: GatewayContext;
   readonly table: EndpointTable;
+  /** Whether a connection may be opened to an endpoint only to see whether there is a path. */
+  readonly mayProbe: (endpoint: GatewayEndpoint) => boolean;
   /** Called when no endpoint of a service can be connected to any more. */
   readonly onLost: (service: ServiceId) => void;
   /** Called when endpoints of a service can be connected to again. */
@@ -30,10 +32,11 @@
   find(service: ServiceId): EndpointPath {
     const existing = this.paths.get(service);
     if (existing !== undefined) return existing;
-    const { context, table, onRegained } = this.options;
+    const { context, table, mayProbe, onRegained } = this.options;
     const created = new EndpointPath({
       context,
       table,
+      mayProbe,
       service,
       onLost: () => this.handleLost(service),
       onRegained: () => onRegained(service),
--- a/packages/decisions/src/gateway/table-reads/read-timing.ts
+++ b/packages/decisions/src/gateway/table-reads/read-timing.ts
@@ -33,7 +33,7 @@
 
 /**
  * Credentials count as stale if no read of the configuration succeeds for their freshness; in that time
- * this many are made.
+ * this many are made, and in the time in which an evacuation must be known, if that is less.
  */
 const POLLS_PER_FRESHNESS_PERIOD = 3;
 
@@ -73,7 +73,9 @@
   leavingNoticeMs,
   applyMs,
   resyncMs,
-}: GatewayContract): number => Math.min(credentialFreshnessMs, leavingNoticeMs, applyMs, resyncMs);
+  evacuationMs = Number.POSITIVE_INFINITY,
+}: GatewayContract): number =>
+  Math.min(credentialFreshnessMs, leavingNoticeMs, applyMs, resyncMs, evacuationMs);
 
 /**
  * Derives the waits of the reads of the store from the contract, so that a read that is lost in a
@@ -84,12 +86,16 @@
  */
 export const computeReadTimings = (contract: GatewayContract): TableReadTimings => {
   const { credentialFreshnessMs, leavingNoticeMs, resyncMs } = contract;
+  const { evacuationMs = Number.POSITIVE_INFINITY } = contract;
   const responseTimeoutMs = Math.min(MAX_RESPONSE_TIMEOUT_MS, RESPONSE_TIMEOUT_FRACTION * resyncMs);
   const maxBackoffMs = Math.min(MAX_BACKOFF_MS, BACKOFF_FRACTION * resyncMs);
   const boundMs = findTightestBoundMs(contract);
   const longPollMs = Math.floor(Math.min(leavingNoticeMs, LONG_POLL_FRACTION * resyncMs));
   const pollIntervalMs = Math.floor(
-    Math.min(credentialFreshnessMs / POLLS_PER_FRESHNESS_PERIOD, LONG_POLL_FRACTION * resyncMs),
+    Math.min(
+      Math.min(credentialFreshnessMs, evacuationMs) / POLLS_PER_FRESHNESS_PERIOD,
+      LONG_POLL_FRACTION * resyncMs,
+    ),
   );
   return {
     configuration: {
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -3,6 +3,7 @@
   CallerLimits,
   EndpointId,
   EntryVmId,
+  FailureDomainId,
   GatewayConfiguration,
   GatewayContract,
   GatewayEndpoint,
@@ -116,6 +117,21 @@
   readonly endpoint: GatewayEndpoint | undefined;
 }
 
+/** Whether the operator asks that nothing more be sent to the endpoints of a failure domain. */
+export interface EvacuationChange {
+  readonly domain: FailureDomainId;
+  readonly isEvacuated: boolean;
+}
+
+/** What a read of the table says that holds the operator's requests to evacuate failure domains. */
+export interface EvacuationsRead {
+  /** `snapshot`: domains that are missing are not evacuated; `change`: what has changed, perhaps nothing. */
+  readonly source: 'snapshot' | 'change';
+  readonly changes: readonly EvacuationChange[];
+  /** When the query to the store was sent. */
+  readonly requestedAtMs: MonotonicMs;
+}
+
 /** When a read of the store was sent. */
 export interface StoreReadTime {
   /** Undefined for a read that was sent just now. */
@@ -157,6 +173,8 @@
       /** Whether the configuration was read with all rows of its table, or because it changed. */
       readonly source: 'snapshot' | 'change';
     }
+  /** Comes before the configuration that was read with it. */
+  | ({ readonly kind: 'evacuations.read' } & EvacuationsRead)
   | ({
       readonly kind: 'endpoints.read';
       readonly endpoints: readonly GatewayEndpoint[];
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -29,6 +29,7 @@
 export type { TableSource } from './gateway/table-reads/table-sources.js';
 export { estimateDatagramBytes } from './gateway/snapshot-sender.js';
 export type { AvailabilityUsage } from './gateway/availability/endpoint-availability.js';
+export type { EvacuationUsage } from './gateway/availability/evacuated-domains.js';
 export type { BlockedUsage, HarmUsage } from './gateway/harm/types.js';
 export type {
   ForwardedFrom,
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -469,6 +469,7 @@
         linkBytesPerMs: this.settings.contract.linkBytesPerMs,
         limits: this.node.limitUsage,
         availability: this.node.availabilityUsage,
+        evacuation: this.node.evacuationUsage,
         paths: this.node.pathUsage,
         forwarding: this.node.forwardingUsage,
         storeEras: this.era.raises,
--- a/packages/entry/src/gateway/metrics/control-gauges.ts
+++ b/packages/entry/src/gateway/metrics/control-gauges.ts
@@ -1,5 +1,6 @@
 import type {
   AvailabilityUsage,
+  EvacuationUsage,
   ForwardingUsage,
   LimitUsage,
   PathUsage,
@@ -14,6 +15,7 @@
   readonly linkBytesPerMs: number;
   readonly limits: LimitUsage;
   readonly availability: AvailabilityUsage;
+  readonly evacuation: EvacuationUsage;
   readonly paths: readonly PathUsage[];
   readonly forwarding: ForwardingUsage;
   /** How often the store has come back from an older copy of itself. */
@@ -33,6 +35,11 @@
     help: 'Registered endpoints that leave, by their registration or by a response to this VM.',
     value: unavailable.leaving,
   },
+  {
+    metric: 'savorywind_evacuated_endpoints',
+    help: 'Registered endpoints in failure domains that are evacuated.',
+    value: unavailable.evacuated,
+  },
   {
     metric: 'savorywind_closed_endpoints',
     help: 'Endpoints that have named to this VM a time to come back that is not over.',
@@ -63,6 +70,22 @@
   },
 ];
 
+const listEvacuationGauges = ({ domains, attempts }: EvacuationUsage): Gauge[] => [
+  {
+    metric: 'savorywind_evacuated_domain_seconds',
+    help: 'Time since this VM knows that a failure domain is evacuated.',
+    value: domains.map(({ domain, evacuatedForMs }) => ({
+      labels: { domain },
+      value: evacuatedForMs / MS_PER_S,
+    })),
+  },
+  {
+    metric: 'savorywind_attempts_in_evacuated_domains',
+    help: 'Attempts of this VM that go on at endpoints of evacuated failure domains, helpers included.',
+    value: attempts,
+  },
+];
+
 const sumUp = (paths: readonly PathUsage[], read: (usage: PathUsage) => number): number =>
   paths.reduce((sum, usage) => sum + read(usage), 0);
 
@@ -140,6 +163,7 @@
     value: load.limits.attempts,
   },
   ...listAvailabilityGauges(load.availability),
+  ...listEvacuationGauges(load.evacuation),
   ...listPathGauges(load.paths),
   ...listForwardingGauges(load.forwarding),
   {
--- a/packages/entry/src/gateway/store/store-updates.ts
+++ b/packages/entry/src/gateway/store/store-updates.ts
@@ -1,4 +1,4 @@
-import type { EndpointChange } from '@savorywind/decisions';
+import type { EndpointChange, EvacuationChange } from '@savorywind/decisions';
 import type { Containment } from '../../runtime/containment.js';
 import type { DispatchGatewayEvent, GatewayRows } from '../types.js';
 import type { TableUpdate } from './table-watcher.js';
@@ -35,6 +35,9 @@
         ? undefined
         : this.decode(row, (one) => rows.decodeConfiguration(one, onPartRefused));
     const source = update.kind === 'changes' ? 'change' : 'snapshot';
+    const changes = this.listEvacuations(update.rows);
+    // What may not be used is known before the first request can be placed.
+    dispatch({ kind: 'evacuations.read', source, changes, requestedAtMs });
     dispatch({ kind: 'configuration.confirmed', requestedAtMs, configuration, source });
   }
 
@@ -57,6 +60,13 @@
     dispatch({ kind: 'endpoints.read', endpoints, requestedAtMs });
   }
 
+  private listEvacuations(rows: readonly TableRow[]): EvacuationChange[] {
+    return rows.flatMap((row) => {
+      const domain = this.options.rows.decodeEvacuatedDomain(row);
+      return domain === undefined ? [] : [{ domain, isEvacuated: !row.removed }];
+    });
+  }
+
   /** A row that a decoder can't take says nothing of the other rows. */
   private decode<Value>(
     row: TableRow,
--- a/packages/entry/src/gateway/types.ts
+++ b/packages/entry/src/gateway/types.ts
@@ -9,6 +9,7 @@
   ReservationOutcome,
 } from '@savorywind/decisions';
 import type {
+  FailureDomainId,
   GatewayConfiguration,
   GatewayContract,
   GatewayEndpoint,
@@ -98,6 +99,11 @@
     row: TableRow,
     onRefused: (detail: string) => void,
   ): GatewayConfiguration | undefined;
+  /**
+   * Decodes the failure domain that a row of the configuration's table asks to evacuate, for as long as the row
+   * is there. Undefined if the row asks for something else.
+   */
+  decodeEvacuatedDomain(row: Pick<TableRow, 'key'>): FailureDomainId | undefined;
   decodeEndpoint(row: TableRow): GatewayEndpoint | undefined;
   decodePeer(row: TableRow): GatewayPeer | undefined;
   /** Decodes the era of the store in which the entry VM last knew that its configuration was current. */
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -140,6 +140,8 @@
   readonly leavingNoticeMs: number;
   /** Time from the acceptance of a configuration change by which it is applied. */
   readonly applyMs: number;
+  /** Time from a request to evacuate a failure domain by which nothing more is sent there, if there is a bound. */
+  readonly evacuationMs?: number | undefined;
   /**
    * Time from the end of a disturbance by which this VM acts on what the store holds, and on what holds
    * between it and its peers.
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -179,5 +179,16 @@
     'warn',
     'the VM has no more room; new requests, connections or unfinished heads are refused',
   ],
+  evacuationBegun: [
+    880,
+    'warn',
+    'the operator has a failure domain evacuated: nothing more is sent to its endpoints',
+  ],
+  evacuationEnded: [881, 'warn', 'the evacuation of a failure domain has ended'],
+  evacuationContradicted: [
+    882,
+    'warn',
+    'an older copy of the store contradicts what is known of an evacuation, which holds until the operator writes again',
+  ],
   roomRegained: [871, 'info', 'nothing was refused for want of room for a while; what was refused'],
 });
