--- a/packages/decisions/test/gateway/table-sources.test.ts
+++ b/packages/decisions/test/gateway/table-sources.test.ts
@@ -163,6 +163,13 @@
     },
   );
 
+  it('brings an evacuation within half of its bound although one read of the store is lost', () => {
+    const evacuationMs = 5_000;
+    const { configuration } = computeReadTimings(createGatewayContract({ evacuationMs }));
+    const { pollIntervalMs, responseTimeoutMs } = configuration;
+    expect(pollIntervalMs! + responseTimeoutMs).toBeLessThan(evacuationMs / 2);
+  });
+
   it('keeps credentials fresh although one answer of the source is late', () => {
     const contract = createGatewayContract();
     const { relay, configuration } = computeReadTimings(contract);
