Bound what cold endpoints get by whole shares of their failure domain's VMs

Cause: an endpoint that has just started, or turns cold later, may get cold_per_s x cold_overshoot + cold_slack requests in any second from all VMs, in touch or not (FAILBACK); nothing knew of it. A cold endpoint looks idle. ColdEndpoints keeps what is known, by process, with its end; ColdShares divides 1.4 s of the endpoint's rate in whole requests among the known VMs of its failure domain, heard or not, as the limits of teams are divided; PermitHolder asks it beside the permits. Cold engines help with no prompt; long prompts and plain calls go to warm endpoints where these have room. Nothing changes where the settings name no bound.

--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -8,6 +8,7 @@
 import type { EndpointAvailability } from './availability/endpoint-availability.js';
 import { CONNECT_TIMEOUT_MS } from './consts.js';
 import type { PlacedHelper } from './placement/placement-estimates.js';
+import type { ColdShares } from './permits/cold-shares.js';
 import type { EndpointLimits } from './permits/endpoint-limits.js';
 import type { FleetLoadTracker, LocalWork } from './fleet-load-tracker.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -74,6 +75,7 @@
   readonly self: EntryVmId;
   readonly fleetLoad: FleetLoadTracker;
   readonly limits: EndpointLimits;
+  readonly coldShares: ColdShares;
   readonly availability: EndpointAvailability;
   readonly paths: EndpointPaths;
   readonly forwarder: RequestForwarder;
@@ -113,6 +115,7 @@
     record.firstPlacedAtMs ??= this.options.context.nowMs;
     record.sends += 1;
     this.options.limits.recordAttempt(plan.endpoint.id);
+    this.options.coldShares.recordAttempt(plan.endpoint.id);
     this.options.paths.find(record.service.name).recordAttempt();
     const involved = [attempt.endpoint, ...attempt.helpers];
     this.options.availability.recordStart(attempt.attemptId, involved);
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -1,6 +1,7 @@
 import {
   logEvents,
   type CallerWaitLimits,
+  type ColdTraits,
   type EndpointId,
   type GatewayConfiguration,
   type GatewayContract,
@@ -19,6 +20,8 @@
 import { ConfigurationProof } from './configuration-proof.js';
 import { CredentialLease } from './credential-lease.js';
 import { DomainReachability } from './domain-reachability.js';
+import { ColdEndpoints, type ColdUsage } from './permits/cold-endpoints.js';
+import { ColdShares } from './permits/cold-shares.js';
 import { EndpointLimits, type LimitUsage } from './permits/endpoint-limits.js';
 import { MAX_SHARED_PARTS } from './harm/consts.js';
 import { HarmfulRequests } from './harm/harmful-requests.js';
@@ -149,6 +152,10 @@
 
   private readonly limits: EndpointLimits;
 
+  private readonly cold: ColdEndpoints;
+
+  private readonly coldShares: ColdShares;
+
   private readonly availability: EndpointAvailability;
 
   private readonly paths: EndpointPaths;
@@ -242,6 +249,12 @@
       table: this.table,
       onChanged: () => this.snapshots.handleWorkChanged(),
     });
+    this.cold = new ColdEndpoints({
+      context: this.context,
+      table: this.table,
+      findDurationMs: (service) => this.routeIndex?.findService(service)?.cold?.durationMs,
+    });
+    this.coldShares = this.createColdShares(self, contract);
     this.snapshots = new SnapshotSender(
       this.context,
       this.fleetLoad,
@@ -297,6 +310,11 @@
     return this.limits.usage;
   }
 
+  /** What metrics show of cold endpoints. */
+  get coldUsage(): ColdUsage {
+    return this.cold.usage;
+  }
+
   /** What metrics show of the endpoints that may not be sent anything. */
   get availabilityUsage(): AvailabilityUsage {
     return this.availability.usage;
@@ -322,16 +340,24 @@
     return new PermitCoordinator({ context, self, peers: fleetLoad.peers, table, limits });
   }
 
+  private createColdShares(self: GatewayPeer, { coldBound: bound }: GatewayContract): ColdShares {
+    const { context, table, cold, fleetLoad } = this;
+    const { peers } = fleetLoad;
+    const findTraits = (service: ServiceId): ColdTraits | undefined =>
+      this.routeIndex?.findService(service)?.cold;
+    return new ColdShares({ context, self, peers, table, cold, findTraits, bound });
+  }
+
   private createPermits(self: GatewayPeer): PermitHolder {
-    const { context, limits, coordinator } = this;
+    const { context, limits, coordinator, coldShares } = this;
     const onGranted = (): void => this.requests.handlePermit();
-    return new PermitHolder({ context, self, limits, coordinator, onGranted });
+    return new PermitHolder({ context, self, limits, coordinator, coldShares, onGranted });
   }
 
   private createRequests(self: GatewayPeer, callerWait: CallerWaitLimits): GatewayRequests {
     const { context, availability, health, limits, permits, fleetLoad, budget, reservations } =
       this;
-    const { harmful, paths, probes, forwarder } = this;
+    const { harmful, paths, probes, forwarder, coldShares } = this;
     const { failureDomain } = self;
     const reachability = new DomainReachability(fleetLoad.peers);
     const placementPolicy = new PlacementPolicy({
@@ -342,6 +368,7 @@
       reachability,
       limits,
       permits,
+      coldShares,
       failureDomain,
     });
     return new GatewayRequests({
@@ -350,6 +377,7 @@
       health,
       harmful,
       limits,
+      coldShares,
       reachability,
       paths,
       probes,
@@ -385,6 +413,7 @@
         this.budget.changeOptions(createBudgetOptions(contract));
         this.snapshots.changeLink(contract.linkBytesPerMs);
         this.table.changeReregistration(computeRetentionMs(contract));
+        this.coldShares.changeBound(contract.coldBound);
         this.context.log(logEvents.contractChanged);
       },
       'configuration.confirmed': (event) => {
@@ -394,10 +423,12 @@
       'endpoints.read': (event) => {
         this.handleStoreResponse(event);
         this.table.setAll(event.endpoints, this.context.nowMs);
+        this.cold.applyRegistrations(event.endpoints);
       },
       'endpoints.changed': (event) => {
         this.handleStoreResponse(event);
         this.table.apply(event.changes, this.context.nowMs);
+        this.cold.applyRegistrations(event.changes.flatMap(({ endpoint }) => endpoint ?? []));
       },
       'store.eraRaised': (event) => this.handleEraRaised(event),
       'store.failed': (event) => this.handleStoreFailure(event),
@@ -408,6 +439,7 @@
           this.fleetLoad.peers.recordRegistered(peer);
         });
         this.budget.setEntryVmCount(this.fleetLoad.entryVmCount);
+        this.coldShares.handlePeersRead();
         this.snapshots.handlePeersAdded();
         this.tableSources.start();
       },
@@ -637,6 +669,8 @@
     this.probes.remove(endpoint);
     this.availability.remove(endpoint);
     this.limits.remove(endpoint);
+    this.cold.remove(endpoint);
+    this.coldShares.remove(endpoint);
     this.permits.remove(endpoint);
     this.coordinator.remove(endpoint);
   }
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -32,6 +32,7 @@
 import { PeerAttempts } from './forwarding/peer-attempts.js';
 import type { RequestForwarder } from './forwarding/request-forwarder.js';
 import type { HarmfulRequests } from './harm/harmful-requests.js';
+import type { ColdShares } from './permits/cold-shares.js';
 import type { EndpointLimits } from './permits/endpoint-limits.js';
 import type { EndpointHealth } from './endpoint-health.js';
 import { logIfLate, recordEvent } from './event-times.js';
@@ -84,6 +85,7 @@
   readonly health: EndpointHealth;
   readonly harmful: HarmfulRequests;
   readonly limits: EndpointLimits;
+  readonly coldShares: ColdShares;
   readonly reachability: DomainReachability;
   readonly paths: EndpointPaths;
   readonly probes: EndpointProbes;
@@ -126,13 +128,14 @@
 
   constructor(private readonly options: GatewayRequestsOptions) {
     const { context, self, availability, fleetLoad, limits, paths, forwarder } = options;
-    const { onWorkChanged } = options;
+    const { coldShares, onWorkChanged } = options;
     this.attempts = new GatewayAttempts({
       context,
       self,
       availability,
       fleetLoad,
       limits,
+      coldShares,
       paths,
       forwarder,
       onWorkChanged,
@@ -494,12 +497,12 @@
     });
   }
 
-  /** Whether all engines of a plan take requests: some may have left while memory was reserved. */
-  private isPlanOpen({ endpoint, helpers }: AttemptPlan): boolean {
-    const { availability } = this.options;
-    return [endpoint, ...helpers.map((helper) => helper.endpoint)].every(({ id }) =>
-      availability.isOpen(id),
-    );
+  /** Whether all engines of a plan take their parts: some may have left while memory was reserved. */
+  private isPlanOpen(plan: AttemptPlan): boolean {
+    const { availability, coldShares } = this.options;
+    const helpers = plan.helpers.map(({ endpoint }) => endpoint);
+    const isOpen = [plan.endpoint, ...helpers].every(({ id }) => availability.isOpen(id));
+    return isOpen && coldShares.mayStart(plan.endpoint, helpers);
   }
 
   private queueRequest(record: GatewayRecord): void {
--- a/packages/decisions/src/gateway/peer-table.ts
+++ b/packages/decisions/src/gateway/peer-table.ts
@@ -158,6 +158,13 @@
     );
   }
 
+  /** Lists the peers that were heard, or added, within a time. */
+  listHeardWithin(durationMs: number, nowMs: MonotonicMs): GatewayPeer[] {
+    return [...this.peers.values()]
+      .filter(({ receivedAtMs, addedAtMs }) => nowMs - (receivedAtMs ?? addedAtMs) <= durationMs)
+      .map(({ peer }) => peer);
+  }
+
   /** Time of the last snapshot from any entry VM of a failure domain; undefined if none came. */
   findLastReceivedAtMs(domain: FailureDomainId): MonotonicMs | undefined {
     return this.domains.get(domain)?.receivedAtMs;
--- a/packages/decisions/src/gateway/permits/permit-holder.ts
+++ b/packages/decisions/src/gateway/permits/permit-holder.ts
@@ -7,6 +7,7 @@
 } from '@savorywind/model';
 import type { GatewayContext } from '../gateway-context.js';
 import type { EndpointLimits } from './endpoint-limits.js';
+import type { ColdShares } from './cold-shares.js';
 import type { PermitDecision } from './permit-account.js';
 import type { PermitCoordinator } from './permit-coordinator.js';
 
@@ -29,6 +30,7 @@
   readonly self: GatewayPeer;
   readonly limits: EndpointLimits;
   readonly coordinator: PermitCoordinator;
+  readonly coldShares: ColdShares;
   /** Called when a permit was granted by a peer. */
   readonly onGranted: () => void;
 }
@@ -50,7 +52,8 @@
 
 /**
  * The permits of this entry VM. An endpoint with a limit gets a request only with a permit of its
- * coordinator; at most one for each endpoint is requested or held.
+ * coordinator; at most one for each endpoint is requested or held. A cold endpoint gets no more than this
+ * entry VM's share.
  *
  * @example
  * if (permits.mayUse('engine-1')) permits.use('engine-1');
@@ -64,7 +67,8 @@
 
   /** Whether a request may be sent to an endpoint now. */
   mayUse(endpoint: EndpointId): boolean {
-    const { limits, context } = this.options;
+    const { limits, context, coldShares } = this.options;
+    if (!coldShares.mayUse(endpoint)) return false;
     if (limits.find(endpoint) === undefined) return true;
     const state = this.states.get(endpoint);
     return state?.kind === 'granted' && this.isUsable(state, context.nowMs);
@@ -94,7 +98,10 @@
 
   /** Finds the earliest time at which one of several endpoints may get a request, as far as known. */
   findEarliestMs(endpoints: readonly GatewayEndpoint[]): MonotonicMs {
-    const times = endpoints.map(({ id }) => this.findUsableMs(id));
+    const { coldShares } = this.options;
+    const times = endpoints.map(({ id }) =>
+      Math.max(this.findUsableMs(id), coldShares.findUsableMs(id)),
+    );
     return Math.min(...times);
   }
 
--- a/packages/decisions/src/gateway/placement/place-long-prompt.ts
+++ b/packages/decisions/src/gateway/placement/place-long-prompt.ts
@@ -60,6 +60,16 @@
   return missing > 0 ? undefined : reserved;
 };
 
+/** Lists the best engines that may help a primary one, one less than all that take part. */
+const listHelpers = (
+  estimates: readonly EngineEstimate[],
+  primary: EngineEstimate,
+  engineCount: number,
+): EngineEstimate[] =>
+  estimates
+    .filter((estimate) => estimate !== primary && !estimate.isCold)
+    .slice(0, engineCount - 1);
+
 const placeWithSplitMemory = (
   input: PlacementInput,
   estimates: readonly EngineEstimate[],
@@ -68,7 +78,7 @@
 ): Placement | undefined => {
   const primary = estimates.find((estimate) => hasSlot(estimate, traits));
   if (primary === undefined) return undefined;
-  const others = estimates.filter((estimate) => estimate !== primary).slice(0, engineCount - 1);
+  const others = listHelpers(estimates, primary, engineCount);
   const primaryTokens = Math.min(input.memoryTokens, countFreeTokens(primary, traits));
   const helpers = splitMemory(others, input.memoryTokens - primaryTokens, traits);
   if (helpers === undefined) return undefined;
@@ -90,10 +100,10 @@
   }
   const primary = estimates.find((estimate) => hasCapacity(estimate, input.memoryTokens, traits));
   if (primary === undefined) return undefined;
-  const helpers = estimates
-    .filter((estimate) => estimate !== primary)
-    .slice(0, engineCount - 1)
-    .map((estimate) => ({ estimate, reservedTokens: 0 }));
+  const helpers = listHelpers(estimates, primary, engineCount).map((estimate) => ({
+    estimate,
+    reservedTokens: 0,
+  }));
   return buildPlacement(primary, helpers, partMs, input.memoryTokens);
 };
 
@@ -136,7 +146,9 @@
 ): Placement | undefined => {
   const usable = input.mayQueue ? candidates : candidates.filter(mayPrefillLongPrompt);
   let best: Placement | undefined;
-  for (const engineCount of listEngineCounts(input, usable.length, traits)) {
+  const warm = usable.filter(({ isCold }) => !isCold);
+  const mostEngines = Math.max(Math.min(1, usable.length), warm.length);
+  for (const engineCount of listEngineCounts(input, mostEngines, traits)) {
     const placement = placeOnEngines(input, usable, traits, engineCount);
     if (placement !== undefined && (best === undefined || isBetter(placement, best))) {
       best = placement;
--- a/packages/decisions/src/gateway/placement/placement-estimates.ts
+++ b/packages/decisions/src/gateway/placement/placement-estimates.ts
@@ -75,6 +75,11 @@
    * helper, as its limit counts the requests of entry VMs.
    */
   readonly isPermitted: boolean;
+  /**
+   * Whether it is cold, and what it may get is bounded. Such an engine helps with no prompt, because all
+   * engines of a joint prefill wait for the slowest.
+   */
+  readonly isCold: boolean;
 }
 
 /** The estimated effects of a placement on one engine. */
--- a/packages/decisions/src/gateway/placement/placement-policy.ts
+++ b/packages/decisions/src/gateway/placement/placement-policy.ts
@@ -7,10 +7,12 @@
 import { placeGeneration } from './place-generation.js';
 import { createIdleLoad, type FleetLoadTracker } from '../fleet-load-tracker.js';
 import type { GatewayContext } from '../gateway-context.js';
+import type { ColdShares } from '../permits/cold-shares.js';
 import type { EndpointLimits } from '../permits/endpoint-limits.js';
 import type { PermitHolder } from '../permits/permit-holder.js';
 import { pickReplica } from './pick-replica.js';
 import {
+  isAtFillLimit,
   TARGET_BUDGET_FRACTION,
   PASSES_TO_FIRST_EVENT,
   TOKENS_PER_STREAM_WEIGHT,
@@ -163,6 +165,7 @@
   readonly reachability: DomainReachability;
   readonly limits: EndpointLimits;
   readonly permits: PermitHolder;
+  readonly coldShares: ColdShares;
   /** Failure domain of this entry VM. */
   readonly failureDomain: FailureDomainId;
 }
@@ -175,7 +178,8 @@
   constructor(private readonly options: PlacementPolicyOptions) {}
 
   /**
-   * Decides where a request is placed. An endpoint with a limit gets it only if a permit is held.
+   * Decides where a request is placed. An endpoint with a limit gets it only if a permit is held, a cold one
+   * only within this entry VM's share and if the others can't serve in time.
    *
    * @example
    * const decision = policy.decide(record);
@@ -191,7 +195,9 @@
     if (!candidates.some(({ isPermitted }) => isPermitted)) {
       return { kind: 'wait', permitMs: this.options.permits.findEarliestMs(available) };
     }
-    return this.decideAmong(record, candidates);
+    // A cold endpoint without a share can take no part at all.
+    const usable = candidates.filter(({ isCold, isPermitted }) => !isCold || isPermitted);
+    return this.decideWarmFirst(record, usable);
   }
 
   /** Whether an endpoint may get the request that has not failed lately. */
@@ -218,6 +224,24 @@
       .map(({ endpoint }) => endpoint);
   }
 
+  /**
+   * Prefers warm endpoints, except for short prompts: those rank idle engines last anyway, and leave the warm
+   * ones to long prompts, with which cold ones can't help.
+   */
+  private decideWarmFirst(
+    record: GatewayRecord,
+    candidates: readonly EngineCandidate[],
+  ): PlacementDecision {
+    const isShortPrompt = record.service.engine !== undefined && !record.isLong;
+    const warm = candidates.filter(({ isCold }) => !isCold);
+    const hasRoom = warm.some((candidate) => candidate.isPermitted && !isAtFillLimit(candidate));
+    if (!isShortPrompt && hasRoom && warm.length < candidates.length) {
+      const decision = this.decideAmong(record, warm);
+      if (decision.kind === 'place' && decision.isOnTime) return decision;
+    }
+    return this.decideAmong(record, candidates);
+  }
+
   private decideAmong(
     record: GatewayRecord,
     candidates: readonly EngineCandidate[],
@@ -392,12 +416,13 @@
   }
 
   private listCandidates(endpoints: readonly GatewayEndpoint[]): EngineCandidate[] {
-    const { fleetLoad, context, permits } = this.options;
+    const { fleetLoad, context, permits, coldShares } = this.options;
     const loads = fleetLoad.sumLoads(context.nowMs);
     return endpoints.map((endpoint) => ({
       endpoint,
       load: loads.get(endpoint.id) ?? IDLE_LOAD,
       isPermitted: permits.mayUse(endpoint.id),
+      isCold: coldShares.isBounded(endpoint.id),
     }));
   }
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -39,4 +39,5 @@
 export type { PathUsage } from './gateway/path/endpoint-path.js';
 export type { ProbeOutcome } from './gateway/path/probe-round.js';
 export type { LimitUsage } from './gateway/permits/endpoint-limits.js';
+export type { ColdUsage } from './gateway/permits/cold-endpoints.js';
 export type * from './gateway/types.js';
--- a/packages/decisions/src/membership/rendezvous.ts
+++ b/packages/decisions/src/membership/rendezvous.ts
@@ -18,6 +18,15 @@
   return [...scores.keys()].sort((a, b) => readScore(b) - readScore(a) || (a < b ? -1 : 1));
 };
 
+/**
+ * Compares two owners by their places in the order of `rankOwners`; negative if `a` is before `b`.
+ *
+ * @example
+ * compareOwners('engine-a1', 'entry-a1', 'entry-a2');
+ */
+export const compareOwners = (key: string, a: string, b: string): number =>
+  scoreOwner(key, b) - scoreOwner(key, a) || (a < b ? -1 : Number(a > b));
+
 /**
  * Returns the first owner of `rankOwners` without sorting, or undefined if there are no owners.
  *
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -468,6 +468,7 @@
         traffic: this.peerSocket.trafficBytes,
         linkBytesPerMs: this.settings.contract.linkBytesPerMs,
         limits: this.node.limitUsage,
+        cold: this.node.coldUsage,
         availability: this.node.availabilityUsage,
         paths: this.node.pathUsage,
         forwarding: this.node.forwardingUsage,
--- a/packages/entry/src/gateway/metrics/control-gauges.ts
+++ b/packages/entry/src/gateway/metrics/control-gauges.ts
@@ -1,5 +1,6 @@
 import type {
   AvailabilityUsage,
+  ColdUsage,
   ForwardingUsage,
   LimitUsage,
   PathUsage,
@@ -13,6 +14,7 @@
   readonly traffic: Readonly<PeerTraffic>;
   readonly linkBytesPerMs: number;
   readonly limits: LimitUsage;
+  readonly cold: ColdUsage;
   readonly availability: AvailabilityUsage;
   readonly paths: readonly PathUsage[];
   readonly forwarding: ForwardingUsage;
@@ -63,6 +65,25 @@
   },
 ];
 
+const listColdGauges = ({ coldEndpoints, attempts, coldForMs }: ColdUsage): Gauge[] => [
+  {
+    metric: 'savorywind_cold_endpoints',
+    help: 'Endpoints that are cold, as far as this VM knows.',
+    value: coldEndpoints,
+  },
+  {
+    metric: 'savorywind_endpoints_cold_seconds',
+    help: 'Longest time for which an endpoint stays cold; 0 if none is.',
+    value: coldForMs / MS_PER_S,
+  },
+  {
+    metric: 'savorywind_attempts_at_cold_endpoints_total',
+    help: 'Attempts that this VM has started at endpoints while they were cold.',
+    type: 'counter',
+    value: attempts,
+  },
+];
+
 const sumUp = (paths: readonly PathUsage[], read: (usage: PathUsage) => number): number =>
   paths.reduce((sum, usage) => sum + read(usage), 0);
 
@@ -139,6 +160,7 @@
     type: 'counter',
     value: load.limits.attempts,
   },
+  ...listColdGauges(load.cold),
   ...listAvailabilityGauges(load.availability),
   ...listPathGauges(load.paths),
   ...listForwardingGauges(load.forwarding),
--- a/packages/model/src/gateway/types.ts
+++ b/packages/model/src/gateway/types.ts
@@ -86,6 +86,16 @@
   readonly maxConnections: number;
   /** Undefined for plain services. */
   readonly engine: EngineTraits | undefined;
+  /** What its endpoints take while they are cold; undefined if they are never cold. */
+  readonly cold?: ColdTraits | undefined;
+}
+
+/** What the endpoints of a service take for a while after they have started. */
+export interface ColdTraits {
+  /** Requests per second that one endpoint takes while it is cold, from all entry VMs together. */
+  readonly perSecond: number;
+  /** Time for which an endpoint is cold, in milliseconds. */
+  readonly durationMs: number;
 }
 
 /** A team of callers, identified by its credentials. */
@@ -130,6 +140,11 @@
   readonly slots: number;
   /** Unix time of its start, in milliseconds, which changes when it restarts under the same id. */
   readonly startedAtMs: number | undefined;
+  /**
+   * Time for which it stays cold from the writing of the registration, in milliseconds; 0 or undefined if it
+   * is not cold.
+   */
+  readonly coldForMs?: number | undefined;
 }
 
 /** Limits of the deployment that the gateway's decisions keep. */
@@ -161,6 +176,17 @@
   readonly callerWait: CallerWaitLimits;
   /** Rate of this VM's network link in each direction, in bytes per millisecond. */
   readonly linkBytesPerMs: number;
+  /** What cold endpoints may get; undefined if the deployment does not bound it. */
+  readonly coldBound?: ColdBound | undefined;
+}
+
+/**
+ * Requests that a cold endpoint may get in any second from all entry VMs together: `ratio` times what its
+ * service declares, and `allowance`.
+ */
+export interface ColdBound {
+  readonly ratio: number;
+  readonly allowance: number;
 }
 
 /**
