--- a/packages/entry/src/gateway/metrics/control-gauges.ts
+++ b/packages/entry/src/gateway/metrics/control-gauges.ts
@@ -1,5 +1,6 @@
 import type {
   AvailabilityUsage,
+  ColdUsage,
   EvacuationUsage,
   ForwardingUsage,
   LimitUsage,
@@ -14,6 +15,7 @@
   readonly traffic: Readonly<PeerTraffic>;
   readonly linkBytesPerMs: number;
   readonly limits: LimitUsage;
+  readonly cold: ColdUsage;
   readonly availability: AvailabilityUsage;
   readonly evacuation: EvacuationUsage;
   readonly paths: readonly PathUsage[];
@@ -86,6 +88,25 @@
   },
 ];
 
+const listColdGauges = ({ coldEndpoints, attempts, coldForMs }: ColdUsage): Gauge[] => [
+  {
+    metric: 'savorywind_cold_endpoints',
+    help: 'Endpoints that are cold, as far as this VM knows.',
+    value: coldEndpoints,
+  },
+  {
+    metric: 'savorywind_endpoints_cold_seconds',
+    help: 'Longest time for which an endpoint stays cold; 0 if none is.',
+    value: coldForMs / MS_PER_S,
+  },
+  {
+    metric: 'savorywind_attempts_at_cold_endpoints_total',
+    help: 'Attempts that this VM has started at endpoints while they were cold.',
+    type: 'counter',
+    value: attempts,
+  },
+];
+
 const sumUp = (paths: readonly PathUsage[], read: (usage: PathUsage) => number): number =>
   paths.reduce((sum, usage) => sum + read(usage), 0);
 
@@ -162,6 +183,7 @@
     type: 'counter',
     value: load.limits.attempts,
   },
+  ...listColdGauges(load.cold),
   ...listAvailabilityGauges(load.availability),
   ...listEvacuationGauges(load.evacuation),
   ...listPathGauges(load.paths),
