--- a/packages/decisions/src/gateway/placement/place-long-prompt.ts
+++ b/packages/decisions/src/gateway/placement/place-long-prompt.ts
@@ -122,6 +122,19 @@
   return maxCount > 0 ? [...counts, maxCount] : [];
 };
 
+/**
+ * Lists engines from a random one on, where the loads are known late. Engines without work are all
+ * equally good, and entry VMs that place at the same time would all begin with the same ones.
+ */
+const listFromRandom = (
+  candidates: readonly EngineCandidate[],
+  { random, unseenRequests }: PlacementInput,
+): readonly EngineCandidate[] => {
+  if (unseenRequests === 0) return candidates;
+  const start = Math.floor(random * candidates.length);
+  return [...candidates.slice(start), ...candidates.slice(0, start)];
+};
+
 /**
  * Places a long prompt on as few engines as deliver the first event in time without disrupting
  * other streams. If no number of engines does, the placement with the least disruption is taken,
@@ -134,7 +147,8 @@
   candidates: readonly EngineCandidate[],
   traits: EngineTraits,
 ): Placement | undefined => {
-  const usable = input.mayQueue ? candidates : candidates.filter(mayPrefillLongPrompt);
+  const listed = listFromRandom(candidates, input);
+  const usable = input.mayQueue ? listed : listed.filter(mayPrefillLongPrompt);
   let best: Placement | undefined;
   for (const engineCount of listEngineCounts(input, usable.length, traits)) {
     const placement = placeOnEngines(input, usable, traits, engineCount);
--- a/packages/decisions/test/gateway/spread-short-prompts.test.ts
+++ b/packages/decisions/test/gateway/spread-placements.test.ts
@@ -40,3 +40,23 @@
     expect(fleet.arrivals.size).toBeLessThan(52);
   });
 });
+
+describe('long prompts of a large fleet that arrive at the same time', () => {
+  it.each([1, 2, 3])('are not prefilled by the same idle engines, seed %i', (seed) => {
+    const fleet = new GatewayFleet({
+      seed,
+      domains: DOMAINS,
+      entryVmsPerDomain: 30,
+      endpoints: createEngines(52, DOMAINS),
+      requestsPerS: 0.001,
+      linkBytesPerMs: SMALL_LINK_BYTES_PER_MS,
+      drawRequest: () => ({ path: '/review/', promptTokens: 50_000 }),
+    });
+    fleet.run(3_000);
+    const before = fleet.outcomes.sent;
+    fleet.sendAtOnce(8);
+    fleet.run(500);
+    expect(fleet.outcomes.sent - before).toBe(8);
+    expect(Math.max(...fleet.arrivals.values())).toBeLessThanOrEqual(2);
+  });
+});
