Tell peers of a large fleet of a long prompt at once

Cause: VMs of other domains know loads up to half a second late, those of the own domain tens of milliseconds where budgets are used up.

--- a/packages/decisions/src/gateway/consts.ts
+++ b/packages/decisions/src/gateway/consts.ts
@@ -28,6 +28,12 @@
  */
 export const MAX_REPEATS_PER_S = 40;
 
+/**
+ * Most peers that are told at once of a long prompt. A snapshot to all of them takes the smallest links a
+ * few ten milliseconds, which is short beside the prefill of such a prompt.
+ */
+export const MAX_URGENT_RECIPIENTS = 96;
+
 /** A peer is inactive, and its work is not counted, after this time without a snapshot, in milliseconds. */
 export const MIN_PEER_TIMEOUT_MS = 1_500;
 
--- a/packages/decisions/src/gateway/gateway-attempts.ts
+++ b/packages/decisions/src/gateway/gateway-attempts.ts
@@ -23,6 +23,7 @@
   type GatewayRecord,
   type PeerAttempt,
 } from './request-record.js';
+import type { WorkChanged } from './snapshot-sender.js';
 import type { ConnectionChoice, PrefillHelper } from './types.js';
 
 /**
@@ -78,7 +79,7 @@
   readonly paths: EndpointPaths;
   readonly forwarder: RequestForwarder;
   /** Called when an attempt starts, gets its first event or ends. */
-  readonly onWorkChanged: () => void;
+  readonly onWorkChanged: WorkChanged;
   readonly onStalled: (record: GatewayRecord, attempt: GatewayAttempt) => void;
 }
 
@@ -120,7 +121,7 @@
     this.emitStart(record, attempt, plan);
     record.attemptedEndpoints.add(plan.endpoint.id);
     this.armStallTimer(record, attempt, this.estimateStallTimeoutMs(record, plan.partMs));
-    this.options.onWorkChanged();
+    this.options.onWorkChanged(record.isLong ? involved : undefined);
   }
 
   /** Sends the request to a peer, which sends it to one endpoint. */
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -361,7 +361,7 @@
       placement: new PermittedPlacement({ context, placementPolicy, permits }),
       reservations,
       callerWait,
-      onWorkChanged: () => this.snapshots.handleWorkChanged(),
+      onWorkChanged: (longWorkAt) => this.snapshots.handleWorkChanged(longWorkAt),
       onIdle: () => this.finishDrainIfIdle(),
     });
   }
--- a/packages/decisions/src/gateway/gateway-requests.ts
+++ b/packages/decisions/src/gateway/gateway-requests.ts
@@ -76,6 +76,7 @@
   logUnforwardable,
 } from './request-log.js';
 import { RequestQueue } from './waiting/request-queue.js';
+import type { WorkChanged } from './snapshot-sender.js';
 import { StopDeadline } from './stop-deadline.js';
 
 export interface GatewayRequestsOptions {
@@ -98,7 +99,7 @@
   readonly reservations: MemoryReservations;
   readonly callerWait: CallerWaitLimits;
   /** Called when an attempt starts, gets its first event or ends. */
-  readonly onWorkChanged: () => void;
+  readonly onWorkChanged: WorkChanged;
   /** Called when a request has ended and no other is in flight. */
   readonly onIdle: () => void;
 }
--- a/packages/decisions/src/gateway/peer-table.ts
+++ b/packages/decisions/src/gateway/peer-table.ts
@@ -14,6 +14,7 @@
   MAX_FREQUENT_PEERS,
   MAX_PEER_ABSENCE_MS,
   MAX_PERIODIC_RECIPIENTS,
+  MAX_URGENT_RECIPIENTS,
   MAX_REPEATS_PER_S,
   MIN_PEER_TIMEOUT_MS,
   PEER_TIMEOUT_INTERVALS,
@@ -199,6 +200,26 @@
     return recipients.map(({ peer }) => peer.address);
   }
 
+  /**
+   * Lists the peers that are told at once, and records a snapshot as sent to them: the active ones, those
+   * of some failure domains first.
+   */
+  takeUrgentRecipients(
+    domains: ReadonlySet<FailureDomainId>,
+    nowMs: MonotonicMs,
+  ): Readonly<Record<SnapshotFrequency, readonly NetworkAddress[]>> {
+    const active = this.listActive(nowMs);
+    const first = active.filter(({ peer }) => domains.has(peer.failureDomain));
+    const others = active.filter(({ peer }) => !domains.has(peer.failureDomain));
+    const recipients = [...first, ...others].slice(0, MAX_URGENT_RECIPIENTS);
+    const byFrequency: Record<SnapshotFrequency, NetworkAddress[]> = { frequent: [], periodic: [] };
+    recipients.forEach((state) => {
+      state.sentAtMs = nowMs;
+      byFrequency[this.findDomainFrequency(state.peer.failureDomain)].push(state.peer.address);
+    });
+    return byFrequency;
+  }
+
   /** Inactive peers also get snapshots, so that both detect when they can reach each other again. */
   private isDue(state: PeerState, frequency: SnapshotFrequency, nowMs: MonotonicMs): boolean {
     const elapsedMs = nowMs - state.sentAtMs;
--- a/packages/decisions/src/gateway/snapshot-sender.ts
+++ b/packages/decisions/src/gateway/snapshot-sender.ts
@@ -1,4 +1,4 @@
-import type { WorkSnapshot } from '@savorywind/model';
+import type { GatewayEndpoint, NetworkAddress, WorkSnapshot } from '@savorywind/model';
 import type { Timer } from '../timers/timer-queue.js';
 import {
   DATAGRAM_HEADER_BYTES,
@@ -23,6 +23,19 @@
  */
 const LINK_FRACTION = 0.1;
 
+/**
+ * Longest time by which snapshots that are sent at once may use up a budget in advance, in milliseconds.
+ * Beyond it a long prompt is told like any other work.
+ */
+const MAX_ADVANCE_MS = SNAPSHOT_INTERVAL_MS;
+
+/**
+ * Called when the work of this entry VM has changed.
+ *
+ * @param longWorkAt engines that begin with the prefill of a long prompt, if that is the change
+ */
+export type WorkChanged = (longWorkAt?: readonly GatewayEndpoint[]) => void;
+
 /**
  * Estimates the size of the datagram with a snapshot, network headers included, in bytes. Peers of
  * earlier builds get the snapshot in a longer form, which is not taken into account.
@@ -85,9 +98,29 @@
     );
   }
 
-  /** Sends a snapshot soon, so that it carries several changes. */
-  handleWorkChanged(): void {
-    this.armForChange(SNAPSHOT_DELAY_MS);
+  /**
+   * Sends a snapshot soon, so that it carries several changes. In a large fleet, where that takes a part
+   * of a second, peers are told of a long prompt at once: another one on the same engines would wait for
+   * all of its prefill.
+   */
+  handleWorkChanged(longWorkAt: readonly GatewayEndpoint[] = []): void {
+    if (longWorkAt.length > 0 && this.mayTellAtOnce()) this.tellAtOnce(longWorkAt);
+    else this.armForChange(SNAPSHOT_DELAY_MS);
+  }
+
+  private mayTellAtOnce(): boolean {
+    const latestMs = this.context.nowMs + MAX_ADVANCE_MS;
+    const isAdvanced = Object.values(this.budgets).some(
+      ({ availableAtMs }) => availableAtMs > latestMs,
+    );
+    return this.fleetLoad.peers.hasPeriodicPeers && !isAdvanced;
+  }
+
+  private tellAtOnce(longWorkAt: readonly GatewayEndpoint[]): void {
+    const domains = new Set(longWorkAt.map(({ failureDomain }) => failureDomain));
+    const recipients = this.fleetLoad.peers.takeUrgentRecipients(domains, this.context.nowMs);
+    this.sendTo('frequent', recipients.frequent);
+    this.sendTo('periodic', recipients.periodic);
   }
 
   /** Introduces this entry VM to peers that have just become known. */
@@ -126,9 +159,12 @@
   }
 
   private send(frequency: SnapshotFrequency): void {
-    const { context, fleetLoad } = this;
-    const peers = fleetLoad.peers.takeRecipients(frequency, context.nowMs);
+    this.sendTo(frequency, this.fleetLoad.peers.takeRecipients(frequency, this.context.nowMs));
+  }
+
+  private sendTo(frequency: SnapshotFrequency, peers: readonly NetworkAddress[]): void {
     if (peers.length === 0) return;
+    const { context, fleetLoad } = this;
     const snapshot = fleetLoad.createSnapshot(this.describeFields(frequency), context.nowMs);
     this.budgets[frequency].take(peers.length * estimateDatagramBytes(snapshot), context.nowMs);
     context.emit({ kind: 'peers.send', snapshot, peers });
--- a/packages/decisions/test/gateway/snapshot-sender.test.ts
+++ b/packages/decisions/test/gateway/snapshot-sender.test.ts
@@ -50,6 +50,38 @@
     expect(datagrams * smallestDatagramBytes).toBeLessThan(0.2 * linkBytesPerMs * 2_000);
   });
 
+  it('tell all peers of a large fleet of a long prompt at once', () => {
+    const driver = new FleetDriver(LARGE_FLEET);
+    driver.request('/review/', { promptTokens: 50_000 });
+    expect(driver.takeDatagrams()).toEqual({ a: 21, b: 21, c: 21, d: 21 });
+  });
+
+  it('tell a long prompt to no more peers in a larger fleet', () => {
+    const fleet = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'].flatMap((name) => createPeers(name, 24));
+    const driver = new FleetDriver(fleet);
+    driver.receiveAll();
+    driver.request('/review/', { promptTokens: 50_000 });
+    const { a: own, ...others } = driver.takeDatagrams();
+    const sum = Object.values(others).reduce((total, count) => total + count, 0);
+    expect(own).toBe(24);
+    expect(sum).toBeLessThanOrEqual(96 - 24);
+  });
+
+  it('take no more than a fifth of a slow link, although long prompts begin all the time', () => {
+    const linkBytesPerMs = 200;
+    const driver = new FleetDriver(LARGE_FLEET, linkBytesPerMs);
+    for (let count = 0; count < 200; count += 1) {
+      driver.request('/review/', { promptTokens: 50_000 });
+      driver.advance(10);
+      if (count % 50 === 0) driver.receiveAll();
+    }
+    const counts = driver.takeDatagrams();
+    const datagrams = Object.values(counts).reduce((total, count) => total + count, 0);
+    const smallestDatagramBytes = 100;
+    expect(datagrams).toBeGreaterThan(0);
+    expect(datagrams * smallestDatagramBytes).toBeLessThan(0.2 * linkBytesPerMs * 2_000);
+  });
+
   it('use the rate of the link from reloaded settings', () => {
     const driver = new FleetDriver(LARGE_FLEET, 1);
     driver.request('/chat/');
--- a/packages/decisions/test/gateway/spread-placements.test.ts
+++ b/packages/decisions/test/gateway/spread-placements.test.ts
@@ -59,4 +59,23 @@
     expect(fleet.outcomes.sent - before).toBe(8);
     expect(Math.max(...fleet.arrivals.values())).toBeLessThanOrEqual(2);
   });
+
+  it.each([1, 2, 3])('wait for no prefill of another domain that began before, seed %i', (seed) => {
+    const fleet = new GatewayFleet({
+      seed,
+      domains: DOMAINS,
+      entryVmsPerDomain: 30,
+      endpoints: createEngines(12, ['b']),
+      requestsPerS: 0.001,
+      linkBytesPerMs: SMALL_LINK_BYTES_PER_MS,
+      drawRequest: () => ({ path: '/review/', promptTokens: 50_000 }),
+    });
+    fleet.run(3_000);
+    for (let prompt = 0; prompt < 10; prompt += 1) {
+      fleet.sendAtOnce(1);
+      fleet.run(20);
+    }
+    expect(fleet.outcomes.sent).toBeGreaterThanOrEqual(10);
+    expect(Math.max(...fleet.arrivals.values())).toBe(1);
+  });
 });
