--- a/packages/decisions/src/gateway/placement/placement-policy.ts
+++ b/packages/decisions/src/gateway/placement/placement-policy.ts
@@ -17,6 +17,7 @@
   type EngineCandidate,
   type PlacedHelper,
   type Placement,
+  type PlacementInput,
 } from './placement-estimates.js';
 import type { GatewayRecord } from '../request-record.js';
 
@@ -103,13 +104,17 @@
  */
 const FINAL_WAIT_FRACTION = 0.35;
 
-const describePlacement = (placement: Placement, targetLeftMs: number): LogFields => ({
+const describePlacement = (
+  placement: Placement,
+  { targetLeftMs, unseenRequests }: PlacementInput,
+): LogFields => ({
   helpers: placement.helpers.length,
   partMs: Math.round(placement.partMs),
   aimLeftMs: Math.round(targetLeftMs),
   writers: placement.load.writers,
   readers: placement.load.readers,
   readMs: Math.round(placement.load.readMs),
+  unseen: unseenRequests,
   harmed: placement.disruption,
   isLate: placement.isLate,
   estimateMs: Math.round(placement.firstEventMs),
@@ -299,7 +304,7 @@
       return this.describeWait(record, placement, targetLeftMs, candidates.length);
     }
     const { endpoint, helpers, partMs, memoryTokens: primaryTokens } = placement;
-    const placementFields = describePlacement(placement, targetLeftMs);
+    const placementFields = describePlacement(placement, input);
     return {
       kind: 'place',
       isOnTime: !placement.isLate && placement.disruption === 0,
