--- a/packages/decisions/src/gateway/placement/placement-policy.ts
+++ b/packages/decisions/src/gateway/placement/placement-policy.ts
@@ -19,6 +19,7 @@
   type EngineCandidate,
   type PlacedHelper,
   type Placement,
+  type PlacementInput,
 } from './placement-estimates.js';
 import type { GatewayRecord } from '../request-record.js';
 
@@ -105,13 +106,17 @@
  */
 const FINAL_WAIT_FRACTION = 0.35;
 
-const describePlacement = (placement: Placement, targetLeftMs: number): LogFields => ({
+const describePlacement = (
+  placement: Placement,
+  { targetLeftMs, unseenRequests }: PlacementInput,
+): LogFields => ({
   helpers: placement.helpers.length,
   partMs: Math.round(placement.partMs),
   aimLeftMs: Math.round(targetLeftMs),
   writers: placement.load.writers,
   readers: placement.load.readers,
   readMs: Math.round(placement.load.readMs),
+  unseen: unseenRequests,
   harmed: placement.disruption,
   isLate: placement.isLate,
   estimateMs: Math.round(placement.firstEventMs),
@@ -304,6 +309,7 @@
     const mayQueue = nowMs + MIN_SLACK_MS + prefillMs >= record.firstEventDeadlineMs;
     const splitTargetMs = this.estimateSplitTargetMs(record, targetLeftMs, candidates.length);
     const random = this.options.context.drawRandom();
+    const unseenRequests = this.estimateUnseenRequests(candidates);
     const input = {
       prefillMs,
       memoryTokens,
@@ -312,6 +318,7 @@
       isLong,
       mayQueue,
       random,
+      unseenRequests,
     };
     const placement = placeGeneration(input, candidates, record.service.engine!);
     if (
@@ -321,7 +328,7 @@
       return this.describeWait(record, placement, targetLeftMs, candidates.length);
     }
     const { endpoint, helpers, partMs, memoryTokens: primaryTokens } = placement;
-    const placementFields = describePlacement(placement, targetLeftMs);
+    const placementFields = describePlacement(placement, input);
     return {
       kind: 'place',
       isOnTime: !placement.isLate && placement.disruption === 0,
@@ -333,6 +340,16 @@
     };
   }
 
+  /**
+   * Estimates how many requests other entry VMs may have placed on engines without this one knowing. In
+   * a large fleet a snapshot to all peers of a domain takes a small link as long as a short prompt takes
+   * to its first event: as many are unseen as are known to be in prefill, and one.
+   */
+  private estimateUnseenRequests(candidates: readonly EngineCandidate[]): number {
+    if (!this.options.fleetLoad.peers.hasPeriodicPeers) return 0;
+    return candidates.reduce((sum, { load }) => sum + load.readers - load.longReaders, 1);
+  }
+
   /**
    * Estimates the wanted time to the first event of a long prompt, in milliseconds. A prompt that
    * can't meet its target may take longer, and so use fewer engines, within its caller's wait.
