Weigh retained prefixes against the wait, where a model declares retention

Cause: with affinity by hash the router assumed that the hash owner of a prompt's first block retained all of it, for light requests only, and never learned whether it did. Heavy requests, which have most to save, ignored what engines retain.

Change: a model may declare prefixRetention. Then an entry VM remembers which engine has read which blocks (routing/prefixes, bounded in entries, age and characters, dropped when the engine may be lost, corrected by the cached tokens that engines report), and one function compares candidates by wait, less what is saved, plus what is displaced. Light and heavy requests use it; the saving goes with the slot request in a new optional field. Responses and metrics show the cached tokens. Without the declaration placement is as before.

--- a/packages/bench/src/experiments/fleet/attempt-simulator.ts
+++ b/packages/bench/src/experiments/fleet/attempt-simulator.ts
@@ -121,7 +121,8 @@
         if (count > 0) node.dispatch({ ...chunk, data: '' });
         if (!finished) return;
         const end = { kind: 'attempt.ended', attemptId, total, reason: 'stop' } as const;
-        node.dispatch({ ...end, usage: undefined });
+        const { promptTokens, cachedTokens } = stream;
+        node.dispatch({ ...end, usage: { promptTokens, outputTokens: total, cachedTokens } });
       });
     };
   }
--- a/packages/bench/src/experiments/fleet/fleet-configuration.ts
+++ b/packages/bench/src/experiments/fleet/fleet-configuration.ts
@@ -1,4 +1,4 @@
-import type { Configuration, Engine, EntryVm } from '@savorywind/model';
+import type { Configuration, Engine, EntryVm, ModelDeclaration } from '@savorywind/model';
 import type { Deployment } from '../workload/types.js';
 
 const formatDomain = (deployment: Deployment, index: number): string =>
@@ -32,6 +32,7 @@
 export const createFleetConfiguration = (
   deployment: Deployment,
   slowdownWeight: number,
+  prefixRetention?: ModelDeclaration['prefixRetention'],
 ): Configuration => ({
   teams: deployment.teamRates.map((weight, index) => ({
     id: `team-${index}`,
@@ -39,7 +40,14 @@
     weight,
     limits: {},
   })),
-  models: [{ id: 'assistant', defaultTimeoutMs: 600_000, maxOutputTokens: 2_000 }],
+  models: [
+    {
+      id: 'assistant',
+      defaultTimeoutMs: 600_000,
+      maxOutputTokens: 2_000,
+      ...(prefixRetention === undefined ? {} : { prefixRetention }),
+    },
+  ],
   services: [
     {
       id: 'booking',
--- a/packages/bench/src/experiments/fleet/fleet.ts
+++ b/packages/bench/src/experiments/fleet/fleet.ts
@@ -79,7 +79,11 @@
     const { deployment, seed } = settings.workload;
     this.random = new RandomSource(seed + 1_000_003);
     this.network = new FleetNetwork(settings.linkDelayMs, this.random);
-    this.configuration = createFleetConfiguration(deployment, settings.slowdownWeight);
+    this.configuration = createFleetConfiguration(
+      deployment,
+      settings.slowdownWeight,
+      settings.prefixRetention,
+    );
     this.entryVms = listEntryVms(deployment);
     this.attempts = new AttemptSimulator(
       this.network,
@@ -98,7 +102,8 @@
     const startMs = performance.now();
     const before = this.readUsageCounters();
     this.settings.faults.forEach((fault) => this.scheduleFault(fault));
-    this.scheduleArrivals(new Workload(this.settings.workload).listRequests(), startMs);
+    const requests = this.settings.requests ?? new Workload(this.settings.workload).listRequests();
+    this.scheduleArrivals(requests, startMs);
     advance(durationMs);
     const after = this.readUsageCounters();
     for (
@@ -112,7 +117,11 @@
       Fleet.measureUsage(node, before[index], after[index], durationMs),
     );
     this.nodes.forEach((node) => node.stop());
-    return { results: [...this.results.values()], nodes, durationMs };
+    let evictedBlocks = 0;
+    this.engines.forEach(({ simulator }) => {
+      evictedBlocks += simulator.evictedBlocks;
+    });
+    return { results: [...this.results.values()], nodes, evictedBlocks, durationMs };
   }
 
   /** Bytes sent on all links, by message kind. */
@@ -179,6 +188,8 @@
       refused: undefined,
       retryAfterMs: undefined,
       failedAfterAdmission: false,
+      endpoint: undefined,
+      cachedTokens: undefined,
     };
     this.results.set(planned.contract.requestId, result);
     this.pendingCount += 1;
@@ -196,14 +207,21 @@
 
   private createHandlers(node: FleetNode): EffectHandlers {
     return {
-      'attempt.start': (start) => this.attempts.start(node, start),
+      'attempt.start': (start) => {
+        const result = this.results.get(start.requestId);
+        if (result !== undefined) result.endpoint = start.endpoint.id;
+        this.attempts.start(node, start);
+      },
       'attempt.cancel': ({ attemptId }) => this.attempts.cancel(attemptId),
       'caller.sendHead': () => {},
       'caller.sendChunk': ({ requestId }) => {
         const result = this.results.get(requestId);
         if (result !== undefined) result.firstTokenMs ??= performance.now();
       },
-      'caller.finish': ({ requestId }) => this.finishRequest(requestId, () => {}),
+      'caller.finish': ({ requestId, usage }) =>
+        this.finishRequest(requestId, (result) => {
+          result.cachedTokens = usage?.cachedTokens;
+        }),
       'caller.refuse': ({ requestId, refusal }) =>
         this.finishRequest(requestId, (result) => {
           result.refused = refusal.code.name;
--- a/packages/bench/src/experiments/fleet/types.ts
+++ b/packages/bench/src/experiments/fleet/types.ts
@@ -1,4 +1,5 @@
 import type { RouterName } from '@savorywind/decisions';
+import type { ModelDeclaration } from '@savorywind/model';
 import type { PlannedRequest, WorkloadSettings } from '../workload/types.js';
 
 /**
@@ -19,6 +20,10 @@
   /** One-way network delay, the same within and between failure domains. */
   readonly linkDelayMs: number;
   readonly faults: readonly Fault[];
+  /** Requests of the run; drawn from the workload's settings if absent. */
+  readonly requests?: readonly PlannedRequest[];
+  /** Declared for the model, as in the configuration; engines' prefixes do not count if absent. */
+  readonly prefixRetention?: ModelDeclaration['prefixRetention'];
 }
 
 /** Outcome of one request. Times are on the clock of the run. */
@@ -31,6 +36,10 @@
   retryAfterMs: number | undefined;
   /** Whether the request was refused after it may have run, or timed out. */
   failedAfterAdmission: boolean;
+  /** Engine or replica of the last attempt. */
+  endpoint: string | undefined;
+  /** Prompt tokens that the engine had retained. */
+  cachedTokens: number | undefined;
 }
 
 /** Resources used by one entry VM while requests arrived; rates are per simulated second. */
@@ -47,6 +56,8 @@
 export interface FleetReport {
   readonly results: readonly RequestResult[];
   readonly nodes: readonly NodeUsage[];
+  /** Blocks of prefixes that all engines dropped, except by a crash. */
+  readonly evictedBlocks: number;
   /** Time during which requests arrived. */
   readonly durationMs: number;
 }
--- a/packages/bench/src/experiments/index.ts
+++ b/packages/bench/src/experiments/index.ts
@@ -1,4 +1,5 @@
 import { runFaults } from './faults.js';
+import { runKeptPrefixes } from './kept-prefixes.js';
 import { runTeamOverload } from './team-overload.js';
 import { runNodeCosts } from './node-costs.js';
 import { runPolicies } from './policies.js';
@@ -15,5 +16,6 @@
   flood: runTeamOverload,
   scale: runScale,
   'node-costs': runNodeCosts,
+  'kept-prefixes': runKeptPrefixes,
   'snapshot-traffic': runSnapshotTraffic,
 };
--- a/packages/decisions/src/context/types.ts
+++ b/packages/decisions/src/context/types.ts
@@ -52,6 +52,8 @@
 export interface AnswerUsage {
   readonly promptTokens: number;
   readonly outputTokens: number;
+  /** Prompt tokens that the engine did not read again; absent if it does not say. */
+  readonly cachedTokens?: number;
 }
 
 /** Why an answer ended: `stop` or `length` for engines, `complete` for plain services. */
--- a/packages/decisions/src/requests/request-lifecycle.ts
+++ b/packages/decisions/src/requests/request-lifecycle.ts
@@ -141,6 +141,7 @@
     const record = this.table.findByAttempt(event.attemptId);
     if (record?.attempt === undefined) return;
     const { attempt, answer } = record;
+    const { router } = this.dependencies;
     assertOwnAnswer(record.contract.requestId, event.attemptId, attempt.attemptId);
     const isComplete = attempt.hasReceivedHead && answer.isComplete(event.total);
     // Also stored after the deadline, so that a repeated call with the same key gets the answer.
@@ -152,6 +153,7 @@
       this.recovery.cancelAttempt(record, 'invalid');
     } else {
       this.dependencies.membership.reportOutcome(attempt.endpoint.id, 'answered');
+      router.recordUsage(record.contract.requestId, event.usage);
       this.answers.finish(record, event);
       this.table.detachAttempt(record);
       this.operations.close(record, 'finished');
--- a/packages/decisions/src/routing/baselines/baseline-router.ts
+++ b/packages/decisions/src/routing/baselines/baseline-router.ts
@@ -85,6 +85,9 @@
   // eslint-disable-next-line class-methods-use-this
   recordFirstToken(): void {}
 
+  // eslint-disable-next-line class-methods-use-this
+  recordUsage(): void {}
+
   // eslint-disable-next-line class-methods-use-this
   handleMessage(): void {}
 
--- a/packages/decisions/src/routing/coordinated/coordinated-router.ts
+++ b/packages/decisions/src/routing/coordinated/coordinated-router.ts
@@ -4,6 +4,7 @@
   type EngineUsage,
   type Engine,
   type EntryVmId,
+  type ModelContract,
   type MonotonicMs,
   type Refusal,
   type RequestId,
@@ -19,6 +20,10 @@
   SlotListener,
   SlotOutcome,
 } from '../types.js';
+import { estimateSavedMs } from '../prefixes/prefix-savings.js';
+import { PrefixTracker } from '../prefixes/prefix-tracker.js';
+import type { KeptPrefix } from '../prefixes/types.js';
+import type { AnswerUsage } from '../../context/types.js';
 import { countMemoryTokens, estimateDecodeMs, estimatePrefillMs } from '../work-estimate.js';
 import {
   ADMISSION_FRACTION,
@@ -44,6 +49,9 @@
  */
 const LIGHT_PROMPT_TOKENS = 32_768;
 
+/** Outcomes after which the engine's process, and with it what it retained, may be lost. */
+const LOST_OUTCOMES: ReadonlySet<SlotOutcome> = new Set(['broken', 'notSent']);
+
 /** Slowdown weight while no preset is in force. */
 const DEFAULT_SLOWDOWN_WEIGHT = 0.5;
 
@@ -54,9 +62,18 @@
   readonly coordinator: EntryVmId | undefined;
   readonly tokens: number;
   readonly prefillMs: number;
+  /** What the engine was expected to retain of the prompt; undefined if that does not count. */
+  readonly prefix: SlotPrefix | undefined;
   isPrefilled: boolean;
 }
 
+/** What a slot's engine was expected to retain of a prompt, and the prompt. */
+interface SlotPrefix {
+  readonly contract: ModelContract;
+  readonly kept: KeptPrefix;
+  readonly savedMs: number;
+}
+
 /** A slot request that no coordinator has granted or refused yet. */
 interface PendingRequest {
   readonly request: SlotRequest;
@@ -92,6 +109,8 @@
 
   private readonly picker: EnginePicker;
 
+  private readonly prefixes: PrefixTracker;
+
   private readonly views = new Map<EndpointId, EngineView>();
 
   private readonly slots = new Map<RequestId, Slot>();
@@ -121,8 +140,10 @@
       readSlowdownWeight: () => this.readSlowdownWeight(),
       send: (peer, message) => this.send(peer, message),
     });
+    this.prefixes = new PrefixTracker({ ...dependencies, index: this.index });
     this.picker = new EnginePicker({
       ...dependencies,
+      prefixes: this.prefixes,
       index: this.index,
       policy,
       findView: (engine) => this.findView(engine),
@@ -158,6 +179,7 @@
     const slot = this.slots.get(requestId);
     if (slot === undefined || slot.isPrefilled) return;
     slot.isPrefilled = true;
+    if (slot.prefix !== undefined) this.prefixes.recordRead(slot.engine, slot.prefix.contract);
     const view = this.findView(slot.engine);
     if (slot.coordinator === undefined) {
       view.lightBacklogMs -= slot.prefillMs;
@@ -168,11 +190,19 @@
     this.send(slot.coordinator, { kind: 'slot.prefilled', requestId, engine: slot.engine.id });
   }
 
+  recordUsage(requestId: RequestId, usage: AnswerUsage | undefined): void {
+    const slot = this.slots.get(requestId);
+    if (slot?.prefix === undefined || usage === undefined) return;
+    const { contract, kept } = slot.prefix;
+    this.prefixes.recordUsage(slot.engine, kept, contract.promptTokens, usage);
+  }
+
   releaseSlot(requestId: RequestId, outcome: SlotOutcome): void {
     this.limits.release(requestId);
     const slot = this.slots.get(requestId);
     if (slot === undefined) return;
     this.slots.delete(requestId);
+    if (LOST_OUTCOMES.has(outcome)) this.prefixes.dropEngine(slot.engine.id);
     const view = this.findView(slot.engine);
     const rejected = outcome === 'rejected';
     if (slot.coordinator === undefined) {
@@ -236,7 +266,8 @@
       return;
     }
     const view = this.findView(engine);
-    const prefillMs = estimatePrefillMs(engine, contract.promptTokens);
+    const prefix = this.findSlotPrefix(engine, contract);
+    const prefillMs = estimatePrefillMs(engine, contract.promptTokens) - (prefix?.savedMs ?? 0);
     const finishMs =
       (view.readBacklogMs(nowMs) + prefillMs) / INITIAL_PREFILL_RATE +
       estimateDecodeMs(engine, contract.maxOutputTokens);
@@ -256,6 +287,7 @@
       coordinator: undefined,
       tokens,
       prefillMs,
+      prefix,
       isPrefilled: false,
     });
     listener({ kind: 'granted', engine, priority });
@@ -310,6 +342,7 @@
     const { nowMs } = this.dependencies.context;
     const { requestId, team, promptTokens, maxOutputTokens } = request.contract;
     const { lightBacklogMs, lightTokens } = this.findView(engine);
+    const prefix = this.findSlotPrefix(engine, request.contract);
     this.send(coordinator, {
       kind: 'slot.ask',
       requestId,
@@ -321,9 +354,18 @@
       leftMs: Math.round(request.deadlineMs - nowMs),
       lightBacklogMs: Math.round(lightBacklogMs),
       lightTokens,
+      ...(prefix === undefined ? {} : { savedMs: Math.round(prefix.savedMs) }),
     });
   }
 
+  /** Finds what an engine is expected to retain of a prompt; undefined if that does not count. */
+  private findSlotPrefix(engine: Engine, contract: ModelContract): SlotPrefix | undefined {
+    if (!this.prefixes.isTracked(contract)) return undefined;
+    const owner = this.picker.findPrefixOwner(contract);
+    const kept = this.prefixes.findKept(engine, contract, owner);
+    return { contract, kept, savedMs: estimateSavedMs({ engine, ...kept }, contract.promptTokens) };
+  }
+
   private handleGrant(peer: EntryVmId, { requestId, engine }: MessageOf<'slot.grant'>): void {
     const pending = this.pending.get(requestId);
     if (pending?.engine.id !== engine) {
@@ -336,12 +378,13 @@
     const { request, listener } = pending;
     const { contract } = request;
     const tokens = countMemoryTokens(contract);
-    const prefillMs = estimatePrefillMs(pending.engine, contract.promptTokens);
+    const prefix = this.findSlotPrefix(pending.engine, contract);
     const slot = {
       engine: pending.engine,
       coordinator: peer,
       tokens,
-      prefillMs,
+      prefillMs: estimatePrefillMs(pending.engine, contract.promptTokens) - (prefix?.savedMs ?? 0),
+      prefix,
       isPrefilled: false,
     };
     this.slots.set(requestId, slot);
@@ -375,6 +418,7 @@
     this.updatePeers();
     const roundMs = ROUND_MS + ROUND_PER_PEER_MS * this.peers.length;
     this.engineCoordinator.sweep();
+    this.prefixes.sweep();
     const usages = this.takeUsagesByCoordinator();
     const { self, nowMs } = this.dependencies.context;
     const demands = this.limits.takeDemands(nowMs);
--- a/packages/decisions/src/routing/coordinated/engine-coordinator.ts
+++ b/packages/decisions/src/routing/coordinated/engine-coordinator.ts
@@ -208,14 +208,15 @@
     message: SlotRequestMessage,
   ): QueuedRequest {
     const { nowMs } = this.dependencies.context;
-    const { requestId, team, promptTokens, outputTokens, waitedMs, leftMs } = message;
+    const { requestId, team, promptTokens, outputTokens, waitedMs, leftMs, savedMs = 0 } = message;
+    const unsavedMs = estimatePrefillMs(engine, promptTokens);
     return {
       requestId,
       peer,
       team,
       isLight: this.dependencies.isLight(promptTokens),
       tokens: promptTokens + outputTokens,
-      prefillMs: estimatePrefillMs(engine, promptTokens),
+      prefillMs: unsavedMs - Math.min(Math.max(0, savedMs), unsavedMs),
       decodeMs: estimateDecodeMs(engine, outputTokens),
       arrivedAtMs: nowMs - waitedMs,
       deadlineMs: nowMs + leftMs,
--- a/packages/decisions/src/routing/coordinated/engine-picker.ts
+++ b/packages/decisions/src/routing/coordinated/engine-picker.ts
@@ -1,7 +1,10 @@
-import type { EndpointId, Engine, ModelId } from '@savorywind/model';
+import type { EndpointId, Engine, ModelContract, ModelId } from '@savorywind/model';
 import type { FleetIndex } from '../fleet-index.js';
 import { findOwner } from '../../membership/rendezvous.js';
 import type { RouterDependencies, SlotRequest } from '../types.js';
+import { estimateSavedMs, pickByPrefixCost } from '../prefixes/prefix-savings.js';
+import type { PrefixTracker } from '../prefixes/prefix-tracker.js';
+import type { PrefixCandidate } from '../prefixes/types.js';
 import { countMemoryTokens, estimatePrefillMs } from '../work-estimate.js';
 import type { EngineView } from './engine-view.js';
 import type { CoordinatedPolicy } from './types.js';
@@ -42,6 +45,7 @@
   readonly policy: CoordinatedPolicy;
   readonly findView: (engine: Engine) => EngineView;
   readonly readSlowdownWeight: () => number;
+  readonly prefixes: PrefixTracker;
 }
 
 /** Chooses the engine for a light request, and the engine on which a heavy request is queued. */
@@ -58,6 +62,8 @@
   ): Engine | undefined {
     const { context, findView } = this.dependencies;
     const { contract } = request;
+    if (this.dependencies.prefixes.isTracked(contract))
+      return this.pickByPrefix(request, peerCount, creditFraction);
     const engines = this.listPartition(this.listLocalEngines(contract.model), true);
     const preferred = this.findPrefixEngine(engines, contract.prefixDigests);
     const tokens = countMemoryTokens(contract);
@@ -80,11 +86,31 @@
     return best;
   }
 
+  /**
+   * Returns the engine for a heavy request: the one that the policy selects, unless another one
+   * retains a prefix of the prompt that saves more than the longer wait costs there.
+   */
+  pickForHeavy(request: SlotRequest): Engine | undefined {
+    const { prefixes } = this.dependencies;
+    const engine = this.pickByBacklog(request);
+    if (engine === undefined || !prefixes.isTracked(request.contract)) return engine;
+    const tokens = countMemoryTokens(request.contract);
+    const owner = this.findPrefixOwner(request.contract);
+    const retaining = this.listLocalHolders(request);
+    if (owner !== undefined && this.isUsable(request, owner)) retaining.push(owner);
+    const holders = retaining.filter(({ memoryTokens }) => memoryTokens >= tokens);
+    const candidates = [...new Set([engine, ...holders])].map((candidate) =>
+      this.createHeavyCandidate(request, candidate, owner),
+    );
+    const demand = { promptTokens: request.contract.promptTokens, memoryTokens: tokens };
+    return pickByPrefixCost(candidates, demand)?.engine;
+  }
+
   /**
    * Returns the engine that the policy's `heavyPlacement` selects, or undefined if none of the
    * candidates is large enough.
    */
-  pickForHeavy(request: SlotRequest): Engine | undefined {
+  private pickByBacklog(request: SlotRequest): Engine | undefined {
     const { context, findView, policy } = this.dependencies;
     const tokens = countMemoryTokens(request.contract);
     const localEngines = this.listLocalEngines(request.contract.model);
@@ -119,7 +145,96 @@
     const waitMs = findView(current).readHeavyBacklogMs(context.nowMs);
     const otherWaitMs = findView(other).readHeavyBacklogMs(context.nowMs);
     const prefillMs = estimatePrefillMs(current, request.contract.promptTokens);
-    return otherWaitMs < MAX_MOVE_WAIT_FRACTION * (waitMs - prefillMs) ? other : current;
+    const lostMs = this.estimateHeavySavedMs(request, current);
+    const gainedMs = this.estimateHeavySavedMs(request, other);
+    const isShorter = otherWaitMs < MAX_MOVE_WAIT_FRACTION * (waitMs - prefillMs);
+    return isShorter && otherWaitMs - gainedMs < waitMs - lostMs ? other : current;
+  }
+
+  /** Returns the engine of least cost among a few sampled ones and those that retain the prefix. */
+  private pickByPrefix(
+    request: SlotRequest,
+    peerCount: number,
+    creditFraction: number,
+  ): Engine | undefined {
+    const { context, findView } = this.dependencies;
+    const { contract } = request;
+    const engines = this.listPartition(this.listLocalEngines(contract.model), true);
+    const owner = this.findPrefixEngine(engines, contract.prefixDigests);
+    const tokens = countMemoryTokens(contract);
+    const holders = this.listLocalHolders(request).filter((engine) => engines.includes(engine));
+    const drawn = this.drawUsable(request, engines, owner);
+    const candidates = [...new Set([...holders, ...drawn])]
+      .filter((engine) =>
+        findView(engine).hasCredit(tokens, peerCount, creditFraction, context.nowMs),
+      )
+      .map((engine) => this.createLightCandidate(request, engine, owner, peerCount));
+    const demand = { promptTokens: contract.promptTokens, memoryTokens: tokens };
+    return pickByPrefixCost(candidates, demand)?.engine;
+  }
+
+  private listLocalHolders(request: SlotRequest): Engine[] {
+    const { context, prefixes } = this.dependencies;
+    return prefixes
+      .listHolders(request.contract)
+      .filter(
+        (engine) =>
+          engine.failureDomain === context.self.failureDomain && this.isUsable(request, engine),
+      );
+  }
+
+  private createLightCandidate(
+    { contract }: SlotRequest,
+    engine: Engine,
+    owner: Engine | undefined,
+    peerCount: number,
+  ): PrefixCandidate {
+    const { context, findView, prefixes } = this.dependencies;
+    const { nowMs } = context;
+    const view = findView(engine);
+    const { keptTokens, probability } = prefixes.findKept(engine, contract, owner);
+    const penaltyMs = view.readHeavyBacklogMs(nowMs) > 0 ? this.estimateHeavyPrefillPenaltyMs() : 0;
+    return {
+      engine,
+      waitMs: view.readBacklogMs(nowMs) + penaltyMs,
+      keptTokens,
+      probability,
+      freeTokens: view.readFreeTokens(peerCount, nowMs),
+      retainedTokens: prefixes.countRetainedTokens(engine.id),
+      reuseFraction: prefixes.reuseFraction,
+    };
+  }
+
+  /** A heavy request waits for its memory at the coordinator, so all of the engine's counts as free. */
+  private createHeavyCandidate(
+    { contract }: SlotRequest,
+    engine: Engine,
+    owner: Engine | undefined,
+  ): PrefixCandidate {
+    const { context, findView, prefixes } = this.dependencies;
+    const { keptTokens, probability } = prefixes.findKept(engine, contract, owner);
+    return {
+      engine,
+      waitMs: findView(engine).readHeavyBacklogMs(context.nowMs),
+      keptTokens,
+      probability,
+      freeTokens: engine.memoryTokens,
+      retainedTokens: prefixes.countRetainedTokens(engine.id),
+      reuseFraction: prefixes.reuseFraction,
+    };
+  }
+
+  private estimateHeavySavedMs({ contract }: SlotRequest, engine: Engine): number {
+    if (!this.dependencies.prefixes.isTracked(contract)) return 0;
+    const owner = this.findPrefixOwner(contract);
+    const kept = this.dependencies.prefixes.findKept(engine, contract, owner);
+    return estimateSavedMs({ engine, ...kept }, contract.promptTokens);
+  }
+
+  /** Finds the engine that all entry VMs prefer for a prefix while they know of no other. */
+  findPrefixOwner({ model, prefixDigests }: ModelContract): Engine | undefined {
+    const engines = this.listPartition(this.listLocalEngines(model), true);
+    return this.findPrefixEngine(engines, prefixDigests);
   }
 
   private estimateHeavyPrefillPenaltyMs(): number {
--- a/packages/decisions/src/routing/coordinated/engine-view.ts
+++ b/packages/decisions/src/routing/coordinated/engine-view.ts
@@ -93,13 +93,18 @@
     creditFraction: number,
     nowMs: MonotonicMs,
   ): boolean {
-    const summary = this.findSummary(nowMs);
-    const creditMs = summary?.creditMs ?? MAX_LIGHT_BACKLOG_MS / peerCount;
-    const freeTokens = summary?.freeTokens ?? this.engine.memoryTokens / peerCount;
-    const memoryLeft = Math.min(freeTokens, this.engine.memoryTokens) - this.lightTokens;
+    const creditMs = this.findSummary(nowMs)?.creditMs ?? MAX_LIGHT_BACKLOG_MS / peerCount;
+    const memoryLeft = this.readFreeTokens(peerCount, nowMs);
     return creditMs * creditFraction > this.spentCreditMs && memoryLeft >= tokens;
   }
 
+  /** KV cache that this entry VM's light requests may still use, in tokens. */
+  readFreeTokens(peerCount: number, nowMs: MonotonicMs): number {
+    const { memoryTokens } = this.engine;
+    const freeTokens = this.findSummary(nowMs)?.freeTokens ?? memoryTokens / peerCount;
+    return Math.min(freeTokens, memoryTokens) - this.lightTokens;
+  }
+
   /**
    * Returns the usage report for the coordinator and resets the work placed since the last one;
    * undefined if there is nothing to report.
--- a/packages/decisions/src/routing/fleet-index.ts
+++ b/packages/decisions/src/routing/fleet-index.ts
@@ -3,6 +3,7 @@
   EndpointId,
   Engine,
   FailureDomainId,
+  ModelDeclaration,
   ModelId,
   TeamDeclaration,
   TeamId,
@@ -25,6 +26,8 @@
 
   private readonly largestMemoryByModel = new Map<ModelId, number>();
 
+  private readonly models = new Map<ModelId, ModelDeclaration>();
+
   private readonly teams = new Map<TeamId, TeamDeclaration>();
 
   constructor(private readonly readConfiguration: () => Configuration | undefined) {}
@@ -53,6 +56,11 @@
     return this.findTeam(team)?.weight ?? 1;
   }
 
+  findModel(model: ModelId): ModelDeclaration | undefined {
+    this.updateIndex();
+    return this.models.get(model);
+  }
+
   findTeam(team: TeamId): TeamDeclaration | undefined {
     this.updateIndex();
     return this.teams.get(team);
@@ -62,12 +70,18 @@
     const configuration = this.readConfiguration();
     if (configuration === this.indexedConfiguration) return;
     this.indexedConfiguration = configuration;
-    [this.byId, this.byModel, this.byModelAndDomain, this.largestMemoryByModel, this.teams].forEach(
-      (map) => map.clear(),
-    );
+    [
+      this.byId,
+      this.byModel,
+      this.byModelAndDomain,
+      this.largestMemoryByModel,
+      this.models,
+      this.teams,
+    ].forEach((map) => map.clear());
     configuration?.endpoints.forEach((endpoint) => {
       if (endpoint.kind === 'engine') this.addEngine(endpoint);
     });
+    configuration?.models.forEach((model) => this.models.set(model.id, model));
     configuration?.teams.forEach((team) => this.teams.set(team.id, team));
   }
 
--- a/packages/decisions/src/routing/types.ts
+++ b/packages/decisions/src/routing/types.ts
@@ -11,6 +11,7 @@
 } from '@savorywind/model';
 import type { Membership } from '../membership/types.js';
 import type { NodeContext } from '../context/node-context.js';
+import type { AnswerUsage } from '../context/types.js';
 
 /** A request for a slot on an engine. */
 export interface SlotRequest {
@@ -41,6 +42,8 @@
   cancelSlotRequest(requestId: RequestId): void;
   /** Records that the first token arrived, which means that prefill is complete. */
   recordFirstToken(requestId: RequestId): void;
+  /** Records the token counts that the engine reports with the end; called before the release. */
+  recordUsage(requestId: RequestId, usage: AnswerUsage | undefined): void;
   /** Releases a slot; does nothing if it is already released. */
   releaseSlot(requestId: RequestId, outcome: SlotOutcome): void;
   handleMessage(peer: EntryVmId, message: RoutingMessage): void;
--- a/packages/entry/src/callers/models/response-formats.ts
+++ b/packages/entry/src/callers/models/response-formats.ts
@@ -50,10 +50,13 @@
 
 /** Formats the token counts; counts that are not known are 0. */
 export const formatUsage = (usage: AnswerUsage | undefined): object => {
-  const { promptTokens = 0, outputTokens = 0 } = usage ?? {};
+  const { promptTokens = 0, outputTokens = 0, cachedTokens } = usage ?? {};
   return {
     prompt_tokens: promptTokens,
     completion_tokens: outputTokens,
     total_tokens: promptTokens + outputTokens,
+    ...(typeof cachedTokens !== 'number'
+      ? {}
+      : { prompt_tokens_details: { cached_tokens: cachedTokens } }),
   };
 };
--- a/packages/entry/src/callers/prefix-digests.ts
+++ b/packages/entry/src/callers/prefix-digests.ts
@@ -1,9 +1,7 @@
 import { createHash } from 'node:crypto';
+import { PREFIX_BLOCK_TOKENS } from '@savorywind/model';
 import { BYTES_PER_TOKEN } from './estimate-prompt-tokens.js';
 
-/** Length of one block of a prompt, in estimated tokens. */
-export const PREFIX_BLOCK_TOKENS = 1_024;
-
 /**
  * Maximum number of leading blocks that are hashed; later ones rarely affect which engine has a prefix
  * cached.
--- a/packages/entry/src/observe/render-metrics.ts
+++ b/packages/entry/src/observe/render-metrics.ts
@@ -94,6 +94,25 @@
   return [...formatHead(metric, help, 'counter'), ...lines];
 };
 
+const formatPromptTokens = (series: readonly Series[]): string[] => {
+  const known = series.filter(({ promptTokens }) => promptTokens.total > 0);
+  if (known.length === 0) return [];
+  const [metric, cachedMetric] = [
+    'savorywind_prompt_tokens_total',
+    'savorywind_cached_prompt_tokens_total',
+  ];
+  return [
+    ...formatHead(metric, 'Prompt tokens of responses with a count of cached ones.', 'counter'),
+    ...known.map(
+      ({ labels, promptTokens }) => `${metric}${formatLabels(labels)} ${promptTokens.total}`,
+    ),
+    ...formatHead(cachedMetric, 'Of these, tokens that the engine had retained.', 'counter'),
+    ...known.map(
+      ({ labels, promptTokens }) => `${cachedMetric}${formatLabels(labels)} ${promptTokens.cached}`,
+    ),
+  ];
+};
+
 /**
  * Renders all metrics in the Prometheus text format.
  *
@@ -111,6 +130,10 @@
     ...formatHead(metric, help, type ?? 'gauge'),
     ...formatValues(metric, value),
   ]);
-  const counters = [...formatOutcomes(series), ...formatRejections(metrics.rejections)];
+  const counters = [
+    ...formatOutcomes(series),
+    ...formatPromptTokens(series),
+    ...formatRejections(metrics.rejections),
+  ];
   return `${[...histograms, ...counters, ...gaugeLines].join('\n')}\n`;
 };
--- a/packages/entry/src/observe/request-measurement.ts
+++ b/packages/entry/src/observe/request-measurement.ts
@@ -1,8 +1,10 @@
+import type { AnswerUsage } from '@savorywind/decisions';
 import type { Endpoint, RequestContract } from '@savorywind/model';
 import { findLengthBand } from './length-bands.js';
 import { convertToMicroseconds, convertToSlowdownUnits } from './metric-names.js';
 import {
   recordOutcome,
+  recordPromptTokens,
   recordValue,
   type RequestMetrics,
   type Series,
@@ -61,7 +63,8 @@
     this.chunks += 1;
   }
 
-  recordFinish(): void {
+  recordFinish(usage?: AnswerUsage): void {
+    recordPromptTokens(this.series, usage?.promptTokens, usage?.cachedTokens);
     recordOutcome(this.series, 'finished');
     this.recordTime('total', this.arrivedAtMs);
     const unloadedMs = estimateUnloadedMs(this.contract, this.endpoint, this.chunks);
--- a/packages/entry/src/observe/request-metrics.ts
+++ b/packages/entry/src/observe/request-metrics.ts
@@ -17,6 +17,8 @@
   readonly histograms: Map<MeasureName, JsHistogram>;
   /** Number of requests by outcome, for example "finished", "abandoned" or a result code's number. */
   readonly outcomes: Map<string, number>;
+  /** Prompt tokens of responses that say how many of them the engine had retained, and those. */
+  readonly promptTokens: { total: number; cached: number };
 }
 
 /**
@@ -51,7 +53,12 @@
     if (existing !== undefined) return existing;
     if (this.series.size >= MAX_SERIES - 1 && labels !== OVERFLOW_LABELS)
       return this.findSeries(OVERFLOW_LABELS);
-    const created = { labels, histograms: new Map(), outcomes: new Map() };
+    const created: Series = {
+      labels,
+      histograms: new Map(),
+      outcomes: new Map(),
+      promptTokens: { total: 0, cached: 0 },
+    };
     this.series.set(key, created);
     return created;
   }
@@ -76,6 +83,18 @@
   histogram.recordValue(Math.max(1, Math.round(value)));
 };
 
+/** Counts the prompt tokens of a response; nothing if the engine does not say what it retained. */
+export const recordPromptTokens = (
+  { promptTokens }: Series,
+  totalTokens: number | undefined,
+  cachedTokens: number | undefined,
+): void => {
+  if (totalTokens === undefined || cachedTokens === undefined) return;
+  if (!(totalTokens >= 0 && cachedTokens >= 0)) return;
+  promptTokens.total += totalTokens;
+  promptTokens.cached += Math.min(cachedTokens, totalTokens);
+};
+
 export const recordOutcome = (series: Series, outcome: string): void => {
   series.outcomes.set(outcome, (series.outcomes.get(outcome) ?? 0) + 1);
 };
--- a/packages/entry/src/runtime/effects/caller-effects.ts
+++ b/packages/entry/src/runtime/effects/caller-effects.ts
@@ -14,7 +14,7 @@
   'caller.finish': ({ requestId, reason, usage }) => {
     const session = sessions.remove(requestId);
     if (session === undefined) return;
-    session.measurement.recordFinish();
+    session.measurement.recordFinish(usage);
     session.responseWriter.finish(reason, usage);
   },
   'caller.refuse': ({ requestId, refusal }) => {
--- a/packages/entry/test/parsers.fuzz.test.ts
+++ b/packages/entry/test/parsers.fuzz.test.ts
@@ -1,14 +1,11 @@
 import fc from 'fast-check';
+import { PREFIX_BLOCK_TOKENS } from '@savorywind/model';
 import { describe, expect, it } from 'vitest';
 import { parseTimeout } from '../src/callers/contracts.js';
 import { measureJsonDepth, parseJsonBody } from '../src/callers/json-body.js';
 import { parseChatBody } from '../src/callers/models/chat-body.js';
 import { parseTextBody } from '../src/callers/models/text-body.js';
-import {
-  PREFIX_BLOCK_TOKENS,
-  hashPrefixes,
-  MAX_PREFIX_BLOCKS,
-} from '../src/callers/prefix-digests.js';
+import { hashPrefixes, MAX_PREFIX_BLOCKS } from '../src/callers/prefix-digests.js';
 import { BYTES_PER_TOKEN } from '../src/callers/estimate-prompt-tokens.js';
 import { isUnambiguousPath, parseServicePath } from '../src/callers/services/service-path.js';
 import { MAX_EVENT_CHARACTERS, SseParser } from '../src/endpoints/sse-parser.js';
--- a/packages/model/src/configuration/schema.ts
+++ b/packages/model/src/configuration/schema.ts
@@ -25,6 +25,13 @@
   id: identifier,
   defaultTimeoutMs: z.number().int().positive().default(600_000),
   maxOutputTokens: z.number().int().positive().default(4_096),
+  /**
+   * Declares that engines of the model retain the beginnings of the prompts that they have read;
+   * absent if they don't. What was last used longer than `maxAgeMs` ago counts as dropped.
+   */
+  prefixRetention: z
+    .strictObject({ maxAgeMs: z.number().int().positive().default(600_000) })
+    .optional(),
 });
 
 const callRule = z.strictObject({
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -15,5 +15,6 @@
 export type * from './messages/types.js';
 export * from './platform/types.js';
 export { Err, None, Ok, Some, type Option, type Result } from './results/results.js';
+export { PREFIX_BLOCK_TOKENS } from './entities/prefix-blocks.js';
 export type * from './entities/types.js';
 export type * from './gateway/types.js';
--- a/packages/model/src/log-events/request-events.ts
+++ b/packages/model/src/log-events/request-events.ts
@@ -19,6 +19,12 @@
     'info',
     'caller disconnected; its claimed call continues so that the answer is stored',
   ],
+  prefixNotRetained: [
+    210,
+    'debug',
+    'engine read a prefix again that it was expected to retain; what it used before is forgotten',
+  ],
+  prefixesForgotten: [211, 'info', 'prefixes of an engine are forgotten, as it may be lost'],
   requestRejected: [251, 'info', 'request refused before it was admitted'],
   callerTooSlow: [252, 'info', 'caller was disconnected because it did not read its answer'],
 });
--- a/packages/model/src/messages/routing-messages.ts
+++ b/packages/model/src/messages/routing-messages.ts
@@ -59,6 +59,8 @@
       /** The sender's light work on the engine, as in its usage report. */
       readonly lightBacklogMs: number;
       readonly lightTokens: number;
+      /** Prefill time saved by a prefix that the engine is expected to retain, in milliseconds. */
+      readonly savedMs?: number;
     }
   | { readonly kind: 'slot.grant'; readonly requestId: RequestId; readonly engine: EndpointId }
   | {
--- a/packages/stand-ins/src/engine/engine-simulator.ts
+++ b/packages/stand-ins/src/engine/engine-simulator.ts
@@ -112,6 +112,11 @@
     return this.usedTokens;
   }
 
+  /** Blocks of prefixes that were dropped since the start. */
+  get evictedBlocks(): number {
+    return this.cache.evictedBlocks;
+  }
+
   listStreams(): SimulatedStream[] {
     return [...this.streams.values()];
   }
--- a/packages/stand-ins/src/engine/engine-stand-in.ts
+++ b/packages/stand-ins/src/engine/engine-stand-in.ts
@@ -42,8 +42,8 @@
       response.write(`data: ${JSON.stringify(event)}\n\n`);
     }
     if (!stream.finished) return;
-    const { streamId, promptTokens, tokens } = stream;
-    const usage = { promptTokens, outputTokens: tokens.length };
+    const { streamId, promptTokens, tokens, cachedTokens } = stream;
+    const usage = { promptTokens, outputTokens: tokens.length, cachedTokens };
     const endEvent = { streamId, offset: tokens.length, end: 'length', usage };
     response.end(`data: ${JSON.stringify(endEvent)}\n\n`);
     simulator.releaseStream(streamId);
--- a/packages/stand-ins/src/engine/prefix-cache.ts
+++ b/packages/stand-ins/src/engine/prefix-cache.ts
@@ -30,6 +30,9 @@
 
   private nextSequence = 1;
 
+  /** Blocks removed since the start. */
+  evictedBlocks = 0;
+
   constructor(private readonly settings: PrefixCacheSettings) {}
 
   get usedTokens(): number {
@@ -64,6 +67,7 @@
     for (const digest of this.blocks) {
       if (this.usedTokens <= capacityTokens) return;
       this.blocks.delete(digest);
+      this.evictedBlocks += 1;
       this.publish('removed', digest);
     }
   }
