--- a/packages/decisions/src/routing/coordinated/coordinated-router.ts
+++ b/packages/decisions/src/routing/coordinated/coordinated-router.ts
@@ -179,8 +179,14 @@
     const slot = this.slots.get(requestId);
     if (slot === undefined || slot.isPrefilled) return;
     slot.isPrefilled = true;
-    if (slot.prefix !== undefined) this.prefixes.recordRead(slot.engine, slot.prefix.contract);
     const view = this.findView(slot.engine);
+    if (slot.prefix !== undefined) {
+      const freeTokens = view.readFreeTokens(
+        this.peers.length + 1,
+        this.dependencies.context.nowMs,
+      );
+      this.prefixes.recordRead(slot.engine, slot.prefix.contract, freeTokens);
+    }
     if (slot.coordinator === undefined) {
       view.lightBacklogMs -= slot.prefillMs;
       this.updateLocalUsage(view);
--- a/packages/decisions/src/routing/prefixes/prefix-tracker.ts
+++ b/packages/decisions/src/routing/prefixes/prefix-tracker.ts
@@ -109,12 +109,17 @@
     return this.blocks.countBlocks(engine) * PREFIX_BLOCK_TOKENS;
   }
 
-  /** Records that an engine has read a prompt, and so retains its prefix from now on. */
-  recordRead(engine: Engine, { prefixDigests }: ModelContract): void {
+  /**
+   * Records that an engine has read a prompt, and so retains its prefix from now on.
+   *
+   * @param freeTokens this entry VM's part of the engine's memory that streams do not use; what was
+   *   used least recently beyond it counts as dropped
+   */
+  recordRead(engine: Engine, { prefixDigests }: ModelContract, freeTokens: number): void {
     const { nowMs } = this.dependencies.context;
     const { blocks } = this.blocks.findHeld(engine.id, prefixDigests, -Infinity);
     this.reusedFraction += FLEET_SMOOTHING * (blocks / prefixDigests.length - this.reusedFraction);
-    const capacityBlocks = Math.floor(engine.memoryTokens / PREFIX_BLOCK_TOKENS);
+    const capacityBlocks = Math.floor(Math.max(0, freeTokens) / PREFIX_BLOCK_TOKENS);
     this.blocks.record(engine.id, prefixDigests, capacityBlocks, nowMs);
   }
 
--- a/packages/decisions/test/routing/prefixes/prefix-tracker.test.ts
+++ b/packages/decisions/test/routing/prefixes/prefix-tracker.test.ts
@@ -9,6 +9,8 @@
 
 const MAX_AGE_MS = 60_000;
 
+const FREE_TOKENS = 100_000;
+
 const ENGINE = createEngine({ id: 'engine-1' });
 
 const OTHER = createEngine({ id: 'engine-2' });
@@ -45,15 +47,25 @@
 describe('PrefixTracker', () => {
   it('expects an engine to retain what it has read, and nothing elsewhere', () => {
     const { tracker } = createTracker();
-    tracker.recordRead(ENGINE, CONTRACT);
+    tracker.recordRead(ENGINE, CONTRACT, FREE_TOKENS);
     expect(countKept(tracker, createContract('a', 6))).toBe(4 * 1_024);
     expect(tracker.findKept(OTHER, CONTRACT, undefined).keptTokens).toBe(0);
     expect(tracker.listHolders(CONTRACT)).toEqual([ENGINE]);
   });
 
+  it('expects an engine to retain no more than its part of the free memory', () => {
+    const { tracker } = createTracker();
+    tracker.recordRead(ENGINE, createContract('b'), 6 * 1_024);
+    tracker.recordRead(ENGINE, CONTRACT, 6 * 1_024);
+    expect(countKept(tracker)).toBe(4 * 1_024);
+    expect(countKept(tracker, createContract('b'))).toBe(2 * 1_024);
+    tracker.recordRead(ENGINE, createContract('c'), -1);
+    expect(tracker.blockCount).toBe(0);
+  });
+
   it('forgets an engine that is lost, and says so in the log', () => {
     const { tracker, readLogs } = createTracker();
-    tracker.recordRead(ENGINE, CONTRACT);
+    tracker.recordRead(ENGINE, CONTRACT, FREE_TOKENS);
     tracker.dropEngine(ENGINE.id);
     expect([countKept(tracker), tracker.blockCount]).toEqual([0, 0]);
     expect(readLogs()).toEqual([211]);
@@ -61,7 +73,7 @@
 
   it('forgets an engine that can not be used, also if it can be used again later', () => {
     const { tracker, unusable } = createTracker();
-    tracker.recordRead(ENGINE, CONTRACT);
+    tracker.recordRead(ENGINE, CONTRACT, FREE_TOKENS);
     unusable.add(ENGINE.id);
     expect(tracker.listHolders(CONTRACT)).toEqual([]);
     unusable.clear();
@@ -70,11 +82,11 @@
 
   it('forgets on its rounds what is too old, and engines that can not be used', () => {
     const { tracker, context, unusable } = createTracker();
-    tracker.recordRead(ENGINE, CONTRACT);
+    tracker.recordRead(ENGINE, CONTRACT, FREE_TOKENS);
     context.nowMs += MAX_AGE_MS + 1;
     expect(countKept(tracker)).toBe(0);
-    tracker.recordRead(ENGINE, createContract('b'));
-    tracker.recordRead(OTHER, createContract('b'));
+    tracker.recordRead(ENGINE, createContract('b'), FREE_TOKENS);
+    tracker.recordRead(OTHER, createContract('b'), FREE_TOKENS);
     tracker.sweep();
     expect(tracker.blockCount).toBe(8);
     unusable.add(OTHER.id);
@@ -86,11 +98,11 @@
     const { tracker, context, readLogs } = createTracker();
     const older = createContract('older');
     const newer = createContract('newer');
-    tracker.recordRead(ENGINE, older);
+    tracker.recordRead(ENGINE, older, FREE_TOKENS);
     context.nowMs += 1_000;
-    tracker.recordRead(ENGINE, CONTRACT);
+    tracker.recordRead(ENGINE, CONTRACT, FREE_TOKENS);
     context.nowMs += 1_000;
-    tracker.recordRead(ENGINE, newer);
+    tracker.recordRead(ENGINE, newer, FREE_TOKENS);
     const expected = tracker.findKept(ENGINE, CONTRACT, undefined);
     const { promptTokens } = CONTRACT;
     const usage = { promptTokens, outputTokens: 4, cachedTokens: 0 };
@@ -106,7 +118,7 @@
 
   it('reads the word of the engine in the tokens of the engine', () => {
     const { tracker, readLogs } = createTracker();
-    tracker.recordRead(ENGINE, CONTRACT);
+    tracker.recordRead(ENGINE, CONTRACT, FREE_TOKENS);
     const expected = tracker.findKept(ENGINE, CONTRACT, undefined);
     const usage = { promptTokens: 1_026, outputTokens: 4, cachedTokens: 1_024 };
     tracker.recordUsage(ENGINE, expected, CONTRACT.promptTokens, usage);
@@ -116,7 +128,7 @@
 
   it('ignores responses that do not say what was retained, or say what can not be', () => {
     const { tracker } = createTracker();
-    tracker.recordRead(ENGINE, CONTRACT);
+    tracker.recordRead(ENGINE, CONTRACT, FREE_TOKENS);
     const expected = tracker.findKept(ENGINE, CONTRACT, undefined);
     const { promptTokens } = CONTRACT;
     [undefined, NaN, -1].forEach((cachedTokens) => {
