Bound trailers, price the fields of heads, and let bodies that stop short make room

The parser keeps trailers until their message ends, some 6 bytes a byte, and nothing counted them.

Change: trailers of a request are bounded by the limit for heads in force (431, not run), counted at the price of unfinished heads while the message is open, and dropped with its end. Each field of a complete head costs 96 bytes more. Where a request or a body finds no room, requests whose bodies have been read longest, a second at least, are refused with 503 (not run) until it fits. Refusals for it are counted with the reason `bodies`.

Expectations of shortage-monitor.test.ts name the new reason, with 0.

A try that failed: the list of unfinished bodies as optional methods `add` and `remove` of the budget. `MemoryBudget` has an `add` of its own, so that its sum became NaN wherever it was given directly; four tests of unfinished-heads found it. They are `addBody` and `removeBody` now.

--- a/packages/entry/src/gateway/callers/body-reader.ts
+++ b/packages/entry/src/gateway/callers/body-reader.ts
@@ -1,5 +1,13 @@
 import type { IncomingMessage } from 'node:http';
 import type { BodyBudget } from '../../callers/body-budget.js';
+import { REQUEST_PRICE_BYTES } from '../memory/consts.js';
+import type { UnfinishedBodies, UnfinishedBody } from '../memory/unfinished-bodies.js';
+
+/** Memory for bodies, and the list of those that are read where they make room for others. */
+export type BodyRoom = Pick<BodyBudget, 'release'> & {
+  /** @param taker the body that needs it, if there is one already */
+  readonly reserve: (bytes: number, taker?: UnfinishedBody) => boolean;
+} & Partial<Pick<UnfinishedBodies, 'addBody' | 'removeBody'>>;
 
 /** Why a request body could not be read completely. The request has not run. */
 export type BodyFailure =
@@ -7,12 +15,14 @@
   /** The body was not complete within `timeoutMs`. */
   | 'tooSlow'
   /** The memory budget for request bodies is used up by other requests. */
-  | 'noRoom';
+  | 'noRoom'
+  /** Others needed the memory more than a body that stopped short of its end. */
+  | 'pushedOut';
 
 export interface BodyReaderOptions {
   readonly incoming: IncomingMessage;
   /** Memory budget shared by the bodies of all requests. */
-  readonly budget: Pick<BodyBudget, 'reserve' | 'release'>;
+  readonly budget: BodyRoom;
   readonly maxBytes: number;
   readonly timeoutMs: number;
   /**
@@ -35,7 +45,7 @@
  * budget that all requests share. The bytes are copied into one buffer as they arrive: a chunk of a few
  * bytes takes some hundred as an object of its own.
  */
-export class BodyReader {
+export class BodyReader implements UnfinishedBody {
   private storage = Buffer.alloc(0);
 
   private bytes = 0;
@@ -54,14 +64,22 @@
     const declaredBytes = Number(incoming.headers?.['content-length'] ?? maxBytes);
     this.maxCapacity = Math.min(maxBytes, declaredBytes);
     this.timer = setTimeout(() => this.fail('tooSlow'), timeoutMs);
+    this.options.budget.addBody?.(this);
     incoming.on('data', (chunk: Buffer) => this.handleChunk(chunk));
     incoming.on('end', () => this.handleEnd());
   }
 
+  get heldBytes(): number {
+    return REQUEST_PRICE_BYTES + this.storage.length;
+  }
+
+  refuse(): void {
+    this.fail('pushedOut');
+  }
+
   /** Discards the body and returns its bytes to the budget. */
   release(): void {
-    this.isEnded = true;
-    clearTimeout(this.timer);
+    this.endReading();
     this.options.budget.release(this.storage.length);
     this.bytes = 0;
     this.storage = Buffer.alloc(0);
@@ -93,7 +111,7 @@
     // Most bodies come in one chunk, and take no more than its size.
     const doubled = length === 0 ? neededBytes : Math.max(2 * length, MIN_CAPACITY, neededBytes);
     const wanted = Math.max(neededBytes, Math.min(doubled, this.maxCapacity));
-    const capacity = [wanted, neededBytes].find((bytes) => budget.reserve(bytes));
+    const capacity = [wanted, neededBytes].find((bytes) => budget.reserve(bytes, this));
     if (capacity === undefined) return false;
     const grown = Buffer.allocUnsafeSlow(capacity);
     grown.set(this.storage.subarray(0, this.bytes), 0);
@@ -109,12 +127,17 @@
 
   private handleEnd(): void {
     if (this.isEnded) return;
-    this.isEnded = true;
-    clearTimeout(this.timer);
+    this.endReading();
     if (this.bytes > this.reportedBytes) this.reportBytes();
     this.options.onRead(this.storage.subarray(0, this.bytes));
   }
 
+  private endReading(): void {
+    this.isEnded = true;
+    clearTimeout(this.timer);
+    this.options.budget.removeBody?.(this);
+  }
+
   private fail(failure: BodyFailure): void {
     if (this.isEnded) return;
     this.release();
--- a/packages/entry/src/gateway/callers/caller-connection.ts
+++ b/packages/entry/src/gateway/callers/caller-connection.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import { GrowingBuffer } from '../endpoints/growing-buffer.js';
 import { PARSED_HEAD_BYTES } from '../memory/consts.js';
+import { computeTrailerPrice } from '../memory/head-prices.js';
 import { HTTP_HEADERS_TOO_LARGE, renderInputRefusal } from './input-refusals.js';
 import { MessageEndFinder, type BodyLength } from './message-end-finder.js';
 import type { ParsingOrder, ParsingTurns } from './parsing-turns.js';
@@ -57,6 +58,14 @@
   _last?: boolean;
 }
 
+/** Trailers are kept by the parser until their message ends, and used by nobody. */
+export interface TrailerBound {
+  /** Most bytes of the trailers of one request. */
+  readonly getMaxBytes: () => number;
+  /** Refuses the open request, whose trailers are too large. */
+  readonly onExceeded: () => void;
+}
+
 export interface CallerConnectionOptions {
   readonly socket: Socket;
   readonly turns: ParsingTurns;
@@ -68,10 +77,12 @@
   readonly isClosing: () => boolean;
   /**
    * Called with the bytes that have arrived of requests that are not open yet, when their number may have
-   * changed: an unfinished head, and what follows the open request. What waits to be read of the open request
-   * itself is reported as the second number.
+   * changed: an unfinished head, and what follows the open request. What the open request itself takes that is
+   * not complete is reported as the second number: what waits to be read, and its trailers by their price.
    */
   readonly onInputHeld: (bytes: number, bodyBytes: number) => void;
+  /** Bounds the trailers of a request; without it no body is read. */
+  readonly trailers?: TrailerBound;
 }
 
 const findBodyLength = ({ headers }: IncomingMessage): BodyLength =>
@@ -367,7 +378,7 @@
     this.receivedAtMs = receivedAtMs;
     const part = count < bytes.length ? bytes.subarray(0, count) : bytes;
     if (isHead) this.feedHead(part);
-    else this.parse(part);
+    else this.feedBody(part);
     if (this.isWaiting) this.isFirst = false;
   }
 
@@ -388,6 +399,17 @@
     else if (bytes.length > parsedBytes) this.headRest.append(bytes.subarray(parsedBytes));
   }
 
+  /** Gives the parser a part of a body, unless it ends with more trailers than it may. */
+  private feedBody(part: Buffer): void {
+    const { trailers } = this.options;
+    if (trailers === undefined || this.finder.trailerBytes <= trailers.getMaxBytes()) {
+      this.parse(part);
+      return;
+    }
+    this.dropInput();
+    trailers.onExceeded();
+  }
+
   /** Gives the parser what it has not got yet of a head, with the bytes that follow. */
   private parseHeadRest(bytes: Buffer): void {
     if (this.headRest.length === 0) {
@@ -461,7 +483,7 @@
     const { onInputHeld } = this.options;
     // Of a request that is not complete, its body is held; it is bytes and makes nothing else.
     if (this.open === undefined || this.isWaiting) onInputHeld(this.headBytes + this.heldBytes, 0);
-    else onInputHeld(0, this.heldBytes);
+    else onInputHeld(0, this.heldBytes + computeTrailerPrice(this.finder.trailerBytes));
   }
 
   /** Sends the last bytes, and closes the connection once the caller has read them and closed, too. */
--- a/packages/entry/src/gateway/callers/message-end-finder.ts
+++ b/packages/entry/src/gateway/callers/message-end-finder.ts
@@ -53,6 +53,9 @@
   /** Characters of the trailer that is being read. */
   private trailerCharacters = 0;
 
+  /** Bytes of the trailers of the message. */
+  private bytesOfTrailers = 0;
+
   private isAtEnd = false;
 
   private readonly readers: Readonly<Record<Part, (bytes: Buffer, start: number) => Progress>> = {
@@ -73,10 +76,16 @@
     return this.isAtEnd;
   }
 
+  /** Bytes of the trailers that have arrived of the last message. */
+  get trailerBytes(): number {
+    return this.bytesOfTrailers;
+  }
+
   /** Goes on with the body of the message whose head was read. */
   startBody(length: BodyLength): void {
     this.part = length === 'chunked' ? 'chunkSize' : 'body';
     this.bytesLeft = length === 'chunked' ? 0 : length;
+    this.bytesOfTrailers = 0;
     if (length === 0) this.part = 'head';
   }
 
@@ -155,6 +164,7 @@
       if (bytes[next] !== CARRIAGE_RETURN) this.trailerCharacters += 1;
       next += 1;
     }
+    this.bytesOfTrailers += next - start;
     if (next === bytes.length) return { next, isAtEnd: false };
     this.lines += 1;
     const isAtEnd = this.trailerCharacters === 0;
--- a/packages/entry/src/gateway/callers/request-server.ts
+++ b/packages/entry/src/gateway/callers/request-server.ts
@@ -10,7 +10,7 @@
 import type { ShortageReason } from '../memory/types.js';
 import type { GatewayWire, RequestMetadata } from '../types.js';
 import { openAddress } from '../open-address.js';
-import { BodyReader, type BodyFailure } from './body-reader.js';
+import { BodyReader, type BodyFailure, type BodyRoom } from './body-reader.js';
 import { CallerConnection } from './caller-connection.js';
 import { CallerExchange, type ReceivedRequest } from './caller-exchange.js';
 import { findCloseReason, recordClose } from './closed-connections.js';
@@ -51,11 +51,15 @@
 /** Memory for the bodies of all requests together, in bytes, where no budget is given. */
 const MAX_BUFFERED_BODY_BYTES = 64_000_000;
 
+/** What the parser reports of a head that is too large. */
+const TRAILERS_TOO_LARGE = { code: 'HPE_HEADER_OVERFLOW' } as NodeJS.ErrnoException;
+
 /** Callers take 408 and 503 as a guarantee that the request has not run. */
 const BODY_FAILURE_STATUS: Readonly<Record<BodyFailure, number>> = {
   tooLarge: 413,
   tooSlow: 408,
   noRoom: 503,
+  pushedOut: 503,
 };
 
 const HTTP_BAD_REQUEST = 400;
@@ -79,7 +83,7 @@
   readonly address: NetworkAddress;
   readonly wire: GatewayWire;
   /** Memory for the bodies of all requests, which several servers may share. */
-  readonly bodyBudget?: Pick<BodyBudget, 'reserve' | 'release'>;
+  readonly bodyBudget?: BodyRoom;
   /** Counts the connections of several servers together; none are counted if this is missing. */
   readonly connections?: CallerConnections;
   /** Who opens the connections; `callers` by default. */
@@ -137,7 +141,7 @@
 
   private nextRequestNumber = 1;
 
-  private readonly bodyBudget: Pick<BodyBudget, 'reserve' | 'release'>;
+  private readonly bodyBudget: BodyRoom;
 
   private readonly turns: ParsingTurns;
 
@@ -270,6 +274,10 @@
       isClosing: () => this.isClosing,
       onInputHeld: (bytes, bodyBytes) =>
         this.options.connections?.setHeld(socket, bytes, bodyBytes),
+      trailers: {
+        getMaxBytes: () => this.limits.maxHeaderBytes,
+        onExceeded: () => this.handleInputError(TRAILERS_TOO_LARGE, socket),
+      },
     });
     this.connections.set(socket, connection);
     socket.on('close', () => {
@@ -366,6 +374,8 @@
       },
       onRead: (body) => {
         this.unreadRequests.delete(outgoing);
+        // Nobody uses the trailers.
+        Object.assign(incoming, { rawTrailers: [] });
         const received = { metadata, body, fingerprint: fingerprint.finish() };
         this.openExchange(incoming, outgoing, received);
       },
--- a/packages/entry/src/gateway/gateway-process.ts
+++ b/packages/entry/src/gateway/gateway-process.ts
@@ -154,7 +154,7 @@
     });
     const requestOptions: Omit<RequestServerOptions, 'address'> = {
       wire,
-      bodyBudget: this.room.memory,
+      bodyBudget: this.room.bodies,
       connections: this.room.connections,
       turns: new ParsingTurns(),
       onShortage: (reason) => this.room.recordRefusal(reason),
--- a/packages/entry/src/gateway/memory/consts.ts
+++ b/packages/entry/src/gateway/memory/consts.ts
@@ -55,6 +55,9 @@
 /** Price of a byte of a complete head, in bytes: as text, as lists of fields, and as what is sent on. */
 export const HEAD_BYTE_PRICE = 4;
 
+/** Price of a field of a complete head besides its bytes, in bytes: entries of a list and of a table, and texts. */
+export const FIELD_PRICE_BYTES = 96;
+
 /**
  * Price of a byte of a head that is not yet complete, in bytes: a field of five bytes makes two strings and
  * two entries of a list.
--- a/packages/entry/src/gateway/memory/gateway-room.ts
+++ b/packages/entry/src/gateway/memory/gateway-room.ts
@@ -8,6 +8,7 @@
 import { ShortageMonitor, type Refusals } from './shortage-monitor.js';
 import { SlowReaders } from './slow-readers.js';
 import type { RoomLimits, ShortageReason, VmLimits } from './types.js';
+import { UnfinishedBodies } from './unfinished-bodies.js';
 
 const UNKNOWN_LIMITS: VmLimits = { memoryBytes: undefined, descriptors: undefined };
 
@@ -24,6 +25,9 @@
 
   readonly memory: MemoryBudget;
 
+  /** Requests whose bodies are read, which make room for others. */
+  readonly bodies: UnfinishedBodies;
+
   /** Part of the memory for responses that are buffered until they are complete. */
   readonly responses: MemoryShare;
 
@@ -60,6 +64,10 @@
       maxBytes: memoryBytes * READER_FRACTION,
       onClosed: () => this.recordRefusal('readers'),
     });
+    this.bodies = new UnfinishedBodies({
+      budget: this.memory,
+      onRefused: () => this.recordRefusal('bodies'),
+    });
     this.connections = new CallerConnections({
       budget: this.memory,
       headBytes,
--- a/packages/entry/src/gateway/memory/head-prices.ts
+++ b/packages/entry/src/gateway/memory/head-prices.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import {
+  FIELD_PRICE_BYTES,
   HEAD_BYTE_PRICE,
   PARSED_HEAD_BYTES,
   REQUEST_PRICE_BYTES,
@@ -22,7 +23,13 @@
 
 /** Computes the price of a request without its body, in bytes. */
 export const computeRequestPrice = (incoming: IncomingMessage): number =>
-  REQUEST_PRICE_BYTES + HEAD_BYTE_PRICE * countHeadBytes(incoming);
+  REQUEST_PRICE_BYTES +
+  HEAD_BYTE_PRICE * countHeadBytes(incoming) +
+  (FIELD_PRICE_BYTES * incoming.rawHeaders.length) / 2;
+
+/** Computes the price of trailers of a body that is not complete, of which so many bytes have arrived, in bytes. */
+export const computeTrailerPrice = (trailerBytes: number): number =>
+  UNFINISHED_HEAD_BYTE_PRICE * trailerBytes;
 
 /**
  * Computes the price of a head of which so many bytes have arrived, in bytes.
--- a/packages/entry/src/gateway/memory/shortage-monitor.ts
+++ b/packages/entry/src/gateway/memory/shortage-monitor.ts
@@ -17,6 +17,7 @@
 
 const createCounts = (): Record<ShortageReason, number> => ({
   requests: 0,
+  bodies: 0,
   heads: 0,
   readers: 0,
   connections: 0,
@@ -82,6 +83,7 @@
     const { counts, countsBefore: before } = this;
     const refused = {
       requests: counts.requests - before.requests,
+      bodies: counts.bodies - before.bodies,
       heads: counts.heads - before.heads,
       readers: counts.readers - before.readers,
       connections: counts.connections - before.connections,
--- a/packages/entry/src/gateway/memory/types.ts
+++ b/packages/entry/src/gateway/memory/types.ts
@@ -2,6 +2,8 @@
 export type ShortageReason =
   /** Memory for one more request or its body. */
   | 'requests'
+  /** Memory that others need more than a request whose body stops short of its end. */
+  | 'bodies'
   /** Memory for heads that are not yet complete. */
   | 'heads'
   /** Memory for responses that wait for callers that read slowly. */
--- a/packages/entry/test/gateway/bad-callers.test.ts
+++ b/packages/entry/test/gateway/bad-callers.test.ts
@@ -61,6 +61,8 @@
 
 const HEAD = 'POST /a HTTP/1.1\r\nHost: shop.example\r\nX-Try: 1\r\n';
 
+const CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n';
+
 describe('a caller that sends an invalid request', () => {
   it.each([
     ['bytes that are not HTTP', 'what is this\r\n\r\n', /^HTTP\/1\.1 400/],
@@ -81,6 +83,16 @@
     ],
     ['an invalid chunk', `${HEAD}Transfer-Encoding: chunked\r\n\r\nzz\r\n`, /^HTTP\/1\.1 400/],
     ['a head over the limit', `${HEAD}X-Long: ${'x'.repeat(3_000)}\r\n\r\n`, /^HTTP\/1\.1 431/],
+    [
+      'trailers over the limit for heads',
+      `${HEAD}${CHUNKED}0\r\n${'a:b\r\n'.repeat(600)}\r\n`,
+      /^HTTP\/1\.1 431/,
+    ],
+    [
+      'trailers over the limit for heads without an end',
+      `${HEAD}${CHUNKED}0\r\n${'a:b\r\n'.repeat(600)}`,
+      /^HTTP\/1\.1 431/,
+    ],
     [
       'a body over the limit',
       `${HEAD}Content-Length: 6000\r\n\r\n${'x'.repeat(6_000)}`,
@@ -121,6 +133,15 @@
   });
 });
 
+describe('trailers within the limit for heads', () => {
+  it('are taken, and not passed on', async () => {
+    const trailers = 'x-trailer:b\r\n'.repeat(100);
+    const answer = await sendBytes(`${HEAD}${CHUNKED}0\r\n${trailers}\r\n`);
+    expect(answer).toMatch(/^HTTP\/1\.1 200/);
+    expect(runs.join('')).not.toContain('x-trailer');
+  });
+});
+
 describe('hop-by-hop headers', () => {
   it('are not forwarded, including those that Connection names', async () => {
     await sendBytes(`${HEAD}Connection: close, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n\r\n`);
--- a/packages/entry/test/gateway/shortage-monitor.test.ts
+++ b/packages/entry/test/gateway/shortage-monitor.test.ts
@@ -25,16 +25,17 @@
     expect(ended).not.toHaveBeenCalled();
     vi.advanceTimersByTime(LONGER_THAN_QUIET_MS);
     expect(ended.mock.calls).toEqual([
-      [{ heads: 2, readers: 0, requests: 1, connections: 0, descriptors: 0 }, 1],
+      [{ bodies: 0, heads: 2, readers: 0, requests: 1, connections: 0, descriptors: 0 }, 1],
     ]);
     monitor.record('connections');
     vi.advanceTimersByTime(LONGER_THAN_QUIET_MS);
     expect(begun).toHaveBeenCalledTimes(2);
     expect(ended.mock.calls[1]).toEqual([
-      { heads: 0, readers: 0, requests: 0, connections: 1, descriptors: 0 },
+      { bodies: 0, heads: 0, readers: 0, requests: 0, connections: 1, descriptors: 0 },
       0,
     ]);
     expect(monitor.refusals).toEqual({
+      bodies: 0,
       heads: 2,
       readers: 0,
       requests: 1,
