--- a/packages/decisions/test/gateway/draw-engine.test.ts
+++ b/packages/decisions/test/gateway/draw-engine.test.ts
@@ -14,6 +14,7 @@
   endpoint: createEndpoint(id, { slots: SLOTS }),
   load: { ...createIdleLoad(), writers },
   isPermitted: true,
+  isCold: false,
   disruption: 0,
   firstEventMs: 100,
   isLate,
