Treat the endpoints of a failure domain as just started when its evacuation ends

Cause: endpoints may have been restarted while their failure domain was evacuated, and the end of the evacuation may be read before the registrations that say that they are cold: all entry VMs would send their share of the fleet's work at once. Change: the end of an evacuation makes them cold for the time that their service names; where a service or the contract names no bound, nothing changes. A row that is not cold does not end it, as before.

--- a/packages/decisions/src/gateway/availability/endpoint-availability.ts
+++ b/packages/decisions/src/gateway/availability/endpoint-availability.ts
@@ -3,6 +3,7 @@
   type AttemptId,
   type EndpointId,
   type EntryVmId,
+  type FailureDomainId,
   type GatewayEndpoint,
   type LeavingObservation,
   type MonotonicMs,
@@ -57,6 +58,8 @@
   readonly rewriteMs: number;
   /** Called when an endpoint may not be sent anything from now on. */
   readonly onClosed: (endpoint: EndpointId) => void;
+  /** Called when the evacuation of a failure domain has ended, before {@link onEvacuationChanged}. */
+  readonly onEvacuationEnded: (domain: FailureDomainId) => void;
   /** Called when the evacuation of failure domains has begun or ended. */
   readonly onEvacuationChanged: () => void;
 }
@@ -88,6 +91,7 @@
     this.evacuated = new EvacuatedDomains({
       context,
       rewriteMs,
+      onEnded: (domain) => options.onEvacuationEnded(domain),
       onChanged: () => options.onEvacuationChanged(),
     });
     this.leaving = new LeavingEndpoints({
--- a/packages/decisions/src/gateway/availability/evacuated-domains.ts
+++ b/packages/decisions/src/gateway/availability/evacuated-domains.ts
@@ -20,6 +20,8 @@
   readonly context: GatewayContext;
   /** Time after an older copy of the store by which the operator has written again, in milliseconds. */
   readonly rewriteMs: number;
+  /** Called when the evacuation of a domain has ended, before {@link onChanged}. */
+  readonly onEnded: (domain: FailureDomainId) => void;
   /** Called once for each read after which other domains are evacuated than before it. */
   readonly onChanged: () => void;
 }
@@ -177,6 +179,7 @@
       forMs: Math.round(nowMs - sinceMs),
       readAgeMs: Math.round(nowMs - requestedAtMs),
     });
+    this.options.onEnded(domain);
   }
 
   private dropOldEnds(): void {
--- a/packages/decisions/test/gateway/cold-endpoints.test.ts
+++ b/packages/decisions/test/gateway/cold-endpoints.test.ts
@@ -106,6 +106,23 @@
     expect(driver.coldUsage.coldEndpoints).toBe(0);
   });
 
+  it('is treated as just started when its failure domain is no longer evacuated', () => {
+    const endpoint = createCold('e1', { coldForMs: 0 });
+    const { failureDomain: domain } = endpoint;
+    read(endpoint);
+    const tell = (isEvacuated: boolean): void =>
+      driver.dispatch({
+        kind: 'evacuations.read',
+        source: 'change',
+        changes: [{ domain, isEvacuated }],
+        requestedAtMs: driver.nowMs,
+      });
+    tell(true);
+    expect(driver.coldUsage.coldEndpoints).toBe(0);
+    tell(false);
+    expect(countSent(40)).toBe(SHARE);
+  });
+
   it('gets no long prompt where others serve it in time', () => {
     read(createCold('e1'));
     read(createCold('e2', { coldForMs: 0 }));
