Count no trailers of a connection that is cut

Cause: a connection that is refused for its trailers was still counted with them, so that the next-largest ones were refused for it as well, one after the other. Found by a review.

--- a/packages/entry/src/gateway/callers/caller-connection.ts
+++ b/packages/entry/src/gateway/callers/caller-connection.ts
@@ -483,7 +483,12 @@
     const { onInputHeld } = this.options;
     // Of a request that is not complete, its body is held; it is bytes and makes nothing else.
     if (this.open === undefined || this.isWaiting) onInputHeld(this.headBytes + this.heldBytes, 0);
-    else onInputHeld(0, this.heldBytes + computeTrailerPrice(this.finder.trailerBytes));
+    else onInputHeld(0, this.heldBytes + this.computeTrailerPrice());
+  }
+
+  /** A connection that is cut is about to close, and its trailers go with it. */
+  private computeTrailerPrice(): number {
+    return this.isCut ? 0 : computeTrailerPrice(this.finder.trailerBytes);
   }
 
   /** Sends the last bytes, and closes the connection once the caller has read them and closed, too. */
--- a/packages/entry/test/gateway/unfinished-heads.test.ts
+++ b/packages/entry/test/gateway/unfinished-heads.test.ts
@@ -21,6 +21,9 @@
   `${'1\r\nx\r\n'.repeat(100)}0\r\n\r\n`;
 const buildUnfinishedHead = (bytes: number): string =>
   `POST /a HTTP/1.1\r\nA: ${'b'.repeat(bytes)}`;
+const buildUnfinishedTrailers = (bytes: number): string =>
+  'POST /a HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\n' +
+  `1\r\nx\r\n0\r\nA: ${'b'.repeat(bytes)}`;
 const SMALL_HEAD = buildUnfinishedHead(200);
 const LARGE_HEAD = buildUnfinishedHead(6_000);
 const REFUSED = 'HTTP/1.1 503 ';
@@ -103,6 +106,18 @@
     expect(connections.unfinishedHeadBytes).toBe(0);
   });
 
+  it('refuses the largest trailers where all take too much, and leaves the others alone', async () => {
+    const trailers = [300, 200, 100].map((bytes) => openCaller(buildUnfinishedTrailers(bytes)));
+    await waitUntil(() => connections.unfinishedHeadBytes > 600);
+    const large = openCaller(LARGE_HEAD);
+    await waitUntil(() => large.isClosed);
+    openCaller(buildUnfinishedTrailers(1_300));
+    await waitUntil(() => refusals.length > 1);
+    await delay(50);
+    expect(refusals).toEqual(['heads', 'heads']);
+    expect(trailers.map(({ isClosed }) => isClosed)).toEqual([false, false, false]);
+  });
+
   it('answers the request in front of a head that is refused, and closes then', async () => {
     const caller = openCaller(REQUEST + LARGE_HEAD);
     await waitUntil(() => refusals.length === 1);
