Hold evacuations from the store's return on, also if their table answers first

Cause: the rows of evacuations are dispatched before the configuration that is read with them, and only the latter told that the store had answered again. After an outage longer than the time for writing again, the first read of an older copy lifted an evacuation. The same if the store went away before all rows were read in the new era. Change: a read of evacuations counts as an answer of the store; the hold begins anew while all rows have still to be read; a reload of the contract changes its time. Seen to fail before: 'goes on if the read of the copy is the first answer after an outage' and 'goes on if the store went away before all rows were read'.

--- a/packages/decisions/src/gateway/availability/evacuated-domains.ts
+++ b/packages/decisions/src/gateway/availability/evacuated-domains.ts
@@ -63,9 +63,21 @@
   /** Until when a read of all rows proves nothing against what is known. */
   private heldUntilMs: MonotonicMs = Number.NEGATIVE_INFINITY;
 
+  /** Whether all rows have still to be read since the store came back from an older copy of itself. */
+  private isUnread = false;
+
   private hasChanged = false;
 
-  constructor(private readonly options: EvacuatedDomainsOptions) {}
+  private rewriteMs: number;
+
+  constructor(private readonly options: EvacuatedDomainsOptions) {
+    this.rewriteMs = options.rewriteMs;
+  }
+
+  /** Changes the time after an older copy of the store by which the operator has written again. */
+  changeRewriteTime(rewriteMs: number): void {
+    this.rewriteMs = rewriteMs;
+  }
 
   has(domain: FailureDomainId): boolean {
     return this.sinceMs.has(domain);
@@ -91,12 +103,13 @@
   /** Handles that the store has come back from an older copy of itself. */
   handleEraRaised(): void {
     this.contradictions.clear();
+    this.isUnread = true;
     this.startHold();
   }
 
   /** Handles that the store answers again: the operator could not write meanwhile. */
   handleStoreRegained(): void {
-    if (this.contradictions.size > 0) this.startHold();
+    if (this.isUnread || this.contradictions.size > 0) this.startHold();
   }
 
   /** Counts time that the clock missed towards the age of evacuations. */
@@ -105,11 +118,11 @@
   }
 
   private startHold(): void {
-    const { context, rewriteMs } = this.options;
-    this.heldUntilMs = context.nowMs + rewriteMs;
+    this.heldUntilMs = this.options.context.nowMs + this.rewriteMs;
   }
 
   private applyAll(rows: readonly EvacuationChange[], requestedAtMs: MonotonicMs): void {
+    this.isUnread = false;
     const shown = new Set(rows.filter(({ isEvacuated }) => isEvacuated).map((row) => row.domain));
     const isHeld = requestedAtMs < this.heldUntilMs;
     [...this.sinceMs.keys()]
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -424,6 +424,7 @@
         this.budget.changeOptions(createBudgetOptions(contract));
         this.snapshots.changeLink(contract.linkBytesPerMs);
         this.table.changeReregistration(computeRetentionMs(contract));
+        this.availability.evacuated.changeRewriteTime(contract.reregistrationMs);
         this.coldShares.changeBound(contract.coldBound);
         this.context.log(logEvents.contractChanged);
       },
@@ -431,7 +432,10 @@
         this.handleConfirmation(event);
         this.handleStoreResponse(event);
       },
-      'evacuations.read': (event) => this.availability.evacuated.handleRead(event),
+      'evacuations.read': (event) => {
+        this.handleStoreResponse(event);
+        this.availability.evacuated.handleRead(event);
+      },
       'endpoints.read': (event) => {
         this.handleStoreResponse(event);
         this.table.setAll(event.endpoints, this.context.nowMs);
--- a/packages/decisions/test/gateway/evacuated-domains.test.ts
+++ b/packages/decisions/test/gateway/evacuated-domains.test.ts
@@ -388,6 +388,30 @@
     expect(listUsed()).toContain('a');
   });
 
+  it('that the copy lacks goes on if the read of the copy is the first answer after an outage', () => {
+    evacuate('a');
+    raiseEra();
+    show();
+    driver.dispatch({ kind: 'store.failed', detail: 'test' });
+    driver.advance(10_000);
+    show();
+    driver.confirm();
+    expect(listUsed()).toEqual(['b', 'c']);
+  });
+
+  it('that the copy lacks goes on if the store went away before all rows were read', () => {
+    evacuate('a');
+    raiseEra();
+    driver.dispatch({ kind: 'store.failed', detail: 'test' });
+    driver.advance(10_000);
+    show();
+    driver.confirm();
+    expect(listUsed()).toEqual(['b', 'c']);
+    driver.advance(REWRITE_MS);
+    show();
+    expect(listUsed()).toContain('a');
+  });
+
   it('that the copy lacks ends at once if the operator ends it again', () => {
     evacuate('a');
     raiseEra();
