Tell the own failure domain of a long prompt at once, wherever its engines are

Cause: at most 96 peers are told at once, those of the engines' failure domains first and the rest in the order in which they became known. In fleets of more, peers of the own domain could be left out, which otherwise get each change. Found by a review. Change: the own domain comes second, and the rest by when they were told last. Seen to fail before: 'tell a long prompt elsewhere to all peers of the own failure domain, the last ones known as well'.

--- a/packages/decisions/src/gateway/peer-table.ts
+++ b/packages/decisions/src/gateway/peer-table.ts
@@ -209,16 +209,20 @@
 
   /**
    * Lists the peers that are told at once, and records a snapshot as sent to them: the active ones, those
-   * of some failure domains first.
+   * of some failure domains first, then those of the own one, which else get each change, then those that
+   * were told longest ago.
    */
   takeUrgentRecipients(
     domains: ReadonlySet<FailureDomainId>,
     nowMs: MonotonicMs,
   ): Readonly<Record<SnapshotFrequency, readonly NetworkAddress[]>> {
-    const active = this.listActive(nowMs);
-    const first = active.filter(({ peer }) => domains.has(peer.failureDomain));
-    const others = active.filter(({ peer }) => !domains.has(peer.failureDomain));
-    const recipients = [...first, ...others].slice(0, MAX_URGENT_RECIPIENTS);
+    const rank = ({ peer: { failureDomain } }: PeerState): number => {
+      if (domains.has(failureDomain)) return 0;
+      return failureDomain === this.self.failureDomain ? 1 : 2;
+    };
+    const recipients = [...this.listActive(nowMs)]
+      .sort((a, b) => rank(a) - rank(b) || a.sentAtMs - b.sentAtMs)
+      .slice(0, MAX_URGENT_RECIPIENTS);
     const byFrequency: Record<SnapshotFrequency, NetworkAddress[]> = { frequent: [], periodic: [] };
     recipients.forEach((state) => {
       state.sentAtMs = nowMs;
--- a/packages/decisions/test/gateway/snapshot-sender.test.ts
+++ b/packages/decisions/test/gateway/snapshot-sender.test.ts
@@ -67,6 +67,16 @@
     expect(sum).toBeLessThanOrEqual(96 - 24);
   });
 
+  it('tell a long prompt elsewhere to all peers of the own failure domain, the last ones known as well', () => {
+    const names = ['b', 'c', 'd', 'e', 'f', 'g', 'h', 'a'];
+    const driver = new FleetDriver(names.flatMap((name) => createPeers(name, 24)));
+    const endpoints = [createEndpoint('elsewhere', { failureDomain: 'b' })];
+    driver.dispatch({ kind: 'endpoints.read', endpoints });
+    driver.takeDatagrams();
+    driver.request('/review/', { promptTokens: 50_000 });
+    expect(driver.takeDatagrams()).toMatchObject({ a: 24, b: 24 });
+  });
+
   it('take no more than a fifth of a slow link, although long prompts begin all the time', () => {
     const linkBytesPerMs = 200;
     const driver = new FleetDriver(LARGE_FLEET, linkBytesPerMs);
