Refuse no body for room that another one only would like to have

Cause: a body that grows asks for twice its room first, and others were refused for that although what it needed was free. Found by a review. Seen to fail before: 'has nobody refused for room beyond what its body needs'.

--- a/packages/entry/src/gateway/callers/body-reader.ts
+++ b/packages/entry/src/gateway/callers/body-reader.ts
@@ -7,7 +7,7 @@
 export type BodyRoom = Pick<BodyBudget, 'release'> & {
   /** @param taker the body that needs it, if there is one already */
   readonly reserve: (bytes: number, taker?: UnfinishedBody) => boolean;
-} & Partial<Pick<UnfinishedBodies, 'addBody' | 'removeBody'>>;
+} & Partial<Pick<UnfinishedBodies, 'addBody' | 'removeBody' | 'reserveFree'>>;
 
 /** Why a request body could not be read completely. The request has not run. */
 export type BodyFailure =
@@ -111,7 +111,7 @@
     // Most bodies come in one chunk, and take no more than its size.
     const doubled = length === 0 ? neededBytes : Math.max(2 * length, MIN_CAPACITY, neededBytes);
     const wanted = Math.max(neededBytes, Math.min(doubled, this.maxCapacity));
-    const capacity = [wanted, neededBytes].find((bytes) => budget.reserve(bytes, this));
+    const capacity = this.reserveCapacity(wanted, neededBytes);
     if (capacity === undefined) return false;
     const grown = Buffer.allocUnsafeSlow(capacity);
     grown.set(this.storage.subarray(0, this.bytes), 0);
@@ -120,6 +120,14 @@
     return true;
   }
 
+  /** Others are refused only for what is needed. */
+  private reserveCapacity(wantedBytes: number, neededBytes: number): number | undefined {
+    const { budget } = this.options;
+    const hasFree = budget.reserveFree?.(wantedBytes) ?? budget.reserve(wantedBytes, this);
+    if (hasFree) return wantedBytes;
+    return budget.reserve(neededBytes, this) ? neededBytes : undefined;
+  }
+
   private reportBytes(): void {
     this.options.onChunkRead(this.storage.subarray(this.reportedBytes, this.bytes));
     this.reportedBytes = this.bytes;
--- a/packages/entry/src/gateway/memory/unfinished-bodies.ts
+++ b/packages/entry/src/gateway/memory/unfinished-bodies.ts
@@ -20,8 +20,8 @@
 }
 
 /**
- * Makes room for requests among those whose bodies stop short of their end: where the memory is used up, those
- * that have been read longest are refused. Otherwise callers that never finish would keep all others out until
+ * Makes room for requests among those whose bodies have not ended: where the memory is used up, those that have
+ * been read longest, for a second at least, are refused. Otherwise callers that never finish would keep all others out until
  * the time for their bodies is over.
  *
  * @example
@@ -65,6 +65,11 @@
     return true;
   }
 
+  /** Reserves memory, in bytes, where nobody has to be refused for it. */
+  reserveFree(bytes: number): boolean {
+    return this.options.budget.reserve(bytes);
+  }
+
   release(bytes: number): void {
     this.options.budget.release(bytes);
   }
--- a/packages/entry/test/gateway/body-reader.test.ts
+++ b/packages/entry/test/gateway/body-reader.test.ts
@@ -2,7 +2,13 @@
 import { PassThrough } from 'node:stream';
 import { describe, expect, it } from 'vitest';
 import { BodyBudget } from '../../src/callers/body-budget.js';
-import { BodyReader, type BodyFailure } from '../../src/gateway/callers/body-reader.js';
+import {
+  BodyReader,
+  type BodyFailure,
+  type BodyRoom,
+} from '../../src/gateway/callers/body-reader.js';
+import { MemoryBudget } from '../../src/gateway/memory/memory-budget.js';
+import { UnfinishedBodies } from '../../src/gateway/memory/unfinished-bodies.js';
 
 interface Reading {
   readonly reader: BodyReader;
@@ -11,7 +17,7 @@
   readonly outcome: Promise<string | BodyFailure>;
 }
 
-const startReading = (budget: BodyBudget, maxBytes = 100): Reading => {
+const startReading = (budget: BodyRoom, maxBytes = 100): Reading => {
   const body = new PassThrough();
   let reader: BodyReader | undefined;
   const outcome = new Promise<string>((resolve) => {
@@ -51,4 +57,22 @@
     expect(await long.outcome).toBe('tooLarge');
     expect(budget.reserve(10)).toBe(true);
   });
+
+  it('has nobody refused for room beyond what its body needs', async () => {
+    let nowMs = 0;
+    const refused: string[] = [];
+    const bodies = new UnfinishedBodies({
+      budget: new MemoryBudget(140_000),
+      onRefused: () => {},
+      readNowMs: () => nowMs,
+    });
+    bodies.reserve(60_000);
+    bodies.addBody({ heldBytes: 60_000, refuse: () => refused.push('slow upload') });
+    nowMs = 2_000;
+    const { body, outcome } = startReading(bodies, 80_000);
+    body.write(Buffer.alloc(30_000));
+    body.end(Buffer.alloc(5_000));
+    expect(await outcome).toHaveLength(35_000);
+    expect(refused).toEqual([]);
+  });
 });
