--- a/packages/decisions/src/gateway/create-refusal.ts
+++ b/packages/decisions/src/gateway/create-refusal.ts
@@ -9,7 +9,8 @@
 
 /**
  * Shortest retry-after time of refusals for lack of capacity, also where all failure domains of a service are
- * evacuated, and of timeouts without any run; some streams end within this time and free capacity. Jitter adds up to the same time again.
+ * evacuated, and of timeouts without any run; some streams end within this time and free capacity. Jitter
+ * adds up to the same time again.
  */
 const CAPACITY_RETRY_AFTER_MS = 1_000;
 
--- a/packages/decisions/src/gateway/gateway-node.ts
+++ b/packages/decisions/src/gateway/gateway-node.ts
@@ -226,7 +226,7 @@
         this.requests.handleClosed(endpoint);
         this.snapshots.handleWorkChanged();
       },
-      onEvacuationEnded: (domain) => this.cold.assumeCold(domain),
+      onEvacuationEnded: (domain) => this.cold.recordRestart(domain),
       onEvacuationChanged: () => this.requests.handleEvacuationChanged(),
     });
     this.probes = new EndpointProbes(this.context);
--- a/packages/decisions/src/gateway/permits/cold-endpoints.ts
+++ b/packages/decisions/src/gateway/permits/cold-endpoints.ts
@@ -65,7 +65,7 @@
     endpoints.forEach((endpoint) => {
       const { coldForMs = 0 } = endpoint;
       if (coldForMs > 0 && this.options.table.isKnown(endpoint))
-        this.extend(endpoint.id, coldForMs);
+        this.setEnd(endpoint.id, coldForMs);
     });
   }
 
@@ -73,12 +73,12 @@
    * Treats the endpoints of a failure domain as just started, because they may be cold without that their
    * registrations say so yet.
    */
-  assumeCold(domain: FailureDomainId): void {
+  recordRestart(domain: FailureDomainId): void {
     const { table, findDurationMs } = this.options;
     table.listIds().forEach((id) => {
       const { failureDomain, service } = table.find(id)!;
       const durationMs = findDurationMs(service) ?? 0;
-      if (failureDomain === domain && durationMs > 0) this.extend(id, durationMs);
+      if (failureDomain === domain && durationMs > 0) this.setEnd(id, durationMs);
     });
   }
 
@@ -101,7 +101,7 @@
     this.known.delete(endpoint);
   }
 
-  private extend(endpoint: EndpointId, coldForMs: number): void {
+  private setEnd(endpoint: EndpointId, coldForMs: number): void {
     const { context } = this.options;
     const previous = this.known.get(endpoint);
     const untilMs = context.nowMs + coldForMs;
--- a/packages/decisions/src/gateway/snapshot-sender.ts
+++ b/packages/decisions/src/gateway/snapshot-sender.ts
@@ -104,11 +104,11 @@
    * all of its prefill.
    */
   handleWorkChanged(longWorkAt: readonly GatewayEndpoint[] = []): void {
-    if (longWorkAt.length > 0 && this.mayTellAtOnce()) this.tellAtOnce(longWorkAt);
+    if (longWorkAt.length > 0 && this.maySendAtOnce()) this.sendAtOnce(longWorkAt);
     else this.armForChange(SNAPSHOT_DELAY_MS);
   }
 
-  private mayTellAtOnce(): boolean {
+  private maySendAtOnce(): boolean {
     const latestMs = this.context.nowMs + MAX_ADVANCE_MS;
     const isAdvanced = Object.values(this.budgets).some(
       ({ availableAtMs }) => availableAtMs > latestMs,
@@ -116,7 +116,7 @@
     return this.fleetLoad.peers.hasPeriodicPeers && !isAdvanced;
   }
 
-  private tellAtOnce(longWorkAt: readonly GatewayEndpoint[]): void {
+  private sendAtOnce(longWorkAt: readonly GatewayEndpoint[]): void {
     const domains = new Set(longWorkAt.map(({ failureDomain }) => failureDomain));
     const recipients = this.fleetLoad.peers.takeUrgentRecipients(domains, this.context.nowMs);
     this.sendTo('frequent', recipients.frequent);
--- a/packages/decisions/src/routing/coordinated/engine-picker.ts
+++ b/packages/decisions/src/routing/coordinated/engine-picker.ts
@@ -98,7 +98,10 @@
     const owner = this.findPrefixOwner(request.contract);
     const retaining = this.listLocalHolders(request);
     if (owner !== undefined && this.isUsable(request, owner)) retaining.push(owner);
-    const holders = retaining.filter(({ memoryTokens }) => memoryTokens >= tokens);
+    const engines = this.listPartition(this.listLocalEngines(request.contract.model), false);
+    const holders = retaining.filter(
+      (holder) => holder.memoryTokens >= tokens && engines.includes(holder),
+    );
     const candidates = [...new Set([engine, ...holders])].map((candidate) =>
       this.createHeavyCandidate(request, candidate, owner),
     );
--- a/packages/decisions/src/routing/prefixes/prefix-tracker.ts
+++ b/packages/decisions/src/routing/prefixes/prefix-tracker.ts
@@ -168,6 +168,9 @@
       if (maxAgeMs === undefined || !membership.isUsable(id)) this.dropEngine(id);
       else this.blocks.dropUsedUntil(id, context.nowMs - maxAgeMs);
     });
+    this.confidences.forEach((_, id) => {
+      if (index.findEngine(id) === undefined) this.confidences.delete(id);
+    });
   }
 
   private dropOlder(
--- a/packages/model/src/log-events/gateway-events.ts
+++ b/packages/model/src/log-events/gateway-events.ts
@@ -174,7 +174,11 @@
     'warn',
     'the store has begun an era in which no entry VM has had proof of its configuration; credentials wait for it',
   ],
-  endpointCold: [866, 'info', 'an endpoint is cold by its registration, and gets few requests'],
+  endpointCold: [
+    866,
+    'info',
+    'an endpoint is cold, or may be after an evacuation, and gets few requests',
+  ],
   endpointWarm: [867, 'info', 'an endpoint is no longer cold; what this VM has sent it meanwhile'],
   roomShort: [
     870,
